--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+GO ?= go
+SEED ?= 1
+BINARIES = ./cmd/... ./standin/cmd/...
+
+.PHONY: all build test lint format quickstart measure slopes generate clean
+
+all: lint test
+
+build:
+	$(GO) build -o bin/ $(BINARIES)
+
+test:
+	$(GO) test -count=1 ./...
+
+format:
+	gofmt -w $$(git ls-files '*.go')
+
+bin/staticcheck: tools/go.mod
+	cd tools && $(GO) build -o ../bin/staticcheck honnef.co/go/tools/cmd/staticcheck
+
+lint: bin/staticcheck
+	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); \
+	if [ -n "$$unformatted" ]; then echo "run make format: $$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	bin/staticcheck ./...
+
+quickstart: build
+	scripts/quickstart.sh
+
+measure:
+	$(GO) run ./measure/cmd/measure --seed $(SEED)
+
+slopes:
+	$(GO) run ./measure/cmd/slopes
+
+generate:
+	cd tools && $(GO) build -o ../bin/ google.golang.org/protobuf/cmd/protoc-gen-go \
+		github.com/twitchtv/twirp/protoc-gen-twirp
+	protoc --plugin=bin/protoc-gen-go --plugin=bin/protoc-gen-twirp --go_out=. --go_opt=paths=source_relative \
+		--twirp_out=. --twirp_opt=paths=source_relative rpc/radishshelf.proto
+
+clean:
+	rm -rf bin run
--- /dev/null
+++ b/command/command.go
@@ -0,0 +1,109 @@
+// Package command builds the command line that every daemon shares: run, check-settings and version.
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/radishshelf/radishshelf/settings"
+)
+
+// Version is set by the linker at a release.
+var Version = "0.1.0-dev"
+
+// Exit codes of every program.
+const (
+	ExitOK       = 0
+	ExitFailure  = 1
+	ExitSettings = 2
+)
+
+// Program describes a daemon to its command line.
+type Program struct {
+	Name  string
+	Short string
+	// Check loads the settings file and returns its faults.
+	Check func(path string) error
+	// Run serves until ctx ends, then shuts down in an orderly way. logLevel overrides the settings when not empty.
+	Run func(ctx context.Context, path, logLevel string) error
+}
+
+// Main runs the program with the arguments of the process and returns the exit code.
+func Main(p Program) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return Execute(ctx, p, os.Args[1:], os.Stdout, os.Stderr)
+}
+
+// Execute runs the program with args and returns the exit code.
+func Execute(ctx context.Context, p Program, args []string, stdout, stderr io.Writer) int {
+	root := newRoot(p)
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	if err := root.ExecuteContext(ctx); err != nil {
+		fmt.Fprintf(stderr, "%s: %v\n", p.Name, err)
+		return exitCode(err)
+	}
+	return ExitOK
+}
+
+func exitCode(err error) int {
+	var settingsErr *settings.Error
+	if errors.As(err, &settingsErr) {
+		return ExitSettings
+	}
+	return ExitFailure
+}
+
+func newRoot(p Program) *cobra.Command {
+	root := &cobra.Command{Use: p.Name, Short: p.Short, SilenceUsage: true, SilenceErrors: true}
+	root.CompletionOptions.DisableDefaultCmd = true
+	root.AddCommand(newRun(p), newCheck(p), NewVersion(p.Name))
+	return root
+}
+
+func newRun(p Program) *cobra.Command {
+	var path, logLevel string
+	cmd := &cobra.Command{
+		Use: "run", Short: "Serve until SIGTERM, then shut down in an orderly way", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return p.Run(cmd.Context(), path, logLevel) },
+	}
+	cmd.Flags().StringVar(&path, "settings", "", "JSON settings file")
+	cmd.Flags().StringVar(&logLevel, "log-level", "", "debug, info, warn or error; overrides the settings file")
+	if err := cmd.MarkFlagRequired("settings"); err != nil {
+		panic(err)
+	}
+	return cmd
+}
+
+func newCheck(p Program) *cobra.Command {
+	return &cobra.Command{
+		Use: "check-settings FILE", Short: "Check a settings file; exit code 2 names a fault", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := p.Check(args[0]); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s: ok\n", args[0])
+			return err
+		},
+	}
+}
+
+// NewVersion returns the version command.
+func NewVersion(name string) *cobra.Command {
+	return &cobra.Command{
+		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s %s\n", name, Version)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/logging/logging.go
@@ -0,0 +1,52 @@
+// Package logging builds the zerolog logger of a program: one line of key=value pairs for each event.
+package logging
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// New returns a logger that writes to w. An empty level means info.
+func New(w io.Writer, program, level string) (zerolog.Logger, error) {
+	if level == "" {
+		level = zerolog.InfoLevel.String()
+	}
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Nop(), fmt.Errorf("log level %q is unknown; use debug, info, warn or error: %w", level, err)
+	}
+	out := zerolog.ConsoleWriter{
+		Out: w, NoColor: true, TimeFormat: time.RFC3339Nano,
+		FormatTimestamp:     func(v any) string { return "time=" + quote(v) },
+		FormatLevel:         func(v any) string { return "level=" + quote(v) },
+		FormatMessage:       func(v any) string { return "event=" + quote(v) },
+		FormatFieldName:     func(v any) string { return fmt.Sprint(v) + "=" },
+		FormatFieldValue:    quote,
+		FormatErrFieldName:  func(v any) string { return fmt.Sprint(v) + "=" },
+		FormatErrFieldValue: quote,
+	}
+	return zerolog.New(out).Level(parsed).With().Timestamp().Str("program", program).Logger(), nil
+}
+
+// quote keeps a value on one line and quotes it where a reader could not tell where it ends.
+func quote(v any) string {
+	if v == nil {
+		return `""`
+	}
+	text := fmt.Sprint(v)
+	if raw, ok := v.([]byte); ok {
+		text = string(raw)
+	}
+	if unquoted, err := strconv.Unquote(text); err == nil {
+		text = unquoted
+	}
+	if text == "" || strings.ContainsAny(text, " =\"\n\r\t") {
+		return strconv.Quote(text)
+	}
+	return text
+}
--- /dev/null
+++ b/samples/group.go
@@ -0,0 +1,23 @@
+package samples
+
+// Group is a set of samples of one prompt that a trainer uses together.
+type Group struct {
+	Trainer string `json:"trainer"`
+	Policy  string `json:"policy"`
+	ID      string `json:"id"`
+	// Samples are complete and in index order.
+	Samples []Sample `json:"samples"`
+}
+
+// OldestVersion returns the lowest weight version of any span, or 0 for a group without labelled tokens.
+func (g Group) OldestVersion() int64 {
+	var oldest int64
+	for _, s := range g.Samples {
+		for _, span := range s.Spans {
+			if oldest == 0 || span.Version < oldest {
+				oldest = span.Version
+			}
+		}
+	}
+	return oldest
+}
--- /dev/null
+++ b/settings/load.go
@@ -0,0 +1,110 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+)
+
+// embeddedPrefix is what encoding/json puts before the fields of the embedded Common, which the file does not show.
+const embeddedPrefix = "Common."
+
+// maxFileBytes bounds a settings file.
+const maxFileBytes = 1 << 20
+
+// Validator is implemented by settings types that check their values.
+type Validator interface {
+	// Validate records every fault of the settings.
+	Validate(p *Problems)
+}
+
+// LoadFile reads path into target, whose present values are the defaults, and validates it.
+// All faults found are joined; each is an *Error.
+func LoadFile(path string, target Validator) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return &Error{Kind: KindUnreadable, Problem: err.Error(), Remedy: "name a readable JSON file"}
+	}
+	defer f.Close()
+	data, err := io.ReadAll(io.LimitReader(f, maxFileBytes+1))
+	if err != nil {
+		return &Error{Kind: KindUnreadable, Problem: err.Error(), Remedy: "name a readable JSON file"}
+	}
+	if len(data) > maxFileBytes {
+		return &Error{
+			Kind: KindInvalid, Problem: fmt.Sprintf("the file is larger than %d bytes", maxFileBytes),
+			Remedy: "remove what does not belong in it",
+		}
+	}
+	return Load(data, target)
+}
+
+// Load reads data into target, whose present values are the defaults, and validates it.
+func Load(data []byte, target Validator) error {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(target); err != nil {
+		return decodeError(data, err)
+	}
+	if dec.More() {
+		return &Error{Kind: KindSyntax, Problem: "data follows the JSON object", Remedy: "keep one object in the file"}
+	}
+	var p Problems
+	target.Validate(&p)
+	return p.Err()
+}
+
+func decodeError(data []byte, err error) error {
+	var own *Error
+	if errors.As(err, &own) {
+		located := *own
+		located.Field = fieldOfValue(data, own)
+		return &located
+	}
+	var typeErr *json.UnmarshalTypeError
+	if errors.As(err, &typeErr) {
+		return &Error{
+			Kind: KindWrongType, Field: strings.TrimPrefix(typeErr.Field, embeddedPrefix), Problem: "found a JSON " + typeErr.Value,
+			Remedy: "write a value of type " + typeErr.Type.String(),
+		}
+	}
+	const unknownPrefix = `json: unknown field `
+	if name, ok := strings.CutPrefix(err.Error(), unknownPrefix); ok {
+		return &Error{
+			Kind: KindUnknownField, Field: strings.Trim(name, `"`), Problem: "the field is unknown",
+			Remedy: "remove it or correct its spelling; docs/settings.md lists the fields",
+		}
+	}
+	return &Error{Kind: KindSyntax, Problem: err.Error(), Remedy: "correct the JSON"}
+}
+
+// fieldOfValue finds the field whose raw value a Duration refused, because json.Unmarshaler is not told its field.
+func fieldOfValue(data []byte, e *Error) string {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.UseNumber()
+	var tree map[string]json.RawMessage
+	if dec.Decode(&tree) != nil {
+		return ""
+	}
+	return findValue(tree, "", e.Problem)
+}
+
+func findValue(tree map[string]json.RawMessage, prefix, problem string) string {
+	for name, raw := range tree {
+		var child map[string]json.RawMessage
+		if json.Unmarshal(raw, &child) == nil && child != nil {
+			if found := findValue(child, prefix+name+".", problem); found != "" {
+				return found
+			}
+			continue
+		}
+		if strings.HasPrefix(problem, "duration "+string(raw)+" ") {
+			return prefix + name
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/telemetry/status.go
@@ -0,0 +1,41 @@
+package telemetry
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Limits of the status port.
+const (
+	statusReadTimeout  = 5 * time.Second
+	statusWriteTimeout = 10 * time.Second
+	statusHeaderBytes  = 16 << 10
+)
+
+// ReadyFunc returns nil when the process takes traffic, or the reason why it does not.
+type ReadyFunc func() error
+
+// NewStatusServer returns the server of /healthz, /readyz and /metrics.
+func NewStatusServer(registry *Registry, ready ReadyFunc) *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintln(w, "ok")
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, "ready")
+	})
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		registry.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	return &http.Server{
+		Handler: mux, ReadTimeout: statusReadTimeout, WriteTimeout: statusWriteTimeout, MaxHeaderBytes: statusHeaderBytes,
+	}
+}
