Add leases and the runner of leased roles

Cause: orders, usage reports, rollouts and quota grants need one process in charge, without a coordination service and without comparing clocks. Ruled out: ending a guard by a row for each term, because bounded cleanup of those rows would let a very old term pass; challengers in every entry, because 350 entries would read lease rows 467 times a second. A challenger starts its wait again after a failed read, so that after an outage of the table the holder goes on. Conclusion: a holder that is frozen for less than 34.5 s after a check never overlaps its successor.

--- /dev/null
+++ b/lease/candidate.go
@@ -0,0 +1,132 @@
+package lease
+
+import "time"
+
+// Candidate is one process that holds a role or wants to. It has at most one operation in flight.
+type Candidate struct {
+	cfg Config
+	// row is the last known content, and unchangedSince when it was first seen on this candidate's clock.
+	row            Observation
+	known          bool
+	unchangedSince time.Time
+	lastRead       time.Time
+
+	inFlight bool
+	// pending is the write in flight or in doubt, and sentAt when it was handed to the driver.
+	pending  *Action
+	sentAt   time.Time
+	inDoubt  bool
+	holding  bool
+	actUntil time.Time
+	// lastRenewal is when the last confirmed write was sent.
+	lastRenewal time.Time
+	releasing   bool
+	delay       time.Duration
+}
+
+// New returns a candidate that does not hold the role.
+func New(cfg Config) (*Candidate, error) {
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	return &Candidate{cfg: cfg}, nil
+}
+
+// SetDelay sets an additional wait before a free role is taken, so that the preferred candidate comes first.
+func (c *Candidate) SetDelay(delay time.Duration) { c.delay = delay }
+
+// MayAct returns the term and true while the candidate may act for the role.
+// Call it directly before each outward action.
+func (c *Candidate) MayAct(now time.Time) (term int64, ok bool) {
+	if !c.holding || c.releasing || !now.Before(c.actUntil) {
+		return 0, false
+	}
+	return c.row.Record.Term, true
+}
+
+// Holding reports whether the candidate holds the role as far as it knows, also when its act window is over.
+func (c *Candidate) Holding() bool { return c.holding || c.inDoubt }
+
+// Row returns the last known row and whether one was read at all.
+func (c *Candidate) Row() (Observation, bool) { return c.row, c.known }
+
+// Tick advances the candidate to now.
+func (c *Candidate) Tick(now time.Time) []Action {
+	if c.inFlight {
+		return nil
+	}
+	if c.inDoubt {
+		return c.read(now)
+	}
+	if !c.known {
+		return c.readPaced(now)
+	}
+	if c.holding {
+		return c.tickHolder(now)
+	}
+	return c.tickChallenger(now)
+}
+
+// Release gives the role up. The holder must have stopped acting; MayAct is false from now on.
+func (c *Candidate) Release(now time.Time) []Action {
+	c.releasing = true
+	return c.Tick(now)
+}
+
+// Released reports whether a release is complete or there is nothing to release.
+func (c *Candidate) Released() bool { return !c.holding && !c.inFlight && !c.inDoubt }
+
+func (c *Candidate) tickHolder(now time.Time) []Action {
+	next := c.row.Record
+	if c.releasing {
+		next.Holder = ""
+		return c.write(now, next)
+	}
+	if now.Sub(c.lastRenewal) < c.cfg.RenewInterval {
+		return nil
+	}
+	next.Renewal++
+	return c.write(now, next)
+}
+
+func (c *Candidate) tickChallenger(now time.Time) []Action {
+	if c.releasing {
+		return nil
+	}
+	if actions := c.readPaced(now); actions != nil {
+		return actions
+	}
+	if now.Sub(c.unchangedSince) < c.takeoverWait() {
+		return nil
+	}
+	return c.write(now, Record{Holder: c.cfg.Candidate, Term: c.row.Record.Term + 1})
+}
+
+// takeoverWait is how long the row must stay unchanged before it may be taken over.
+func (c *Candidate) takeoverWait() time.Duration {
+	if c.row.Record.Holder == "" {
+		return c.delay
+	}
+	return c.cfg.Duration + c.cfg.PauseTolerance + c.delay
+}
+
+// readPaced reads once in a renew interval, so that challengers do not flood a table that recovers.
+func (c *Candidate) readPaced(now time.Time) []Action {
+	if !c.lastRead.IsZero() && now.Sub(c.lastRead) < c.cfg.RenewInterval {
+		return nil
+	}
+	return c.read(now)
+}
+
+func (c *Candidate) read(now time.Time) []Action {
+	c.inFlight = true
+	c.lastRead = now
+	return []Action{{Kind: ActionRead}}
+}
+
+func (c *Candidate) write(now time.Time, next Record) []Action {
+	c.inFlight = true
+	c.sentAt = now
+	c.pending = &Action{Kind: ActionWrite, Record: next, Revision: c.row.Revision}
+	return []Action{*c.pending}
+}
--- /dev/null
+++ b/lease/config.go
@@ -0,0 +1,53 @@
+package lease
+
+import (
+	"fmt"
+	"time"
+)
+
+// Default timing of a role.
+const (
+	DefaultDuration       = 9 * time.Second
+	DefaultRenewInterval  = 3 * time.Second
+	DefaultActWindow      = 4500 * time.Millisecond
+	DefaultPauseTolerance = 30 * time.Second
+)
+
+// Config is the timing of one role for one candidate. All candidates of a role use the same durations.
+type Config struct {
+	// Candidate is the name of this process.
+	Candidate string
+	// Duration is how long a row counts after its last change.
+	Duration time.Duration
+	// RenewInterval is the time between two renewals.
+	RenewInterval time.Duration
+	// ActWindow is how long a holder may act after it sent a confirmed renewal.
+	ActWindow time.Duration
+	// PauseTolerance is the longest freeze of a holder that the role survives when the receiver checks no term.
+	PauseTolerance time.Duration
+}
+
+// DefaultConfig returns the default timing for a candidate.
+func DefaultConfig(candidate string) Config {
+	return Config{
+		Candidate: candidate, Duration: DefaultDuration, RenewInterval: DefaultRenewInterval,
+		ActWindow: DefaultActWindow, PauseTolerance: DefaultPauseTolerance,
+	}
+}
+
+// Validate returns an error that names the faulty field and the remedy.
+func (c Config) Validate() error {
+	switch {
+	case c.Candidate == "":
+		return fmt.Errorf("lease: the candidate has no name; set Candidate")
+	case c.RenewInterval <= 0:
+		return fmt.Errorf("lease: renew interval %s is not positive; set RenewInterval", c.RenewInterval)
+	case c.ActWindow <= c.RenewInterval:
+		return fmt.Errorf("lease: act window %s is not above the renew interval %s; raise ActWindow", c.ActWindow, c.RenewInterval)
+	case c.Duration <= c.ActWindow:
+		return fmt.Errorf("lease: duration %s is not above the act window %s; raise Duration", c.Duration, c.ActWindow)
+	case c.PauseTolerance < 0:
+		return fmt.Errorf("lease: pause tolerance %s is negative; set PauseTolerance", c.PauseTolerance)
+	}
+	return nil
+}
--- /dev/null
+++ b/lease/result.go
@@ -0,0 +1,103 @@
+package lease
+
+import "time"
+
+// Observed takes the result of a read.
+func (c *Candidate) Observed(obs Observation, now time.Time) []Action {
+	c.inFlight = false
+	if c.inDoubt {
+		return c.settle(obs, now)
+	}
+	return c.adopt(obs, now)
+}
+
+// Written takes the confirmation of a write that gave the row the revision.
+func (c *Candidate) Written(revision int64, now time.Time) []Action {
+	c.inFlight = false
+	return c.confirm(revision, now)
+}
+
+// Rejected takes the word of the table that the condition of a write did not hold.
+func (c *Candidate) Rejected(now time.Time) []Action {
+	c.inFlight = false
+	c.pending = nil
+	c.known = false
+	c.lastRead = time.Time{}
+	return c.drop()
+}
+
+// Failed takes the failure of an operation. A write with effectUnknown may have taken effect; it is settled by a read.
+// A challenger starts its wait again, so that after an outage of the table the holder goes on and the role stays put.
+func (c *Candidate) Failed(effectUnknown bool, now time.Time) []Action {
+	c.inFlight = false
+	if c.pending != nil && effectUnknown {
+		c.inDoubt = true
+		return nil
+	}
+	if !c.holding && !c.inDoubt {
+		c.known = false
+		c.lastRead = now
+	}
+	c.pending = c.pendingInDoubt()
+	return nil
+}
+
+// pendingInDoubt keeps the write in doubt across failed reads.
+func (c *Candidate) pendingInDoubt() *Action {
+	if c.inDoubt {
+		return c.pending
+	}
+	return nil
+}
+
+// settle learns from the row whether the write in doubt took effect. The write is known by its content, because no
+// other candidate writes this candidate's name with the same term and renewal.
+func (c *Candidate) settle(obs Observation, now time.Time) []Action {
+	c.inDoubt = false
+	tookEffect := c.pending != nil && obs.Record == c.pending.Record && obs.Revision > c.pending.Revision
+	if tookEffect {
+		return c.confirm(obs.Revision, now)
+	}
+	c.pending = nil
+	return c.adopt(obs, now)
+}
+
+func (c *Candidate) confirm(revision int64, now time.Time) []Action {
+	acquired := !c.holding && c.pending.Record.Holder == c.cfg.Candidate
+	c.row = Observation{Revision: revision, Record: c.pending.Record}
+	c.known = true
+	c.unchangedSince = now
+	c.pending = nil
+	if c.row.Record.Holder == "" {
+		return c.drop()
+	}
+	c.holding = true
+	c.lastRenewal = c.sentAt
+	c.actUntil = c.sentAt.Add(c.cfg.ActWindow)
+	if acquired {
+		return []Action{{Kind: ActionAcquired, Record: c.row.Record}}
+	}
+	return nil
+}
+
+// adopt replaces the known row. A row of another holder ends this candidate's own tenure.
+func (c *Candidate) adopt(obs Observation, now time.Time) []Action {
+	if !c.known || obs.Revision != c.row.Revision {
+		c.unchangedSince = now
+	}
+	var actions []Action
+	if c.holding && obs.Revision != c.row.Revision {
+		actions = c.drop()
+	}
+	c.row = obs
+	c.known = true
+	return actions
+}
+
+func (c *Candidate) drop() []Action {
+	if !c.holding {
+		return nil
+	}
+	c.holding = false
+	return []Action{{Kind: ActionLost, Record: c.row.Record}}
+}
--- /dev/null
+++ b/roles/no_authority.go
@@ -0,0 +1,16 @@
+package roles
+
+import (
+	"time"
+
+	"github.com/radishshelf/radishshelf/platform"
+)
+
+// noAuthority is the authority of a role that this process does not run for.
+type noAuthority struct{}
+
+// MayAct implements Authority.
+func (noAuthority) MayAct(time.Time) (int64, bool) { return 0, false }
+
+// Guard implements Authority.
+func (noAuthority) Guard() (platform.Condition, bool) { return platform.Condition{}, false }
--- /dev/null
+++ b/roles/runner.go
@@ -0,0 +1,56 @@
+package roles
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Runner runs one lease candidate for each role.
+type Runner struct {
+	opts    Options
+	order   []string
+	drivers map[string]*driver
+}
+
+// New returns a Runner; Run starts it.
+func New(opts Options) (*Runner, error) {
+	opts.setDefaults()
+	r := &Runner{opts: opts, order: opts.Roles, drivers: make(map[string]*driver, len(opts.Roles))}
+	for _, role := range opts.Roles {
+		d, err := newDriver(role, opts)
+		if err != nil {
+			return nil, fmt.Errorf("role %s: %w", role, err)
+		}
+		r.drivers[role] = d
+	}
+	return r, nil
+}
+
+// Authority returns the authority of a role, or one that is never held when the role is unknown.
+func (r *Runner) Authority(role string) Authority {
+	if d, ok := r.drivers[role]; ok {
+		return d
+	}
+	return noAuthority{}
+}
+
+// Run competes for the roles until ctx ends, and then releases those held.
+func (r *Runner) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	for _, d := range r.drivers {
+		wg.Go(func() { d.run(ctx) })
+	}
+	wg.Wait()
+	return nil
+}
+
+// Infos returns the last known state of each role.
+func (r *Runner) Infos(now time.Time) []Info {
+	infos := make([]Info, 0, len(r.order))
+	for _, role := range r.order {
+		infos = append(infos, r.drivers[role].info(now))
+	}
+	return infos
+}
