Add planning and placing of orders for upstreams

Cause: orders must follow a lasting load, ignore a noisy one, and take effect once when replies are lost. Ruled out: an identity for each send; a successor that repeats the order would double it. Change: package ordering plans counts by pool with smoothing and hold times; package ordermanager writes an intent row under the guard of the role before each order, and settles open intents under the same identity. Conclusion: golden sessions with a frozen, killed and stopped holder, a lost reply and a table outage pass; the session frozen_past_successor shows the residual window with a receiver that checks no terms.

--- /dev/null
+++ b/ordering/need.go
@@ -0,0 +1,10 @@
+package ordering
+
+// Need is a count of upstreams to order for a pool.
+type Need struct {
+	Pool Pool
+	// Count is the total wanted; Previous is what was wanted before.
+	Count, Previous int
+	// Demand is the smoothed number of busy slots that led to Count.
+	Demand float64
+}
--- /dev/null
+++ b/ordering/planner_test.go
@@ -0,0 +1,93 @@
+package ordering
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+)
+
+var testPool = Pool{DataCentre: "sudur", Kind: "engine:fares"}
+
+func newTestPlanner(t *testing.T) *Planner {
+	p, err := New(DefaultConfig())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// Guards against orders that follow every swing of a noisy load around a steady mean.
+func TestNoisyLoadCausesNoOrders(t *testing.T) {
+	p := newTestPlanner(t)
+	rng := rand.New(rand.NewSource(1))
+	now := time.Unix(0, 0)
+	for range 3600 {
+		now = now.Add(time.Second)
+		busy := 21 + rng.Intn(15) - 7
+		s := Signal{Pool: testPool, Live: 4, Busy: busy, Slots: 40, Min: 1, Max: 20}
+		if need, ok := p.Plan(s, 4, now); ok {
+			t.Fatalf("ordered %d after %s", need.Count, now.Sub(time.Unix(0, 0)))
+		}
+	}
+}
+
+// Guards against a lasting overload that is not followed, or is followed before the hold time.
+func TestLastingOverloadIsOrderedAfterTheHold(t *testing.T) {
+	p := newTestPlanner(t)
+	start := time.Unix(0, 0)
+	for second := range 60 {
+		now := start.Add(time.Duration(second) * time.Second)
+		s := Signal{Pool: testPool, Live: 2, Busy: 20, Refused: 15, Slots: 20, Min: 1, Max: 20}
+		need, ok := p.Plan(s, 2, now)
+		if ok && now.Sub(start) < DefaultUpHold {
+			t.Fatalf("ordered after %s", now.Sub(start))
+		}
+		if ok {
+			if need.Count != 5 {
+				t.Fatalf("ordered %d, want 5 for 35 busy slots at 10 each and 70 %%", need.Count)
+			}
+			return
+		}
+	}
+	t.Fatal("nothing ordered within a minute")
+}
+
+// Guards against giving upstreams back in a short lull, and below the largest need of the hold time.
+func TestGivingBackWaitsAndKeepsTheLargestNeed(t *testing.T) {
+	p := newTestPlanner(t)
+	start := time.Unix(0, 0)
+	for second := 0; ; second += 5 {
+		now := start.Add(time.Duration(second) * time.Second)
+		busy := 4
+		if second >= 100 && second < 160 {
+			busy = 19
+		}
+		need, ok := p.Plan(Signal{Pool: testPool, Live: 6, Busy: busy, Slots: 60, Min: 1}, 6, now)
+		if !ok {
+			if second > 900 {
+				t.Fatal("nothing given back")
+			}
+			continue
+		}
+		if now.Sub(start) < DefaultDownHold || need.Count != 3 {
+			t.Fatalf("wanted %d after %s; want 3 after at least %s", need.Count, now.Sub(start), DefaultDownHold)
+		}
+		return
+	}
+}
+
+// Guards against orders outside the bounds that the operator set.
+func TestCountStaysWithinBounds(t *testing.T) {
+	p := newTestPlanner(t)
+	now := time.Unix(0, 0)
+	for range 120 {
+		now = now.Add(time.Second)
+		if need, ok := p.Plan(Signal{Pool: testPool, Live: 2, Busy: 500, Slots: 20, Min: 1, Max: 3}, 2, now); ok {
+			if need.Count != 3 {
+				t.Fatalf("ordered %d, want the maximum 3", need.Count)
+			}
+			return
+		}
+	}
+	t.Fatal("nothing ordered")
+}
--- /dev/null
+++ b/ordermanager/manager.go
@@ -0,0 +1,208 @@
+package ordermanager
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+
+	"github.com/radishshelf/radishshelf/ordering"
+	"github.com/radishshelf/radishshelf/platform"
+)
+
+// scanLimit bounds the pools that a holder reads; far above data centres times policies and services.
+const scanLimit = 1000
+
+// Manager places orders while its authority lasts.
+type Manager struct {
+	opts    Options
+	planner *ordering.Planner
+	// term under which planner and intents were loaded; 0 when the role is not held.
+	term    int64
+	intents map[ordering.Pool]Intent
+
+	placed, failed *metrics.Counter
+}
+
+// New returns a Manager; Run starts it.
+func New(opts Options) (*Manager, error) {
+	opts.setDefaults()
+	if err := opts.Planning.Validate(); err != nil {
+		return nil, err
+	}
+	return &Manager{
+		opts:   opts,
+		placed: opts.Registry.NewCounter("radishshelf_orders_placed_total"),
+		failed: opts.Registry.NewCounter("radishshelf_orders_failed_total"),
+	}, nil
+}
+
+// Run plans and places orders until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	ticker := time.NewTicker(m.opts.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			if err := m.Round(ctx); err != nil {
+				m.failed.Inc()
+				m.opts.Log.Warn().Err(err).Msg("order round failed")
+			}
+		}
+	}
+}
+
+// Round performs one round: it finishes open intents, then plans and places new orders. Without authority it does
+// nothing.
+func (m *Manager) Round(ctx context.Context) error {
+	term, ok := m.opts.Authority.MayAct(m.opts.Now())
+	if !ok {
+		m.term = 0
+		return nil
+	}
+	if m.term != term {
+		if err := m.load(ctx); err != nil {
+			return err
+		}
+		m.term = term
+	}
+	for _, s := range m.opts.Signals(m.opts.Now()) {
+		if err := m.handle(ctx, s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// load starts a tenure: the intents come from the table and the planner from nothing.
+func (m *Manager) load(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, m.opts.CallTimeout)
+	defer cancel()
+	rows, err := m.opts.Table.Scan(ctx, intentPrefix, "", scanLimit)
+	if err != nil {
+		return eris.Wrap(err, "read order intents")
+	}
+	intents := make(map[ordering.Pool]Intent, len(rows))
+	for _, row := range rows {
+		var intent Intent
+		if err := json.Unmarshal(row.Value, &intent); err != nil {
+			return fmt.Errorf("intent row %s is damaged: %w; restore it from the platform's list of orders", row.Key, err)
+		}
+		intent.revision = row.Revision
+		intents[intent.Pool] = intent
+	}
+	planner, err := ordering.New(m.opts.Planning)
+	if err != nil {
+		return err
+	}
+	m.planner, m.intents = planner, intents
+	return nil
+}
+
+func (m *Manager) handle(ctx context.Context, s ordering.Signal) error {
+	intent, known := m.intents[s.Pool]
+	if known && intent.State == IntentPlanned {
+		return m.finish(ctx, intent)
+	}
+	ordered := s.Live
+	if known {
+		ordered = intent.Count
+	}
+	need, ok := m.planner.Plan(s, ordered, m.opts.Now())
+	if !ok {
+		return nil
+	}
+	next := Intent{Pool: s.Pool, Generation: intent.Generation + 1, Count: need.Count, State: IntentPlanned, revision: intent.revision}
+	next, err := m.writeIntent(ctx, next)
+	if err != nil {
+		return err
+	}
+	m.opts.Log.Info().Str("pool", s.Pool.String()).Int("count", need.Count).Int("previous", need.Previous).
+		Float64("demand", need.Demand).Int64("generation", next.Generation).Msg("order planned")
+	return m.place(ctx, next)
+}
+
+// finish settles an intent whose result is unknown: the platform is asked first, then the same order is sent again.
+func (m *Manager) finish(ctx context.Context, intent Intent) error {
+	found, err := m.lookup(ctx, intent)
+	if err != nil {
+		return err
+	}
+	if found {
+		return m.markDone(ctx, intent)
+	}
+	return m.place(ctx, intent)
+}
+
+func (m *Manager) lookup(ctx context.Context, intent Intent) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, m.opts.CallTimeout)
+	defer cancel()
+	_, err := m.opts.Orders.Lookup(ctx, intent.order(0).ID)
+	if platform.IsKind(err, platform.KindNotFound) {
+		return false, nil
+	}
+	if err != nil {
+		return false, eris.Wrapf(err, "look up order %s", intent.order(0).ID)
+	}
+	return true, nil
+}
+
+// place sends the order. Authority is checked directly before the call, after everything that may block.
+func (m *Manager) place(ctx context.Context, intent Intent) error {
+	ctx, cancel := context.WithTimeout(ctx, m.opts.CallTimeout)
+	defer cancel()
+	term, ok := m.opts.Authority.MayAct(m.opts.Now())
+	if !ok || term != m.term {
+		return nil
+	}
+	if err := m.opts.Orders.Place(ctx, intent.order(term)); err != nil {
+		return eris.Wrapf(err, "place order %s", intent.order(term).ID)
+	}
+	m.placed.Inc()
+	m.opts.Log.Info().Str("pool", intent.Pool.String()).Int("count", intent.Count).Int64("term", term).
+		Int64("generation", intent.Generation).Msg("order placed")
+	return m.markDone(ctx, intent)
+}
+
+func (m *Manager) markDone(ctx context.Context, intent Intent) error {
+	intent.State = IntentDone
+	_, err := m.writeIntent(ctx, intent)
+	return err
+}
+
+// writeIntent replaces the pool's row on condition that the role is still held. After an unknown result the row is read
+// again at the next tenure, or rewritten under the same identity, so no order gets a second identity.
+func (m *Manager) writeIntent(ctx context.Context, intent Intent) (Intent, error) {
+	ctx, cancel := context.WithTimeout(ctx, m.opts.CallTimeout)
+	defer cancel()
+	guard, ok := m.opts.Authority.Guard()
+	if !ok {
+		return intent, eris.New("role orders was lost before the intent was written")
+	}
+	intent.Term = m.term
+	value, err := json.Marshal(intent)
+	if err != nil {
+		return intent, err
+	}
+	result, err := m.opts.Table.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{guard, {Key: intent.key(), Revision: intent.revision}},
+		Puts:       []platform.Put{{Key: intent.key(), Value: value}},
+	})
+	if err != nil || !result.Committed {
+		m.term = 0 // reload the intents before the next round
+	}
+	if err != nil {
+		return intent, eris.Wrapf(err, "write intent %s", intent.key())
+	}
+	if !result.Committed {
+		return intent, eris.Errorf("intent %s was changed by another holder", intent.key())
+	}
+	intent.revision = result.Revision
+	m.intents[intent.Pool] = intent
+	return intent, nil
+}
--- /dev/null
+++ b/ordermanager/session_test.go
@@ -0,0 +1,234 @@
+package ordermanager
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"github.com/radishshelf/radishshelf/lease"
+	"github.com/radishshelf/radishshelf/ordering"
+	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/roles"
+)
+
+// testInterval never falls on a tick of the role runner within a session, so that sessions are repeatable.
+const testInterval = 1003 * time.Millisecond
+
+var update = flag.Bool("update", false, "rewrite the golden sessions")
+
+// TestSessions replays the scripts in testdata in virtual time, with real role runners over an in-memory platform.
+// Guards against orders from two processes that both believe they are in charge, and against an order that is repeated
+// under a second identity.
+func TestSessions(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.golden")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no sessions found: %v", err)
+	}
+	for _, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { replay(t, path) })
+		})
+	}
+}
+
+func replay(t *testing.T, path string) {
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &session{
+		t: t, start: time.Now(), platform: memory.New(memory.Options{CheckTerms: strings.Contains(path, "checking")}),
+		hosts: map[string]*testHost{},
+	}
+	var got strings.Builder
+	scanner := bufio.NewScanner(strings.NewReader(string(want)))
+	for scanner.Scan() {
+		line := scanner.Text()
+		if strings.HasPrefix(line, "  ") {
+			continue
+		}
+		got.WriteString(line + "\n")
+		if line != "" && !strings.HasPrefix(line, "#") {
+			s.run(strings.Fields(line))
+			synctest.Wait()
+			got.WriteString(s.drainEvents())
+		}
+	}
+	s.stop()
+	if *update {
+		if err := os.WriteFile(path, []byte(got.String()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	if diff := cmp.Diff(string(want), got.String()); diff != "" {
+		t.Errorf("session differs (-want +got):\n%s", diff)
+	}
+}
+
+// session is one platform and the hosts that compete for the role.
+type session struct {
+	t        *testing.T
+	start    time.Time
+	platform *memory.Platform
+	hosts    map[string]*testHost
+
+	mu     sync.Mutex
+	busy   int
+	events []string
+}
+
+func (s *session) run(f []string) {
+	switch f[0] {
+	case "start":
+		s.hosts[f[1]] = newTestHost(s, f[1])
+	case "freeze":
+		s.hosts[f[1]].gate.freeze()
+	case "freeze-at-order":
+		s.hosts[f[1]].gate.freezeAtOrder()
+	case "thaw":
+		s.hosts[f[1]].gate.thaw()
+	case "kill":
+		s.hosts[f[1]].gate.kill()
+	case "stop":
+		s.hosts[f[1]].cancel()
+		<-s.hosts[f[1]].done
+	case "busy":
+		n, err := strconv.Atoi(f[1])
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.mu.Lock()
+		s.busy = n
+		s.mu.Unlock()
+	case "lose-order-replies":
+		s.platform.Orders.Faults.Set(memory.Faults{LoseReplies: 1})
+	case "table-outage":
+		s.platform.Table.Faults.Set(memory.Faults{Outage: f[1] == "on"})
+	case "advance":
+		d, err := time.ParseDuration(f[1])
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		time.Sleep(d)
+	default:
+		s.t.Fatalf("unknown command %q", f)
+	}
+}
+
+func (s *session) stop() {
+	for _, h := range s.hosts {
+		h.gate.kill()
+		h.cancel()
+		<-h.done
+	}
+}
+
+func (s *session) event(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events = append(s.events, fmt.Sprintf("  %s ", time.Since(s.start).Round(time.Second))+fmt.Sprintf(format, args...))
+}
+
+func (s *session) drainEvents() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out strings.Builder
+	for _, e := range s.events {
+		out.WriteString(e + "\n")
+	}
+	s.events = nil
+	return out.String()
+}
+
+func (s *session) signals(time.Time) []ordering.Signal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pool := ordering.Pool{DataCentre: "sudur", Kind: "engine:fares"}
+	return []ordering.Signal{{Pool: pool, Live: 2, Busy: s.busy, Slots: 20, Min: 1, Max: 20}}
+}
+
+// testHost is one process: a role runner and an order manager behind a gate that can freeze or kill it.
+type testHost struct {
+	gate   *gate
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func newTestHost(s *session, name string) *testHost {
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &testHost{gate: newGate(), cancel: cancel, done: make(chan struct{})}
+	table := &gatedTable{Table: s.platform.Table, gate: h.gate}
+	runner, err := roles.New(roles.Options{
+		Table: table, Lease: lease.DefaultConfig(name), Roles: []string{roles.Orders}, Log: zerolog.Nop(),
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	planning := ordering.DefaultConfig()
+	planning.DownHold = time.Minute
+	manager, err := New(Options{
+		Table: table, Orders: &gatedOrders{Orders: s.platform.Orders, gate: h.gate, session: s, host: name},
+		Authority: runner.Authority(roles.Orders), Planning: planning, Signals: s.signals, Log: zerolog.Nop(),
+		Interval: testInterval,
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = runner.Run(ctx) })
+	wg.Go(func() { _ = manager.Run(ctx) })
+	go func() { wg.Wait(); close(h.done) }()
+	return h
+}
+
+// gatedOrders records each order that arrives at the platform.
+type gatedOrders struct {
+	platform.Orders
+	gate    *gate
+	session *session
+	host    string
+}
+
+func (o *gatedOrders) Place(ctx context.Context, order platform.Order) error {
+	if err := o.gate.passOrder(); err != nil {
+		return err
+	}
+	err := o.Orders.Place(context.WithoutCancel(ctx), order)
+	o.session.event("%s order %s count=%d term=%d => %s", o.host, order.ID, order.Count, order.Term, resultText(err))
+	return err
+}
+
+func (o *gatedOrders) Lookup(ctx context.Context, id string) (platform.Order, error) {
+	if err := o.gate.pass(); err != nil {
+		return platform.Order{}, err
+	}
+	order, err := o.Orders.Lookup(ctx, id)
+	o.session.event("%s lookup %s => %s", o.host, id, resultText(err))
+	return order, err
+}
+
+func resultText(err error) string {
+	for _, kind := range []platform.ErrorKind{platform.KindUnknown, platform.KindNotFound, platform.KindFenced, platform.KindUnavailable} {
+		if platform.IsKind(err, kind) {
+			return string(kind)
+		}
+	}
+	if err != nil {
+		return err.Error()
+	}
+	return "ok"
+}
