Add planning of weight rollouts

Cause: a version has to be staged on all engines before it is activated on all together, and must never go back. Change: package rollout plans the phases; package rolloutmanager reads published versions and writes rollout objects.

--- /dev/null
+++ b/rollout/doc.go
@@ -0,0 +1,6 @@
+// Package rollout decides how a new weight version spreads over the engines of a policy: staged ahead on all, then
+// activated on all together. It is a pure planner; agents follow the written target by themselves.
+//
+// Invariant: the target of a policy only moves forward, and a version is activated only after it was staged on every
+// engine that is alive, or after the stage timeout on the share that suffices.
+package rollout
--- /dev/null
+++ b/rollout/planner.go
@@ -0,0 +1,88 @@
+package rollout
+
+import (
+	"time"
+
+	"github.com/radishshelf/radishshelf/fleetconfig"
+)
+
+// Planner plans the rollouts of one policy for the holder of the role. It is made anew by each holder.
+type Planner struct {
+	cfg Config
+	// stagingSince is when this holder first saw the version in the stage phase; a new holder waits again, because the
+	// age of a phase is not comparable between clocks.
+	stagingSince time.Time
+	staging      int64
+}
+
+// NewPlanner returns a planner without history.
+func NewPlanner(cfg Config) (*Planner, error) {
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	return &Planner{cfg: cfg}, nil
+}
+
+// Plan returns the rollout to write and why, or false when the present one stands.
+// published is the newest version that the trainer published, 0 for none.
+func (p *Planner) Plan(current fleetconfig.Rollout, published int64, engines []Engine, term int64, now time.Time) (Decision, bool) {
+	if published > current.Version {
+		return p.stage(current, published, term), true
+	}
+	if current.Phase != fleetconfig.PhaseStage {
+		return Decision{}, false
+	}
+	if p.staging != current.Version {
+		p.staging = current.Version
+		p.stagingSince = now
+	}
+	ready, total := countReady(engines, current.Version)
+	reason, activate := p.mayActivate(ready, total, now)
+	if !activate {
+		return Decision{}, false
+	}
+	next := current
+	next.Phase = fleetconfig.PhaseActivate
+	next.Term = term
+	return Decision{Rollout: next, Reason: reason, Ready: ready, Total: total}, true
+}
+
+// stage starts the rollout of a newer version. A version that was still being staged is skipped: its samples would be
+// older than those of the newer one.
+func (p *Planner) stage(current fleetconfig.Rollout, published, term int64) Decision {
+	previous := current.Version
+	if current.Phase == fleetconfig.PhaseStage {
+		previous = current.Previous
+	}
+	return Decision{
+		Rollout: fleetconfig.Rollout{Version: published, Phase: fleetconfig.PhaseStage, Previous: previous, Term: term},
+		Reason:  ReasonPublished,
+	}
+}
+
+func (p *Planner) mayActivate(ready, total int, now time.Time) (Reason, bool) {
+	if total == 0 {
+		return "", false
+	}
+	if ready == total {
+		return ReasonAllStaged, true
+	}
+	timedOut := now.Sub(p.stagingSince) >= p.cfg.StageTimeout
+	if timedOut && float64(ready) >= p.cfg.MinShare*float64(total) {
+		return ReasonTimeout, true
+	}
+	return "", false
+}
+
+func countReady(engines []Engine, version int64) (ready, total int) {
+	for _, e := range engines {
+		if !e.Healthy {
+			continue
+		}
+		total++
+		if e.has(version) {
+			ready++
+		}
+	}
+	return ready, total
+}
--- /dev/null
+++ b/rolloutmanager/manager.go
@@ -0,0 +1,120 @@
+package rolloutmanager
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+
+	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/rollout"
+)
+
+// Manager moves rollouts on while its authority lasts.
+type Manager struct {
+	opts     Options
+	term     int64
+	planners map[string]*rollout.Planner
+
+	staged, activated *metrics.Counter
+}
+
+// New returns a Manager; Run starts it.
+func New(opts Options) (*Manager, error) {
+	opts.setDefaults()
+	if err := opts.Planning.Validate(); err != nil {
+		return nil, err
+	}
+	return &Manager{
+		opts:      opts,
+		staged:    opts.Registry.NewCounter(`radishshelf_rollouts_total{phase="stage"}`),
+		activated: opts.Registry.NewCounter(`radishshelf_rollouts_total{phase="activate"}`),
+	}, nil
+}
+
+// Run moves rollouts on until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	ticker := time.NewTicker(m.opts.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			if err := m.Round(ctx); err != nil {
+				m.opts.Log.Warn().Err(err).Msg("rollout round failed")
+			}
+		}
+	}
+}
+
+// Round plans every policy once. Without authority it does nothing.
+func (m *Manager) Round(ctx context.Context) error {
+	term, ok := m.opts.Authority.MayAct(m.opts.Now())
+	if !ok {
+		m.term = 0
+		return nil
+	}
+	if m.term != term {
+		m.term = term
+		m.planners = map[string]*rollout.Planner{}
+	}
+	for _, current := range m.opts.Rollouts() {
+		if err := m.advance(ctx, current); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m *Manager) advance(ctx context.Context, current Current) error {
+	ctx, cancel := context.WithTimeout(ctx, m.opts.CallTimeout)
+	defer cancel()
+	planner, err := m.planner(current.Policy)
+	if err != nil {
+		return err
+	}
+	published, _, err := readPublished(ctx, m.opts.Table, current.Policy)
+	if err != nil {
+		return err
+	}
+	now := m.opts.Now()
+	decision, ok := planner.Plan(current.Rollout, published.Version, m.opts.Engines(current.Policy, now), m.term, now)
+	if !ok {
+		return nil
+	}
+	return m.write(ctx, current, decision)
+}
+
+func (m *Manager) planner(policy string) (*rollout.Planner, error) {
+	if p, ok := m.planners[policy]; ok {
+		return p, nil
+	}
+	p, err := rollout.NewPlanner(m.opts.Planning)
+	if err != nil {
+		return nil, err
+	}
+	m.planners[policy] = p
+	return p, nil
+}
+
+// write needs no guard: the condition on the object's revision decides a race with another holder.
+func (m *Manager) write(ctx context.Context, current Current, d rollout.Decision) error {
+	if term, ok := m.opts.Authority.MayAct(m.opts.Now()); !ok || term != m.term {
+		return nil
+	}
+	revision, err := m.opts.Config.Write(ctx, fleetconfig.KindRollout, current.Policy, d.Rollout, current.Revision)
+	if err != nil {
+		return eris.Wrapf(err, "write rollout of policy %s", current.Policy)
+	}
+	if d.Rollout.Phase == fleetconfig.PhaseActivate {
+		m.activated.Inc()
+	} else {
+		m.staged.Inc()
+	}
+	m.opts.Log.Info().Str("policy", current.Policy).Int64("version", d.Rollout.Version).Str("phase", d.Rollout.Phase).
+		Str("reason", string(d.Reason)).Int("ready", d.Ready).Int("total", d.Total).Int64("revision", revision).
+		Int64("term", m.term).Msg("rollout moved on")
+	return nil
+}
--- /dev/null
+++ b/rolloutmanager/published.go
@@ -0,0 +1,67 @@
+package rolloutmanager
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/radishshelf/radishshelf/platform"
+)
+
+// publishAttempts bounds the races of one publication with others of the same policy.
+const publishAttempts = 5
+
+// Published is the newest weight version of a policy. Its row is written by any entry, for a trainer.
+type Published struct {
+	Version int64  `json:"version"`
+	Trainer string `json:"trainer"`
+}
+
+// PublishedKey returns the key of a policy's row.
+func PublishedKey(policy string) string { return "versions/" + policy }
+
+// Publish records a version of a policy. A version that is not above the recorded one changes nothing, so a repeated
+// call is harmless.
+func Publish(ctx context.Context, table platform.Table, policy, trainer string, version int64) error {
+	value, err := json.Marshal(Published{Version: version, Trainer: trainer})
+	if err != nil {
+		return err
+	}
+	for range publishAttempts {
+		current, revision, err := readPublished(ctx, table, policy)
+		if err != nil {
+			return err
+		}
+		if version <= current.Version {
+			return nil
+		}
+		result, err := table.Commit(ctx, platform.Txn{
+			Conditions: []platform.Condition{{Key: PublishedKey(policy), Revision: revision}},
+			Puts:       []platform.Put{{Key: PublishedKey(policy), Value: value}},
+		})
+		if err != nil {
+			return eris.Wrapf(err, "publish version %d of policy %s", version, policy)
+		}
+		if result.Committed {
+			return nil
+		}
+	}
+	return fmt.Errorf("version %d of policy %q raced %d times with other publications; publish it again", version, policy, publishAttempts)
+}
+
+func readPublished(ctx context.Context, table platform.Table, policy string) (Published, int64, error) {
+	row, err := table.Get(ctx, PublishedKey(policy))
+	if platform.IsKind(err, platform.KindNotFound) {
+		return Published{}, 0, nil
+	}
+	if err != nil {
+		return Published{}, 0, eris.Wrapf(err, "read the published version of policy %s", policy)
+	}
+	var p Published
+	if err := json.Unmarshal(row.Value, &p); err != nil {
+		return Published{}, 0, fmt.Errorf("row %s is damaged: %w; publish the newest version again", row.Key, err)
+	}
+	return p, row.Revision, nil
+}
