Count, recover, seal and report usage

Cause: billing figures must survive the loss of an agent or an entry, repeated and late flushes, and a change of the role holder. Ruled out: deduplicating inside one window only, because a recovery batch may arrive after the window of the original was sealed; deleting closing rows, because it reopens a window. Counted ranges are carried from seal to seal in usage/counted.

--- /dev/null
+++ b/usage/ranges.go
@@ -0,0 +1,52 @@
+package usage
+
+import (
+	"slices"
+	"sort"
+)
+
+// Range is a run of sequence numbers, both ends included.
+type Range struct {
+	First int64 `json:"first"`
+	Last  int64 `json:"last"`
+}
+
+// Ranges is a set of sequence numbers as sorted runs that neither overlap nor touch.
+type Ranges []Range
+
+// Add inserts seq and reports whether it was absent.
+func (r *Ranges) Add(seq int64) bool {
+	s := *r
+	i := sort.Search(len(s), func(i int) bool { return s[i].Last >= seq })
+	if i < len(s) && s[i].First <= seq {
+		return false
+	}
+	joinsLeft := i > 0 && s[i-1].Last == seq-1
+	joinsRight := i < len(s) && s[i].First == seq+1
+	switch {
+	case joinsLeft && joinsRight:
+		s[i-1].Last = s[i].Last
+		s = slices.Delete(s, i, i+1)
+	case joinsLeft:
+		s[i-1].Last = seq
+	case joinsRight:
+		s[i].First = seq
+	default:
+		s = slices.Insert(s, i, Range{First: seq, Last: seq})
+	}
+	*r = s
+	return true
+}
+
+// Holes returns the sequence numbers from 1 to the highest member that are absent.
+func (r Ranges) Holes() Ranges {
+	var holes Ranges
+	next := int64(1)
+	for _, run := range r {
+		if run.First > next {
+			holes = append(holes, Range{First: next, Last: run.First - 1})
+		}
+		next = run.Last + 1
+	}
+	return holes
+}
--- /dev/null
+++ b/usage/recorder.go
@@ -0,0 +1,103 @@
+package usage
+
+import (
+	"slices"
+	"sync"
+)
+
+// Recorder numbers the records of one agent incarnation and hands them out in contiguous batches. It is safe for
+// concurrent use.
+//
+// Invariant: until Flushed covers it, NextBatch returns the same batch, so that a repeated write has the same identity
+// and the same content.
+type Recorder struct {
+	agent       string
+	incarnation string
+
+	mu      sync.Mutex
+	window  Window
+	pending []Record
+	lastSeq int64
+	flushed int64
+	// outstanding is the number of pending records in the batch handed out last.
+	outstanding int
+}
+
+// NewRecorder returns the recorder of one agent process. The incarnation is unique over all restarts of the agent.
+func NewRecorder(agent, incarnation string) *Recorder {
+	return &Recorder{agent: agent, incarnation: incarnation}
+}
+
+// SplitBy makes batches end where the window of the records changes.
+func (r *Recorder) SplitBy(w Window) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.window = Window{Length: w.length()}
+}
+
+// Add takes a finished request and returns its sequence number. The Seq of rec is ignored.
+func (r *Recorder) Add(rec Record) (seq int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastSeq++
+	rec.Seq = r.lastSeq
+	r.pending = append(r.pending, rec)
+	return rec.Seq
+}
+
+// NextBatch returns the oldest unflushed records, at most limit. The same batch is returned until it is flushed.
+func (r *Recorder) NextBatch(limit int) (Batch, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.pending) == 0 || limit <= 0 {
+		return Batch{}, false
+	}
+	if r.outstanding == 0 {
+		r.outstanding = r.cut(limit)
+	}
+	records := slices.Clone(r.pending[:r.outstanding])
+	return Batch{Agent: r.agent, Incarnation: r.incarnation, Number: records[0].Seq, Records: records}, true
+}
+
+// cut returns how many pending records form the next batch.
+func (r *Recorder) cut(limit int) int {
+	n := min(limit, len(r.pending))
+	if r.window.Length <= 0 {
+		return n
+	}
+	first := r.window.Start(r.pending[0].FinishedAt)
+	for i := 1; i < n; i++ {
+		if !r.window.Start(r.pending[i].FinishedAt).Equal(first) {
+			return i
+		}
+	}
+	return n
+}
+
+// Flushed states that all records up to throughSeq are durable. Lower or repeated values are ignored.
+func (r *Recorder) Flushed(throughSeq int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	throughSeq = min(throughSeq, r.lastSeq)
+	if throughSeq <= r.flushed {
+		return
+	}
+	n := int(throughSeq - r.flushed)
+	r.pending = slices.Delete(r.pending, 0, n)
+	r.outstanding = max(0, r.outstanding-n)
+	r.flushed = throughSeq
+}
+
+// FlushedSeq returns the highest sequence number up to which all records are durable.
+func (r *Recorder) FlushedSeq() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.flushed
+}
+
+// Pending returns the number of records that are not durable yet.
+func (r *Recorder) Pending() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.pending)
+}
--- /dev/null
+++ b/usage/sealed.go
@@ -0,0 +1,43 @@
+package usage
+
+// maxGaps bounds the gaps listed in one window, so that its row stays below the table's limit of 1 MiB.
+const maxGaps = 2000
+
+// Sealed is the final content of one window. It is written once and never changes.
+type Sealed struct {
+	// Window is the start of the window in RFC 3339, UTC.
+	Window string `json:"window"`
+	// Reports are in workspace order.
+	Reports []SealedReport `json:"reports"`
+	// Gaps are the sequence numbers that no batch has delivered although later ones have arrived. They are reported
+	// and not estimated; if they arrive later they count in a later window.
+	Gaps []Gap `json:"gaps,omitempty"`
+	// Missing counts the sequence numbers in all gaps, including those beyond the list.
+	Missing int64 `json:"missing,omitempty"`
+	// Repeated counts the records that arrived more than once.
+	Repeated int64 `json:"repeated,omitempty"`
+	// Batches counts the batches read.
+	Batches int64 `json:"batches"`
+}
+
+// SealedReport is the report of one workspace, sent byte for byte on every try.
+type SealedReport struct {
+	Workspace string `json:"workspace"`
+	Body      []byte `json:"body"`
+}
+
+// Gap is a run of missing sequence numbers of one agent incarnation.
+type Gap struct {
+	Agent       string `json:"agent"`
+	Incarnation string `json:"incarnation"`
+	Range
+}
+
+func (s *Sealed) addGaps(p CountedProcess) {
+	for _, hole := range p.Ranges.Holes() {
+		s.Missing += hole.Last - hole.First + 1
+		if len(s.Gaps) < maxGaps {
+			s.Gaps = append(s.Gaps, Gap{Agent: p.Agent, Incarnation: p.Incarnation, Range: hole})
+		}
+	}
+}
--- /dev/null
+++ b/usage/sealer.go
@@ -0,0 +1,76 @@
+package usage
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Sealer turns the batches of one closed window into its figures.
+type Sealer struct {
+	window   time.Time
+	counted  map[process]*CountedProcess
+	touched  map[process]bool
+	figures  map[string]*Figures
+	repeated int64
+	batches  int64
+}
+
+// NewSealer returns the sealer of the window that begins at start. Counted holds what earlier seals have counted.
+func NewSealer(start time.Time, counted Counted) *Sealer {
+	return &Sealer{
+		window: start.UTC(), counted: counted.index(), touched: map[process]bool{}, figures: map[string]*Figures{},
+	}
+}
+
+// Add counts the records of a batch that were not counted before, in this window or an earlier one.
+func (s *Sealer) Add(b Batch) {
+	p := process{b.Agent, b.Incarnation}
+	known := s.counted[p]
+	if known == nil {
+		known = &CountedProcess{Agent: b.Agent, Incarnation: b.Incarnation}
+		s.counted[p] = known
+	}
+	if known.LastWindow.Before(s.window) {
+		known.LastWindow = s.window
+	}
+	s.touched[p] = true
+	s.batches++
+	for _, rec := range b.Records {
+		if rec.Seq <= 0 || !known.Ranges.Add(rec.Seq) {
+			s.repeated++
+			continue
+		}
+		s.of(rec.Workspace).add(rec, b.Late)
+	}
+}
+
+func (s *Sealer) of(workspace string) *Figures {
+	f := s.figures[workspace]
+	if f == nil {
+		f = &Figures{Workspace: workspace, Window: WindowKey(s.window)}
+		s.figures[workspace] = f
+	}
+	return f
+}
+
+// Seal returns the final content of the window and what the next seal must not count again.
+func (s *Sealer) Seal() (Sealed, Counted, error) {
+	sealed := Sealed{Window: WindowKey(s.window), Repeated: s.repeated, Batches: s.batches}
+	for _, name := range slices.Sorted(maps.Keys(s.figures)) {
+		body, err := json.Marshal(s.figures[name])
+		if err != nil {
+			return Sealed{}, Counted{}, fmt.Errorf("encode usage figures of workspace %q: %w", name, err)
+		}
+		sealed.Reports = append(sealed.Reports, SealedReport{Workspace: name, Body: body})
+	}
+	counted := countedOf(s.counted)
+	for _, p := range counted.Processes {
+		if s.touched[process{p.Agent, p.Incarnation}] {
+			sealed.addGaps(p)
+		}
+	}
+	return sealed, counted, nil
+}
--- /dev/null
+++ b/usage/session_test.go
@@ -0,0 +1,171 @@
+package usage
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/radishshelf/radishshelf/dataplane"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// session runs a script line by line against recorder, retainer and sealer and records the actions.
+type session struct {
+	recorders map[string]*Recorder
+	retainer  *Retainer
+	batches   map[string]Batch
+	counted   Counted
+	out       bytes.Buffer
+}
+
+// Guards against a change of the rules by which records are flushed, recovered, counted and reported missing.
+func TestGoldenSession(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.golden")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no golden sessions: %v", err)
+	}
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := session{recorders: map[string]*Recorder{}, retainer: NewRetainer("entry-1", 4), batches: map[string]Batch{}}
+		for line := range strings.Lines(string(data)) {
+			if event := strings.TrimSpace(line); event != "" && !strings.HasPrefix(event, "->") {
+				fmt.Fprintln(&s.out, event)
+				s.run(t, strings.Fields(event))
+			}
+		}
+		if *update {
+			if err := os.WriteFile(path, s.out.Bytes(), 0o644); err != nil {
+				t.Fatal(err)
+			}
+			continue
+		}
+		if got := s.out.String(); got != string(data) {
+			t.Errorf("%s differs; run go test ./usage -update and read the change\ngot:\n%s", path, got)
+		}
+	}
+}
+
+func (s *session) action(format string, args ...any) { fmt.Fprintf(&s.out, "-> "+format+"\n", args...) }
+
+func (s *session) recorder(incarnation string) *Recorder {
+	if s.recorders[incarnation] == nil {
+		s.recorders[incarnation] = NewRecorder("agent", incarnation)
+	}
+	return s.recorders[incarnation]
+}
+
+func (s *session) run(t *testing.T, words []string) {
+	switch words[0] {
+	case "#":
+	case "request": // request INCARNATION WORKSPACE TOKENS [unseen]
+		s.request(words)
+	case "batch": // batch INCARNATION NAME LIMIT
+		var limit int
+		fmt.Sscan(words[3], &limit)
+		b, ok := s.recorder(words[1]).NextBatch(limit)
+		s.keep(words[2], b, ok)
+	case "flushed": // flushed INCARNATION SEQ
+		var seq int64
+		fmt.Sscan(words[2], &seq)
+		s.recorder(words[1]).Flushed(seq)
+	case "heartbeat": // heartbeat INCARNATION
+		s.retainer.Flushed("agent", words[1], s.recorder(words[1]).FlushedSeq())
+		s.action("%d records retained", s.retainer.Held())
+	case "dead": // dead INCARNATION
+		s.retainer.Dead("agent", words[1])
+	case "recovery": // recovery NAME
+		b, ok := s.retainer.NextRecovery()
+		s.keep(words[1], b, ok)
+		s.retainer.Recovered(b)
+	case "seal": // seal WINDOW NAME...
+		s.seal(t, words[1], words[2:])
+	default:
+		t.Fatalf("event %q is not understood", words)
+	}
+}
+
+func (s *session) request(words []string) {
+	var tokens int64
+	fmt.Sscan(words[3], &tokens)
+	seq := s.recorder(words[1]).Add(Record{Workspace: words[2], PromptTokens: tokens})
+	if len(words) > 4 {
+		return
+	}
+	s.retainer.Retain("r", words[2], "", dataplane.Result{
+		Upstream: "agent", Incarnation: words[1], UsageSeq: seq, PromptTokens: tokens,
+	}, time.Time{})
+	if n := s.retainer.Dropped(); n > 0 {
+		s.action("%d records not retained", n)
+	}
+}
+
+func (s *session) keep(name string, b Batch, ok bool) {
+	if !ok {
+		s.action("no batch")
+		return
+	}
+	var seqs []int64
+	for _, rec := range b.Records {
+		seqs = append(seqs, rec.Seq)
+	}
+	s.batches[name] = b
+	s.action("batch %s, records %v", b.Identity(), seqs)
+}
+
+func (s *session) seal(t *testing.T, window string, names []string) {
+	start, err := ParseWindowKey(window)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sealer := NewSealer(start, s.counted)
+	for _, name := range names {
+		name, late := strings.CutSuffix(name, ":late")
+		b := s.batches[name]
+		b.Late = late
+		sealer.Add(b)
+	}
+	sealed, counted, err := sealer.Seal()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.counted = counted
+	for _, report := range sealed.Reports {
+		s.action("report %s", report.Body)
+	}
+	for _, gap := range sealed.Gaps {
+		s.action("gap %s %s %d-%d", gap.Agent, gap.Incarnation, gap.First, gap.Last)
+	}
+	s.action("sealed, %d repeated, %d missing", sealed.Repeated, sealed.Missing)
+}
+
+// Guards against records of two windows in one row, which would report some of them in the wrong window.
+func TestBatchEndsWithItsWindow(t *testing.T) {
+	window := Window{Length: time.Minute}
+	r := NewRecorder("agent", "i1")
+	r.SplitBy(window)
+	start := time.Date(2026, 3, 1, 10, 0, 0, 0, time.UTC)
+	for _, second := range []int{10, 59, 60, 61} {
+		r.Add(Record{Workspace: "w", FinishedAt: start.Add(time.Duration(second) * time.Second)})
+	}
+	b, _ := r.NextBatch(10)
+	if (Window{}).End(start) != start.Add(DefaultWindowLength) {
+		t.Error("a window without a length does not end")
+	}
+	if len(b.Records) != 2 || !b.Window(window, start.Add(time.Hour)).Equal(start) {
+		t.Fatalf("first batch %+v in window %v", b, b.Window(window, start))
+	}
+	r.Flushed(b.LastSeq())
+	b, _ = r.NextBatch(10)
+	if len(b.Records) != 2 || !b.Window(window, start).Equal(start.Add(time.Minute)) || r.Pending() != 2 {
+		t.Fatalf("second batch %+v", b)
+	}
+}
--- /dev/null
+++ b/usage/window.go
@@ -0,0 +1,48 @@
+package usage
+
+import (
+	"fmt"
+	"time"
+)
+
+// DefaultWindowLength applies where no length is configured.
+const DefaultWindowLength = time.Hour
+
+// Window divides time into reporting windows of one length, aligned to the Unix epoch.
+type Window struct {
+	// Length is a whole number of seconds; DefaultWindowLength when it is below one second.
+	Length time.Duration
+}
+
+func (w Window) length() time.Duration {
+	if w.Length < time.Second {
+		return DefaultWindowLength
+	}
+	return w.Length.Truncate(time.Second)
+}
+
+// Start returns the start of the window that contains now, in UTC.
+func (w Window) Start(now time.Time) time.Time {
+	seconds := int64(w.length() / time.Second)
+	unix := now.Unix()
+	offset := unix % seconds
+	if offset < 0 {
+		offset += seconds
+	}
+	return time.Unix(unix-offset, 0).UTC()
+}
+
+// End returns the first moment after the window that begins at start.
+func (w Window) End(start time.Time) time.Time { return start.Add(w.length()) }
+
+// WindowKey returns the name of the window in row keys and reports. Names sort by time.
+func WindowKey(start time.Time) string { return start.UTC().Format(time.RFC3339) }
+
+// ParseWindowKey reads a name written by WindowKey.
+func ParseWindowKey(key string) (time.Time, error) {
+	start, err := time.Parse(time.RFC3339, key)
+	if err != nil {
+		return time.Time{}, fmt.Errorf("window %q is not a time in RFC 3339: %w", key, err)
+	}
+	return start.UTC(), nil
+}
--- /dev/null
+++ b/usagestore/commit.go
@@ -0,0 +1,52 @@
+package usagestore
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/radishshelf/radishshelf/platform"
+)
+
+// commitAbsent writes puts when key is absent and the role is still held. It returns the row's value if another
+// transaction, or an earlier try of this one whose reply was lost, has written key.
+func (r *Reporter) commitAbsent(ctx context.Context, key string, txn platform.Txn) ([]byte, error) {
+	guard, ok := r.opts.Authority.Guard()
+	if !ok {
+		return nil, ErrNotHolder
+	}
+	txn.Conditions = append(txn.Conditions, guard, platform.Condition{Key: key})
+	result, err := r.opts.Table.Commit(ctx, txn)
+	if platform.IsKind(err, platform.KindUnknown) {
+		return r.settle(ctx, key, err)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("write %s: %w", key, err)
+	}
+	if result.Committed {
+		return nil, nil
+	}
+	for _, row := range result.Current {
+		if row.Key == key {
+			return row.Value, nil
+		}
+	}
+	return nil, refusedBy(guard, result.Current, key)
+}
+
+func (r *Reporter) settle(ctx context.Context, key string, cause error) ([]byte, error) {
+	row, err := r.opts.Table.Get(ctx, key)
+	if err != nil {
+		return nil, fmt.Errorf("write %s, reply lost and row not found: %w", key, cause)
+	}
+	return row.Value, nil
+}
+
+// refusedBy tells a lost role from another condition that did not hold; the latter is tried again at the next step.
+func refusedBy(guard platform.Condition, current []platform.Row, key string) error {
+	for _, row := range current {
+		if row.Key == guard.Key && row.Revision == guard.Revision {
+			return fmt.Errorf("write %s: a row it depends on has changed; the next step reads it again", key)
+		}
+	}
+	return ErrNotHolder
+}
--- /dev/null
+++ b/usagestore/keys.go
@@ -0,0 +1,42 @@
+// Package usagestore keeps usage in the platform's table and reports it: agents flush batches, entries write recovery
+// batches, and the holder of role usage closes, seals and reports each window.
+//
+// Invariant: once usage/closing/<window> exists no batch row of the window is added, so that whoever seals it reads the
+// same batches; once usage/sealed/<window> exists its bytes never change.
+package usagestore
+
+import (
+	"net/url"
+	"strings"
+
+	"github.com/radishshelf/radishshelf/usage"
+)
+
+const (
+	batchPrefix    = "usage/batch/"
+	closingPrefix  = "usage/closing/"
+	sealedPrefix   = "usage/sealed/"
+	reportedPrefix = "usage/reported/"
+	// countedKey names the row of what all seals so far have counted.
+	countedKey = "usage/counted"
+	// afterAll sorts after every character that occurs in a key.
+	afterAll = "\xff"
+)
+
+func batchKey(window string, b usage.Batch) string {
+	return batchPrefix + window + "/" + url.PathEscape(b.Agent) + "/" + url.PathEscape(b.Identity())
+}
+
+func closingKey(window string) string { return closingPrefix + window }
+
+func sealedKey(window string) string { return sealedPrefix + window }
+
+func reportedKey(window, workspace string) string {
+	return reportedPrefix + window + "/" + url.PathEscape(workspace)
+}
+
+// windowOf returns the window of a batch row.
+func windowOf(key string) string {
+	window, _, _ := strings.Cut(strings.TrimPrefix(key, batchPrefix), "/")
+	return window
+}
--- /dev/null
+++ b/usagestore/property_test.go
@@ -0,0 +1,82 @@
+package usagestore
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/radishshelf/radishshelf/platform/memory"
+)
+
+// Guards against usage that is lost or counted twice, and against a window reported with different figures, when the
+// agent or the entry dies, flushes repeat or come late, replies are lost and the holder is replaced in the middle.
+func TestTotalsAreExact(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld()
+		agentDies := rapid.Bool().Draw(rt, "the agent may die, otherwise the entry")
+		rt.Repeat(map[string]func(*rapid.T){
+			"request": func(rt *rapid.T) {
+				w.request(rapid.SampledFrom([]string{"north", "south/1"}).Draw(rt, "workspace"), rapid.Int64Range(1, 9).Draw(rt, "tokens"))
+			},
+			"flush":     func(*rapid.T) { _ = w.agent.Flush(w.ctx) },
+			"recover":   func(*rapid.T) { _ = w.entry.Flush(w.ctx) },
+			"heartbeat": func(*rapid.T) { w.retainer.Flushed("agent/1", w.name(), w.recorder.FlushedSeq()) },
+			"time": func(rt *rapid.T) {
+				w.now = w.now.Add(time.Duration(rapid.IntRange(1, 50).Draw(rt, "seconds")) * time.Second)
+			},
+			"step": func(*rapid.T) { _ = w.reporter.Step(w.ctx) },
+			"old holder": func(*rapid.T) {
+				if w.old != nil {
+					_ = w.old.Step(w.ctx)
+				}
+			},
+			"holder replaced in a step": func(rt *rapid.T) {
+				w.hooked.skip = rapid.IntRange(0, 4).Draw(rt, "at")
+				w.hooked.then = func() {
+					w.takeOver()
+					_ = w.agent.Flush(w.ctx)
+					_ = w.reporter.Step(w.ctx)
+				}
+				_ = w.reporter.Step(w.ctx)
+				w.hooked.then = nil
+			},
+			"delayed commits": func(rt *rapid.T) { w.hooked.delay = rapid.IntRange(1, 2).Draw(rt, "commits") },
+			"commits arrive":  func(*rapid.T) { w.hooked.deliver(w.ctx) },
+			"death": func(*rapid.T) {
+				if !agentDies {
+					w.startEntry()
+					return
+				}
+				w.retainer.Dead("agent/1", w.name())
+				w.startAgent()
+			},
+			"declared dead too early": func(*rapid.T) { w.retainer.Dead("agent/1", w.name()) },
+			"faults": func(rt *rapid.T) {
+				w.platform.Table.Faults.Set(drawFaults(rt))
+				w.platform.Usage.Faults.Set(drawFaults(rt))
+			},
+		})
+		if err := w.finish(); err != nil {
+			rt.Fatal(err)
+		}
+		totals, err := w.totals()
+		if err != nil {
+			rt.Fatal(err)
+		}
+		if diff := cmp.Diff(w.truth, totals); diff != "" {
+			rt.Fatalf("totals differ from what ran (-ran +reported):\n%s", diff)
+		}
+		rows, err := w.platform.Table.Scan(w.ctx, batchPrefix, "", memory.MaxScanRows)
+		if err != nil || len(rows) != 0 {
+			rt.Fatalf("%d batch rows left, %v", len(rows), err)
+		}
+	})
+}
+
+func drawFaults(t *rapid.T) memory.Faults {
+	return memory.Faults{
+		Outage: rapid.Bool().Draw(t, "outage"), LoseReplies: rapid.IntRange(0, 3).Draw(t, "lost replies"),
+	}
+}
--- /dev/null
+++ b/usagestore/report.go
@@ -0,0 +1,122 @@
+package usagestore
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/usage"
+)
+
+const (
+	// reportedPage bounds one read of the workspaces that are reported already.
+	reportedPage = 500
+	// cleanRows is the number of batch rows deleted in one transaction, below the table's limit of 128 rows.
+	cleanRows = 100
+	// cleanTxns bounds the transactions of one step, so that the cleanup stays within the write budget.
+	cleanTxns = 10
+)
+
+// reported is the content of a reported row.
+type reported struct {
+	Term int64 `json:"term"`
+}
+
+// Report sends the sealed figures of each workspace that is not marked as reported. A report whose mark was not written
+// is sent again with the same identity and bytes, which the sink accepts without effect.
+func (r *Reporter) Report(ctx context.Context, sealed usage.Sealed) error {
+	done, err := r.reported(ctx, sealed.Window)
+	if err != nil {
+		return err
+	}
+	var refused error
+	for _, report := range sealed.Reports {
+		if done[reportedKey(sealed.Window, report.Workspace)] {
+			continue
+		}
+		err := r.send(ctx, sealed.Window, report)
+		if platform.IsKind(err, platform.KindConflict) {
+			refused = err
+			continue
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return refused
+}
+
+func (r *Reporter) reported(ctx context.Context, window string) (map[string]bool, error) {
+	done := map[string]bool{}
+	after := ""
+	for {
+		rows, err := r.opts.Table.Scan(ctx, reportedPrefix+window+"/", after, reportedPage)
+		if err != nil {
+			return nil, fmt.Errorf("read usage reports of window %s: %w", window, err)
+		}
+		if len(rows) == 0 {
+			return done, nil
+		}
+		for _, row := range rows {
+			done[row.Key] = true
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+func (r *Reporter) send(ctx context.Context, window string, report usage.SealedReport) error {
+	term, ok := r.opts.Authority.MayAct(r.opts.Now())
+	if !ok {
+		return ErrNotHolder
+	}
+	err := r.opts.Sink.Report(ctx, platform.UsageReport{
+		ID: window + "/" + report.Workspace, Workspace: report.Workspace, Window: window, Body: report.Body, Term: term,
+	})
+	if platform.IsKind(err, platform.KindConflict) {
+		r.metrics.conflicts.Inc()
+		r.opts.Log.Error().Err(err).Str("window", window).Str("workspace", report.Workspace).
+			Msg("usage report refused, the sink holds other figures")
+	}
+	if err != nil {
+		return fmt.Errorf("report usage of workspace %q in window %s: %w", report.Workspace, window, err)
+	}
+	r.metrics.reported.Inc()
+	return r.markReported(ctx, window, report.Workspace, term)
+}
+
+func (r *Reporter) markReported(ctx context.Context, window, workspace string, term int64) error {
+	value, err := json.Marshal(reported{Term: term})
+	if err != nil {
+		return fmt.Errorf("encode usage report mark: %w", err)
+	}
+	key := reportedKey(window, workspace)
+	_, err = r.commitAbsent(ctx, key, platform.Txn{Puts: []platform.Put{{Key: key, Value: value}}})
+	return err
+}
+
+// clean deletes batch rows of a reported window in bounded steps. The closing row stays, so that a batch which arrives
+// after the deletion still goes to a later window.
+func (r *Reporter) clean(ctx context.Context, window string) error {
+	for range cleanTxns {
+		rows, err := r.opts.Table.Scan(ctx, batchPrefix+window+"/", "", cleanRows)
+		if err != nil {
+			return fmt.Errorf("read usage batches: %w", err)
+		}
+		if len(rows) == 0 {
+			return nil
+		}
+		guard, ok := r.opts.Authority.Guard()
+		if !ok {
+			return ErrNotHolder
+		}
+		txn := platform.Txn{Conditions: []platform.Condition{guard}}
+		for _, row := range rows {
+			txn.Deletes = append(txn.Deletes, row.Key)
+		}
+		if _, err := r.opts.Table.Commit(ctx, txn); err != nil {
+			return fmt.Errorf("delete usage batches of window %s: %w", window, err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/usagestore/reporter.go
@@ -0,0 +1,161 @@
+package usagestore
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/telemetry"
+	"github.com/radishshelf/radishshelf/usage"
+)
+
+const (
+	// DefaultReportInterval is how often the holder looks for windows to finish.
+	DefaultReportInterval = 5 * time.Second
+	// DefaultGrace after the end of a window lets three flush intervals pass before it is closed.
+	DefaultGrace = time.Minute
+	// DefaultRetention is how long the counted sequence numbers of a silent incarnation are remembered.
+	DefaultRetention = 48 * time.Hour
+	// maxWindowsPerStep bounds the reads of one step after an outage.
+	maxWindowsPerStep = 64
+)
+
+// ReporterOptions configures a Reporter.
+type ReporterOptions struct {
+	Table platform.Table
+	Sink  platform.UsageSink
+	// Authority of role usage.
+	Authority Authority
+	Window    usage.Window
+	// Interval, Grace and Retention have defaults when zero.
+	Interval  time.Duration
+	Grace     time.Duration
+	Retention time.Duration
+	// Now is the clock; time.Now when nil.
+	Now      func() time.Time
+	Log      zerolog.Logger
+	Registry *telemetry.Registry
+}
+
+// Reporter closes, seals and reports windows while this process holds role usage. It keeps nothing in memory, so that
+// a new holder continues from the rows it finds.
+type Reporter struct {
+	opts    ReporterOptions
+	metrics reporterMetrics
+}
+
+// NewReporter returns a Reporter.
+func NewReporter(opts ReporterOptions) *Reporter {
+	if opts.Interval <= 0 {
+		opts.Interval = DefaultReportInterval
+	}
+	if opts.Grace <= 0 {
+		opts.Grace = DefaultGrace
+	}
+	if opts.Retention <= 0 {
+		opts.Retention = DefaultRetention
+	}
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	return &Reporter{opts: opts, metrics: newReporterMetrics(opts.Registry)}
+}
+
+// Run works at every interval until ctx ends.
+func (r *Reporter) Run(ctx context.Context) {
+	ticker := time.NewTicker(r.opts.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		err := r.Step(ctx)
+		if err != nil && ctx.Err() == nil && !errors.Is(err, ErrNotHolder) {
+			r.metrics.failed.Inc()
+			r.opts.Log.Warn().Err(err).Msg("usage window not finished")
+		}
+	}
+}
+
+// Step closes and seals the windows that are due, then reports what is sealed. The two are separate passes because an
+// outage of the sink must not delay the seals.
+func (r *Reporter) Step(ctx context.Context) error {
+	if !r.mayAct() {
+		return ErrNotHolder
+	}
+	starts, err := r.windows(ctx)
+	if err != nil {
+		return err
+	}
+	due := make([]usage.Sealed, 0, len(starts))
+	for _, start := range starts {
+		if r.opts.Now().Before(r.opts.Window.End(start).Add(r.opts.Grace)) {
+			break
+		}
+		sealed, err := r.closeAndSeal(ctx, start)
+		if err != nil {
+			return err
+		}
+		due = append(due, sealed)
+	}
+	var refused error
+	for _, sealed := range due {
+		err := r.finish(ctx, sealed)
+		if platform.IsKind(err, platform.KindConflict) {
+			refused = err
+			continue
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return refused
+}
+
+func (r *Reporter) closeAndSeal(ctx context.Context, start time.Time) (usage.Sealed, error) {
+	if err := r.Close(ctx, start); err != nil {
+		return usage.Sealed{}, err
+	}
+	return r.Seal(ctx, start)
+}
+
+func (r *Reporter) finish(ctx context.Context, sealed usage.Sealed) error {
+	if err := r.Report(ctx, sealed); err != nil {
+		return err
+	}
+	return r.clean(ctx, sealed.Window)
+}
+
+func (r *Reporter) mayAct() bool {
+	_, ok := r.opts.Authority.MayAct(r.opts.Now())
+	return ok
+}
+
+// windows returns the windows that still have batch rows, oldest first, by skipping from window to window.
+func (r *Reporter) windows(ctx context.Context) ([]time.Time, error) {
+	var starts []time.Time
+	after := ""
+	for range maxWindowsPerStep {
+		rows, err := r.opts.Table.Scan(ctx, batchPrefix, after, 1)
+		if err != nil {
+			return nil, err
+		}
+		if len(rows) == 0 {
+			break
+		}
+		name := windowOf(rows[0].Key)
+		start, err := usage.ParseWindowKey(name)
+		if err != nil {
+			r.opts.Log.Error().Err(err).Str("row", rows[0].Key).Msg("usage row ignored")
+		} else {
+			starts = append(starts, start)
+		}
+		after = batchPrefix + name + "/" + afterAll
+	}
+	return starts, nil
+}
--- /dev/null
+++ b/usagestore/run_test.go
@@ -0,0 +1,132 @@
+package usagestore
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/telemetry"
+	"github.com/radishshelf/radishshelf/usage"
+)
+
+// Guards against reports that are lost or different after an outage of the sink, and against batches that a closed
+// window still takes.
+func TestSinkOutageAndLateBatch(t *testing.T) {
+	w := newWorld()
+	w.request("north", 5)
+	if err := w.agent.Flush(w.ctx); err != nil {
+		t.Fatal(err)
+	}
+	w.request("north", 7)
+	w.now = w.now.Add(2 * testWindow.Length)
+	w.platform.Usage.Faults.Set(memory.Faults{Outage: true})
+	if err := w.reporter.Step(w.ctx); !platform.IsKind(err, platform.KindUnavailable) {
+		t.Fatalf("step with the sink down: %v", err)
+	}
+	sealed, err := w.platform.Table.Get(w.ctx, sealedKey("2026-03-01T10:00:00Z"))
+	if err != nil {
+		t.Fatalf("the window is not sealed while the sink is down: %v", err)
+	}
+	if err := w.agent.Flush(w.ctx); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.finish(); err != nil {
+		t.Fatal(err)
+	}
+	after, err := w.platform.Table.Get(w.ctx, sealedKey("2026-03-01T10:00:00Z"))
+	if err != nil || !bytes.Equal(sealed.Value, after.Value) {
+		t.Fatalf("the sealed row changed: %s, %s, %v", sealed.Value, after.Value, err)
+	}
+	reports := w.platform.Usage.List()
+	want := []string{
+		`{"workspace":"north","window":"2026-03-01T10:00:00Z","requests":1,"prompt_tokens":5,"completion_tokens":10}`,
+		`{"workspace":"north","window":"2026-03-01T10:01:00Z","requests":1,"prompt_tokens":7,"completion_tokens":14,"late_requests":1}`,
+	}
+	for i, report := range reports {
+		if len(reports) != len(want) || string(report.Body) != want[i] {
+			t.Fatalf("report %d of %d: %s", i, len(reports), report.Body)
+		}
+	}
+}
+
+// Guards against a process that reports or closes windows without the role.
+func TestNotHolder(t *testing.T) {
+	w := newWorld()
+	w.request("north", 5)
+	if err := w.agent.Flush(w.ctx); err != nil {
+		t.Fatal(err)
+	}
+	w.takeOver()
+	w.now = w.now.Add(2 * testWindow.Length)
+	if err := w.old.Step(w.ctx); !errors.Is(err, ErrNotHolder) {
+		t.Fatalf("step of the old holder: %v", err)
+	}
+	if _, err := w.platform.Table.Get(w.ctx, closingKey("2026-03-01T10:00:00Z")); !platform.IsKind(err, platform.KindNotFound) {
+		t.Fatalf("the old holder closed the window: %v", err)
+	}
+}
+
+// Guards against a report that the sink refuses holding back the reports of other workspaces and windows.
+func TestConflictDoesNotBlockOthers(t *testing.T) {
+	w := newWorld()
+	err := w.platform.Usage.Report(w.ctx, platform.UsageReport{ID: "2026-03-01T10:00:00Z/north", Body: []byte("other")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.request("north", 5)
+	w.request("south", 5)
+	if err := w.agent.Flush(w.ctx); err != nil {
+		t.Fatal(err)
+	}
+	w.now = w.now.Add(testWindow.Length)
+	w.request("south", 5)
+	if err := w.agent.Flush(w.ctx); err != nil {
+		t.Fatal(err)
+	}
+	w.now = w.now.Add(2 * testWindow.Length)
+	if err := w.reporter.Step(w.ctx); !platform.IsKind(err, platform.KindConflict) {
+		t.Fatalf("step: %v", err)
+	}
+	if reports := w.platform.Usage.List(); len(reports) != 3 {
+		t.Fatalf("%d reports, want the refused one and two of workspace south", len(reports))
+	}
+}
+
+// Guards against loops that do not work at their interval or do not stop.
+func TestRunLoops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := memory.New(memory.Options{})
+		recorder := usage.NewRecorder("agent", "i1")
+		writer := NewWriter(p.Table, testWindow, time.Now)
+		flusher := NewFlusher("agent", writer, FromRecorder(recorder), FlusherOptions{}, zerolog.Nop(), telemetry.NewRegistry())
+		lease, err := p.Table.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: leaseKey}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		reporter := NewReporter(ReporterOptions{
+			Table: p.Table, Sink: p.Usage, Authority: authority{lease.Revision}, Window: testWindow, Log: zerolog.Nop(),
+			Registry: telemetry.NewRegistry(),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go flusher.Run(ctx)
+		go reporter.Run(ctx)
+		recorder.Add(usage.Record{Workspace: "north", FinishedAt: time.Now()})
+		time.Sleep(DefaultFlushInterval + time.Second)
+		if recorder.FlushedSeq() != 1 || recorder.Pending() != 0 {
+			t.Fatal("not flushed after one interval")
+		}
+		time.Sleep(testWindow.Length + DefaultGrace + DefaultReportInterval)
+		cancel()
+		synctest.Wait()
+		if reports := p.Usage.List(); len(reports) != 1 || reports[0].Received != 1 {
+			t.Fatalf("reports %v", reports)
+		}
+	})
+}
--- /dev/null
+++ b/usagestore/seal.go
@@ -0,0 +1,141 @@
+package usagestore
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/usage"
+)
+
+// scanPage bounds the rows of one read of batches to about 5 MB.
+const scanPage = 50
+
+// closing is the content of a closing row.
+type closing struct {
+	Term int64 `json:"term"`
+}
+
+// Close keeps later batches out of the window.
+func (r *Reporter) Close(ctx context.Context, start time.Time) error {
+	key := closingKey(usage.WindowKey(start))
+	_, err := r.opts.Table.Get(ctx, key)
+	if err == nil {
+		return nil
+	}
+	if !platform.IsKind(err, platform.KindNotFound) {
+		return fmt.Errorf("close usage window: %w", err)
+	}
+	term, ok := r.opts.Authority.MayAct(r.opts.Now())
+	if !ok {
+		return ErrNotHolder
+	}
+	value, err := json.Marshal(closing{Term: term})
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", key, err)
+	}
+	_, err = r.commitAbsent(ctx, key, platform.Txn{Puts: []platform.Put{{Key: key, Value: value}}})
+	return err
+}
+
+// Seal fixes the figures of a closed window, or returns those that are fixed already.
+func (r *Reporter) Seal(ctx context.Context, start time.Time) (usage.Sealed, error) {
+	key := sealedKey(usage.WindowKey(start))
+	row, err := r.opts.Table.Get(ctx, key)
+	if err == nil {
+		return decodeSealed(key, row.Value)
+	}
+	if !platform.IsKind(err, platform.KindNotFound) {
+		return usage.Sealed{}, fmt.Errorf("seal usage window: %w", err)
+	}
+	counted, condition, err := r.counted(ctx)
+	if err != nil {
+		return usage.Sealed{}, err
+	}
+	sealed, counted, err := r.figures(ctx, start, counted)
+	if err != nil {
+		return usage.Sealed{}, err
+	}
+	return r.writeSealed(ctx, sealed, counted.Prune(start.Add(-r.opts.Retention)), condition)
+}
+
+// counted reads what the seals so far have counted, and the condition that no other seal comes between.
+func (r *Reporter) counted(ctx context.Context) (usage.Counted, platform.Condition, error) {
+	row, err := r.opts.Table.Get(ctx, countedKey)
+	if platform.IsKind(err, platform.KindNotFound) {
+		return usage.Counted{}, platform.Condition{Key: countedKey}, nil
+	}
+	if err != nil {
+		return usage.Counted{}, platform.Condition{}, fmt.Errorf("read %s: %w", countedKey, err)
+	}
+	var counted usage.Counted
+	if err := json.Unmarshal(row.Value, &counted); err != nil {
+		return usage.Counted{}, platform.Condition{}, fmt.Errorf("decode %s: %w", countedKey, err)
+	}
+	return counted, platform.Condition{Key: countedKey, Revision: row.Revision}, nil
+}
+
+func (r *Reporter) figures(
+	ctx context.Context, start time.Time, counted usage.Counted,
+) (usage.Sealed, usage.Counted, error) {
+	sealer := usage.NewSealer(start, counted)
+	prefix := batchPrefix + usage.WindowKey(start) + "/"
+	after := ""
+	for {
+		rows, err := r.opts.Table.Scan(ctx, prefix, after, scanPage)
+		if err != nil {
+			return usage.Sealed{}, usage.Counted{}, fmt.Errorf("read usage batches: %w", err)
+		}
+		if len(rows) == 0 {
+			return sealer.Seal()
+		}
+		for _, row := range rows {
+			var batch usage.Batch
+			if err := json.Unmarshal(row.Value, &batch); err != nil {
+				return usage.Sealed{}, usage.Counted{}, fmt.Errorf("decode %s: %w", row.Key, err)
+			}
+			sealer.Add(batch)
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+func (r *Reporter) writeSealed(
+	ctx context.Context, sealed usage.Sealed, counted usage.Counted, condition platform.Condition,
+) (usage.Sealed, error) {
+	key := sealedKey(sealed.Window)
+	sealedValue, err := json.Marshal(sealed)
+	if err != nil {
+		return usage.Sealed{}, fmt.Errorf("encode %s: %w", key, err)
+	}
+	countedValue, err := json.Marshal(counted)
+	if err != nil {
+		return usage.Sealed{}, fmt.Errorf("encode %s: %w", countedKey, err)
+	}
+	held, err := r.commitAbsent(ctx, key, platform.Txn{
+		Conditions: []platform.Condition{condition},
+		Puts:       []platform.Put{{Key: key, Value: sealedValue}, {Key: countedKey, Value: countedValue}},
+	})
+	if err != nil {
+		return usage.Sealed{}, err
+	}
+	if held != nil {
+		return decodeSealed(key, held)
+	}
+	r.metrics.sealed.Inc()
+	r.metrics.missing.AddInt64(sealed.Missing)
+	r.metrics.repeated.AddInt64(sealed.Repeated)
+	r.opts.Log.Info().Str("window", sealed.Window).Int64("batches", sealed.Batches).Int("workspaces", len(sealed.Reports)).
+		Int64("missing", sealed.Missing).Int64("repeated", sealed.Repeated).Msg("usage window sealed")
+	return sealed, nil
+}
+
+func decodeSealed(key string, value []byte) (usage.Sealed, error) {
+	var sealed usage.Sealed
+	if err := json.Unmarshal(value, &sealed); err != nil {
+		return usage.Sealed{}, fmt.Errorf("decode %s: %w", key, err)
+	}
+	return sealed, nil
+}
--- /dev/null
+++ b/usagestore/writer.go
@@ -0,0 +1,74 @@
+package usagestore
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/usage"
+)
+
+// Writer makes batches durable. It is safe for concurrent use.
+type Writer struct {
+	table  platform.Table
+	window usage.Window
+	now    func() time.Time
+}
+
+// NewWriter returns a Writer for windows of the given length.
+func NewWriter(table platform.Table, window usage.Window, now func() time.Time) *Writer {
+	return &Writer{table: table, window: window, now: now}
+}
+
+// Write stores the batch under the first window, from its own onwards, that is not closed. After an error the same
+// batch is written again: its identity is fixed, so the row of an earlier try is found.
+func (w *Writer) Write(ctx context.Context, b usage.Batch) error {
+	for start := b.Window(w.window, w.now()); ; start = w.window.End(start) {
+		done, err := w.writeTo(ctx, usage.WindowKey(start), b)
+		if done || err != nil {
+			return err
+		}
+		b.Late = true
+	}
+}
+
+// writeTo returns false without an error when the window is closed and does not hold the batch.
+func (w *Writer) writeTo(ctx context.Context, window string, b usage.Batch) (bool, error) {
+	value, err := json.Marshal(b)
+	if err != nil {
+		return false, fmt.Errorf("encode usage batch %s of agent %s: %w", b.Identity(), b.Agent, err)
+	}
+	key := batchKey(window, b)
+	result, err := w.table.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: closingKey(window)}, {Key: key}},
+		Puts:       []platform.Put{{Key: key, Value: value}},
+	})
+	if platform.IsKind(err, platform.KindUnknown) {
+		return w.settle(ctx, key, err)
+	}
+	if err != nil {
+		return false, fmt.Errorf("write usage batch %s: %w", key, err)
+	}
+	return result.Committed || holds(result.Current, key), nil
+}
+
+// settle reads the batch row after a lost reply. An absent row proves nothing, since the transaction may still be on
+// its way; the error of the commit is returned then and the next try decides.
+func (w *Writer) settle(ctx context.Context, key string, cause error) (bool, error) {
+	_, err := w.table.Get(ctx, key)
+	if err == nil {
+		return true, nil
+	}
+	return false, fmt.Errorf("write usage batch %s, reply lost and row not found: %w", key, cause)
+}
+
+func holds(rows []platform.Row, key string) bool {
+	for _, row := range rows {
+		if row.Key == key {
+			return true
+		}
+	}
+	return false
+}
