Label samples, build groups and hand lots to trainers exactly once

Cause: a sample must name the versions that produced all of its tokens; trainers need numbered lots with fixed bytes and no stale sample, through crashes, lost replies and store outages. Ruled out: deleting all group rows of a lot in one transaction (the table allows 128 rows); deleting group rows at the acknowledgement (a late second result would be delivered again). Change: labels with typed discard reasons, GroupBuilder and staleness in samples; the pure sequence in lots; lotstore with compare-and-swap of the head, ready rows, bounded waiting, copies at a peer, and cleanup after retention.

--- /dev/null
+++ b/lots/errors.go
@@ -0,0 +1,37 @@
+package lots
+
+import (
+	"errors"
+	"fmt"
+)
+
+// ErrNotReady means that too few samples wait for a lot.
+var ErrNotReady = errors.New("not enough samples are ready for a lot; pull again later")
+
+// VoidError means that the next lot of the trainer was skipped because a sample in it exceeded the staleness bound.
+type VoidError struct {
+	// Number is the void lot; pull after it to get Next.
+	Number int64
+	Next   int64
+}
+
+// Error implements error.
+func (e *VoidError) Error() string {
+	return fmt.Sprintf("lot %d is void because a sample in it became stale; pull after %d to get lot %d", e.Number, e.Number, e.Next)
+}
+
+// SequenceError means that a pull named a number that contradicts the sequence.
+type SequenceError struct {
+	After        int64
+	Acknowledged int64
+	// Last is the highest number formed.
+	Last int64
+}
+
+// Error implements error.
+func (e *SequenceError) Error() string {
+	if e.After < e.Acknowledged {
+		return fmt.Sprintf("pull after lot %d, but lots up to %d are acknowledged; pull after %d", e.After, e.Acknowledged, e.Acknowledged)
+	}
+	return fmt.Sprintf("pull after lot %d, but the last lot is %d; pull after %d", e.After, e.Last, e.Acknowledged)
+}
--- /dev/null
+++ b/lots/session_test.go
@@ -0,0 +1,147 @@
+package lots
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// session runs a script line by line against the pure sequence and records the actions.
+type session struct {
+	spec  Spec
+	head  Head
+	ready []Ready
+	last  Lot
+	out   bytes.Buffer
+}
+
+// Guards against a change of the rules by which lots are formed, repeated, made void and acknowledged.
+func TestGoldenSession(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.golden")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no golden sessions: %v", err)
+	}
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := session{spec: Spec{MaxStaleness: 2, LotSamples: 4}}
+		for line := range strings.Lines(string(data)) {
+			if event := strings.TrimSpace(line); event != "" && !strings.HasPrefix(event, "->") {
+				s.run(t, event)
+			}
+		}
+		if *update {
+			if err := os.WriteFile(path, s.out.Bytes(), 0o644); err != nil {
+				t.Fatal(err)
+			}
+			continue
+		}
+		if got := s.out.String(); got != string(data) {
+			t.Errorf("%s differs; run go test ./lots -update and read the change\ngot:\n%s", path, got)
+		}
+	}
+}
+
+func (s *session) run(t *testing.T, event string) {
+	fmt.Fprintln(&s.out, event)
+	if strings.HasPrefix(event, "#") {
+		return
+	}
+	var r Ready
+	var after, step int64
+	if n, _ := fmt.Sscanf(event, "group %s samples %d oldest %d", &r.Group, &r.Samples, &r.Oldest); n == 3 {
+		r.Key = fmt.Sprintf("%04d-%s", len(s.ready), r.Group)
+		s.ready = append(s.ready, r)
+		return
+	}
+	if n, _ := fmt.Sscanf(event, "pull after %d step %d", &after, &step); n == 2 {
+		s.pull(after, step)
+		return
+	}
+	t.Fatalf("event %q is not understood", event)
+}
+
+func (s *session) action(format string, args ...any) { fmt.Fprintf(&s.out, "-> "+format+"\n", args...) }
+
+func (s *session) pull(after, step int64) {
+	if err := s.head.Check(after); err != nil {
+		s.action("error: %v", err)
+		return
+	}
+	if after < s.head.Last {
+		s.repeat(step)
+		return
+	}
+	if s.head.Acknowledged < after {
+		s.head = s.head.Acknowledge(s.last)
+		s.action("acknowledged %d, delivered %d samples", s.head.Acknowledged, s.head.Delivered)
+	}
+	s.form(step)
+}
+
+func (s *session) repeat(step int64) {
+	switch {
+	case s.last.Void:
+	case s.last.Stale(s.spec, step):
+		s.head, s.last = s.head.Void(s.last)
+		s.action("lot %d becomes void, discards %v", s.last.Number, s.head.Discards)
+	default:
+		s.show("again")
+		return
+	}
+	s.action("error: %v", &VoidError{Number: s.last.Number, Next: s.last.Number + 1})
+}
+
+func (s *session) form(step int64) {
+	f := Form(s.spec, step, s.ready)
+	if len(f.Discard) > 0 {
+		s.head = s.head.Discard(f.Discard)
+	}
+	for _, g := range f.Discard {
+		s.action("discard group %s (%d samples): %s", g.Group, g.Samples, g.Reason)
+	}
+	if len(f.Take) == 0 {
+		s.drop(f)
+		s.action("error: %v", ErrNotReady)
+		return
+	}
+	s.head, s.last = s.head.NewLot("coach", step, f.Take, time.Time{})
+	s.drop(f)
+	s.show("formed")
+}
+
+// drop removes the groups that were taken or discarded from the ready list.
+func (s *session) drop(f Formation) {
+	gone := map[string]bool{}
+	for _, r := range f.Take {
+		gone[r.Key] = true
+	}
+	for _, g := range f.Discard {
+		gone[g.Key] = true
+	}
+	var left []Ready
+	for _, r := range s.ready {
+		if !gone[r.Key] {
+			left = append(left, r)
+		}
+	}
+	s.ready = left
+}
+
+func (s *session) show(how string) {
+	var names []string
+	for _, g := range s.last.Groups {
+		names = append(names, g.Group)
+	}
+	s.action("lot %d %s at step %d: groups %s, %d samples, oldest version %d",
+		s.last.Number, how, s.last.Step, strings.Join(names, " "), s.last.Samples, s.last.Oldest)
+}
--- /dev/null
+++ b/lotstore/clean.go
@@ -0,0 +1,116 @@
+package lotstore
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/radishshelf/radishshelf/lots"
+	"github.com/radishshelf/radishshelf/platform"
+)
+
+// cleanSteps bounds the lots and discard rows deleted in one cleanup of a trainer.
+const cleanSteps = 4
+
+func (s *Store) cleanServed(ctx context.Context) {
+	s.mu.Lock()
+	trainers := slices.Sorted(maps.Keys(s.served))
+	s.mu.Unlock()
+	for _, trainer := range trainers {
+		if err := s.Clean(ctx, trainer); err != nil && !errors.Is(err, errChanged) && ctx.Err() == nil {
+			s.opts.Log.Warn().Err(err).Str("trainer", trainer).Msg("old lots not deleted")
+		}
+	}
+}
+
+// Clean deletes a bounded number of acknowledged lots and discard rows whose retention is over, with the rows of their
+// groups.
+func (s *Store) Clean(ctx context.Context, trainer string) error {
+	for range cleanSteps {
+		head, err := s.readHead(ctx, trainer)
+		if err != nil {
+			return err
+		}
+		more, err := s.cleanLot(ctx, trainer, head)
+		if err != nil {
+			return err
+		}
+		moreDiscards, err := s.cleanDiscards(ctx, trainer, head)
+		if err != nil {
+			return err
+		}
+		if !more && !moreDiscards {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (s *Store) expired(at time.Time) bool { return s.opts.Now().Sub(at) >= s.opts.Retention }
+
+func (s *Store) cleanLot(ctx context.Context, trainer string, head *headState) (bool, error) {
+	number := head.Cleaned + 1
+	if number > head.Acknowledged || number > head.Swept {
+		return false, nil
+	}
+	lot, _, err := s.readLot(ctx, trainer, number)
+	if err != nil || !s.expired(lot.FormedAt) {
+		return false, err
+	}
+	if err := s.deleteGroups(ctx, trainer, head, lot.Groups); err != nil {
+		return false, err
+	}
+	next := head.Head
+	next.Cleaned = number
+	return true, s.commitHead(ctx, head, next, platform.Txn{Deletes: []string{lotKey(trainer, number)}})
+}
+
+func (s *Store) cleanDiscards(ctx context.Context, trainer string, head *headState) (bool, error) {
+	number := head.DiscardsCleaned + 1
+	if number > head.DiscardRows {
+		return false, nil
+	}
+	var row discardRow
+	if _, err := s.readJSON(ctx, discardKey(trainer, number), &row); err != nil || !s.expired(row.DiscardedAt) {
+		return false, err
+	}
+	groups := make([]lots.Ready, 0, len(row.Groups))
+	for _, g := range row.Groups {
+		groups = append(groups, g.Ready)
+	}
+	if err := s.deleteGroups(ctx, trainer, head, groups); err != nil {
+		return false, err
+	}
+	next := head.Head
+	next.DiscardsCleaned = number
+	return true, s.commitHead(ctx, head, next, platform.Txn{Deletes: []string{discardKey(trainer, number)}})
+}
+
+// deleteGroups deletes group rows under the condition that the head is unchanged: once it has moved, another cleanup
+// may be done and a group of the same id may have been added again.
+func (s *Store) deleteGroups(ctx context.Context, trainer string, head *headState, groups []lots.Ready) error {
+	keys := make([]string, 0, len(groups))
+	for _, g := range groups {
+		keys = append(keys, groupKey(trainer, g.Group))
+	}
+	return s.deleteAll(ctx, keys, []platform.Condition{{Key: head.key, Revision: head.revision}})
+}
+
+// deleteAll deletes rows, a bounded number in each transaction.
+func (s *Store) deleteAll(ctx context.Context, keys []string, conditions []platform.Condition) error {
+	for chunk := range slices.Chunk(keys, deleteRows) {
+		result, err := s.opts.Table.Commit(ctx, platform.Txn{Conditions: conditions, Deletes: chunk})
+		if platform.IsKind(err, platform.KindUnknown) {
+			return errChanged
+		}
+		if err != nil {
+			return err
+		}
+		if !result.Committed {
+			return errChanged
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/lotstore/form.go
@@ -0,0 +1,143 @@
+package lotstore
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/radishshelf/radishshelf/lots"
+	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/samples"
+)
+
+// form makes the next lot from the ready groups. The head's compare-and-swap lets one of several entries win; the
+// others read its lot.
+func (s *Store) form(ctx context.Context, p pull, head *headState) (lots.Lot, []byte, error) {
+	ready, err := s.ready(ctx, p)
+	if err != nil {
+		return lots.Lot{}, nil, err
+	}
+	formation := lots.Form(p.spec, p.step, ready)
+	if err := s.discard(ctx, p, head, formation.Discard); err != nil {
+		return lots.Lot{}, nil, err
+	}
+	if len(formation.Take) == 0 {
+		return lots.Lot{}, nil, lots.ErrNotReady
+	}
+	next, lot := head.NewLot(p.trainer, p.step, formation.Take, s.opts.Now())
+	content, err := s.content(ctx, lot)
+	if err != nil {
+		return lots.Lot{}, nil, err
+	}
+	if lot.Object, err = s.putObject(ctx, content); err != nil {
+		return lots.Lot{}, nil, err
+	}
+	if err := s.writeLot(ctx, head, next.At(p.step), lot); err != nil {
+		return lots.Lot{}, nil, err
+	}
+	s.metrics.formed.Inc()
+	s.metrics.delivered.Inc()
+	s.opts.Log.Info().Str("trainer", p.trainer).Int64("lot", lot.Number).Int64("step", p.step).
+		Int("groups", len(lot.Groups)).Int("samples", lot.Samples).Int64("oldest_version", lot.Oldest).Msg("lot formed")
+	return lot, content, nil
+}
+
+func (s *Store) writeLot(ctx context.Context, head *headState, next lots.Head, lot lots.Lot) error {
+	put, err := jsonPut(lotKey(lot.Trainer, lot.Number), lot)
+	if err != nil {
+		return err
+	}
+	return s.commitHead(ctx, head, next, platform.Txn{
+		Conditions: []platform.Condition{{Key: put.Key}},
+		Puts:       []platform.Put{put},
+	})
+}
+
+// ready reads ready groups in the sequence of their arrival until they fill a lot at the pull's step.
+func (s *Store) ready(ctx context.Context, p pull) ([]lots.Ready, error) {
+	var ready []lots.Ready
+	fresh := 0
+	after := ""
+	for fresh < p.spec.LotSamples && len(ready) < lots.MaxGroups {
+		page, err := s.readyPage(ctx, p.trainer, after)
+		if err != nil {
+			return nil, err
+		}
+		if len(page) == 0 {
+			break
+		}
+		for _, r := range page {
+			if !samples.Stale(p.step, r.Oldest, p.spec.MaxStaleness) {
+				fresh += r.Samples
+			}
+		}
+		ready = append(ready, page...)
+		after = page[len(page)-1].Key
+	}
+	return ready, nil
+}
+
+func (s *Store) readyPage(ctx context.Context, trainer, after string) ([]lots.Ready, error) {
+	rows, err := s.opts.Table.Scan(ctx, readyPrefix(trainer), after, readPage)
+	if err != nil {
+		return nil, fmt.Errorf("read ready groups of %s: %w", trainer, err)
+	}
+	page := make([]lots.Ready, len(rows))
+	for i, row := range rows {
+		if err := json.Unmarshal(row.Value, &page[i]); err != nil {
+			return nil, fmt.Errorf("decode %s: %w", row.Key, err)
+		}
+	}
+	return page, nil
+}
+
+// discard records stale groups and stops listing them, a bounded number in each transaction.
+func (s *Store) discard(ctx context.Context, p pull, head *headState, groups []lots.DiscardedGroup) error {
+	for chunk := range slices.Chunk(groups, deleteRows) {
+		next := head.Discard(chunk).At(p.step)
+		put, err := jsonPut(discardKey(p.trainer, next.DiscardRows), discardRow{
+			Step: p.step, DiscardedAt: s.opts.Now().UTC(), Groups: chunk,
+		})
+		if err != nil {
+			return err
+		}
+		txn := platform.Txn{Puts: []platform.Put{put}}
+		for _, g := range chunk {
+			txn.Deletes = append(txn.Deletes, g.Key)
+		}
+		if err := s.commitHead(ctx, head, next, txn); err != nil {
+			return err
+		}
+		for _, g := range chunk {
+			s.metrics.discarded(g.Reason, g.Samples)
+		}
+	}
+	return nil
+}
+
+// content reads the groups of a lot and joins them. Equal lots give equal bytes.
+func (s *Store) content(ctx context.Context, lot lots.Lot) ([]byte, error) {
+	groups := make([]samples.Group, len(lot.Groups))
+	readers, ctx := errgroup.WithContext(ctx)
+	readers.SetLimit(groupReaders)
+	for i, ready := range lot.Groups {
+		readers.Go(func() error {
+			data, err := s.getObject(ctx, ready.Object)
+			if err != nil {
+				return err
+			}
+			return json.Unmarshal(data, &groups[i])
+		})
+	}
+	if err := readers.Wait(); err != nil {
+		return nil, fmt.Errorf("read groups of lot %d of %s: %w", lot.Number, lot.Trainer, err)
+	}
+	content, err := json.Marshal(lots.NewContent(lot, groups))
+	if err != nil {
+		return nil, fmt.Errorf("encode lot %d of %s: %w", lot.Number, lot.Trainer, err)
+	}
+	return content, nil
+}
--- /dev/null
+++ b/lotstore/head.go
@@ -0,0 +1,76 @@
+package lotstore
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/radishshelf/radishshelf/lots"
+	"github.com/radishshelf/radishshelf/platform"
+)
+
+// headState is a trainer's head as read or as last written by this pull.
+type headState struct {
+	lots.Head
+	key      string
+	revision int64
+}
+
+func (s *Store) readHead(ctx context.Context, trainer string) (*headState, error) {
+	state := &headState{key: headKey(trainer)}
+	revision, err := s.readJSON(ctx, state.key, &state.Head)
+	if platform.IsKind(err, platform.KindNotFound) {
+		return state, nil
+	}
+	state.revision = revision
+	return state, err
+}
+
+func (s *Store) readLot(ctx context.Context, trainer string, number int64) (lots.Lot, int64, error) {
+	var lot lots.Lot
+	revision, err := s.readJSON(ctx, lotKey(trainer, number), &lot)
+	return lot, revision, err
+}
+
+// commitHead replaces the head together with the rows of txn, and updates state. It returns errChanged when the head
+// has changed or the reply was lost.
+func (s *Store) commitHead(ctx context.Context, state *headState, next lots.Head, txn platform.Txn) error {
+	put, err := jsonPut(state.key, next)
+	if err != nil {
+		return err
+	}
+	txn.Conditions = append(txn.Conditions, platform.Condition{Key: state.key, Revision: state.revision})
+	txn.Puts = append(txn.Puts, put)
+	result, err := s.opts.Table.Commit(ctx, txn)
+	if platform.IsKind(err, platform.KindUnknown) {
+		return errChanged
+	}
+	if err != nil {
+		return fmt.Errorf("write %s: %w", state.key, err)
+	}
+	if !result.Committed {
+		return errChanged
+	}
+	state.Head = next
+	state.revision = result.Revision
+	return nil
+}
+
+func (s *Store) readJSON(ctx context.Context, key string, value any) (int64, error) {
+	row, err := s.opts.Table.Get(ctx, key)
+	if err != nil {
+		return 0, fmt.Errorf("read %s: %w", key, err)
+	}
+	if err := json.Unmarshal(row.Value, value); err != nil {
+		return 0, fmt.Errorf("decode %s: %w", key, err)
+	}
+	return row.Revision, nil
+}
+
+func jsonPut(key string, value any) (platform.Put, error) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return platform.Put{}, fmt.Errorf("encode %s: %w", key, err)
+	}
+	return platform.Put{Key: key, Value: data}, nil
+}
--- /dev/null
+++ b/lotstore/metrics.go
@@ -0,0 +1,34 @@
+package lotstore
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/radishshelf/radishshelf/samples"
+	"github.com/radishshelf/radishshelf/telemetry"
+)
+
+type storeMetrics struct {
+	registry  *telemetry.Registry
+	added     *metrics.Counter
+	repeated  *metrics.Counter
+	waited    *metrics.Counter
+	formed    *metrics.Counter
+	delivered *metrics.Counter
+	voided    *metrics.Counter
+}
+
+func newStoreMetrics(registry *telemetry.Registry) storeMetrics {
+	return storeMetrics{
+		registry:  registry,
+		added:     registry.GetOrCreateCounter("radishshelf_groups_added_total"),
+		repeated:  registry.GetOrCreateCounter("radishshelf_groups_repeated_total"),
+		waited:    registry.GetOrCreateCounter("radishshelf_groups_waited_for_store_total"),
+		formed:    registry.GetOrCreateCounter("radishshelf_lots_formed_total"),
+		delivered: registry.GetOrCreateCounter("radishshelf_lots_handed_over_total"),
+		voided:    registry.GetOrCreateCounter("radishshelf_lots_void_total"),
+	}
+}
+
+func (m *storeMetrics) discarded(reason samples.Reason, n int) {
+	m.registry.GetOrCreateCounter(`radishshelf_samples_discarded_total{reason="` + string(reason) + `"}`).Add(n)
+}
--- /dev/null
+++ b/lotstore/outage_test.go
@@ -0,0 +1,198 @@
+package lotstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/radishshelf/radishshelf/lots"
+	"github.com/radishshelf/radishshelf/outcome"
+	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/rpc"
+)
+
+// Guards against an acknowledgement before the group is durable, unbounded memory, and rollout work that is taken while
+// there is no room for its result.
+func TestStoreDownWhileGroupsComplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := memory.New(memory.Options{})
+		p.Table.Faults.Set(memory.Faults{Outage: true})
+		s := newTestStore(p.Table, p.Objects, nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		go s.Run(ctx)
+		results := make(chan error, 200)
+		accepting := 0
+		for i := range 200 {
+			if s.Accepting() {
+				accepting++
+			}
+			g := testGroup(fmt.Sprintf("g%d", i), "text", 2, 3)
+			go func() { results <- s.AddGroup(ctx, g) }()
+			synctest.Wait()
+		}
+		refused := len(results)
+		for range refused {
+			r, ok := outcome.AsRefusal(<-results)
+			if !ok || r.Kind != outcome.KindStoreDown || r.RetryAfter == 0 {
+				t.Fatalf("result during the outage: %v", r)
+			}
+		}
+		if s.own.size() > 20_000 || refused == 0 || accepting == 0 || accepting >= 200-refused {
+			t.Fatalf("%d bytes waiting, %d refused, new work accepted %d times", s.own.size(), refused, accepting)
+		}
+		p.Table.Faults.Set(memory.Faults{})
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		for range 200 - refused {
+			if err := <-results; err != nil {
+				t.Fatal(err)
+			}
+		}
+		if !s.Accepting() || s.Waiting() != 0 {
+			t.Fatal("new work is still refused after the outage")
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a group that is lost with the entry that completed it while the store was down.
+func TestPeerStoresGroupOfDeadEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := memory.New(memory.Options{})
+		p.Objects.Faults.Set(memory.Faults{Outage: true})
+		peer := newTestStore(p.Table, p.Objects, nil)
+		entry := newTestStore(p.Table, p.Objects, func() (Holder, bool) { return peer, true })
+		ctx, kill := context.WithCancel(t.Context())
+		result := make(chan error, 1)
+		go func() { result <- entry.AddGroup(ctx, testGroup("g", "text", 4, 3)) }()
+		synctest.Wait()
+		kill()
+		if err := <-result; err == nil {
+			t.Fatal("acknowledged before the group was durable")
+		}
+		p.Objects.Faults.Set(memory.Faults{})
+		peer.Retry(t.Context())
+		if _, _, err := peer.Pull(t.Context(), testTrainer, 0, 3); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// Guards against rows that are kept for ever, and against a used group id that is forgotten too early.
+func TestCleanAfterRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := memory.New(memory.Options{})
+		s := newTestStore(p.Table, p.Objects, nil)
+		add := func(id string, version int64) {
+			t.Helper()
+			if err := s.AddGroup(t.Context(), testGroup(id, "text", 4, version)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		add("stale", 1)
+		add("a", 5)
+		add("b", 5)
+		pull := func(after int64) error {
+			_, _, err := s.Pull(t.Context(), testTrainer, after, 5)
+			return err
+		}
+		for after := range int64(2) {
+			if err := pull(after); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := pull(2); !errors.Is(err, lots.ErrNotReady) {
+			t.Fatalf("third pull: %v", err)
+		}
+		time.Sleep(59 * time.Minute)
+		s.cleanServed(t.Context())
+		add("a", 5)
+		if err := pull(2); !errors.Is(err, lots.ErrNotReady) {
+			t.Fatalf("a group that was delivered is ready again: %v", err)
+		}
+		time.Sleep(time.Minute)
+		s.cleanServed(t.Context())
+		rows, err := p.Table.Scan(t.Context(), trainerPrefix(testTrainer), "", memory.MaxScanRows)
+		if err != nil || len(rows) != 1 || rows[0].Key != headKey(testTrainer) {
+			t.Fatalf("rows left: %v, %v", rows, err)
+		}
+		status, err := s.Status(t.Context(), testTrainer)
+		if err != nil || status.Delivered != 8 || status.Acknowledged != 2 || status.Discards["stale"] != 4 {
+			t.Fatalf("status %+v, %v", status, err)
+		}
+	})
+}
+
+// recovering is a peer during whose answer the store comes back and takes the group.
+type recovering struct {
+	Holder
+	recover  func()
+	released bool
+}
+
+func (r *recovering) HoldGroup(ctx context.Context, req *rpc.HoldGroupRequest) (*rpc.HoldGroupResponse, error) {
+	r.recover()
+	return r.Holder.HoldGroup(ctx, req)
+}
+
+func (r *recovering) ReleaseGroup(ctx context.Context, req *rpc.ReleaseGroupRequest) (*rpc.ReleaseGroupResponse, error) {
+	r.released = true
+	return r.Holder.ReleaseGroup(ctx, req)
+}
+
+// Guards against a copy that stays at the peer because the group became durable while it was offered.
+func TestReleaseAfterLateOffer(t *testing.T) {
+	p := memory.New(memory.Options{})
+	p.Table.Faults.Set(memory.Faults{Outage: true})
+	peer := newTestStore(p.Table, p.Objects, nil)
+	holder := &recovering{Holder: peer}
+	s := newTestStore(p.Table, p.Objects, func() (Holder, bool) { return holder, true })
+	holder.recover = func() {
+		p.Table.Faults.Set(memory.Faults{})
+		s.Retry(t.Context())
+	}
+	if err := s.AddGroup(t.Context(), testGroup("g", "text", 4, 3)); err != nil {
+		t.Fatal(err)
+	}
+	if !holder.released || peer.held.count() != 0 {
+		t.Fatal("the peer still holds the group")
+	}
+}
+
+// Guards against a slow cleanup that deletes the row of a group which was added again after a faster one.
+func TestCleanupsOfTwoEntries(t *testing.T) {
+	p := memory.New(memory.Options{})
+	table := &interleaver{Table: p.Table}
+	now := time.Unix(1000, 0)
+	s := newTestStore(table, p.Objects, nil)
+	s.opts.Now = func() time.Time { return now }
+	group := testGroup("a", "text", 4, 3)
+	if err := s.AddGroup(t.Context(), group); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := s.Pull(t.Context(), testTrainer, 0, 3); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := s.Pull(t.Context(), testTrainer, 1, 3); !errors.Is(err, lots.ErrNotReady) {
+		t.Fatal(err)
+	}
+	now = now.Add(2 * time.Hour)
+	table.then = func() {
+		if err := errors.Join(s.Clean(t.Context(), testTrainer), s.AddGroup(t.Context(), group)); err != nil {
+			t.Error(err)
+		}
+	}
+	_ = s.Clean(t.Context(), testTrainer)
+	now = now.Add(time.Second)
+	if err := s.AddGroup(t.Context(), group); err != nil {
+		t.Fatal(err)
+	}
+	status, err := s.Status(t.Context(), testTrainer)
+	if err != nil || status.ReadyGroups != 1 {
+		t.Fatalf("status %+v, %v; want the group ready once", status, err)
+	}
+}
--- /dev/null
+++ b/lotstore/pull.go
@@ -0,0 +1,141 @@
+package lotstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/radishshelf/radishshelf/lots"
+	"github.com/radishshelf/radishshelf/platform"
+)
+
+// ErrUnknownTrainer means that the configuration has no trainer of that name.
+var ErrUnknownTrainer = errors.New("the trainer is not configured; create it with radishshelfctl")
+
+// errChanged means that the sequence may have changed since it was read, by another entry or by a transaction whose
+// reply was lost. The pull reads it again.
+var errChanged = errors.New("the lot sequence changed during the pull; pull again")
+
+// pull is one pull of a trainer.
+type pull struct {
+	trainer string
+	after   int64
+	step    int64
+	spec    lots.Spec
+}
+
+// Pull acknowledges all lots up to after and returns the next lot and its content. A repeated pull returns the same
+// bytes. Errors are lots.ErrNotReady, *lots.VoidError, *lots.SequenceError, ErrUnknownTrainer or wrap a platform.Error.
+func (s *Store) Pull(ctx context.Context, trainer string, after, step int64) (lots.Lot, []byte, error) {
+	spec, ok := s.opts.Spec(trainer)
+	if !ok {
+		return lots.Lot{}, nil, ErrUnknownTrainer
+	}
+	s.serve(trainer)
+	p := pull{trainer: trainer, after: after, step: step, spec: spec}
+	for range pullTries {
+		lot, content, err := s.pullOnce(ctx, p)
+		if errors.Is(err, errChanged) {
+			continue
+		}
+		return lot, content, err
+	}
+	return lots.Lot{}, nil, &platform.Error{
+		Kind: platform.KindUnavailable, Op: "lot pull", Err: errChanged, Remedy: "pull again",
+	}
+}
+
+func (s *Store) serve(trainer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.served[trainer] = true
+}
+
+func (s *Store) pullOnce(ctx context.Context, p pull) (lots.Lot, []byte, error) {
+	head, err := s.readHead(ctx, p.trainer)
+	if err != nil {
+		return lots.Lot{}, nil, err
+	}
+	if err := head.Check(p.after); err != nil {
+		return lots.Lot{}, nil, err
+	}
+	if p.after < head.Last {
+		return s.repeat(ctx, p, head)
+	}
+	if err := s.takeOver(ctx, p, head); err != nil {
+		return lots.Lot{}, nil, err
+	}
+	return s.form(ctx, p, head)
+}
+
+// repeat returns the last lot again, or makes it void when it became stale.
+func (s *Store) repeat(ctx context.Context, p pull, head *headState) (lots.Lot, []byte, error) {
+	lot, revision, err := s.readLot(ctx, p.trainer, head.Last)
+	if err != nil {
+		return lots.Lot{}, nil, err
+	}
+	void := &lots.VoidError{Number: lot.Number, Next: lot.Number + 1}
+	if lot.Void {
+		return lots.Lot{}, nil, void
+	}
+	if lot.Stale(p.spec, p.step) {
+		if err := s.void(ctx, p, head, lot, revision); err != nil {
+			return lots.Lot{}, nil, err
+		}
+		return lots.Lot{}, nil, void
+	}
+	content, err := s.getObject(ctx, lot.Object)
+	if err != nil {
+		return lots.Lot{}, nil, err
+	}
+	s.metrics.delivered.Inc()
+	return lot, content, nil
+}
+
+func (s *Store) void(ctx context.Context, p pull, head *headState, lot lots.Lot, revision int64) error {
+	next, lot := head.Void(lot)
+	put, err := jsonPut(lotKey(p.trainer, lot.Number), lot)
+	if err != nil {
+		return err
+	}
+	err = s.commitHead(ctx, head, next.At(p.step), platform.Txn{
+		Conditions: []platform.Condition{{Key: put.Key, Revision: revision}},
+		Puts:       []platform.Put{put},
+	})
+	if err != nil {
+		return err
+	}
+	s.metrics.voided.Inc()
+	s.opts.Log.Info().Str("trainer", p.trainer).Int64("lot", lot.Number).Int64("step", p.step).
+		Int64("oldest_version", lot.Oldest).Int("samples", lot.Samples).Msg("lot void, a sample in it became stale")
+	return nil
+}
+
+// takeOver acknowledges the last lot and stops listing its groups as ready.
+func (s *Store) takeOver(ctx context.Context, p pull, head *headState) error {
+	if head.Acknowledged == p.after && head.Swept == head.Last {
+		return nil
+	}
+	lot, _, err := s.readLot(ctx, p.trainer, head.Last)
+	if err != nil {
+		return err
+	}
+	if err := s.sweep(ctx, lot); err != nil {
+		return err
+	}
+	next := head.Acknowledge(lot).At(p.step)
+	next.Swept = lot.Number
+	return s.commitHead(ctx, head, next, platform.Txn{})
+}
+
+// sweep deletes the ready rows of a lot. Their keys are never used again, so a repeated or late deletion is harmless.
+func (s *Store) sweep(ctx context.Context, lot lots.Lot) error {
+	keys := make([]string, 0, len(lot.Groups))
+	for _, g := range lot.Groups {
+		keys = append(keys, g.Key)
+	}
+	if err := s.deleteAll(ctx, keys, nil); err != nil {
+		return fmt.Errorf("sweep lot %d of %s: %w", lot.Number, lot.Trainer, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/lotstore/rows.go
@@ -0,0 +1,20 @@
+package lotstore
+
+import (
+	"time"
+
+	"github.com/radishshelf/radishshelf/lots"
+)
+
+// groupRow is the row of a durable group.
+type groupRow struct {
+	Ready   lots.Ready `json:"ready"`
+	AddedAt time.Time  `json:"added_at"`
+}
+
+// discardRow records groups that were discarded together.
+type discardRow struct {
+	Step        int64                 `json:"step"`
+	DiscardedAt time.Time             `json:"discarded_at"`
+	Groups      []lots.DiscardedGroup `json:"groups"`
+}
--- /dev/null
+++ b/lotstore/status.go
@@ -0,0 +1,78 @@
+package lotstore
+
+import (
+	"context"
+
+	"github.com/radishshelf/radishshelf/lots"
+	"github.com/radishshelf/radishshelf/samples"
+)
+
+// Status is the state of a trainer's lots.
+type Status struct {
+	// ReadyGroups and ReadySamples wait for a lot. Counts above 3,000 groups are cut off there.
+	ReadyGroups  int `json:"ready_groups"`
+	ReadySamples int `json:"ready_samples"`
+	// OldestVersion is the lowest weight version among the ready groups, 0 when there are none.
+	OldestVersion int64 `json:"oldest_version"`
+	// Acknowledged is the highest lot that the trainer has taken over, Last the highest formed.
+	Acknowledged int64 `json:"acknowledged"`
+	Last         int64 `json:"last"`
+	// Step is the highest step that the trainer has named.
+	Step int64 `json:"step"`
+	// Delivered counts the samples of acknowledged lots, Discards the discarded samples by reason.
+	Delivered int64                    `json:"delivered_samples"`
+	Discards  map[samples.Reason]int64 `json:"discarded_samples"`
+	// Waiting counts the groups of all trainers that wait for the store at this entry.
+	Waiting int `json:"waiting_groups"`
+}
+
+// Status reads the state of a trainer's lots.
+func (s *Store) Status(ctx context.Context, trainer string) (Status, error) {
+	head, err := s.readHead(ctx, trainer)
+	if err != nil {
+		return Status{}, err
+	}
+	status := Status{
+		Acknowledged: head.Acknowledged, Last: head.Last, Step: head.Step, Delivered: head.Delivered,
+		Discards: head.Discards, Waiting: s.Waiting(),
+	}
+	taken, err := s.unswept(ctx, trainer, head)
+	if err != nil {
+		return Status{}, err
+	}
+	after := ""
+	for status.ReadyGroups < lots.MaxGroups {
+		page, err := s.readyPage(ctx, trainer, after)
+		if err != nil || len(page) == 0 {
+			return status, err
+		}
+		for _, r := range page {
+			if taken[r.Key] {
+				continue
+			}
+			status.ReadyGroups++
+			status.ReadySamples += r.Samples
+			if status.OldestVersion == 0 || r.Oldest < status.OldestVersion {
+				status.OldestVersion = r.Oldest
+			}
+		}
+		after = page[len(page)-1].Key
+	}
+	return status, nil
+}
+
+// unswept returns the ready keys of the last lot while they are still listed.
+func (s *Store) unswept(ctx context.Context, trainer string, head *headState) (map[string]bool, error) {
+	taken := map[string]bool{}
+	if head.Swept == head.Last {
+		return taken, nil
+	}
+	lot, _, err := s.readLot(ctx, trainer, head.Last)
+	if err != nil {
+		return nil, err
+	}
+	for _, g := range lot.Groups {
+		taken[g.Key] = true
+	}
+	return taken, nil
+}
--- /dev/null
+++ b/lotstore/store.go
@@ -0,0 +1,65 @@
+package lotstore
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"sync"
+
+	"github.com/radishshelf/radishshelf/platform"
+)
+
+// Store adds groups and serves pulls. It is safe for concurrent use; Run must be running.
+type Store struct {
+	opts    Options
+	metrics storeMetrics
+	// own are groups completed here that wait for the store, held are copies kept for peers.
+	own  *buffer
+	held *buffer
+
+	mu sync.Mutex
+	// served are the trainers whose pulls came here; their rows are cleaned up here.
+	served map[string]bool
+}
+
+// New returns a Store.
+func New(opts Options) *Store {
+	opts.setDefaults()
+	s := &Store{
+		opts: opts, own: newBuffer(opts.MaxWaitingBytes), held: newBuffer(opts.MaxWaitingBytes), served: map[string]bool{},
+	}
+	s.metrics = newStoreMetrics(opts.Registry)
+	return s
+}
+
+// Accepting reports whether new rollout work may start. It turns false when half of the memory for waiting groups is
+// used, so that the other half takes the groups that are being generated.
+func (s *Store) Accepting() bool { return s.own.size() < s.opts.MaxWaitingBytes/2 }
+
+// Waiting returns the number of groups that are complete here but not durable.
+func (s *Store) Waiting() int { return s.own.count() }
+
+func (s *Store) putObject(ctx context.Context, content []byte) (string, error) {
+	sum := sha256.Sum256(content)
+	key := hex.EncodeToString(sum[:])
+	if err := s.opts.Objects.Put(ctx, key, content); err != nil {
+		return "", fmt.Errorf("store content %s: %w", key, err)
+	}
+	return key, nil
+}
+
+func (s *Store) getObject(ctx context.Context, key string) ([]byte, error) {
+	content, err := s.opts.Objects.Get(ctx, key)
+	if err != nil {
+		return nil, fmt.Errorf("read content %s: %w", key, err)
+	}
+	sum := sha256.Sum256(content)
+	if hex.EncodeToString(sum[:]) != key {
+		return nil, &platform.Error{
+			Kind: platform.KindInvalid, Op: "object get", Err: fmt.Errorf("content of %s has another hash", key),
+			Remedy: "check the object store for damage",
+		}
+	}
+	return content, nil
+}
--- /dev/null
+++ b/samples/builder.go
@@ -0,0 +1,80 @@
+package samples
+
+import "slices"
+
+// GroupBuilder assembles one group. The ids of its samples exist from the start; the first complete result under an id
+// wins, so that a hedged or repeated generation adds nothing.
+type GroupBuilder struct {
+	group    Group
+	found    []bool
+	missing  int
+	discards []Discard
+}
+
+// NewGroupBuilder returns the builder of a group of size samples.
+func NewGroupBuilder(trainer, policy, group string, size int) *GroupBuilder {
+	return &GroupBuilder{
+		group: Group{Trainer: trainer, Policy: policy, ID: group, Samples: make([]Sample, size)},
+		found: make([]bool, size), missing: size,
+	}
+}
+
+// Add takes a complete generation. It returns the reason when the generation is not kept; its id stays missing unless
+// the reason is ReasonDuplicate.
+func (b *GroupBuilder) Add(g Generation) (Reason, bool) {
+	reason := b.place(g)
+	if reason != "" {
+		b.Discard(SampleID(g.Group, g.Index), reason)
+		return reason, false
+	}
+	return "", true
+}
+
+func (b *GroupBuilder) place(g Generation) Reason {
+	if g.Group != b.group.ID || g.Index < 0 || g.Index >= len(b.found) {
+		return ReasonForeign
+	}
+	if b.found[g.Index] {
+		return ReasonDuplicate
+	}
+	sample, reason := g.Sample()
+	if reason != "" {
+		return reason
+	}
+	b.group.Samples[g.Index] = sample
+	b.found[g.Index] = true
+	b.missing--
+	return ""
+}
+
+// Discard records a result that is not kept.
+func (b *GroupBuilder) Discard(id string, reason Reason) {
+	b.discards = append(b.discards, Discard{ID: id, Reason: reason})
+}
+
+// Missing returns the ids without a complete result, in index order.
+func (b *GroupBuilder) Missing() []string {
+	var ids []string
+	for i, found := range b.found {
+		if !found {
+			ids = append(ids, SampleID(b.group.ID, i))
+		}
+	}
+	return ids
+}
+
+// Whole reports whether every id has a complete result.
+func (b *GroupBuilder) Whole() bool { return b.missing == 0 }
+
+// Group returns the whole group, or false while samples are missing.
+func (b *GroupBuilder) Group() (Group, bool) {
+	if !b.Whole() {
+		return Group{}, false
+	}
+	group := b.group
+	group.Samples = slices.Clone(group.Samples)
+	return group, true
+}
+
+// Discards returns the results that were not kept, in the sequence of their arrival.
+func (b *GroupBuilder) Discards() []Discard { return slices.Clone(b.discards) }
--- /dev/null
+++ b/samples/check.go
@@ -0,0 +1,33 @@
+package samples
+
+import "fmt"
+
+// InvalidGroupError says why a group cannot become part of a lot.
+type InvalidGroupError struct {
+	Group   string
+	Problem string
+}
+
+// Error implements error.
+func (e *InvalidGroupError) Error() string {
+	return fmt.Sprintf("group %q is invalid: %s; send whole, labelled groups within the size limits", e.Group, e.Problem)
+}
+
+// Check returns an *InvalidGroupError unless the group is whole, in index order and labelled.
+func (g Group) Check() error {
+	if g.ID == "" || g.Trainer == "" {
+		return &InvalidGroupError{Group: g.ID, Problem: "the group id or the trainer is missing"}
+	}
+	if len(g.Samples) == 0 {
+		return &InvalidGroupError{Group: g.ID, Problem: "it has no samples"}
+	}
+	for i, s := range g.Samples {
+		if s.Index != i || s.ID != SampleID(g.ID, i) {
+			return &InvalidGroupError{Group: g.ID, Problem: fmt.Sprintf("sample %q is not at index %d", s.ID, i)}
+		}
+		if reason := checkSpans(s.Spans); reason != "" {
+			return &InvalidGroupError{Group: g.ID, Problem: fmt.Sprintf("sample %q: %s", s.ID, reason)}
+		}
+	}
+	return nil
+}
--- a/samples/group.go
+++ b/samples/group.go
@@ -13,10 +13,8 @@
 func (g Group) OldestVersion() int64 {
 	var oldest int64
 	for _, s := range g.Samples {
-		for _, span := range s.Spans {
-			if oldest == 0 || span.Version < oldest {
-				oldest = span.Version
-			}
+		if version := s.OldestVersion(); version > 0 && (oldest == 0 || version < oldest) {
+			oldest = version
 		}
 	}
 	return oldest
--- /dev/null
+++ b/samples/label.go
@@ -0,0 +1,58 @@
+package samples
+
+import (
+	"slices"
+
+	"github.com/radishshelf/radishshelf/dataplane"
+)
+
+// Labels returns the version spans of a generation, or the reason why its answer must not become a sample. Adjacent
+// spans of one version are joined.
+func Labels(result dataplane.Result) ([]dataplane.Span, Reason) {
+	if result.DiscardReason != "" {
+		return nil, Reason(result.DiscardReason)
+	}
+	if reason := checkSpans(result.Spans); reason != "" {
+		return nil, reason
+	}
+	if tokensOf(result.Spans) != result.CompletionTokens {
+		return nil, ReasonTokenMismatch
+	}
+	return joined(result.Spans), ""
+}
+
+func checkSpans(spans []dataplane.Span) Reason {
+	if len(spans) == 0 {
+		return ReasonNoSpans
+	}
+	for _, span := range spans {
+		if span.Version <= 0 {
+			return ReasonUnknownVersion
+		}
+		if span.Tokens <= 0 {
+			return ReasonEmptySpan
+		}
+	}
+	return ""
+}
+
+func tokensOf(spans []dataplane.Span) int64 {
+	var tokens int64
+	for _, span := range spans {
+		tokens += int64(span.Tokens)
+	}
+	return tokens
+}
+
+func joined(spans []dataplane.Span) []dataplane.Span {
+	out := slices.Clone(spans[:1])
+	for _, span := range spans[1:] {
+		last := &out[len(out)-1]
+		if last.Version == span.Version {
+			last.Tokens += span.Tokens
+			continue
+		}
+		out = append(out, span)
+	}
+	return out
+}
--- /dev/null
+++ b/samples/staleness.go
@@ -0,0 +1,20 @@
+package samples
+
+// Age returns how many versions the trainer has moved on since the oldest version of a sample or group.
+func Age(step, oldestVersion int64) int64 { return step - oldestVersion }
+
+// Stale reports whether a sample or group exceeds the agreed bound at a step.
+func Stale(step, oldestVersion, maxStaleness int64) bool {
+	return Age(step, oldestVersion) > maxStaleness
+}
+
+// OldestVersion returns the lowest weight version of any span, or 0 for a sample without labelled tokens.
+func (s Sample) OldestVersion() int64 {
+	var oldest int64
+	for _, span := range s.Spans {
+		if oldest == 0 || span.Version < oldest {
+			oldest = span.Version
+		}
+	}
+	return oldest
+}
