Serve trainers and add a stand-in trainer

Cause: trainers pull lots and publish versions on the caller port, and tests need a trainer that restarts. Ruled out: taking the trainer from the path; a Summary metric, whose goroutine never ends.

--- /dev/null
+++ b/standin/trainer/report.go
@@ -0,0 +1,124 @@
+package trainer
+
+import (
+	"crypto/sha256"
+	"sync"
+	"time"
+
+	"github.com/radishshelf/radishshelf/lots"
+	"github.com/radishshelf/radishshelf/samples"
+)
+
+// LotReport describes one lot that was trained on.
+type LotReport struct {
+	Number   int64   `json:"number"`
+	Step     int64   `json:"step"`
+	Samples  int     `json:"samples"`
+	Versions []int64 `json:"versions"`
+	// MaxStaleness is the age of the oldest sample in versions when the lot arrived.
+	MaxStaleness int64 `json:"max_staleness"`
+}
+
+// Report is what the trainer has seen since the process started.
+type Report struct {
+	// Acknowledged is the last lot trained on or skipped, Step the current weight version.
+	Acknowledged int64       `json:"acknowledged"`
+	Step         int64       `json:"step"`
+	Lots         []LotReport `json:"lots"`
+	Samples      int         `json:"samples"`
+	// Duplicates are the ids of samples that were trained on more than once.
+	Duplicates []string `json:"duplicates"`
+	// ChangedLots are the numbers whose bytes differed on a repeated pull.
+	ChangedLots []int64 `json:"changed_lots"`
+	VoidLots    []int64 `json:"void_lots"`
+	Published   []int64 `json:"published"`
+	// IdleSeconds is the time without a lot to train on.
+	IdleSeconds  float64 `json:"idle_seconds"`
+	MaxStaleness int64   `json:"max_staleness"`
+	// MeanStaleness is the mean age of the trained samples in versions.
+	MeanStaleness float64 `json:"mean_staleness"`
+	Restarts      int     `json:"restarts"`
+	Errors        int     `json:"errors"`
+}
+
+// ledger records what the trainer receives. It is safe for concurrent use.
+type ledger struct {
+	mu     sync.Mutex
+	report Report
+	seen   map[string]int
+	hashes map[int64][sha256.Size]byte
+	ages   int64
+	idle   time.Duration
+}
+
+func newLedger() *ledger {
+	empty := Report{
+		Lots: []LotReport{}, Duplicates: []string{}, ChangedLots: []int64{}, VoidLots: []int64{}, Published: []int64{},
+	}
+	return &ledger{report: empty, seen: map[string]int{}, hashes: map[int64][sha256.Size]byte{}}
+}
+
+// change runs f on the report.
+func (l *ledger) change(f func(r *Report)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f(&l.report)
+}
+
+// received compares the bytes of a lot with those of an earlier pull of the same number.
+func (l *ledger) received(number int64, content []byte, idle time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.idle += idle
+	hash := sha256.Sum256(content)
+	if first, ok := l.hashes[number]; ok && first != hash {
+		l.report.ChangedLots = append(l.report.ChangedLots, number)
+	}
+	l.hashes[number] = hash
+}
+
+// trained counts the samples of a lot that arrived at a step.
+func (l *ledger) trained(c lots.Content, step int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lot := LotReport{Number: c.Number, Step: step, Samples: len(c.Samples), Versions: c.Versions}
+	for _, s := range c.Samples {
+		age := samples.Age(step, s.OldestVersion())
+		lot.MaxStaleness = max(lot.MaxStaleness, age)
+		l.ages += age
+		l.seen[s.ID]++
+		if l.seen[s.ID] == 2 {
+			l.report.Duplicates = append(l.report.Duplicates, s.ID)
+		}
+	}
+	l.report.Lots = append(l.report.Lots, lot)
+	l.report.Samples += len(c.Samples)
+	l.report.MaxStaleness = max(l.report.MaxStaleness, lot.MaxStaleness)
+}
+
+func (l *ledger) current() Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.report
+	r.IdleSeconds = l.idle.Seconds()
+	if r.Samples > 0 {
+		r.MeanStaleness = float64(l.ages) / float64(r.Samples)
+	}
+	return r
+}
+
+func (l *ledger) ids() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ids := make([]string, 0, len(l.seen))
+	for id := range l.seen {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+func (l *ledger) idleFor(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.idle += d
+}
--- /dev/null
+++ b/trainerapi/errors.go
@@ -0,0 +1,117 @@
+package trainerapi
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+
+	"github.com/radishshelf/radishshelf/lots"
+	"github.com/radishshelf/radishshelf/lotstore"
+	"github.com/radishshelf/radishshelf/outcome"
+	"github.com/radishshelf/radishshelf/platform"
+)
+
+// ErrorBody is the JSON form of every refusal.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail says what happened and how to proceed.
+type ErrorDetail struct {
+	Type      outcome.Kind `json:"type"`
+	Message   string       `json:"message"`
+	Remedy    string       `json:"remedy"`
+	Outcome   string       `json:"outcome"`
+	RequestID string       `json:"request_id"`
+	// VoidLot and NextLot are set when a lot was skipped: pull after VoidLot to get NextLot.
+	VoidLot int64 `json:"void_lot,omitempty"`
+	NextLot int64 `json:"next_lot,omitempty"`
+	// Acknowledged is set when a pull contradicts the sequence: pull after it.
+	Acknowledged *int64 `json:"acknowledged,omitempty"`
+}
+
+func writeError(w http.ResponseWriter, requestID string, err error) {
+	refusal := asRefusal(err)
+	detail := ErrorDetail{
+		Type: refusal.Kind, Message: refusal.Message, Remedy: refusal.Remedy, Outcome: refusal.Outcome.String(),
+		RequestID: requestID,
+	}
+	var void *lots.VoidError
+	if errors.As(err, &void) {
+		detail.VoidLot, detail.NextLot = void.Number, void.Next
+	}
+	var sequence *lots.SequenceError
+	if errors.As(err, &sequence) {
+		detail.Acknowledged = &sequence.Acknowledged
+	}
+	if refusal.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
+	}
+	if refusal.Status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	}
+	writeJSON(w, refusal.Status, ErrorBody{Error: detail})
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, "the answer could not be encoded", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A caller that has gone away needs no answer.
+	_, _ = w.Write(append(body, '\n'))
+}
+
+// asRefusal maps the errors of the store and the sequence to what a trainer sees.
+func asRefusal(err error) *outcome.Refusal {
+	if refusal, ok := outcome.AsRefusal(err); ok {
+		return refusal
+	}
+	var void *lots.VoidError
+	var sequence *lots.SequenceError
+	switch {
+	case errors.As(err, &void):
+		return refuse(outcome.KindStale, http.StatusGone, void.Error(), "pull after the void lot", err)
+	case errors.As(err, &sequence):
+		return refuse(outcome.KindConflict, http.StatusConflict, sequence.Error(), "pull after the acknowledged lot", err)
+	case errors.Is(err, lotstore.ErrUnknownTrainer):
+		return refuse(outcome.KindNotFound, http.StatusNotFound, err.Error(), "ask the operator to create the trainer", err)
+	}
+	return storeRefusal(err)
+}
+
+func storeRefusal(err error) *outcome.Refusal {
+	refusal := refuse(outcome.KindStoreDown, http.StatusServiceUnavailable, "the store did not answer",
+		"repeat the call; it has no further effect when the first one took effect", err)
+	refusal.RetryAfter = retryStoreDown
+	refusal.Outcome = outcome.MayHaveRun
+	if platform.IsKind(err, platform.KindUnavailable) {
+		refusal.Outcome = outcome.NotRun
+	}
+	return refusal
+}
+
+func refuse(kind outcome.Kind, status int, message, remedy string, err error) *outcome.Refusal {
+	return &outcome.Refusal{
+		Kind: kind, Outcome: outcome.NotRun, Status: status, Message: message, Remedy: remedy, Err: err,
+	}
+}
+
+func invalid(message, remedy string) *outcome.Refusal {
+	return refuse(outcome.KindInvalid, http.StatusBadRequest, message, remedy, nil)
+}
+
+func unknownPath() *outcome.Refusal {
+	return refuse(outcome.KindNotFound, http.StatusNotFound, "the path is unknown",
+		"use /v1/trainers/<name>/pull, versions or status", nil)
+}
+
+func wrongMethod(method string) *outcome.Refusal {
+	return refuse(outcome.KindMethodNotAllowed, http.StatusMethodNotAllowed, "the method is not served on this path",
+		"use "+method, nil)
+}
--- /dev/null
+++ b/trainerapi/pull.go
@@ -0,0 +1,80 @@
+package trainerapi
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/radishshelf/radishshelf/lots"
+)
+
+// PullRequest asks for the lot that follows a number.
+type PullRequest struct {
+	// After is the last lot that the trainer has taken over; it acknowledges all lots up to there. 0 at the start.
+	After int64 `json:"after"`
+	// Step is the trainer's current weight version.
+	Step int64 `json:"step"`
+	// WaitMs is how long to wait for a lot, in milliseconds, at most MaxWait.
+	WaitMs int64 `json:"wait_ms"`
+}
+
+func (p PullRequest) check() error {
+	if p.After < 0 || p.Step < 0 {
+		return invalid("after or step is below zero", "send the number of the last lot and the current weight version")
+	}
+	if p.WaitMs < 0 || p.WaitMs > MaxWait.Milliseconds() {
+		return invalid("wait_ms is outside 0 to 60000", "wait at most 60000 ms and pull again")
+	}
+	return nil
+}
+
+// pull answers 200 with the lot, 204 when none is ready within the wait, 410 for a void lot, 409 for a number that
+// contradicts the sequence, 503 with the store down.
+func (h *Handler) pull(c call) error {
+	var req PullRequest
+	if err := readBody(c.r, &req); err != nil {
+		return err
+	}
+	if err := req.check(); err != nil {
+		return err
+	}
+	start := time.Now()
+	defer func() { h.pullWait.Update(seconds(start)) }()
+	content, err := h.await(c, req)
+	if errors.Is(err, lots.ErrNotReady) {
+		c.w.WriteHeader(http.StatusNoContent)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	c.w.Header().Set("Content-Type", "application/json")
+	// A trainer that has gone away pulls the same lot again.
+	_, _ = c.w.Write(content)
+	return nil
+}
+
+// await polls until a lot is ready or the wait is over. The key is checked at each poll, because it may be withdrawn
+// during the wait.
+func (h *Handler) await(c call, req PullRequest) ([]byte, error) {
+	deadline := time.NewTimer(time.Duration(req.WaitMs) * time.Millisecond)
+	defer deadline.Stop()
+	ticker := time.NewTicker(h.opts.PollInterval)
+	defer ticker.Stop()
+	for {
+		_, content, err := h.opts.Lots.Pull(c.r.Context(), c.trainer, req.After, req.Step)
+		if !errors.Is(err, lots.ErrNotReady) {
+			return content, err
+		}
+		select {
+		case <-c.r.Context().Done():
+			return nil, c.r.Context().Err()
+		case <-deadline.C:
+			return nil, err
+		case <-ticker.C:
+		}
+		if err := h.authenticate(&c); err != nil {
+			return nil, err
+		}
+	}
+}
