--- /dev/null
+++ b/standin/platform/admin.go
@@ -0,0 +1,121 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/settings"
+)
+
+// Limits of the admin interface.
+const (
+	maxAdminBytes = 4 << 20
+	maxAdminRows  = 1000
+)
+
+// FaultSettings is the JSON form of the faults of one service.
+type FaultSettings struct {
+	Outage bool `json:"outage"`
+	// LoseReplies is the number of writes whose reply is lost; -1 loses all.
+	LoseReplies int               `json:"lose_replies"`
+	Delay       settings.Duration `json:"delay"`
+}
+
+type admin struct{ mem *memory.Platform }
+
+func newAdmin(mem *memory.Platform) *admin { return &admin{mem: mem} }
+
+func (a *admin) register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /admin/faults", a.listFaults)
+	mux.HandleFunc("PUT /admin/faults/{service}", a.setFaults)
+	mux.HandleFunc("GET /admin/orders", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, a.mem.Orders.List()) })
+	mux.HandleFunc("GET /admin/usage", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, a.mem.Usage.List()) })
+	mux.HandleFunc("GET /admin/objects", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, a.mem.Objects.List()) })
+	mux.HandleFunc("GET /admin/rows", a.listRows)
+	mux.HandleFunc("GET /admin/hosts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, a.mem.Hosts.Actual()) })
+	mux.HandleFunc("PUT /admin/hosts", a.setHosts)
+	mux.HandleFunc("PUT /admin/weights/{policy}/{version}", a.putWeights)
+}
+
+func (a *admin) listFaults(w http.ResponseWriter, _ *http.Request) {
+	all := make(map[memory.Service]FaultSettings)
+	for _, service := range memory.AllServices() {
+		faults, _ := a.mem.Switch(service)
+		f := faults.Get()
+		all[service] = FaultSettings{Outage: f.Outage, LoseReplies: f.LoseReplies, Delay: settings.Duration(f.Delay)}
+	}
+	writeJSON(w, all)
+}
+
+func (a *admin) setFaults(w http.ResponseWriter, r *http.Request) {
+	faults, ok := a.mem.Switch(memory.Service(r.PathValue("service")))
+	if !ok {
+		http.Error(w, fmt.Sprintf("service %q is unknown; use one of %v", r.PathValue("service"), memory.AllServices()),
+			http.StatusNotFound)
+		return
+	}
+	var wanted FaultSettings
+	if !readJSON(w, r, &wanted) {
+		return
+	}
+	faults.Set(memory.Faults{Outage: wanted.Outage, LoseReplies: wanted.LoseReplies, Delay: wanted.Delay.D()})
+	writeJSON(w, wanted)
+}
+
+// listRows returns up to maxAdminRows rows whose keys start with the query value "prefix" and follow "after".
+func (a *admin) listRows(w http.ResponseWriter, r *http.Request) {
+	faults := a.mem.Table.Faults.Get()
+	if faults.Outage {
+		http.Error(w, "the table is switched off; switch the outage off first", http.StatusServiceUnavailable)
+		return
+	}
+	rows, err := a.mem.Table.Scan(r.Context(), r.URL.Query().Get("prefix"), r.URL.Query().Get("after"), maxAdminRows)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, rows)
+}
+
+func (a *admin) setHosts(w http.ResponseWriter, r *http.Request) {
+	var hosts []platform.Host
+	if !readJSON(w, r, &hosts) {
+		return
+	}
+	a.mem.Hosts.Set(hosts)
+	writeJSON(w, hosts)
+}
+
+func (a *admin) putWeights(w http.ResponseWriter, r *http.Request) {
+	version, err := strconv.ParseInt(r.PathValue("version"), 10, 64)
+	if err != nil || version < 1 {
+		http.Error(w, "the version is not a positive integer; write for example /admin/weights/fares/3", http.StatusBadRequest)
+		return
+	}
+	blob, err := io.ReadAll(http.MaxBytesReader(w, r.Body, memory.MaxBlobBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	a.mem.Weights.Put(r.PathValue("policy"), version, blob)
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, target any) bool {
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAdminBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(target); err != nil {
+		http.Error(w, "body is not understood: "+err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value) // a client that left gets no answer
+}
--- /dev/null
+++ b/standin/platform/settings.go
@@ -0,0 +1,38 @@
+package platform
+
+import (
+	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/settings"
+)
+
+// Settings is the settings file of standin-platform.
+type Settings struct {
+	// Address serves the platform, the admin interface and the trace receiver.
+	Address string `json:"address"`
+	// CheckTerms makes the order service refuse old terms.
+	CheckTerms bool `json:"check_terms,omitempty"`
+	// HostLag delays edits of the host list.
+	HostLag settings.Duration `json:"host_lag,omitempty"`
+	// WeightBytesPerSecond limits the weight store; 0 means unlimited.
+	WeightBytesPerSecond int64 `json:"weight_bytes_per_second,omitempty"`
+	// Hosts is the host list at the start.
+	Hosts []platform.Host `json:"hosts,omitempty"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `json:"log_level,omitempty"`
+}
+
+// Validate implements settings.Validator.
+func (s *Settings) Validate(p *settings.Problems) {
+	p.Address("address", s.Address)
+	if s.HostLag < 0 {
+		p.Add(settings.KindInvalid, "host_lag", "the duration is negative", `write for example "30s"`)
+	}
+	if s.WeightBytesPerSecond < 0 {
+		p.Add(settings.KindInvalid, "weight_bytes_per_second", "the rate is negative", "write 0 for no limit")
+	}
+	switch s.LogLevel {
+	case "", "debug", "info", "warn", "error":
+	default:
+		p.Add(settings.KindInvalid, "log_level", "the level is unknown", "write debug, info, warn or error")
+	}
+}
