Keep, change and spread the configuration

Cause: older objects must never revert newer ones, operators race each other, replies are lost, and an entry must tell an outage of the store from its own isolation. Ruled out: counting the entry itself in the quorum (equal halves would both serve); retrying a commit blindly after a lost reply (it applies a change twice or reports a false conflict). Change: fleetconfig.State, View, validation and the freshness rule; configstore with one transaction a change; configsync with two readers per data centre, pulls each second, pushes at once and AwaitInForce.

--- /dev/null
+++ b/configstore/commit.go
@@ -0,0 +1,203 @@
+package configstore
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/platform"
+)
+
+const (
+	// maxAttempts bounds the tries of one change. One of several racing changes wins each round.
+	maxAttempts = 64
+	// retryPause spreads racing changes; a round trip to the table takes a few milliseconds.
+	retryPause = 5 * time.Millisecond
+)
+
+// Commit makes a change. It repeats the transaction when only another object changed meanwhile, and it applies the
+// change at most once even if replies are lost.
+func (s *Store) Commit(ctx context.Context, change Change) (revision int64, err error) {
+	value, err := change.encode()
+	if err != nil {
+		return 0, fmt.Errorf("%s %q: the value cannot be encoded as JSON: %w", change.Kind, change.Name, err)
+	}
+	a := &attempt{store: s, change: change, value: value, id: uuid.NewString()}
+	for range maxAttempts {
+		revision, done, err := a.try(ctx)
+		if err != nil {
+			return 0, a.classify(err)
+		}
+		if done {
+			return revision, nil
+		}
+		if err := pause(ctx); err != nil {
+			return 0, a.classify(err)
+		}
+	}
+	return 0, a.classify(&platform.Error{
+		Kind: platform.KindUnavailable, Op: "configuration change", Remedy: "repeat the change later",
+		Err: fmt.Errorf("other changes were faster %d times", maxAttempts),
+	})
+}
+
+// attempt is the state of one change over its tries.
+type attempt struct {
+	store  *Store
+	change Change
+	value  json.RawMessage
+	id     string
+	// open is the revision that a try without a reply may have taken; 0 when every try is decided.
+	open int64
+}
+
+// try makes one try. It returns done when the change is committed, and neither done nor an error to try again.
+func (a *attempt) try(ctx context.Context) (revision int64, done bool, err error) {
+	headRow, head, err := a.store.readHead(ctx)
+	if err != nil {
+		return 0, false, err
+	}
+	if committed, err := a.settle(ctx, head.Revision); err != nil || committed != 0 {
+		return committed, committed != 0, err
+	}
+	objectRow, current, err := a.store.readObject(ctx, a.change.Kind, a.change.Name)
+	if err != nil {
+		return 0, false, err
+	}
+	if current.Revision > head.Revision {
+		return 0, false, nil // the object changed after the head was read
+	}
+	if err := a.check(ctx, head.Revision, current); err != nil {
+		return 0, false, err
+	}
+	return a.commit(ctx, headRow, objectRow, head.Revision+1)
+}
+
+// settle finds out whether the open try took effect. Until the head reaches its revision the try may still arrive, and
+// then the next try has the same conditions, so that the table accepts at most one of the two.
+func (a *attempt) settle(ctx context.Context, head int64) (revision int64, err error) {
+	if a.open == 0 || head < a.open {
+		return 0, nil
+	}
+	row, err := a.store.table.Get(ctx, logKey(a.open))
+	if err != nil {
+		return 0, err
+	}
+	var entry logRow
+	if err := decodeRow(row, &entry); err != nil {
+		return 0, err
+	}
+	if entry.ChangeID == a.id {
+		return a.open, nil
+	}
+	a.open = 0
+	return 0, nil
+}
+
+// check validates the change against the configuration at the head, which the transaction holds on to.
+func (a *attempt) check(ctx context.Context, head int64, current fleetconfig.Object) error {
+	if !a.change.fits(current) {
+		return &ConflictError{Kind: a.change.Kind, Name: a.change.Name, Expected: a.change.Expected, Current: current}
+	}
+	view, err := a.store.viewAt(ctx, head)
+	if err != nil {
+		return err
+	}
+	return a.change.validate(view, a.value)
+}
+
+func (a *attempt) commit(ctx context.Context, head, object platform.Row, next int64) (int64, bool, error) {
+	txn, err := a.transaction(head, object, next)
+	if err != nil {
+		return 0, false, err
+	}
+	result, err := a.store.table.Commit(ctx, txn)
+	if platform.IsKind(err, platform.KindUnknown) {
+		a.open = next
+		return 0, false, nil
+	}
+	if err != nil {
+		return 0, false, err
+	}
+	if !result.Committed {
+		return 0, false, a.failedGuard(result)
+	}
+	return next, true, nil
+}
+
+func (a *attempt) transaction(head, object platform.Row, next int64) (platform.Txn, error) {
+	changed := fleetconfig.Object{
+		Kind: a.change.Kind, Name: a.change.Name, Revision: next, Value: a.value, Deleted: a.change.Delete,
+	}
+	key := objectKey(a.change.Kind, a.change.Name)
+	txn := platform.Txn{Conditions: append([]platform.Condition{
+		{Key: headKey, Revision: head.Revision},
+		{Key: key, Revision: object.Revision},
+	}, a.change.Guards...)}
+	for _, put := range []struct {
+		key   string
+		value any
+	}{{headKey, headRow{Revision: next}}, {key, changed}, {logKey(next), logRow{ChangeID: a.id, Object: changed}}} {
+		data, err := json.Marshal(put.value)
+		if err != nil {
+			return txn, err
+		}
+		txn.Puts = append(txn.Puts, platform.Put{Key: put.key, Value: data})
+	}
+	return txn, nil
+}
+
+// failedGuard returns a *GuardError when a guard is among the conditions that failed.
+func (a *attempt) failedGuard(result platform.TxnResult) error {
+	revisions := make(map[string]int64, len(result.Current))
+	for _, row := range result.Current {
+		revisions[row.Key] = row.Revision
+	}
+	for _, guard := range a.change.Guards {
+		if revisions[guard.Key] != guard.Revision {
+			return &GuardError{Kind: a.change.Kind, Name: a.change.Name, Key: guard.Key}
+		}
+	}
+	return nil
+}
+
+// classify keeps a failure truthful: while a try is open, the change may have taken effect.
+func (a *attempt) classify(err error) error {
+	if a.open == 0 {
+		return err
+	}
+	return &platform.Error{
+		Kind: platform.KindUnknown, Op: "configuration change", Err: err,
+		Remedy: fmt.Sprintf("the change may have been accepted as revision %d; read %s %q before repeating it",
+			a.open, a.change.Kind, a.change.Name),
+	}
+}
+
+func (s *Store) readObject(ctx context.Context, kind fleetconfig.Kind, name string) (platform.Row, fleetconfig.Object, error) {
+	var o fleetconfig.Object
+	row, err := s.table.Get(ctx, objectKey(kind, name))
+	if platform.IsKind(err, platform.KindNotFound) {
+		return platform.Row{}, o, nil
+	}
+	if err != nil {
+		return platform.Row{}, o, err
+	}
+	return row, o, decodeRow(row, &o)
+}
+
+func pause(ctx context.Context) error {
+	timer := time.NewTimer(rand.N(retryPause))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return errors.Join(context.Cause(ctx), errors.New("the change was not decided in time"))
+	}
+}
--- /dev/null
+++ b/configstore/faulty_table_test.go
@@ -0,0 +1,48 @@
+package configstore
+
+import (
+	"context"
+	"errors"
+
+	"pgregory.net/rapid"
+
+	"github.com/radishshelf/radishshelf/platform"
+)
+
+// faultyTable loses replies of commits before, after or long before the commit takes effect.
+type faultyTable struct {
+	platform.Table
+	t       *rapid.T
+	delayed []platform.Txn
+}
+
+func (f *faultyTable) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	f.deliver(ctx)
+	lost := &platform.Error{Kind: platform.KindUnknown, Op: "table commit", Err: errors.New("reply lost")}
+	switch rapid.IntRange(0, 4).Draw(f.t, "fault") {
+	case 0:
+		return platform.TxnResult{}, lost
+	case 1:
+		f.delayed = append(f.delayed, txn)
+		return platform.TxnResult{}, lost
+	case 2:
+		if _, err := f.Table.Commit(ctx, txn); err != nil {
+			return platform.TxnResult{}, err
+		}
+		return platform.TxnResult{}, lost
+	}
+	return f.Table.Commit(ctx, txn)
+}
+
+func (f *faultyTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	f.deliver(ctx)
+	return f.Table.Get(ctx, key)
+}
+
+// deliver lets some delayed commits arrive.
+func (f *faultyTable) deliver(ctx context.Context) {
+	for len(f.delayed) > 0 && rapid.Bool().Draw(f.t, "deliver") {
+		_, _ = f.Table.Commit(ctx, f.delayed[0]) // nobody waits for the result
+		f.delayed = f.delayed[1:]
+	}
+}
--- /dev/null
+++ b/configstore/rows.go
@@ -0,0 +1,42 @@
+package configstore
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/platform"
+)
+
+// Row keys.
+const (
+	headKey      = "config/head"
+	objectPrefix = "config/object/"
+	logPrefix    = "config/log/"
+)
+
+// headRow is the value of config/head.
+type headRow struct {
+	Revision int64 `json:"revision"`
+}
+
+// logRow is the value of config/log/<revision>.
+type logRow struct {
+	// ChangeID tells whose change took the revision.
+	ChangeID string             `json:"change_id"`
+	Object   fleetconfig.Object `json:"object"`
+}
+
+func objectKey(kind fleetconfig.Kind, name string) string {
+	return objectPrefix + string(kind) + "/" + name
+}
+
+// logKey pads the revision, so that the order of keys is the order of revisions.
+func logKey(revision int64) string { return fmt.Sprintf("%s%019d", logPrefix, revision) }
+
+func decodeRow(row platform.Row, target any) error {
+	if err := json.Unmarshal(row.Value, target); err != nil {
+		return fmt.Errorf("row %s is not understood; restore it from config/log: %w", row.Key, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/configstore/store.go
@@ -0,0 +1,121 @@
+package configstore
+
+import (
+	"context"
+	"sync"
+
+	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/platform"
+)
+
+// pageRows is the number of rows that one scan asks for.
+const pageRows = 500
+
+// Store reads and changes the configuration objects in the table. Its methods may be called concurrently.
+type Store struct {
+	table platform.Table
+
+	// mu guards state, which is what changes are validated against.
+	mu    sync.Mutex
+	state *fleetconfig.State
+}
+
+// New returns a store over table.
+func New(table platform.Table) *Store { return &Store{table: table, state: fleetconfig.NewState()} }
+
+// Head returns the revision of the latest change; 0 when there was none.
+func (s *Store) Head(ctx context.Context) (int64, error) {
+	_, head, err := s.readHead(ctx)
+	return head.Revision, err
+}
+
+func (s *Store) readHead(ctx context.Context) (platform.Row, headRow, error) {
+	var head headRow
+	row, err := s.table.Get(ctx, headKey)
+	if platform.IsKind(err, platform.KindNotFound) {
+		return platform.Row{}, head, nil
+	}
+	if err != nil {
+		return platform.Row{}, head, err
+	}
+	return row, head, decodeRow(row, &head)
+}
+
+// Load returns all objects, tombstones included. The result is complete up to revision through; some objects may
+// already be newer.
+func (s *Store) Load(ctx context.Context) (objects []fleetconfig.Object, through int64, err error) {
+	// The head is read first: a change after that is newer than through, and Since(through) finds it.
+	through, err = s.Head(ctx)
+	if err != nil {
+		return nil, 0, err
+	}
+	err = s.scan(ctx, objectPrefix, objectPrefix, func(row platform.Row) error {
+		var o fleetconfig.Object
+		if err := decodeRow(row, &o); err != nil {
+			return err
+		}
+		objects = append(objects, o)
+		return nil
+	})
+	return objects, through, err
+}
+
+// Since returns the changes after revision in order; they are complete up to through.
+func (s *Store) Since(ctx context.Context, revision int64) (objects []fleetconfig.Object, through int64, err error) {
+	through = revision
+	err = s.scan(ctx, logPrefix, logKey(revision), func(row platform.Row) error {
+		var entry logRow
+		if err := decodeRow(row, &entry); err != nil {
+			return err
+		}
+		objects = append(objects, entry.Object)
+		through = entry.Object.Revision
+		return nil
+	})
+	return objects, through, err
+}
+
+func (s *Store) scan(ctx context.Context, prefix, after string, visit func(platform.Row) error) error {
+	for {
+		rows, err := s.table.Scan(ctx, prefix, after, pageRows)
+		if err != nil {
+			return err
+		}
+		for _, row := range rows {
+			if err := visit(row); err != nil {
+				return err
+			}
+		}
+		if len(rows) < pageRows {
+			return nil
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+// viewAt returns the configuration as of a revision of the head or later.
+func (s *Store) viewAt(ctx context.Context, revision int64) (*fleetconfig.View, error) {
+	s.mu.Lock()
+	through := s.state.Through()
+	s.mu.Unlock()
+	if through < revision {
+		objects, newer, err := s.newer(ctx, through)
+		if err != nil {
+			return nil, err
+		}
+		s.mu.Lock()
+		s.state.Apply(objects)
+		s.state.Advance(newer)
+		s.mu.Unlock()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.View(), nil
+}
+
+func (s *Store) newer(ctx context.Context, through int64) ([]fleetconfig.Object, int64, error) {
+	if through == 0 {
+		return s.Load(ctx)
+	}
+	return s.Since(ctx, through)
+}
--- /dev/null
+++ b/configsync/convert.go
@@ -0,0 +1,36 @@
+package configsync
+
+import (
+	"time"
+
+	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/rpc"
+)
+
+func toRPC(objects []fleetconfig.Object) []*rpc.ConfigObject {
+	converted := make([]*rpc.ConfigObject, 0, len(objects))
+	for _, o := range objects {
+		converted = append(converted, &rpc.ConfigObject{
+			Kind: string(o.Kind), Name: o.Name, Revision: o.Revision, Value: o.Value, Deleted: o.Deleted,
+		})
+	}
+	return converted
+}
+
+func fromRPC(objects []*rpc.ConfigObject) []fleetconfig.Object {
+	converted := make([]fleetconfig.Object, 0, len(objects))
+	for _, o := range objects {
+		converted = append(converted, fleetconfig.Object{
+			Kind: fleetconfig.Kind(o.GetKind()), Name: o.GetName(), Revision: o.GetRevision(), Value: o.GetValue(),
+			Deleted: o.GetDeleted(),
+		})
+	}
+	return converted
+}
+
+func ageOf(info *rpc.EntryInfo) time.Duration {
+	if info.GetConfirmationAgeMs() < 0 {
+		return -1
+	}
+	return time.Duration(info.GetConfirmationAgeMs()) * time.Millisecond
+}
--- /dev/null
+++ b/configsync/handle.go
@@ -0,0 +1,94 @@
+package configsync
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/rpc"
+)
+
+const (
+	// maxObjectsPerPush bounds a push; a peer that missed more pulls them.
+	maxObjectsPerPush = 1000
+	// maxInfosPerRequest is above what any version of this program sends.
+	maxInfosPerRequest = 1000
+)
+
+// HandleSync serves the Sync call of a peer.
+func (s *Syncer) HandleSync(ctx context.Context, req *rpc.SyncRequest) (*rpc.SyncResponse, error) {
+	from := req.GetFrom()
+	if from.GetName() == "" || from.GetPeerAddress() == "" {
+		return nil, twirp.RequiredArgumentError("from")
+	}
+	if len(req.GetObjects()) > maxObjectsPerPush {
+		return nil, twirp.InvalidArgumentError("objects", "are too many for a push; let the peer pull")
+	}
+	if len(req.GetEntries()) > maxInfosPerRequest {
+		return nil, twirp.InvalidArgumentError("entries", "are too many for one request")
+	}
+	probe := len(req.GetEntries()) == 0
+	s.takeInfos(req)
+	if !probe {
+		for _, participant := range s.opts.Participants {
+			participant.MergeRequest(req)
+		}
+	}
+	changed := s.applyPushed(fromRPC(req.GetObjects()))
+	if len(changed) > 0 && from.GetDataCentre() != s.opts.DataCentre {
+		go s.push(context.WithoutCancel(ctx), changed, false)
+	}
+	if req.GetHaveRevision() > s.View().Revision() {
+		s.pullSoon(from.GetPeerAddress())
+	}
+	return s.answer(req, probe), nil
+}
+
+func (s *Syncer) takeInfos(req *rpc.SyncRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.learn(req.GetFrom(), true, now)
+	for _, info := range req.GetEntries() {
+		if info.GetName() != req.GetFrom().GetName() {
+			s.learn(info, false, now)
+		}
+	}
+}
+
+// answer reads view and info under one lock: the confirmation must not be newer than the objects that go with it.
+func (s *Syncer) answer(req *rpc.SyncRequest, probe bool) *rpc.SyncResponse {
+	now := time.Now()
+	s.mu.Lock()
+	view := s.state.View()
+	resp := &rpc.SyncResponse{From: s.info(now), Revision: view.Revision()}
+	if !probe {
+		resp.Entries = s.peers.relays(now)
+	}
+	s.mu.Unlock()
+	resp.Objects = toRPC(newerThan(view, req.GetHaveRevision()))
+	if !probe {
+		for _, participant := range s.opts.Participants {
+			participant.FillResponse(resp)
+		}
+	}
+	return resp
+}
+
+// newerThan skips the walk over all objects in the common case that the peer has everything.
+func newerThan(view *fleetconfig.View, revision int64) []fleetconfig.Object {
+	if view.Revision() <= revision {
+		return nil
+	}
+	return view.Since(revision)
+}
+
+// pullSoon makes Run pull from a peer that has something newer. When many are waiting, one of them will do.
+func (s *Syncer) pullSoon(address string) {
+	select {
+	case s.kick <- address:
+	default:
+	}
+}
--- /dev/null
+++ b/configsync/network_test.go
@@ -0,0 +1,104 @@
+package configsync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+
+	"github.com/radishshelf/radishshelf/configstore"
+	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/rpc"
+)
+
+// network connects entries in one process. A call over a cut link hangs until its deadline.
+type network struct {
+	mem   *memory.Platform
+	heads atomic.Int64 // reads of config/head
+
+	mu      sync.Mutex
+	entries map[string]*Syncer
+	side    map[string]int // entries on different sides do not reach each other; the table is on side 0
+}
+
+func newNetwork() *network {
+	return &network{mem: memory.New(memory.Options{}), entries: map[string]*Syncer{}, side: map[string]int{}}
+}
+
+func address(n int) string { return fmt.Sprintf("127.0.0.1:%d", 7000+n) }
+
+// start runs entry n of total in a data centre until ctx ends.
+func (w *network) start(ctx context.Context, n, total int, dc string) *Syncer {
+	var peers []string
+	for i := range total {
+		peers = append(peers, address(i))
+	}
+	own := address(n)
+	s := New(Options{
+		Name: fmt.Sprintf("entry-%d", n), PeerAddress: own, DataCentre: dc, Incarnation: "i", Peers: peers,
+		Source: source{Store: configstore.New(w.mem.Table), network: w, address: own},
+		Dial:   func(to string) rpc.Peer { return link{network: w, from: own, to: to} },
+	})
+	w.mu.Lock()
+	w.entries[own] = s
+	w.mu.Unlock()
+	go func() { _ = s.Run(ctx) }()
+	return s
+}
+
+func (w *network) cut(side int, entries ...int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, n := range entries {
+		w.side[address(n)] = side
+	}
+}
+
+func (w *network) reach(from, to string) *Syncer {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.side[from] != w.side[to] {
+		return nil
+	}
+	return w.entries[to]
+}
+
+// link is the client of one entry to another.
+type link struct {
+	rpc.Peer
+	network  *network
+	from, to string
+}
+
+func (l link) Sync(ctx context.Context, req *rpc.SyncRequest) (*rpc.SyncResponse, error) {
+	target := l.network.reach(l.from, l.to)
+	if target == nil {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return target.HandleSync(ctx, req)
+}
+
+// source is the table as one entry reaches it.
+type source struct {
+	*configstore.Store
+	network *network
+	address string
+}
+
+func (s source) Head(ctx context.Context) (int64, error) {
+	s.network.mu.Lock()
+	cut := s.network.side[s.address] != 0
+	s.network.mu.Unlock()
+	if cut {
+		return 0, errors.New("cut off")
+	}
+	s.network.heads.Add(1)
+	return s.Store.Head(ctx)
+}
+
+func (w *network) write(ctx context.Context, name string) (int64, error) {
+	return configstore.New(w.mem.Table).Write(ctx, fleetconfig.KindPolicy, name, fleetconfig.Policy{}, 0)
+}
--- /dev/null
+++ b/fleetconfig/effective.go
@@ -0,0 +1,74 @@
+package fleetconfig
+
+import (
+	"maps"
+	"slices"
+)
+
+// Values that apply where the Defaults object leaves a field at zero.
+const (
+	builtinMaxTokens          = 4096
+	builtinRequestTimeoutMs   = 120_000
+	builtinMaxEntries         = 16
+	builtinUsageWindowSeconds = 3600
+	builtinMinUpstreams       = 1
+	builtinMaxUpstreams       = 64
+)
+
+// Scope says for what the effective values are wanted. Empty fields are left out.
+type Scope struct {
+	Workspace  string
+	Policy     string
+	DataCentre string
+}
+
+// Defaults returns the fleet-wide values without exceptions.
+func (v *View) Defaults() Defaults { return v.defaults }
+
+// Effective returns the fleet-wide values with, in rising precedence, the limits of the policy and the workspace and
+// the exceptions for the data centre, the policy and the workspace.
+func (v *View) Effective(scope Scope) Defaults {
+	d := v.defaults
+	if p, ok := v.policies[scope.Policy]; ok && p.MaxTokens > 0 {
+		d.MaxTokens = p.MaxTokens
+	}
+	if w, ok := v.workspaces[scope.Workspace]; ok && w.TokensPerSecond > 0 {
+		d.TokensPerSecond = w.TokensPerSecond
+	}
+	v.applyExceptions(&d, ScopeDataCentre, scope.DataCentre)
+	v.applyExceptions(&d, ScopePolicy, scope.Policy)
+	v.applyExceptions(&d, ScopeWorkspace, scope.Workspace)
+	return d
+}
+
+func (v *View) applyExceptions(d *Defaults, scope, name string) {
+	if name == "" || len(v.exceptions) == 0 {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(v.exceptions)) {
+		e := v.exceptions[id]
+		if e.Scope != scope+"/"+name {
+			continue
+		}
+		changed := *d
+		if e.apply(&changed) == nil { // the value was validated at the write
+			*d = changed
+		}
+	}
+}
+
+func withBuiltin(d Defaults) Defaults {
+	setZero(&d.MaxTokens, builtinMaxTokens)
+	setZero(&d.RequestTimeoutMs, builtinRequestTimeoutMs)
+	setZero(&d.MaxEntries, builtinMaxEntries)
+	setZero(&d.UsageWindowSeconds, builtinUsageWindowSeconds)
+	setZero(&d.MaxUpstreams, max(builtinMaxUpstreams, d.MinUpstreams))
+	setZero(&d.MinUpstreams, min(builtinMinUpstreams, d.MaxUpstreams))
+	return d
+}
+
+func setZero[T int | int64](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/fleetconfig/freshness_test.go
@@ -0,0 +1,106 @@
+package fleetconfig
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+const outputPrefix = "  -> "
+
+// Guards against serving withdrawn keys in a cut-off part of the fleet, against refusing all keyed work while only the
+// table is down, and against a restart that trusts one old peer.
+func TestFreshnessSessions(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.golden")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("golden files: %v, %v", files, err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			data, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := replay(t, string(data))
+			if *update {
+				if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
+					t.Fatal(err)
+				}
+				return
+			}
+			if diff := cmp.Diff(string(data), got); diff != "" {
+				t.Errorf("session differs (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// replay runs the events of a session and returns it with the verdicts after each "verdict" line.
+func replay(t *testing.T, session string) string {
+	t.Helper()
+	f := NewFreshness(FreshnessOptions{Self: "a", DataCentre: "sudur"})
+	start := time.Unix(1000, 0)
+	now := start
+	var out strings.Builder
+	for line := range strings.Lines(session) {
+		if strings.HasPrefix(line, outputPrefix) {
+			continue
+		}
+		out.WriteString(line)
+		words := strings.Fields(line)
+		if len(words) == 0 || words[0] == "#" {
+			continue
+		}
+		switch words[0] {
+		case "at":
+			now = start.Add(span(t, words[1]))
+		case "know":
+			f.Know(words[1], words[2], now)
+		case "confirm":
+			f.Confirmed(now)
+		case "applied":
+			f.Applied(number(t, words[1]))
+		case "answer":
+			f.Answered(PeerAnswer{
+				Name: words[1], DataCentre: words[2], SentAt: now,
+				ConfirmationAge: span(t, words[3]), Revision: number(t, words[4]),
+			})
+		case "expire":
+			fmt.Fprintf(&out, "%sdropped %v\n", outputPrefix, f.Expire(now))
+		case "verdict":
+			v := f.Verdict(now)
+			fmt.Fprintf(&out, "%sserve=%t reason=%s detail=%q age=%s answered=%d/%d\n",
+				outputPrefix, v.Serve, v.Reason, v.Detail, v.Age, v.Answered, v.Known)
+		default:
+			t.Fatalf("unknown event %q", line)
+		}
+	}
+	return out.String()
+}
+
+func span(t *testing.T, s string) time.Duration {
+	t.Helper()
+	d, err := time.ParseDuration(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func number(t *testing.T, s string) int64 {
+	t.Helper()
+	n, err := strconv.ParseInt(s, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
--- /dev/null
+++ b/fleetconfig/validate_route.go
@@ -0,0 +1,30 @@
+package fleetconfig
+
+import (
+	"path"
+	"strings"
+)
+
+// reservedPrefixes are the paths of the entry's own caller interface.
+var reservedPrefixes = []string{"/v1/chat/completions", "/v1/rollout-groups", "/v1/trainers", "/v1/models"}
+
+func (r *Route) validate(c *checker) {
+	c.required("service", r.Service, "fare-lookup")
+	c.notNegative("cost_tokens", r.CostTokens < 0)
+	prefix := trimPrefix(r.PathPrefix)
+	if !strings.HasPrefix(r.PathPrefix, "/") || prefix == "" || path.Clean(prefix) != prefix {
+		c.add("path_prefix", "the prefix is not a clean absolute path", `write for example "/fares"`)
+		return
+	}
+	for _, reserved := range reservedPrefixes {
+		if underPrefix(prefix, reserved) || underPrefix(reserved, prefix) {
+			c.add("path_prefix", "the prefix overlaps "+reserved+", which the entry serves itself", "choose another prefix")
+		}
+	}
+	if name, ok := c.view.routes.byPrefix[prefix]; ok && name != c.name {
+		c.add("path_prefix", "route \""+name+"\" has the same prefix", "choose another prefix or change that route")
+	}
+}
+
+// underPrefix reports whether p is prefix or below it.
+func underPrefix(p, prefix string) bool { return p == prefix || strings.HasPrefix(p, prefix+"/") }
