Add the operator interface, its client and radishshelfctl

Cause: operators need policies, workspaces, keys, defaults and exceptions with typed conflicts. Change: iris API, client and cobra commands. Secrets are shown once and never stored or logged; a withdrawal repeats on conflict so that it wins.

--- /dev/null
+++ b/cmd/radishshelfctl/main.go
@@ -0,0 +1,45 @@
+// Command radishshelfctl is the command line of operators over the operator interface of one entry.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/radishshelf/radishshelf/command"
+)
+
+const name = "radishshelfctl"
+
+// exitPending is the exit code of a change that was committed and is not yet in force everywhere.
+const exitPending = 3
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	code := execute(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// execute runs the program with args and returns the exit code.
+func execute(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.ExecuteContext(ctx)
+	var pending *pendingError
+	switch {
+	case err == nil:
+		return command.ExitOK
+	case errors.As(err, &pending):
+		return exitPending
+	default:
+		fmt.Fprintf(stderr, "%s: %v\n", name, err)
+		return command.ExitFailure
+	}
+}
--- /dev/null
+++ b/cmd/radishshelfctl/output.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"github.com/radishshelf/radishshelf/operatorclient"
+)
+
+// table is the text form of a list.
+type table struct {
+	header []string
+	rows   [][]string
+}
+
+func (t *table) add(cells ...string) { t.rows = append(t.rows, cells) }
+
+func (t *table) write(w io.Writer) error {
+	tabs := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tabs, strings.Join(t.header, "\t"))
+	for _, row := range t.rows {
+		fmt.Fprintln(tabs, strings.Join(row, "\t"))
+	}
+	return tabs.Flush()
+}
+
+// print writes value as JSON or the table that text builds.
+func (o *options) print(cmd *cobra.Command, value any, text func() *table) error {
+	if o.output == outputJSON {
+		return printJSON(cmd, value)
+	}
+	return text().write(cmd.OutOrStdout())
+}
+
+// printChange writes the result of a change. A change that is not yet in force ends with a *pendingError.
+func (o *options) printChange(cmd *cobra.Command, result operatorclient.ChangeResult) error {
+	if o.output == outputJSON {
+		if err := printJSON(cmd, result); err != nil {
+			return err
+		}
+	} else {
+		fmt.Fprintf(cmd.OutOrStdout(), "%s %s: %s (revision %d)\n", result.Kind, result.Name, result.Message, result.Revision)
+		if len(result.Isolated) > 0 {
+			fmt.Fprintf(cmd.OutOrStdout(), "cut off and refusing keyed work: %s\n", strings.Join(result.Isolated, ", "))
+		}
+	}
+	return pendingOf(result)
+}
+
+func pendingOf(result operatorclient.ChangeResult) error {
+	if result.Accepted {
+		return nil
+	}
+	return &pendingError{message: result.Message}
+}
+
+func printJSON(cmd *cobra.Command, value any) error {
+	enc := json.NewEncoder(cmd.OutOrStdout())
+	enc.SetIndent("", "  ")
+	return enc.Encode(value)
+}
--- /dev/null
+++ b/operatorapi/keys.go
@@ -0,0 +1,120 @@
+package operatorapi
+
+import (
+	"cmp"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/kataras/iris/v12"
+
+	"github.com/radishshelf/radishshelf/configstore"
+	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/operatorclient"
+	"github.com/radishshelf/radishshelf/platform"
+)
+
+// secretPrefix lets scanners of source code recognise a leaked key.
+const secretPrefix = "rsk_"
+
+// maxWithdrawTries bounds the race of a withdrawal with other changes of the same key.
+const maxWithdrawTries = 5
+
+// newSecret returns a secret with more than 128 bits of entropy.
+func newSecret() string { return secretPrefix + strings.ToLower(rand.Text()) }
+
+func (a *api) grantKey(ctx iris.Context) {
+	var request operatorclient.KeyRequest
+	if err := ctx.ReadJSON(&request); err != nil {
+		invalid(ctx, "the body is not understood: "+err.Error(), `send for example {"workspace":"dispatch"}`)
+		return
+	}
+	id := uuid.NewString()
+	secret := newSecret()
+	key := fleetconfig.Key{
+		SecretHash: fleetconfig.HashSecret(secret), Workspace: request.Workspace, Trainer: request.Trainer,
+		GrantedAt: time.Now().UTC().Format(time.RFC3339),
+	}
+	revision, err := a.opts.Writer.Write(ctx.Request().Context(), fleetconfig.KindKey, id, key, 0)
+	if platform.IsKind(err, platform.KindUnknown) {
+		refuse(ctx, iris.StatusGatewayTimeout, &operatorclient.Error{
+			Kind: operatorclient.KindUnknown, Message: "key " + id + " may have been granted: " + err.Error(),
+			Remedy: "its secret is lost; grant another key, and withdraw " + id + " if it is listed",
+		})
+		return
+	}
+	if err != nil {
+		refuseChange(ctx, err)
+		return
+	}
+	result := a.awaitInForce(ctx, fleetconfig.KindKey, id, revision)
+	answer(ctx, statusOf(result), operatorclient.KeyGrant{ChangeResult: result, ID: id, Secret: secret})
+}
+
+func (a *api) withdrawKey(ctx iris.Context) {
+	id := ctx.Params().Get("id")
+	current, ok := a.opts.Reader.View().Object(fleetconfig.KindKey, id)
+	if !ok {
+		notFound(ctx, "key "+strconv.Quote(id), "check the id with a list of the keys; a new key is listed within seconds")
+		return
+	}
+	revision, err := a.withdraw(ctx.Request().Context(), current)
+	if err != nil {
+		refuseChange(ctx, err)
+		return
+	}
+	a.answerChange(ctx, fleetconfig.KindKey, id, revision)
+}
+
+// withdraw repeats the change on a conflict, because a withdrawal must win over any other change of the key.
+func (a *api) withdraw(ctx context.Context, current fleetconfig.Object) (revision int64, err error) {
+	for range maxWithdrawTries {
+		var key fleetconfig.Key
+		if err := json.Unmarshal(current.Value, &key); err != nil {
+			return 0, fmt.Errorf("key %s is not understood; delete it in the table: %w", current.Name, err)
+		}
+		if key.Withdrawn {
+			return current.Revision, nil
+		}
+		key.Withdrawn = true
+		revision, err = a.opts.Writer.Write(ctx, fleetconfig.KindKey, current.Name, key, current.Revision)
+		var conflict *configstore.ConflictError
+		if !errors.As(err, &conflict) || platform.IsKind(err, platform.KindUnknown) || conflict.Current.Deleted {
+			return revision, err
+		}
+		current = conflict.Current
+	}
+	return 0, err
+}
+
+func (a *api) listKeys(ctx iris.Context) {
+	view := a.opts.Reader.View()
+	keys := []operatorclient.KeyInfo{}
+	for id, k := range view.Keys() {
+		o, _ := view.Object(fleetconfig.KindKey, id)
+		keys = append(keys, operatorclient.KeyInfo{
+			ID: id, Workspace: k.Workspace, Trainer: k.Trainer, Withdrawn: k.Withdrawn, GrantedAt: k.GrantedAt,
+			LastUse: a.lastUse(id), Revision: o.Revision,
+		})
+	}
+	slices.SortFunc(keys, func(a, b operatorclient.KeyInfo) int { return cmp.Compare(a.ID, b.ID) })
+	answer(ctx, iris.StatusOK, keys)
+}
+
+func (a *api) lastUse(id string) string {
+	if a.opts.KeyUse == nil {
+		return ""
+	}
+	at, ok := a.opts.KeyUse.LastUse(id)
+	if !ok {
+		return ""
+	}
+	return at.UTC().Format(time.RFC3339)
+}
