--- /dev/null
+++ b/fencing/session_test.go
@@ -0,0 +1,102 @@
+package fencing
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// Guards against an order of a deposed role holder passing the gate, also after a restart, and against an intent that
+// is finished under another identity or by a deposed holder.
+func TestSessions(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.golden")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no golden files: %v", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			want, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := replay(t, string(want))
+			if *update {
+				if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
+					t.Fatal(err)
+				}
+				return
+			}
+			if got != string(want) {
+				t.Errorf("session differs from %s:\n%s", file, got)
+			}
+		})
+	}
+}
+
+// replay runs the lines that start with "> " and returns them with the results below.
+func replay(t *testing.T, script string) string {
+	var out strings.Builder
+	gate := NewGate(0)
+	var intent Intent
+	for line := range strings.Lines(script) {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "#") {
+			fmt.Fprintln(&out, line)
+			continue
+		}
+		command, ok := strings.CutPrefix(line, "> ")
+		if !ok {
+			continue
+		}
+		fmt.Fprintln(&out, line)
+		fmt.Fprintln(&out, "  "+step(t, command, &gate, &intent))
+	}
+	return out.String()
+}
+
+func step(t *testing.T, command string, gate **Gate, intent *Intent) string {
+	var verb, name string
+	var a, b int64
+	if n, _ := fmt.Sscanf(command, "learn %s %d %d", &name, &a, &b); n == 3 {
+		(*gate).Learn(name, Mark{Term: a, Revision: b})
+		return gateState(*gate, nil)
+	}
+	if n, _ := fmt.Sscanf(command, "accept %d %d", &a, &b); n == 2 {
+		return gateState(*gate, (*gate).Accept(Mark{Term: a, Revision: b}))
+	}
+	if n, _ := fmt.Sscanf(command, "plan %s %d", &name, &a); n == 2 {
+		*intent = NewIntent(name, "orders", a, json.RawMessage(`{}`))
+		return intentState(*intent, nil)
+	}
+	fmt.Sscanf(command, "%s %d", &verb, &a)
+	var err error
+	switch verb {
+	case "restart":
+		*gate = NewGate(int(a))
+		return gateState(*gate, nil)
+	case "settle":
+		(*gate).Settle()
+		return gateState(*gate, nil)
+	case "adopt":
+		*intent, err = intent.Adopt(a)
+	case "finish":
+		*intent, err = intent.Finish(a)
+	default:
+		t.Fatalf("unknown command %q", command)
+	}
+	return intentState(*intent, err)
+}
+
+func gateState(g *Gate, err error) string {
+	return fmt.Sprintf("ready=%v highest=%d/%d err=%v", g.Ready(), g.Highest().Term, g.Highest().Revision, err)
+}
+
+func intentState(i Intent, err error) string {
+	return fmt.Sprintf("id=%s term=%d state=%s err=%v", i.ID, i.Term, i.State, err)
+}
