Add agent, the only sender to an upstream, and stand-in upstreams

Cause: outcome, version labels, fencing and usage need one process that knows what was sent. Change: data, control and status ports, heartbeats, level-triggered orders, crash suspects, drain; engine and service stand-ins with switchable faults.

--- /dev/null
+++ b/agent/auth.go
@@ -0,0 +1,74 @@
+package agent
+
+import (
+	"crypto/subtle"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+
+	"github.com/radishshelf/radishshelf/outcome"
+)
+
+const bearerPrefix = "Bearer "
+
+// credential is the secret that own processes show each other; empty when none is set.
+type credential string
+
+func loadCredential(file string) (credential, error) {
+	if file == "" {
+		return "", nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", fmt.Errorf("credential file: %w", err)
+	}
+	secret := strings.TrimSpace(string(data))
+	if secret == "" {
+		return "", fmt.Errorf("credential file %s is empty; write the shared secret into it", file)
+	}
+	return credential(secret), nil
+}
+
+// shown reports whether the request carries the secret.
+func (c credential) shown(h http.Header) bool {
+	if c == "" {
+		return true
+	}
+	got := strings.TrimPrefix(h.Get("Authorization"), bearerPrefix)
+	return subtle.ConstantTimeCompare([]byte(got), []byte(c)) == 1
+}
+
+// show adds the secret to a request to an own process.
+func (c credential) show(h http.Header) {
+	if c != "" {
+		h.Set("Authorization", bearerPrefix+string(c))
+	}
+}
+
+// require refuses requests that do not show the secret.
+func (c credential) require(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !c.shown(r.Header) {
+			writeRefusal(w, &outcome.Refusal{
+				Kind: outcome.KindUnauthorized, Outcome: outcome.NotRun, Status: http.StatusUnauthorized,
+				Message: "the shared credential of the fleet is missing or wrong", Remedy: "set credential_file on both sides",
+			})
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// showingTransport adds the secret to every request.
+type showingTransport struct {
+	credential credential
+	next       http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t showingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	t.credential.show(r.Header)
+	return t.next.RoundTrip(r)
+}
--- /dev/null
+++ b/agent/enginecontrol.go
@@ -0,0 +1,78 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/radishshelf/radishshelf/agent/engineapi"
+)
+
+// maxControlAnswer bounds the answer of a control call.
+const maxControlAnswer = 1 << 20
+
+// engineControl gives orders to the engine and reads its state.
+type engineControl struct {
+	base   string
+	client *http.Client
+}
+
+func (e engineControl) stage(ctx context.Context, o engineapi.Order) (engineapi.Status, error) {
+	return e.order(ctx, engineapi.PathStage, o)
+}
+
+func (e engineControl) activate(ctx context.Context, o engineapi.Order) (engineapi.Status, error) {
+	return e.order(ctx, engineapi.PathActivate, o)
+}
+
+// probe makes the engine read its weights instead of a report that lags.
+func (e engineControl) probe(ctx context.Context) (engineapi.Status, error) {
+	var status engineapi.Status
+	err := e.call(ctx, http.MethodGet, engineapi.PathStatus+"?probe=true", nil, &status)
+	return status, err
+}
+
+func (e engineControl) cacheEvents(ctx context.Context, after int64) (engineapi.CacheEvents, error) {
+	var events engineapi.CacheEvents
+	err := e.call(ctx, http.MethodGet, engineapi.PathCacheEvents+"?after="+strconv.FormatInt(after, 10), nil, &events)
+	return events, err
+}
+
+func (e engineControl) order(ctx context.Context, path string, o engineapi.Order) (engineapi.Status, error) {
+	var status engineapi.Status
+	body, err := json.Marshal(o)
+	if err != nil {
+		return status, err
+	}
+	err = e.call(ctx, http.MethodPost, path, body, &status)
+	return status, err
+}
+
+func (e engineControl) call(ctx context.Context, method, path string, body []byte, into any) error {
+	req, err := http.NewRequestWithContext(ctx, method, e.base+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := e.client.Do(req)
+	if err != nil {
+		return fmt.Errorf("engine %s: %w", path, err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxControlAnswer))
+	if err != nil {
+		return fmt.Errorf("engine %s: %w", path, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		var answer engineapi.Error
+		_ = json.Unmarshal(data, &answer)
+		return fmt.Errorf("engine %s: status %d: %s", path, resp.StatusCode, answer.Error.Message)
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return fmt.Errorf("engine %s: %w", path, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/agent/tls.go
@@ -0,0 +1,60 @@
+package agent
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/radishshelf/radishshelf/settings"
+)
+
+// tlsConfig returns the mutual TLS of the ports and calls between own processes, or nil for plain TCP. The files are
+// read at every handshake, so that a renewed certificate needs no restart.
+func tlsConfig(s *settings.TLS) (*tls.Config, error) {
+	if s == nil {
+		return nil, nil
+	}
+	load := func() (*tls.Certificate, error) {
+		certificate, err := tls.LoadX509KeyPair(s.CertFile, s.KeyFile)
+		if err != nil {
+			return nil, fmt.Errorf("tls certificate: %w", err)
+		}
+		return &certificate, nil
+	}
+	if _, err := load(); err != nil {
+		return nil, err
+	}
+	pool, err := loadPool(s.CAFile)
+	if err != nil {
+		return nil, err
+	}
+	config := &tls.Config{
+		MinVersion: tls.VersionTLS13, ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: pool, RootCAs: pool,
+		GetCertificate:       func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return load() },
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return load() },
+	}
+	config.GetConfigForClient = func(*tls.ClientHelloInfo) (*tls.Config, error) {
+		fresh := config.Clone()
+		pool, err := loadPool(s.CAFile)
+		if err != nil {
+			return nil, err
+		}
+		fresh.ClientCAs = pool
+		return fresh, nil
+	}
+	return config, nil
+}
+
+func loadPool(file string) (*x509.CertPool, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("tls ca file: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, errors.New("tls ca file holds no certificate in PEM form")
+	}
+	return pool, nil
+}
--- /dev/null
+++ b/agent/upstream.go
@@ -0,0 +1,81 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/radishshelf/radishshelf/agent/engineapi"
+	"github.com/radishshelf/radishshelf/outcome"
+)
+
+// Limits of the connections to the upstream.
+const (
+	dialTimeout       = 2 * time.Second
+	maxUpstreamHeader = 64 << 10
+)
+
+// upstream is the only sender of requests to the process beside the agent.
+type upstream struct {
+	base      string
+	transport *http.Transport
+}
+
+// newUpstream dials a new connection for every request. On a reused connection the agent could not tell an idle close
+// by the upstream from a failure after the send, and would have to call both "may have run". The dial stays on the host.
+func newUpstream(base string) *upstream {
+	return &upstream{base: base, transport: &http.Transport{
+		Proxy: nil, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxUpstreamHeader,
+		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
+	}}
+}
+
+// onceBody hides the type of the reader from net/http. With a bytes.Reader the request would get a GetBody function,
+// and the transport could rewind the body and send the request again after a failure; a request that must run at most
+// once would then run twice.
+type onceBody struct{ r *bytes.Reader }
+
+func (b onceBody) Read(p []byte) (int, error) { return b.r.Read(p) }
+func (b onceBody) Close() error               { return nil }
+
+// send sends the request once. After an error, sent says whether a byte may have left.
+func (u *upstream) send(ctx context.Context, c call, header http.Header, body []byte) (resp *http.Response, sent bool, err error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), c.method, u.base+c.target, nil)
+	if err != nil {
+		return nil, false, err
+	}
+	req.Header = header
+	req.Header.Set(engineapi.HeaderPriority, strconv.Itoa(c.priority))
+	if len(body) > 0 {
+		req.Body = onceBody{r: bytes.NewReader(body)}
+		req.ContentLength = int64(len(body))
+	}
+	resp, err = u.transport.RoundTrip(req)
+	return resp, connected.Load(), err
+}
+
+// sendRefusal classifies a failed send. "Not run" needs that no connection existed on which a byte could leave.
+func sendRefusal(err error, sent bool) *outcome.Refusal {
+	r := &outcome.Refusal{
+		Kind: outcome.KindUpstreamFailed, Outcome: outcome.MayHaveRun, Status: http.StatusBadGateway,
+		Message: "the upstream gave no answer", Remedy: "look up the effect before repeating the request",
+		RetryAfter: fullRetryAfter, Err: err,
+	}
+	if !sent {
+		r.Outcome = outcome.NotRun
+		r.Message = "no connection to the upstream"
+		r.Remedy = "use another upstream"
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		r.Kind, r.Status, r.Message = outcome.KindDeadline, http.StatusGatewayTimeout, "the deadline passed before the answer"
+	}
+	return r
+}
--- /dev/null
+++ b/cmd/radishshelf-agent/main.go
@@ -0,0 +1,10 @@
+// Command radishshelf-agent runs beside an upstream and is the only sender to it.
+package main
+
+import (
+	"os"
+
+	"github.com/radishshelf/radishshelf/command"
+)
+
+func main() { os.Exit(command.Main(program())) }
--- /dev/null
+++ b/standin/engine/admin.go
@@ -0,0 +1,49 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// SeenAnswer is the answer of GET /admin/seen.
+type SeenAnswer struct {
+	Seen bool `json:"seen"`
+}
+
+// ExecutionsAnswer is the answer of GET /admin/executions.
+type ExecutionsAnswer struct {
+	// RequestIDs are in order of their start; an id that ran twice is listed twice.
+	RequestIDs []string `json:"request_ids"`
+}
+
+func (e *Engine) routeAdmin(mux *http.ServeMux) {
+	mux.HandleFunc("GET /admin/seen", func(w http.ResponseWriter, r *http.Request) {
+		text := r.URL.Query().Get("text")
+		if text == "" {
+			writeError(w, http.StatusBadRequest, "invalid_request", "name the text to look for: /admin/seen?text=...")
+			return
+		}
+		writeJSON(w, http.StatusOK, SeenAnswer{Seen: e.seen.contains(text)})
+	})
+	mux.HandleFunc("GET /admin/executions", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, ExecutionsAnswer{RequestIDs: e.Executions()})
+	})
+	mux.HandleFunc("POST /admin/faults", e.faults.serve)
+	mux.HandleFunc("GET /admin/faults", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, e.faults.get())
+	})
+	mux.HandleFunc("POST /admin/restart", func(w http.ResponseWriter, _ *http.Request) {
+		e.Restart()
+		writeJSON(w, http.StatusOK, e.currentStatus())
+	})
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, startCount, _ := e.weights.current()
+		writeJSON(w, http.StatusOK, map[string]int64{"start_count": startCount})
+	})
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/standin/engine/chat.go
@@ -0,0 +1,130 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/google/uuid"
+
+	"github.com/radishshelf/radishshelf/agent/engineapi"
+)
+
+// errTruncated is the fault that breaks the connection within an answer.
+var errTruncated = errors.New("the answer is truncated by a fault")
+
+// errRestarted ends requests that ran when the engine restarted.
+var errRestarted = errors.New("the engine restarted")
+
+func (e *Engine) routeChat(mux *http.ServeMux) {
+	mux.HandleFunc("POST "+engineapi.PathChat, e.serveChat)
+}
+
+func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
+	var req chatCall
+	if err := req.read(r.Body); err != nil {
+		writeError(w, http.StatusBadRequest, "invalid_request", "chat completion: "+err.Error())
+		return
+	}
+	if len(req.Messages) == 0 {
+		writeError(w, http.StatusBadRequest, "invalid_request", "messages is empty; send at least one message")
+		return
+	}
+	priority, err := priorityOf(r, req)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "invalid_request", engineapi.HeaderPriority+" is not an integer")
+		return
+	}
+	id := r.Header.Get(engineapi.HeaderRequestID)
+	if id == "" {
+		id = uuid.NewString()
+	}
+	if err := e.slots.acquire(r.Context(), priority); err != nil {
+		writeError(w, http.StatusServiceUnavailable, "overloaded", err.Error())
+		return
+	}
+	defer e.slots.release()
+	ctx, span := e.tracer.Start(e.tracer.Extract(r.Context(), r.Header), "engine.generate")
+	defer span.End()
+	e.run(w, r.WithContext(ctx), id, req)
+}
+
+func priorityOf(r *http.Request, req chatCall) (int, error) {
+	text := r.Header.Get(engineapi.HeaderPriority)
+	if text == "" {
+		return req.Priority, nil
+	}
+	return strconv.Atoi(text)
+}
+
+func (e *Engine) run(w http.ResponseWriter, r *http.Request, id string, req chatCall) {
+	e.countExecution(id)
+	prompt := engineapi.PromptText(req.Messages)
+	faults := e.faults.get()
+	if faults.CrashMarker != "" && strings.Contains(prompt, faults.CrashMarker) {
+		e.logger.Error().Str("request", id).Msg("crash_marker")
+		e.exit(exitCrash)
+		panic(http.ErrAbortHandler)
+	}
+	g := e.newGeneration(req, prompt, r.Header.Get(engineapi.HeaderCacheSalt))
+	var err error
+	if req.Stream {
+		err = e.stream(r.Context(), w, id, req, g)
+	} else {
+		err = e.plain(r.Context(), w, id, req, g)
+	}
+	if err != nil {
+		e.logger.Info().Str("request", id).Err(err).Msg("request_ended_early")
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// plain collects the whole answer. A fault that truncates it announces the full length and sends half.
+func (e *Engine) plain(ctx context.Context, w http.ResponseWriter, id string, req chatCall, g *generation) error {
+	var text strings.Builder
+	var labels []engineapi.Label
+	truncated := false
+	err := g.run(ctx, func(part string, label engineapi.Label) error {
+		text.WriteString(part)
+		labels = appendLabel(labels, label)
+		return nil
+	})
+	if errors.Is(err, errTruncated) {
+		truncated, err = true, nil
+	}
+	if err != nil {
+		return err
+	}
+	finish := g.finishReason()
+	usage := g.usage()
+	body, err := json.Marshal(engineapi.ChatResponse{
+		ID: id, Object: "chat.completion", Model: req.Model, Labels: labels, Usage: &usage,
+		Choices: []engineapi.Choice{{
+			Message: &engineapi.Message{Role: "assistant", Content: text.String()}, FinishReason: &finish,
+		}},
+	})
+	if err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if truncated {
+		_, _ = w.Write(body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		return errTruncated
+	}
+	_, err = w.Write(body)
+	return err
+}
+
+func appendLabel(labels []engineapi.Label, next engineapi.Label) []engineapi.Label {
+	last := len(labels) - 1
+	if last >= 0 && labels[last].WeightVersion == next.WeightVersion && labels[last].StartCount == next.StartCount {
+		labels[last].Tokens += next.Tokens
+		return labels
+	}
+	return append(labels, next)
+}
--- /dev/null
+++ b/standin/service/admin.go
@@ -0,0 +1,74 @@
+package service
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+)
+
+const (
+	adminPrefix   = "/admin/"
+	maxAdminBytes = 64 << 10
+)
+
+// Executions is the answer of GET /admin/executions.
+type Executions struct {
+	// RequestIDs are in order of execution; an id that ran twice is listed twice.
+	RequestIDs []string `json:"request_ids"`
+	// Bookings counts the executions of each booking id.
+	Bookings map[string]int `json:"bookings"`
+}
+
+// SeenAnswer is the answer of GET /admin/seen.
+type SeenAnswer struct {
+	Seen bool `json:"seen"`
+}
+
+func (s *Service) routeAdmin(mux *http.ServeMux) {
+	mux.HandleFunc("GET /admin/executions", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, s.Executions())
+	})
+	mux.HandleFunc("GET /admin/seen", func(w http.ResponseWriter, r *http.Request) {
+		text := r.URL.Query().Get("text")
+		if text == "" {
+			writeError(w, http.StatusBadRequest, "name the text to look for: /admin/seen?text=...")
+			return
+		}
+		writeJSON(w, http.StatusOK, SeenAnswer{Seen: s.seen.contains(text)})
+	})
+	mux.HandleFunc("POST /admin/faults", s.replaceFaults)
+}
+
+func (s *Service) replaceFaults(w http.ResponseWriter, r *http.Request) {
+	var next Faults
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAdminBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&next); err != nil {
+		writeError(w, http.StatusBadRequest, "faults: "+err.Error())
+		return
+	}
+	s.mu.Lock()
+	s.faults = next
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, next)
+}
+
+// count notes an execution and returns how often the booking has run; id is empty for other calls.
+func (s *Service) count(r *http.Request, id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.executions.RequestIDs = append(s.executions.RequestIDs, r.Header.Get("X-Request-Id"))
+	if id == "" {
+		return 0
+	}
+	s.executions.Bookings[id]++
+	return s.executions.Bookings[id]
+}
+
+// Executions returns a copy of what ran so far.
+func (s *Service) Executions() Executions {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Executions{RequestIDs: slices.Clone(s.executions.RequestIDs), Bookings: maps.Clone(s.executions.Bookings)}
+}
--- /dev/null
+++ b/standin/service/calls.go
@@ -0,0 +1,109 @@
+package service
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Figures of the made-up answers.
+const (
+	baseFare = 500
+	maxFare  = 4500
+	// scoredWords is the completion length that earns the full reward.
+	scoredWords = 64
+)
+
+// Fare is the answer of the fare lookup.
+type Fare struct {
+	From string `json:"from"`
+	To   string `json:"to"`
+	// Amount is in ISK.
+	Amount uint64 `json:"amount"`
+}
+
+// Booking is the body of POST /bookings.
+type Booking struct {
+	ID   string `json:"id"`
+	Slot string `json:"slot,omitempty"`
+}
+
+// BookingAnswer is the answer of POST /bookings.
+type BookingAnswer struct {
+	ID string `json:"id"`
+	// Execution counts how often the booking ran.
+	Execution int `json:"execution"`
+}
+
+// ScoreRequest is the body of POST /score.
+type ScoreRequest struct {
+	Messages   json.RawMessage `json:"messages"`
+	Completion string          `json:"completion"`
+}
+
+// ScoreAnswer is the answer of POST /score; the reward is between 0 and 1.
+type ScoreAnswer struct {
+	Reward float64 `json:"reward"`
+}
+
+func (s *Service) serveFare(w http.ResponseWriter, r *http.Request) {
+	fare := Fare{From: r.PathValue("from"), To: r.PathValue("to")}
+	fare.Amount = baseFare + xxhash.Sum64String(fare.From+"\x00"+fare.To)%maxFare
+	s.count(r, "")
+	writeJSON(w, http.StatusOK, fare)
+}
+
+func (s *Service) serveBooking(w http.ResponseWriter, r *http.Request) {
+	var b Booking
+	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
+		writeError(w, http.StatusBadRequest, "booking: "+err.Error())
+		return
+	}
+	if b.ID == "" {
+		writeError(w, http.StatusBadRequest, "booking: id is missing; send one")
+		return
+	}
+	n := s.count(r, b.ID)
+	if s.currentFaults().ResetAfterExecuting {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, http.StatusCreated, BookingAnswer{ID: b.ID, Execution: n})
+}
+
+func (s *Service) serveScore(w http.ResponseWriter, r *http.Request) {
+	var req ScoreRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		writeError(w, http.StatusBadRequest, "score: "+err.Error())
+		return
+	}
+	s.count(r, "")
+	words := len(strings.Fields(req.Completion))
+	writeJSON(w, http.StatusOK, ScoreAnswer{Reward: min(1, float64(words)/scoredWords)})
+}
+
+// serveHealth reports the start count, from which an agent sees a restart between two checks.
+func (s *Service) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, Health{StartCount: s.settings.StartCount})
+}
+
+// Health is the answer of GET /healthz.
+type Health struct {
+	StartCount int64 `json:"start_count"`
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func writeError(w http.ResponseWriter, status int, message string) {
+	writeJSON(w, status, ErrorAnswer{Error: message})
+}
+
+// ErrorAnswer is the body of a refused call.
+type ErrorAnswer struct {
+	Error string `json:"error"`
+}
