Take the usage window from the fleet defaults; activate under fast publishing

Cause: the first quickstart showed no usage report, because entry and agent read the window length once, before it was configured; and no weight version was ever activated, because the trainer published faster than engines staged and each version replaced the one being staged. The log line "entry serving" lost its field "caller" to the console writer, and trace export errors bypassed the logger. Conclusion: tests for the planner and the logger guard both.

--- a/logging/logging.go
+++ b/logging/logging.go
@@ -27,12 +27,21 @@
 		FormatMessage:       func(v any) string { return "event=" + quote(v) },
 		FormatFieldName:     func(v any) string { return fmt.Sprint(v) + "=" },
 		FormatFieldValue:    quote,
+		FormatCaller:        formatCaller,
 		FormatErrFieldName:  func(v any) string { return fmt.Sprint(v) + "=" },
 		FormatErrFieldValue: quote,
 	}
 	return zerolog.New(out).Level(parsed).With().Timestamp().Str("program", program).Logger(), nil
 }
 
+// formatCaller prints the field "caller", which the console writer takes for a place in the source, like any other.
+func formatCaller(v any) string {
+	if v == nil {
+		return ""
+	}
+	return "caller=" + quote(v)
+}
+
 // quote keeps a value on one line and quotes it where a reader could not tell where it ends.
 func quote(v any) string {
 	if v == nil {
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -13,13 +13,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	log.Info().Str("reason", "two words\nand a line").Int("count", 3).Msg("lot sealed")
+	log.Info().Str("reason", "two words\nand a line").Int("count", 3).Str("caller", "127.0.0.1:7001").Msg("lot sealed")
 	log.Debug().Msg("hidden")
 	line := buf.String()
 	if strings.Count(line, "\n") != 1 {
 		t.Fatalf("want one line, got %q", line)
 	}
-	for _, want := range []string{`level=info`, `event="lot sealed"`, `count=3`, `reason="two words\nand a line"`, `program=test`} {
+	for _, want := range []string{`level=info`, `event="lot sealed"`, `count=3`, `caller=127.0.0.1:7001`, `reason="two words\nand a line"`, `program=test`} {
 		if !strings.Contains(line, want) {
 			t.Errorf("line %q lacks %s", line, want)
 		}
--- a/rollout/planner.go
+++ b/rollout/planner.go
@@ -26,10 +26,10 @@
 // Plan returns the rollout to write and why, or false when the present one stands.
 // published is the newest version that the trainer published, 0 for none.
 func (p *Planner) Plan(current fleetconfig.Rollout, published int64, engines []Engine, term int64, now time.Time) (Decision, bool) {
-	if published > current.Version {
-		return p.stage(current, published, term), true
-	}
 	if current.Phase != fleetconfig.PhaseStage {
+		if published > current.Version {
+			return p.stage(current, published, term), true
+		}
 		return Decision{}, false
 	}
 	if p.staging != current.Version {
@@ -39,7 +39,7 @@
 	ready, total := countReady(engines, current.Version)
 	reason, activate := p.mayActivate(ready, total, now)
 	if !activate {
-		return Decision{}, false
+		return p.supersede(current, published, term, now)
 	}
 	next := current
 	next.Phase = fleetconfig.PhaseActivate
@@ -47,8 +47,17 @@
 	return Decision{Rollout: next, Reason: reason, Ready: ready, Total: total}, true
 }
 
-// stage starts the rollout of a newer version. A version that was still being staged is skipped: its samples would be
-// older than those of the newer one.
+// supersede gives up a version that could not be staged in time when there is a newer one. Until then the staging goes
+// on: were each new version to replace the one being staged, a trainer that publishes faster than engines stage would
+// never get any version activated.
+func (p *Planner) supersede(current fleetconfig.Rollout, published, term int64, now time.Time) (Decision, bool) {
+	if published <= current.Version || now.Sub(p.stagingSince) < p.cfg.StageTimeout {
+		return Decision{}, false
+	}
+	return p.stage(current, published, term), true
+}
+
+// stage starts the rollout of a newer version.
 func (p *Planner) stage(current fleetconfig.Rollout, published, term int64) Decision {
 	previous := current.Version
 	if current.Phase == fleetconfig.PhaseStage {
--- a/rollout/planner_test.go
+++ b/rollout/planner_test.go
@@ -77,6 +77,25 @@
 	}
 }
 
+// Guards against a trainer that publishes faster than engines stage: no version was ever activated when each new one
+// replaced the one being staged. A version that cannot be staged is still given up after the timeout.
+func TestFastPublishingStillActivates(t *testing.T) {
+	p := newTestPlanner(t)
+	start := time.Unix(0, 0)
+	staging := fleetconfig.Rollout{Version: 2, Phase: fleetconfig.PhaseStage, Previous: 1}
+	engines := []Engine{{Healthy: true, Active: 1}}
+	if d, ok := p.Plan(staging, 5, engines, 1, start); ok {
+		t.Fatalf("replaced the version being staged: %+v", d)
+	}
+	if d, ok := p.Plan(staging, 5, engines, 1, start.Add(time.Minute)); !ok || d.Rollout.Version != 5 || d.Rollout.Previous != 1 {
+		t.Fatalf("after the timeout Plan = %+v, %v; want version 5 staged after 1", d, ok)
+	}
+	engines[0].Staged = []int64{2}
+	if d, ok := p.Plan(staging, 5, engines, 1, start); !ok || d.Rollout.Phase != fleetconfig.PhaseActivate {
+		t.Fatalf("with the version staged Plan = %+v, %v; want it activated", d, ok)
+	}
+}
+
 // Guards against a target version that goes back, whatever is published and by however many successive holders.
 func TestTargetNeverGoesBack(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/telemetry/trace.go
+++ b/telemetry/trace.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
 	"go.opentelemetry.io/otel/propagation"
@@ -50,6 +52,11 @@
 	}, nil
 }
 
+// LogErrors sends the errors of the trace exporter to log.
+func LogErrors(log zerolog.Logger) {
+	otel.SetErrorHandler(otel.ErrorHandlerFunc(func(err error) { log.Warn().Err(err).Msg("trace export failed") }))
+}
+
 // Start begins a span named after one hop.
 func (t *Tracer) Start(ctx context.Context, name string, attrs ...attribute.KeyValue) (context.Context, trace.Span) {
 	return t.tracer.Start(ctx, name, trace.WithAttributes(attrs...))
--- a/usage/recorder.go
+++ b/usage/recorder.go
@@ -35,6 +35,13 @@
 	r.window = Window{Length: w.length()}
 }
 
+// Window returns the windows that batches are split by, DefaultWindowLength until SplitBy was called.
+func (r *Recorder) Window() Window {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.window
+}
+
 // Add takes a finished request and returns its sequence number. The Seq of rec is ignored.
 func (r *Recorder) Add(rec Record) (seq int64) {
 	r.mu.Lock()
--- a/usagestore/flusher.go
+++ b/usagestore/flusher.go
@@ -39,9 +39,6 @@
 	if opts.BatchRecords <= 0 {
 		opts.BatchRecords = DefaultBatchRecords
 	}
-	if r, ok := source.(recorderSource); ok {
-		r.recorder.SplitBy(writer.window)
-	}
 	label := `{source="` + name + `"}`
 	return &Flusher{
 		writer: writer, source: source, opts: opts, log: log.With().Str("source", name).Logger(),
--- a/usagestore/model_test.go
+++ b/usagestore/model_test.go
@@ -113,7 +113,7 @@
 
 func (w *world) clock() time.Time { return w.now }
 
-func (w *world) writer() *Writer { return NewWriter(w.hooked, testWindow, w.clock) }
+func (w *world) writer() *Writer { return NewWriter(w.hooked, fixedWindow, w.clock) }
 
 func (w *world) flusher(source Source) *Flusher {
 	return NewFlusher("test", w.writer(), source, FlusherOptions{BatchRecords: 3}, zerolog.Nop(), telemetry.NewRegistry())
@@ -141,7 +141,7 @@
 	}
 	w.old = w.reporter
 	w.reporter = NewReporter(ReporterOptions{
-		Table: w.hooked, Sink: w.hooked, Authority: authority{result.Revision}, Window: testWindow,
+		Table: w.hooked, Sink: w.hooked, Authority: authority{result.Revision}, Window: fixedWindow,
 		Grace: 20 * time.Second, Now: w.clock, Log: zerolog.Nop(), Registry: telemetry.NewRegistry(),
 	})
 }
@@ -202,3 +202,5 @@
 	}
 	return sums, nil
 }
+
+func fixedWindow() usage.Window { return testWindow }
--- a/usagestore/reporter.go
+++ b/usagestore/reporter.go
@@ -29,7 +29,8 @@
 	Sink  platform.UsageSink
 	// Authority of role usage.
 	Authority Authority
-	Window    usage.Window
+	// Window is asked at each step, since operators may change its length.
+	Window func() usage.Window
 	// Interval, Grace and Retention have defaults when zero.
 	Interval  time.Duration
 	Grace     time.Duration
@@ -94,7 +95,7 @@
 	}
 	due := make([]usage.Sealed, 0, len(starts))
 	for _, start := range starts {
-		if r.opts.Now().Before(r.opts.Window.End(start).Add(r.opts.Grace)) {
+		if r.opts.Now().Before(r.opts.Window().End(start).Add(r.opts.Grace)) {
 			break
 		}
 		sealed, err := r.closeAndSeal(ctx, start)
--- a/usagestore/run_test.go
+++ b/usagestore/run_test.go
@@ -104,14 +104,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := memory.New(memory.Options{})
 		recorder := usage.NewRecorder("agent", "i1")
-		writer := NewWriter(p.Table, testWindow, time.Now)
+		writer := NewWriter(p.Table, fixedWindow, time.Now)
 		flusher := NewFlusher("agent", writer, FromRecorder(recorder), FlusherOptions{}, zerolog.Nop(), telemetry.NewRegistry())
 		lease, err := p.Table.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: leaseKey}}})
 		if err != nil {
 			t.Fatal(err)
 		}
 		reporter := NewReporter(ReporterOptions{
-			Table: p.Table, Sink: p.Usage, Authority: authority{lease.Revision}, Window: testWindow, Log: zerolog.Nop(),
+			Table: p.Table, Sink: p.Usage, Authority: authority{lease.Revision}, Window: fixedWindow, Log: zerolog.Nop(),
 			Registry: telemetry.NewRegistry(),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
--- a/usagestore/writer.go
+++ b/usagestore/writer.go
@@ -13,19 +13,21 @@
 // Writer makes batches durable. It is safe for concurrent use.
 type Writer struct {
 	table  platform.Table
-	window usage.Window
+	window func() usage.Window
 	now    func() time.Time
 }
 
-// NewWriter returns a Writer for windows of the given length.
-func NewWriter(table platform.Table, window usage.Window, now func() time.Time) *Writer {
+// NewWriter returns a Writer. window is asked for each batch, since operators may change its length; a batch that is
+// written twice under two lengths still counts once.
+func NewWriter(table platform.Table, window func() usage.Window, now func() time.Time) *Writer {
 	return &Writer{table: table, window: window, now: now}
 }
 
 // Write stores the batch under the first window, from its own onwards, that is not closed. After an error the same
 // batch is written again: its identity is fixed, so the row of an earlier try is found.
 func (w *Writer) Write(ctx context.Context, b usage.Batch) error {
-	for start := b.Window(w.window, w.now()); ; start = w.window.End(start) {
+	window := w.window()
+	for start := b.Window(window, w.now()); ; start = window.End(start) {
 		done, err := w.writeTo(ctx, usage.WindowKey(start), b)
 		if done || err != nil {
 			return err
