--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,148 @@
+package admission
+
+import (
+	"math/rand"
+	"time"
+)
+
+// running is an admitted item that is not done.
+type running struct {
+	workspace string
+	cost      int64
+	since     time.Time
+}
+
+// Queue is the admission queue of one entry.
+type Queue struct {
+	cfg    Config
+	random *rand.Rand
+	flows  map[string]*flow
+	// virtual is the virtual time of the scheduler.
+	virtual float64
+	queued  int
+	tokens  int64
+	running map[string]running
+	// outstanding is the cost of all running items.
+	outstanding int64
+	meter       meter
+	services    services
+}
+
+// New returns an empty queue. random spreads the advice to refused callers.
+func New(cfg Config, random *rand.Rand) *Queue {
+	return &Queue{
+		cfg:      cfg,
+		random:   random,
+		flows:    make(map[string]*flow),
+		running:  make(map[string]running),
+		meter:    meter{interval: cfg.RateInterval, rate: cfg.TokensPerSecond},
+		services: newServices(),
+	}
+}
+
+// Offer takes a new item. An item that cannot finish before its deadline is refused at once instead of being held.
+func (q *Queue) Offer(item Item, now time.Time) Verdict {
+	item.Cost = max(item.Cost, 1)
+	if item.Weight <= 0 {
+		item.Weight = 1
+	}
+	if item.Service == 0 {
+		item.Service = q.services.estimate(item, now)
+	}
+	wait := q.ExpectedWait(item)
+	if item.late(wait, now) {
+		return q.refuse(ReasonDeadline, q.excess(item, wait, now), wait)
+	}
+	v := Verdict{Action: Wait, ExpectedWait: wait}
+	if q.queued >= q.cfg.MaxItems {
+		victim := q.mostOverShare(item)
+		if victim == nil {
+			return q.refuse(ReasonQueueFull, wait, wait)
+		}
+		displaced := q.displace(victim)
+		v.Displaced = &displaced
+		v.DisplacedRetryAfter = q.spread(q.ExpectedWait(displaced))
+	}
+	f := q.enter(item)
+	if q.queued == 0 && q.fits(item) {
+		f.push(item)
+		q.tokens += item.Cost
+		q.queued++
+		q.serve(f, now)
+		v.Action = Admit
+		v.ExpectedWait = 0
+		return v
+	}
+	f.push(item)
+	q.queued++
+	q.tokens += item.Cost
+	q.meter.setBusy(true, now)
+	return v
+}
+
+// Next admits the item that is due, when the window has room. It returns false otherwise. Items that became late are
+// left for Expire.
+func (q *Queue) Next(now time.Time) (Item, bool) {
+	f := q.due()
+	if f == nil || !q.fits(f.head()) || f.head().late(0, now) {
+		return Item{}, false
+	}
+	item := q.serve(f, now)
+	q.meter.setBusy(q.queued > 0, now)
+	return item, true
+}
+
+// Done ends an admitted item and corrects its cost to the tokens that it really used, 0 when it did not run. An unknown
+// id is ignored.
+func (q *Queue) Done(id string, actualTokens int64, now time.Time) {
+	r, ok := q.running[id]
+	if !ok {
+		return
+	}
+	delete(q.running, id)
+	q.outstanding -= r.cost
+	q.meter.done(actualTokens, now)
+	if actualTokens > 0 {
+		q.services.observe(r.cost, now.Sub(r.since))
+	}
+	f := q.flows[r.workspace]
+	f.running--
+	f.charge(actualTokens - r.cost)
+	q.settle()
+}
+
+// Expire removes the items that can no longer finish in time. Call it before Next and on a timer.
+func (q *Queue) Expire(now time.Time) []Item {
+	return q.removeWhere(now, func(i Item) bool { return i.late(0, now) })
+}
+
+// Remove takes one queued item out, for example because its caller left.
+func (q *Queue) Remove(id string, now time.Time) (Item, bool) {
+	removed := q.removeWhere(now, func(i Item) bool { return i.ID == id })
+	if len(removed) == 0 {
+		return Item{}, false
+	}
+	return removed[0], true
+}
+
+// RemoveKey takes out all queued items of a withdrawn key.
+func (q *Queue) RemoveKey(key string, now time.Time) []Item {
+	return q.removeWhere(now, func(i Item) bool { return i.Key == key })
+}
+
+// Close takes out everything that is queued, for a shutdown that does not wait for it.
+func (q *Queue) Close(now time.Time) []Item {
+	return q.removeWhere(now, func(Item) bool { return true })
+}
+
+// SetWindow changes the capacity, for example when upstreams come or go.
+func (q *Queue) SetWindow(tokens int64, items int) {
+	q.cfg.WindowTokens = tokens
+	q.cfg.WindowItems = items
+}
+
+// Len returns the number of queued items and Outstanding the cost of the running ones in tokens.
+func (q *Queue) Len() int { return q.queued }
+
+// Outstanding returns the cost in tokens of the items that are admitted and not done.
+func (q *Queue) Outstanding() int64 { return q.outstanding }
--- /dev/null
+++ b/admission/schedule.go
@@ -0,0 +1,138 @@
+package admission
+
+import "time"
+
+// enter returns the flow of an item's workspace; a flow that becomes backlogged starts at the virtual time, so that
+// idle time earns nothing.
+func (q *Queue) enter(item Item) *flow {
+	f, ok := q.flows[item.Workspace]
+	if !ok {
+		f = &flow{workspace: item.Workspace, start: q.virtual}
+		q.flows[item.Workspace] = f
+	}
+	f.weight = item.Weight
+	if f.len() == 0 {
+		f.start = max(f.start, q.virtual)
+	}
+	return f
+}
+
+// due returns the flow to serve: of the backlogged flows whose start tag has been reached, the one with the lowest
+// finish tag. When none has been reached, virtual time moves to the lowest start tag first.
+func (q *Queue) due() *flow {
+	if q.queued == 0 {
+		return nil
+	}
+	q.virtual = max(q.virtual, q.lowestStart())
+	var best *flow
+	for _, f := range q.flows {
+		if f.len() == 0 || f.start > q.virtual {
+			continue
+		}
+		if best == nil || before(f, best) {
+			best = f
+		}
+	}
+	return best
+}
+
+// before orders flows by finish tag and then by name, so that the result does not depend on the map's order.
+func before(a, b *flow) bool {
+	fa, fb := a.finish(), b.finish()
+	if fa != fb {
+		return fa < fb
+	}
+	return a.workspace < b.workspace
+}
+
+func (q *Queue) lowestStart() float64 {
+	lowest, found := 0.0, false
+	for _, f := range q.flows {
+		if f.len() > 0 && (!found || f.start < lowest) {
+			lowest, found = f.start, true
+		}
+	}
+	return lowest
+}
+
+// serve admits the head item of a flow. Virtual time moves by the cost over the weight of all backlogged flows.
+func (q *Queue) serve(f *flow, now time.Time) Item {
+	weight := 0.0
+	for _, other := range q.flows {
+		if other.len() > 0 {
+			weight += other.weight
+		}
+	}
+	item := f.pop()
+	q.queued--
+	q.tokens -= item.Cost
+	f.charge(item.Cost)
+	f.running++
+	q.virtual += float64(item.Cost) / weight
+	q.running[item.ID] = running{workspace: f.workspace, cost: item.Cost, since: now}
+	q.outstanding += item.Cost
+	return item
+}
+
+// fits reports whether the window has room. One item always fits, however large it is.
+func (q *Queue) fits(item Item) bool {
+	if len(q.running) == 0 {
+		return true
+	}
+	return len(q.running) < q.cfg.WindowItems && q.outstanding+item.Cost <= q.cfg.WindowTokens
+}
+
+// settle forgets flows that hold nothing and owe nothing; once the whole queue is idle, all debts end.
+func (q *Queue) settle() {
+	idle := q.queued == 0 && len(q.running) == 0
+	for name, f := range q.flows {
+		if f.len() == 0 && f.running == 0 && (idle || f.start <= q.virtual) {
+			delete(q.flows, name)
+		}
+	}
+}
+
+// mostOverShare returns the flow that holds the most queued items for its weight, when that is more than the
+// workspace of the new item would hold; nil otherwise.
+func (q *Queue) mostOverShare(item Item) *flow {
+	own := 1.0
+	if f, ok := q.flows[item.Workspace]; ok {
+		own += float64(f.len())
+	}
+	var worst *flow
+	highest := own / item.Weight
+	for _, f := range q.flows {
+		share := float64(f.len()) / f.weight
+		if share > highest || (worst != nil && share == highest && f.workspace < worst.workspace) {
+			worst, highest = f, share
+		}
+	}
+	return worst
+}
+
+func (q *Queue) displace(f *flow) Item {
+	last := f.last()
+	return q.take(f, func(i Item) bool { return i.ID == last.ID })[0]
+}
+
+// take removes items from a flow and from the totals.
+func (q *Queue) take(f *flow, match func(Item) bool) []Item {
+	removed := f.remove(match)
+	for _, i := range removed {
+		q.queued--
+		q.tokens -= i.Cost
+	}
+	return removed
+}
+
+func (q *Queue) removeWhere(now time.Time, match func(Item) bool) []Item {
+	var removed []Item
+	for _, name := range q.names() {
+		removed = append(removed, q.take(q.flows[name], match)...)
+	}
+	if len(removed) > 0 {
+		q.settle()
+		q.meter.setBusy(q.queued > 0, now)
+	}
+	return removed
+}
--- /dev/null
+++ b/admission/session_test.go
@@ -0,0 +1,99 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Guards against unfair order, a request held past its deadline, a lost removal and a wrong correction of the cost.
+func TestSession(t *testing.T) {
+	cfg := Config{
+		WindowTokens: 200, WindowItems: 10, MaxItems: 5, TokensPerSecond: 100, RateInterval: time.Hour,
+		MinRetryAfter: time.Second, Spread: 0.5,
+	}
+	q := New(cfg, rand.New(rand.NewSource(1)))
+	now := start
+	runSession(t, "testdata/queue.golden", func(t *testing.T, f []string) []string {
+		switch f[0] {
+		case "at":
+			d, err := time.ParseDuration(f[1])
+			if err != nil {
+				t.Fatal(err)
+			}
+			now = start.Add(d)
+			return nil
+		case "offer":
+			return describe(q.Offer(parseItem(t, f[1:]), now))
+		case "next":
+			i, ok := q.Next(now)
+			return []string{fmt.Sprintf("%v %s outstanding=%d", ok, i.ID, q.Outstanding())}
+		case "done":
+			n, err := strconv.ParseInt(f[2], 10, 64)
+			if err != nil {
+				t.Fatal(err)
+			}
+			q.Done(f[1], n, now)
+			return nil
+		case "expire":
+			return ids(q.Expire(now))
+		case "remove":
+			i, ok := q.Remove(f[1], now)
+			return []string{fmt.Sprint(ok, " ", i.ID)}
+		case "remove-key":
+			return ids(q.RemoveKey(f[1], now))
+		}
+		t.Fatalf("unknown event %q", f[0])
+		return nil
+	})
+}
+
+func parseItem(t *testing.T, f []string) Item {
+	item := Item{ID: f[0], Workspace: f[1]}
+	for _, field := range f[2:] {
+		key, value, _ := strings.Cut(field, "=")
+		switch key {
+		case "cost":
+			n, err := strconv.ParseInt(value, 10, 64)
+			if err != nil {
+				t.Fatal(err)
+			}
+			item.Cost = n
+		case "deadline":
+			d, err := time.ParseDuration(value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			item.Deadline = start.Add(d)
+		case "key":
+			item.Key = value
+		case "completes":
+			item.CompletesGroup = value == "yes"
+		}
+	}
+	return item
+}
+
+func describe(v Verdict) []string {
+	lines := []string{fmt.Sprintf("%s wait=%v", v.Action, v.ExpectedWait)}
+	if v.Action == Refuse {
+		lines[0] += fmt.Sprintf(" reason=%s retry-after=%v", v.Reason, v.RetryAfter.Round(time.Millisecond))
+	}
+	if v.Displaced != nil {
+		lines = append(lines, fmt.Sprintf("displaced %s retry-after=%v", v.Displaced.ID, v.DisplacedRetryAfter.Round(time.Millisecond)))
+	}
+	return lines
+}
+
+func ids(items []Item) []string {
+	var list []string
+	for _, i := range items {
+		list = append(list, i.ID)
+	}
+	return []string{fmt.Sprint(list)}
+}
--- /dev/null
+++ b/admission/wait.go
@@ -0,0 +1,77 @@
+package admission
+
+import "time"
+
+// maxWait keeps the arithmetic on durations away from overflow.
+const maxWait = time.Hour
+
+// ExpectedWait estimates how long an item would be queued. A workspace waits for its own backlog at its share of the
+// rate, and never longer than for the whole queue.
+func (q *Queue) ExpectedWait(item Item) time.Duration {
+	if q.queued == 0 && q.fits(item) {
+		return 0
+	}
+	ahead := float64(q.tokens)
+	if f, ok := q.flows[item.Workspace]; ok {
+		ahead = min(ahead, float64(f.ahead(item))*q.activeWeight(item)/item.weight())
+	} else {
+		ahead = 0
+	}
+	return q.duration(ahead + q.excessWork(item))
+}
+
+// excessWork is the outstanding work that must finish before the window has room for one more item.
+func (q *Queue) excessWork(item Item) float64 {
+	excess := float64(max(0, q.outstanding+item.Cost-q.cfg.WindowTokens))
+	if n := len(q.running); n > 0 && n >= q.cfg.WindowItems {
+		excess = max(excess, float64(q.outstanding)/float64(n))
+	}
+	return excess
+}
+
+// Rate returns the service rate in tokens per second that the estimate uses.
+func (q *Queue) Rate() float64 { return q.meter.rate }
+
+func (q *Queue) duration(tokens float64) time.Duration {
+	if q.meter.rate <= 0 {
+		return maxWait
+	}
+	seconds := min(tokens/q.meter.rate, maxWait.Seconds())
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// activeWeight is the weight of all backlogged workspaces, the item's own included.
+func (q *Queue) activeWeight(item Item) float64 {
+	sum := item.weight()
+	for name, f := range q.flows {
+		if name != item.Workspace && f.len() > 0 {
+			sum += f.weight
+		}
+	}
+	return sum
+}
+
+func (i Item) weight() float64 {
+	if i.Weight <= 0 {
+		return 1
+	}
+	return i.Weight
+}
+
+// excess is how much too long the wait is for the item's deadline.
+func (q *Queue) excess(item Item, wait time.Duration, now time.Time) time.Duration {
+	return now.Add(wait + item.Service).Sub(item.Deadline)
+}
+
+func (q *Queue) refuse(reason Reason, after, wait time.Duration) Verdict {
+	return Verdict{Action: Refuse, Reason: reason, ExpectedWait: wait, RetryAfter: q.spread(after)}
+}
+
+// spread lengthens an advice by a random share.
+func (q *Queue) spread(after time.Duration) time.Duration {
+	after = max(after, q.cfg.MinRetryAfter)
+	return after + time.Duration(q.random.Float64()*q.cfg.Spread*float64(after))
+}
+
+// RetryAfter is the spread advice for an item that was given up after it had been queued.
+func (q *Queue) RetryAfter(item Item) time.Duration { return q.spread(q.ExpectedWait(item)) }
--- /dev/null
+++ b/cmd/radishshelf-entry/operator.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/radishshelf/radishshelf/entry"
+	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/membership"
+	"github.com/radishshelf/radishshelf/operatorapi"
+	"github.com/radishshelf/radishshelf/operatorclient"
+)
+
+// newOperator returns the server of the operator port.
+func (p *process) newOperator() (*http.Server, error) {
+	token, err := entry.LoadCredential(p.settings.OperatorTokenFile)
+	if err != nil {
+		return nil, err
+	}
+	handler, err := operatorapi.New(operatorapi.Options{
+		Writer: p.store, Reader: p.syncer, Hosts: operatorSource{p}, Roles: operatorSource{p}, Versions: operatorSource{p},
+		Decisions: p.entry, KeyUse: p.entry, Token: token, Logger: p.log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return operatorapi.NewServer(handler, 0), nil
+}
+
+// operatorSource shows the views of this entry to operators.
+type operatorSource struct{ p *process }
+
+// HostStatus implements operatorapi.HostSource.
+func (s operatorSource) HostStatus(context.Context) ([]operatorclient.HostStatus, error) {
+	now := time.Now()
+	var list []operatorclient.HostStatus
+	for _, e := range s.p.fleet.Entries(now) {
+		list = append(list, operatorclient.HostStatus{
+			Name: e.Name, Address: e.PeerAddress, DataCentre: e.DataCentre, Region: e.Region, Role: "entry",
+			State: hostState(e.Status), Detail: hostDetail(e.Status, e.ReportedAt, now),
+		})
+	}
+	for _, u := range s.p.fleet.Upstreams(now) {
+		list = append(list, operatorclient.HostStatus{
+			Name: u.Name, Address: u.DataAddress, DataCentre: u.DataCentre, Region: u.Region, Role: "upstream",
+			State: hostState(u.Status), Detail: hostDetail(u.Status, u.ReportedAt, now), Policy: u.Serves,
+			ActiveVersion: u.ActiveVersion,
+		})
+	}
+	return list, nil
+}
+
+func hostState(s membership.Status) string {
+	switch s {
+	case membership.Live:
+		return "live"
+	case membership.Leaving:
+		return "leaving"
+	case membership.Dead:
+		return "gone"
+	default:
+		return "suspect"
+	}
+}
+
+func hostDetail(s membership.Status, reportedAt, now time.Time) string {
+	switch s {
+	case membership.Candidate:
+		return "named by the host list, has not reported to the entries"
+	case membership.Live:
+		return ""
+	default:
+		return "last report " + now.Sub(reportedAt).Round(time.Millisecond).String() + " ago"
+	}
+}
+
+// RoleStatus implements operatorapi.RoleSource.
+func (s operatorSource) RoleStatus(context.Context) ([]operatorclient.RoleStatus, error) {
+	var list []operatorclient.RoleStatus
+	for _, info := range s.p.roles.Infos(time.Now()) {
+		list = append(list, operatorclient.RoleStatus{Role: info.Role, Holder: info.Holder, Term: info.Term, Acting: info.Held})
+	}
+	return list, nil
+}
+
+// VersionStatus implements operatorapi.VersionSource.
+func (s operatorSource) VersionStatus(context.Context) ([]operatorclient.VersionStatus, error) {
+	rollouts := s.p.syncer.View().Rollouts()
+	var list []operatorclient.VersionStatus
+	for _, policy := range slices.Sorted(maps.Keys(rollouts)) {
+		list = append(list, s.version(policy, rollouts[policy]))
+	}
+	return list, nil
+}
+
+func (s operatorSource) version(policy string, r fleetconfig.Rollout) operatorclient.VersionStatus {
+	status := operatorclient.VersionStatus{Policy: policy, Version: r.Version, Phase: r.Phase, Previous: r.Previous}
+	for _, engine := range s.p.engines(policy, time.Now()) {
+		status.Engines++
+		if engine.Active == r.Version {
+			status.Active++
+		}
+		if engine.Active == r.Version || slices.Contains(engine.Staged, r.Version) {
+			status.Staged++
+		}
+	}
+	return status
+}
--- /dev/null
+++ b/cmd/radishshelf-entry/serve.go
@@ -0,0 +1,220 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/radishshelf/radishshelf/entry"
+	"github.com/radishshelf/radishshelf/entry/peer"
+	"github.com/radishshelf/radishshelf/membership"
+	"github.com/radishshelf/radishshelf/telemetry"
+	"github.com/radishshelf/radishshelf/usage"
+	"github.com/radishshelf/radishshelf/usagestore"
+)
+
+const (
+	// configWait is the time between two looks for the first configuration.
+	configWait = 50 * time.Millisecond
+	// stopTimeout bounds the last calls of the ports other than the caller port, whose requests are never cut off.
+	stopTimeout = 5 * time.Second
+	// minWarmUp lets every agent send one heartbeat, at one a second, before a restarted entry takes requests; warmUp
+	// ends the wait in a fleet without upstreams.
+	minWarmUp = 1200 * time.Millisecond
+	warmUp    = 4 * time.Second
+)
+
+var errCold = errors.New("the entry has not heard from the upstreams yet")
+
+var errLeaving = errors.New("the entry is shutting down")
+
+// serve runs the entry until ctx ends, then shuts down in an orderly way.
+func (p *process) serve(ctx context.Context) error {
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	servers, err := p.servers()
+	if err != nil {
+		p.listeners.close()
+		return err
+	}
+	failed := make(chan error, len(servers))
+	for _, s := range servers {
+		go func() { failed <- s.run() }()
+	}
+	var loops sync.WaitGroup
+	flush, err := p.startLoops(background, &loops)
+	if err != nil {
+		return err
+	}
+	p.log.Info().Str("caller", p.listeners.caller.Addr().String()).Str("peer", p.listeners.peer.Addr().String()).
+		Str("status", p.listeners.status.Addr().String()).Str("incarnation", p.incarnation).Msg("entry serving")
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	p.shutDown(servers, flush)
+	stop()
+	loops.Wait()
+	p.entry.Close()
+	p.log.Info().Msg("entry stopped")
+	return nil
+}
+
+// shutDown withdraws readiness first, and ends nothing before its work is done.
+func (p *process) shutDown(servers []server, flush func(context.Context) error) {
+	p.log.Info().Dur("readiness_delay_ms", p.settings.ReadinessDelay.D()).Msg("entry leaving")
+	p.leaving.Store(true)
+	p.syncer.SetLeaving()
+	time.Sleep(p.settings.ReadinessDelay.D())
+	p.entry.Drain(context.Background())
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if err := flush(ctx); err != nil {
+		p.log.Warn().Err(err).Msg("recovered usage not flushed")
+	}
+	for _, s := range servers {
+		s.stop(s.patient)
+	}
+}
+
+func (p *process) ready() error {
+	if p.leaving.Load() {
+		return errLeaving
+	}
+	if !p.warm() {
+		return errCold
+	}
+	return p.syncer.Ready()
+}
+
+// warm reports whether the entry knows upstreams, or has waited long enough for their heartbeats.
+func (p *process) warm() bool {
+	now := time.Now()
+	if now.Sub(p.startedAt) >= warmUp {
+		return true
+	}
+	for _, u := range p.fleet.Upstreams(now) {
+		if u.Status == membership.Live {
+			return now.Sub(p.startedAt) >= minWarmUp
+		}
+	}
+	return false
+}
+
+// startLoops starts the timers of all parts. They end with ctx.
+func (p *process) startLoops(ctx context.Context, loops *sync.WaitGroup) (flush func(context.Context) error, err error) {
+	orders, err := p.newOrders()
+	if err != nil {
+		return nil, err
+	}
+	rollouts, err := p.newRollouts()
+	if err != nil {
+		return nil, err
+	}
+	run := func(name string, f func(context.Context) error) {
+		loops.Go(func() {
+			if err := f(ctx); err != nil && ctx.Err() == nil {
+				p.log.Error().Err(err).Str("part", name).Msg("part stopped")
+			}
+		})
+	}
+	plain := func(name string, f func(context.Context)) {
+		run(name, func(ctx context.Context) error {
+			f(ctx)
+			return nil
+		})
+	}
+	run("configuration", p.syncer.Run)
+	run("roles", p.roles.Run)
+	run("orders", orders.Run)
+	run("rollouts", rollouts.Run)
+	plain("requests", p.entry.Run)
+	plain("groups", p.lots.Run)
+	plain("hosts", p.watchHosts)
+	plain("quota", func(ctx context.Context) { p.shares.Run(ctx, p.quotaHolder) })
+	plain("usage records", func(ctx context.Context) { p.fleet.WatchUsage(ctx, p.retainer) })
+	plain("usage", p.runUsage)
+	return p.flushUsage, nil
+}
+
+// runUsage starts the usage loops once the configuration, which sets the window, is known.
+func (p *process) runUsage(ctx context.Context) {
+	for p.syncer.Ready() != nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(configWait):
+		}
+	}
+	var loops sync.WaitGroup
+	loops.Go(func() { p.newReporter().Run(ctx) })
+	loops.Go(func() { p.newFlusher().Run(ctx) })
+	loops.Wait()
+}
+
+func (p *process) window() usage.Window {
+	return usage.Window{Length: time.Duration(p.syncer.View().Defaults().UsageWindowSeconds) * time.Second}
+}
+
+func (p *process) newFlusher() *usagestore.Flusher {
+	writer := usagestore.NewWriter(p.services.Table, p.window, time.Now)
+	return usagestore.NewFlusher("recovery", writer, usagestore.FromRetainer(p.retainer), usagestore.FlusherOptions{}, p.log, p.registry)
+}
+
+// flushUsage writes the recovery batches that wait.
+func (p *process) flushUsage(ctx context.Context) error { return p.newFlusher().Flush(ctx) }
+
+// server is one port.
+type server struct {
+	http     *http.Server
+	listener net.Listener
+	tls      *tls.Config
+	// patient ports wait for their last request without a limit.
+	patient bool
+}
+
+func (s server) run() error {
+	listener := s.listener
+	if s.tls != nil {
+		listener = tls.NewListener(listener, s.tls)
+	}
+	if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (s server) stop(patient bool) {
+	ctx := context.Background()
+	if !patient {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, stopTimeout)
+		defer cancel()
+	}
+	if s.http.Shutdown(ctx) != nil {
+		_ = s.http.Close()
+	}
+}
+
+// servers returns the ports in the order in which they are closed.
+func (p *process) servers() ([]server, error) {
+	service := peer.NewServer(peer.Options{
+		Name: p.settings.Name, Syncer: p.syncer, Members: p.fleet, Roles: p.roleView, Groups: p.lots, Quota: p.holder,
+		Usage: p.retainer, Log: p.log, Registry: p.registry,
+	})
+	operator, err := p.newOperator()
+	if err != nil {
+		return nil, err
+	}
+	return []server{
+		{http: entry.NewCallerServer(p.entry, p.settings), listener: p.listeners.caller, patient: true},
+		{http: operator, listener: p.listeners.operator},
+		{http: peer.NewHTTPServer(service, p.credential, p.tls), listener: p.listeners.peer, tls: p.tls},
+		{http: telemetry.NewStatusServer(p.registry, p.ready), listener: p.listeners.status},
+	}, nil
+}
--- /dev/null
+++ b/dataplane/client_test.go
@@ -0,0 +1,166 @@
+package dataplane
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/radishshelf/radishshelf/outcome"
+)
+
+func do(t *testing.T, serve http.HandlerFunc, call Call) (*Answer, *outcome.Refusal) {
+	server := httptest.NewServer(serve)
+	t.Cleanup(server.Close)
+	call.Address = server.Listener.Addr().String()
+	return send(t, NewClient(nil, "fleet-secret"), call)
+}
+
+func send(t *testing.T, client *Client, call Call) (*Answer, *outcome.Refusal) {
+	answer, err := client.Do(context.Background(), call)
+	if err == nil {
+		t.Cleanup(func() { answer.Close() })
+		return answer, nil
+	}
+	refusal, ok := outcome.AsRefusal(err)
+	if !ok {
+		t.Fatalf("error %v is no refusal", err)
+	}
+	return nil, refusal
+}
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.ReadAll(r.Body)
+	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
+}
+
+// Guards against an answer whose end is not proven by the trailers, in every form that an agent may send.
+func TestAnswerEnds(t *testing.T) {
+	tests := []struct {
+		name   string
+		serve  http.HandlerFunc
+		whole  bool
+		result bool
+	}{
+		{"complete", func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			w.Header().Set("Trailer", TrailerComplete+", "+TrailerResult)
+			_, _ = io.WriteString(w, "x")
+			w.Header().Set(TrailerComplete, "true")
+			w.Header().Set(TrailerResult, `{"upstream":"u"}`)
+		}, true, true},
+		{"no marker", func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			_, _ = io.WriteString(w, "x")
+		}, false, false},
+		{"marker as a header of an answer with a body", func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			w.Header().Set(TrailerComplete, "true")
+			_, _ = io.WriteString(w, "x")
+		}, false, false},
+		{"reset", func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			_, _ = io.WriteString(w, "x")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}, false, false},
+		{"no content", func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			w.Header().Set(TrailerComplete, "true")
+			w.Header().Set(TrailerResult, `{"upstream":"u"}`)
+			w.WriteHeader(http.StatusNoContent)
+		}, true, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			answer, refusal := do(t, tt.serve, Call{RequestID: "r1", Body: []byte("b")})
+			if refusal != nil {
+				t.Fatal(refusal)
+			}
+			_, err := io.ReadAll(answer)
+			if (err == nil) != tt.whole || err != nil && !errors.Is(err, ErrTruncated) {
+				t.Fatalf("error %v, want whole %v", err, tt.whole)
+			}
+			if _, ok := answer.Result(); ok != tt.result {
+				t.Fatalf("result %v, want %v", ok, tt.result)
+			}
+		})
+	}
+}
+
+// Guards against "not run" without proof.
+func TestOutcomeOfFailedCalls(t *testing.T) {
+	refuse := func(what string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			w.Header().Set(HeaderRefusalKind, "leaving")
+			w.Header().Set(HeaderOutcome, what)
+			w.Header().Set("Retry-After", "7")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}
+	_, refusal := do(t, refuse("not-run"), Call{RequestID: "r1"})
+	if refusal.Outcome != outcome.NotRun || refusal.RetryAfter != 7*time.Second || refusal.Kind != outcome.KindLeaving {
+		t.Fatalf("got %+v", refusal)
+	}
+	for name, serve := range map[string]http.HandlerFunc{
+		"unknown outcome": refuse("perhaps"),
+		"no outcome":      refuse(""),
+		"reset":           func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"no request id":   func(http.ResponseWriter, *http.Request) {},
+		"other request": func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(HeaderRefusalKind, "leaving")
+			w.Header().Set(HeaderOutcome, "not-run")
+			w.Header().Set(HeaderRequestID, "r2")
+		},
+	} {
+		if _, refusal := do(t, serve, Call{RequestID: "r1"}); refusal == nil || refusal.Outcome != outcome.MayHaveRun {
+			t.Fatalf("%s: got %v", name, refusal)
+		}
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	if _, refusal := send(t, NewClient(nil, ""), Call{Address: l.Addr().String()}); refusal.Outcome != outcome.NotRun {
+		t.Fatalf("refused connection: %v", refusal)
+	}
+}
+
+// Guards against the standard client sending a request again on its own, after a kept connection was closed.
+func TestNeverResentByTransport(t *testing.T) {
+	for _, body := range []string{"", "body"} {
+		var received atomic.Int32
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			if received.Add(1) > 1 {
+				panic(http.ErrAbortHandler)
+			}
+		}))
+		t.Cleanup(server.Close)
+		client := NewClient(nil, "")
+		call := Call{
+			Address: server.Listener.Addr().String(), RequestID: "r1", Body: []byte(body),
+			// The transport takes this header for a permission to repeat the request.
+			Header: http.Header{"Idempotency-Key": {"k"}},
+		}
+		answer, refusal := send(t, client, call)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		_, _ = io.ReadAll(answer)
+		answer.Close()
+		if _, refusal := send(t, client, call); refusal == nil || refusal.Outcome != outcome.MayHaveRun {
+			t.Fatalf("got %v", refusal)
+		}
+		if n := received.Load(); n != 2 {
+			t.Fatalf("body %q: the agent received %d requests, want 2", body, n)
+		}
+	}
+}
--- /dev/null
+++ b/entry/capture.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"strings"
+)
+
+// capturedAnswer keeps a copy of an answer for a sample. An answer above the limit is dropped and marked.
+type capturedAnswer struct {
+	limit    int
+	buffer   bytes.Buffer
+	overflow bool
+}
+
+// Write implements io.Writer.
+func (c *capturedAnswer) Write(p []byte) (int, error) {
+	if c.overflow || c.buffer.Len()+len(p) > c.limit {
+		c.overflow = true
+		c.buffer.Reset()
+		return len(p), nil
+	}
+	return c.buffer.Write(p)
+}
+
+// Reset forgets an attempt that failed.
+func (c *capturedAnswer) Reset() {
+	c.overflow = false
+	c.buffer.Reset()
+}
+
+// completionAnswer is the part of a chat completion, or of one event of a stream, that holds the text.
+type completionAnswer struct {
+	Choices []struct {
+		Index   int `json:"index"`
+		Message struct {
+			Content string `json:"content"`
+		} `json:"message"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+}
+
+// completionText returns the generated text of a whole answer, and false when the body is not a chat completion.
+func completionText(body []byte, stream bool) (string, bool) {
+	if stream {
+		return streamText(body)
+	}
+	var answer completionAnswer
+	if json.Unmarshal(body, &answer) != nil || len(answer.Choices) == 0 {
+		return "", false
+	}
+	return answer.Choices[0].Message.Content, true
+}
+
+func streamText(body []byte) (string, bool) {
+	var text strings.Builder
+	found := false
+	lines := bufio.NewScanner(bytes.NewReader(body))
+	lines.Buffer(nil, len(body)+1)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data:")
+		data = strings.TrimSpace(data)
+		if !ok || data == "[DONE]" {
+			continue
+		}
+		var event completionAnswer
+		if json.Unmarshal([]byte(data), &event) != nil {
+			return "", false
+		}
+		for _, choice := range event.Choices {
+			found = true
+			text.WriteString(choice.Delta.Content)
+		}
+	}
+	return text.String(), found && lines.Err() == nil
+}
--- /dev/null
+++ b/entry/chat.go
@@ -0,0 +1,124 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/outcome"
+	"github.com/radishshelf/radishshelf/prefixindex"
+	"github.com/radishshelf/radishshelf/routing"
+)
+
+// maxPrefixBlocks bounds the prompt blocks that are looked up for one request.
+const maxPrefixBlocks = 128
+
+// chat serves POST /v1/chat/completions.
+func (x *exchange) chat(ctx context.Context) error {
+	req, destination, err := x.readChat()
+	if err != nil {
+		return err
+	}
+	limits := x.e.effective(x.view, x.caller.workspace, destination.name)
+	body, refusal := boundTokens(x.body, req, limits.MaxTokens)
+	if refusal != nil {
+		return refusal
+	}
+	j, refusal := x.newJob(destination, chatPath, body, req.cost(limits.MaxTokens), limits)
+	if refusal != nil {
+		return refusal
+	}
+	j.prefix = prefixOf(x.view, j, req.Messages)
+	j.sample = destination.trainer != "" && x.e.groups != nil
+	to := x.newRelay()
+	capture := &capturedAnswer{limit: x.e.settings.MaxAnswerBufferBytes}
+	if j.sample {
+		to.tee = capture
+	}
+	done, err := x.deliver(ctx, j, to)
+	if err != nil {
+		return err
+	}
+	if j.sample {
+		x.e.keepLiveSample(j, req, capture, done)
+	}
+	return nil
+}
+
+// readChat reads and authorises a chat request. Without a key and without an open policy the body is not read at all.
+func (x *exchange) readChat() (chatRequest, destination, error) {
+	if x.caller.refusal != nil && !anyOpenPolicy(x.view) {
+		return chatRequest{}, destination{}, x.caller.refusal
+	}
+	if refusal := x.read(); refusal != nil {
+		return chatRequest{}, destination{}, refusal
+	}
+	req, refusal := parseChat(x.body)
+	if refusal != nil {
+		if x.caller.refusal != nil {
+			refusal = x.caller.refusal
+		}
+		return req, destination{}, refusal
+	}
+	d, refusal := x.policy(req.Model)
+	if refusal != nil {
+		return req, d, refusal
+	}
+	return req, d, nil
+}
+
+// policy returns the destination of a policy that the caller may use.
+func (x *exchange) policy(name string) (destination, *outcome.Refusal) {
+	policy, ok := x.view.Policy(name)
+	if !ok {
+		if x.caller.refusal != nil {
+			return destination{}, x.caller.refusal
+		}
+		return destination{}, nothingServed("name")
+	}
+	d := policyDestination(name, policy)
+	x.record.Destination = name
+	return d, d.authorize(x.caller, x.view)
+}
+
+func anyOpenPolicy(view *fleetconfig.View) bool {
+	for _, policy := range view.Policies() {
+		if policy.Open {
+			return true
+		}
+	}
+	return false
+}
+
+// prefixOf hashes the prompt's blocks. The wanted version is part of the hash, because cached blocks of older weights
+// are of no use after a swap.
+func prefixOf(view *fleetconfig.View, j *job, messages []byte) []uint64 {
+	scope := prefixindex.Scope{Workspace: j.workspace, Policy: j.destination.name}
+	if rollout, ok := view.Rollout(j.destination.name); ok {
+		scope.Version = rollout.Version
+	}
+	return prefixindex.Chain(scope, messages, routing.DefaultConfig().BlockTokens*bytesPerToken, maxPrefixBlocks)
+}
+
+// newJob builds the job of this exchange.
+func (x *exchange) newJob(
+	d destination, target string, body []byte, cost int64, limits fleetconfig.Defaults,
+) (*job, *outcome.Refusal) {
+	timeout, refusal := x.e.requestTimeout(x.r.Header, limits)
+	if refusal != nil {
+		return nil, refusal
+	}
+	workspace, _ := x.view.Workspace(x.caller.workspace)
+	header := copyListed(x.r.Header, forwardedHeaders)
+	if d.kind == fleetconfig.UpstreamEngine {
+		header.Set("Content-Type", "application/json")
+	}
+	method := x.r.Method
+	if method == "" {
+		method = http.MethodGet
+	}
+	return &job{
+		id: x.id, destination: d, workspace: x.caller.workspace, method: method, target: target, header: header,
+		body: body, cost: cost, weight: workspace.Weight, deadline: x.e.now().Add(timeout),
+	}, nil
+}
--- /dev/null
+++ b/entry/deadline.go
@@ -0,0 +1,32 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/outcome"
+)
+
+// HeaderTimeout lets a caller set the deadline of its request, as seconds or with a unit ("30", "1500ms").
+const HeaderTimeout = "X-Request-Timeout"
+
+func (e *Entry) requestTimeout(h http.Header, limits fleetconfig.Defaults) (time.Duration, *outcome.Refusal) {
+	text := h.Get(HeaderTimeout)
+	if text == "" {
+		timeout := time.Duration(limits.RequestTimeoutMs) * time.Millisecond
+		if e.settings.DefaultTimeout > 0 {
+			timeout = e.settings.DefaultTimeout.D()
+		}
+		return min(timeout, e.settings.MaxTimeout.D()), nil
+	}
+	timeout, err := time.ParseDuration(text)
+	if seconds, numErr := strconv.ParseFloat(text, 64); numErr == nil {
+		timeout, err = time.Duration(seconds*float64(time.Second)), nil
+	}
+	if err != nil || timeout <= 0 {
+		return 0, invalid("X-Request-Timeout is not a positive time", `write seconds or a unit, for example "30" or "1500ms"`)
+	}
+	return min(timeout, e.settings.MaxTimeout.D()), nil
+}
--- /dev/null
+++ b/entry/dispatch.go
@@ -0,0 +1,38 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/radishshelf/radishshelf/outcome"
+)
+
+// Paths of the caller port that are not configured routes.
+const (
+	chatPath     = "/v1/chat/completions"
+	groupsPath   = "/v1/rollout-groups"
+	modelsPath   = "/v1/models"
+	trainersPath = "/v1/trainers"
+)
+
+func (x *exchange) dispatch(ctx context.Context) error {
+	switch x.r.URL.Path {
+	case chatPath:
+		return x.only(http.MethodPost, func() error { return x.chat(ctx) })
+	case groupsPath:
+		return x.only(http.MethodPost, func() error { return x.rolloutGroup(ctx) })
+	case modelsPath:
+		return x.only(http.MethodGet, x.models)
+	default:
+		return x.route(ctx)
+	}
+}
+
+func (x *exchange) only(method string, serve func() error) error {
+	if x.r.Method == method {
+		return serve()
+	}
+	x.w.Header().Set("Allow", method)
+	return refuse(outcome.KindMethodNotAllowed, http.StatusMethodNotAllowed,
+		"the method is not allowed here", "use "+method)
+}
--- /dev/null
+++ b/entry/exchange.go
@@ -0,0 +1,176 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/radishshelf/radishshelf/dataplane"
+	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/outcome"
+)
+
+// exchange is one request of a caller and its answer.
+type exchange struct {
+	e      *Entry
+	w      http.ResponseWriter
+	r      *http.Request
+	id     string
+	view   *fleetconfig.View
+	caller identity
+	body   []byte
+	record *requestRecord
+	// started reports whether the answer has begun, after which a failure can only be shown by an abort.
+	started func() bool
+}
+
+// ServeHTTP implements http.Handler for the caller port.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if underPrefix(r.URL.Path, trainersPath) && e.trainers != nil {
+		e.trainers.ServeHTTP(w, r)
+		return
+	}
+	x := e.begin(w, r)
+	ctx, span := e.tracer.Start(e.tracer.Extract(r.Context(), r.Header), "entry.request",
+		attribute.String("request_id", x.id))
+	defer span.End()
+	err := x.serve(ctx)
+	x.finish(err)
+	if err != nil && x.started() {
+		e.metrics.aborted.Inc()
+		// net/http closes the connection without the end of the body, which is the only way to show that an answer
+		// that has begun is not whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (e *Entry) begin(w http.ResponseWriter, r *http.Request) *exchange {
+	id := newID()
+	w.Header().Set(HeaderRequestID, id)
+	return &exchange{
+		e: e, w: w, r: r, id: id, view: e.config.View(), started: func() bool { return false },
+		record: &requestRecord{Explanation: Explanation{RequestID: id, At: e.now()}, begun: e.now()},
+	}
+}
+
+// serve returns an *outcome.Refusal when the request was not answered whole.
+func (x *exchange) serve(ctx context.Context) error {
+	if x.e.leaving.Load() {
+		x.w.Header().Set("Connection", "close")
+		return leaving()
+	}
+	if refusal := x.e.requests.enter(); refusal != nil {
+		return refusal
+	}
+	defer x.e.requests.leave()
+	if refusal := checkTarget(x.r); refusal != nil {
+		return refusal
+	}
+	x.caller = x.e.identify(x.r.Header, x.view, x.e.now())
+	x.record.Workspace = x.caller.workspace
+	return x.dispatch(ctx)
+}
+
+// read takes the body and refuses a request that shows its secret outside of the key headers.
+func (x *exchange) read() *outcome.Refusal {
+	body, refusal := x.e.readBody(x.w, x.r)
+	if refusal != nil {
+		return refusal
+	}
+	if leaks(x.r, body, x.caller.secret) {
+		x.e.metrics.leaks.Inc()
+		return leakRefusal()
+	}
+	x.body = body
+	return nil
+}
+
+// finish sends a refusal and writes the log line, the metrics and the explanation.
+func (x *exchange) finish(err error) {
+	x.record.mu.Lock()
+	defer x.record.mu.Unlock()
+	record := &x.record.Explanation
+	what := outcome.Ran
+	if err != nil {
+		refusal := asRefusal(err)
+		what = refusal.Outcome
+		record.Refusal = refusal.Kind
+		record.Status = refusal.Status
+		x.e.metrics.refused(refusal.Kind)
+		if !x.started() {
+			writeRefusal(x.w, x.id, refusal)
+		}
+	}
+	record.Outcome = what.String()
+	record.Total = x.e.now().Sub(record.At)
+	x.e.metrics.finished(record.Workspace, what, record.Total)
+	x.e.explained.add(*record)
+	x.log(err)
+}
+
+func (x *exchange) log(err error) {
+	record := &x.record.Explanation
+	event := x.e.log.Info()
+	if err != nil {
+		event = x.e.log.Warn().Str("refusal", string(record.Refusal)).Str("error", asRefusal(err).Message)
+	}
+	last := ""
+	if n := len(record.Decisions); n > 0 {
+		last = record.Decisions[n-1]
+	}
+	event.Str("request", x.id).Str("workspace", record.Workspace).Str("destination", record.Destination).
+		Str("upstream", record.Upstream).Int("status", record.Status).Str("outcome", record.Outcome).
+		Int("attempts", len(record.Decisions)).Dur("queue_ms", record.QueueWait).
+		Dur("first_byte_ms", record.FirstByte).Dur("total_ms", record.Total).Str("decision", last).Msg("request")
+}
+
+func (x *exchange) noteFirstByte() {
+	wait := x.e.now().Sub(x.record.begun)
+	x.e.metrics.firstByte.Update(wait.Seconds())
+	x.record.mu.Lock()
+	defer x.record.mu.Unlock()
+	x.record.FirstByte = wait
+}
+
+// newRelay returns the receiver that answers this caller.
+func (x *exchange) newRelay() *relay {
+	to := &relay{
+		w: x.w, limit: x.e.settings.MaxAnswerBufferBytes, stall: x.e.settings.StallTimeout.D(), firstByte: x.noteFirstByte,
+	}
+	x.started = func() bool { return to.started }
+	return to
+}
+
+// replay sends a stored answer.
+func (x *exchange) replay(status int, header http.Header, body []byte) {
+	for name, values := range header {
+		x.w.Header()[name] = values
+	}
+	x.w.Header().Set(dataplane.HeaderOutcome, outcome.Ran.String())
+	x.record.Status = status
+	x.w.WriteHeader(status)
+	// A caller that has gone away can ask again with its key.
+	_, _ = x.w.Write(body)
+}
+
+// guard returns a context that ends at the deadline, when the caller leaves, or when its key is withdrawn.
+func (x *exchange) guard(ctx context.Context, deadline time.Time) (context.Context, func(), *outcome.Refusal) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	ctx, stop := context.WithDeadline(ctx, deadline)
+	remove := func() {}
+	if x.caller.keyID != "" {
+		remove = x.e.keys.add(x.caller.keyID, cancel)
+	}
+	release := func() {
+		remove()
+		stop()
+		cancel(nil)
+	}
+	if refusal := x.e.stillGranted(x.caller, x.e.now()); refusal != nil {
+		release()
+		return nil, nil, refusal
+	}
+	return ctx, release, nil
+}
--- /dev/null
+++ b/entry/failure_test.go
@@ -0,0 +1,269 @@
+package entry
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/radishshelf/radishshelf/dataplane"
+	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/outcome"
+)
+
+// Guards against a second execution of a request that must not be repeated, when the connection breaks after the send.
+func TestResetAfterSendRunsOnce(t *testing.T) {
+	r := newRig(t, nil)
+	var executions atomic.Int32
+	reset := func(http.ResponseWriter, *http.Request) {
+		executions.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+	r.upstream("desk-1", fleetconfig.UpstreamService, "desk", newAgent(t, reset))
+	r.upstream("desk-2", fleetconfig.UpstreamService, "desk", newAgent(t, reset))
+	r.do("POST", "/book", testSecret, `{"id":"b1"}`).wantRefusal(t, outcome.KindUpstreamFailed, outcome.MayHaveRun)
+	if n := executions.Load(); n != 1 {
+		t.Fatalf("the booking ran %d times", n)
+	}
+	// A reused connection that the agent closes must not make the standard client send an empty body again either.
+	r.do("POST", "/book", testSecret, "").wantRefusal(t, outcome.KindUpstreamFailed, outcome.MayHaveRun)
+	if n := executions.Load(); n != 2 {
+		t.Fatalf("the empty booking ran %d times", n-1)
+	}
+}
+
+// Guards against giving up, or against "not run" for a request that another agent could run.
+func TestNotRunIsTriedElsewhere(t *testing.T) {
+	for _, path := range []string{"/book", "/fare"} {
+		r := newRig(t, func(o *Options) { o.Settings.RetryShare = 1 })
+		refuser := newAgent(t, refuseCall(outcome.KindLeaving, outcome.NotRun))
+		// The other data centre is chosen only after the near agent refused.
+		r.upstream("desk-1", fleetconfig.UpstreamService, "desk", refuser)
+		r.do("POST", path, testSecret, "x").wantRefusal(t, outcome.KindLeaving, outcome.NotRun)
+		good := newAgent(t, answerText("booked"))
+		r.upstream("desk-2", fleetconfig.UpstreamService, "desk", good)
+		for range 8 {
+			r.do("POST", path, testSecret, "x").wantOK(t, "booked")
+		}
+		if len(refuser.calls()) < 2 || len(good.calls()) != 8 {
+			t.Fatalf("%s: %d refused and %d ran", path, len(refuser.calls()), len(good.calls()))
+		}
+	}
+}
+
+// Guards against "not run" after a refused connection being doubted, and after a lost answer being claimed.
+func TestDeadAgent(t *testing.T) {
+	r := newRig(t, nil)
+	dead := newAgent(t, answerText("x"))
+	dead.server.Close()
+	r.service(dead)
+	got := r.do("POST", "/book", testSecret, "x")
+	if got.fail.Outcome != outcome.NotRun.String() || got.header.Get("Retry-After") == "" {
+		t.Fatalf("got %+v", got.fail)
+	}
+}
+
+// Guards against a truncated answer that looks whole to the caller.
+func TestTruncatedAnswer(t *testing.T) {
+	truncate := func(contentType string, size int, reset bool) func(http.ResponseWriter, *http.Request) {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", contentType)
+			w.Header().Set("Trailer", dataplane.TrailerComplete)
+			_, _ = io.WriteString(w, strings.Repeat("x", size))
+			_ = http.NewResponseController(w).Flush()
+			if reset {
+				panic(http.ErrAbortHandler)
+			}
+		}
+	}
+	for _, reset := range []bool{false, true} {
+		for _, kind := range []string{"text/event-stream", "application/octet-stream"} {
+			r := newRig(t, func(o *Options) { o.Settings.MaxAnswerBufferBytes = 100 })
+			r.service(newAgent(t, truncate(kind, 1000, reset)))
+			if got := r.do("POST", "/book", testSecret, "x"); got.err == nil {
+				t.Fatalf("%s reset=%v: the truncated answer ended cleanly with %d bytes", kind, reset, len(got.body))
+			}
+			r.upstream("desk-1", fleetconfig.UpstreamService, "desk", newAgent(t, truncate("text/plain", 10, reset)))
+			r.do("POST", "/book", testSecret, "x").wantRefusal(t, outcome.KindUpstreamFailed, outcome.MayHaveRun)
+		}
+	}
+}
+
+// Guards against an answer that belongs to another request.
+func TestCrossedAndLateAnswers(t *testing.T) {
+	r := newRig(t, nil)
+	other := newAgent(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(dataplane.HeaderRequestID, "of-another-caller")
+		answer(w, "text/plain", "the answer of another caller", dataplane.Result{})
+	})
+	r.service(other)
+	r.do("POST", "/book", testSecret, "x").wantRefusal(t, outcome.KindUpstreamFailed, outcome.MayHaveRun)
+	release := make(chan struct{})
+	r.upstream("desk-1", fleetconfig.UpstreamService, "desk", newAgent(t, func(w http.ResponseWriter, q *http.Request) {
+		if q.Header.Get(dataplane.HeaderTarget) == "/book/slow" {
+			<-release
+		}
+		answer(w, "text/plain", q.Header.Get(dataplane.HeaderTarget), dataplane.Result{})
+	}))
+	r.do("POST", "/book/slow", testSecret, "x", HeaderTimeout, "100ms").wantRefusal(t, outcome.KindDeadline, outcome.MayHaveRun)
+	close(release)
+	for i := range 5 {
+		path := fmt.Sprintf("/book/%d", i)
+		r.do("POST", path, testSecret, "x").wantOK(t, path)
+	}
+}
+
+// streamAgent sends one event and then waits until its entry goes away, which it reports.
+func streamAgent(t *testing.T) (a *fakeAgent, cancelled chan struct{}) {
+	cancelled = make(chan struct{}, 8)
+	return newAgent(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set("Trailer", dataplane.TrailerComplete)
+		_, _ = io.WriteString(w, "data: 1\n\n")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+		cancelled <- struct{}{}
+	}), cancelled
+}
+
+func openStream(t *testing.T, r *rig) *http.Response {
+	req, _ := http.NewRequest("POST", r.url+"/book/stream", strings.NewReader("x"))
+	req.Header.Set("X-Api-Key", testSecret)
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { resp.Body.Close() })
+	if line, err := bufio.NewReader(resp.Body).ReadString('\n'); err != nil || line != "data: 1\n" {
+		t.Fatalf("got %q, %v", line, err)
+	}
+	return resp
+}
+
+func within(t *testing.T, what string, done <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("not within 5 s: " + what)
+	}
+}
+
+// Guards against a withdrawn key that keeps its streams, and an ended stream that looks whole.
+func TestKeyWithdrawnDuringStream(t *testing.T) {
+	for name, end := range map[string]func(*rig){
+		"withdrawn": func(r *rig) {
+			r.config.set(fleetconfig.KindKey, "k1", fleetconfig.Key{
+				SecretHash: fleetconfig.HashSecret(testSecret), Workspace: "hraunvegur", Withdrawn: true})
+		},
+		"isolated": func(r *rig) { r.config.isolated.Store(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, nil)
+			agent, cancelled := streamAgent(t)
+			r.service(agent)
+			resp := openStream(t, r)
+			end(r)
+			if _, err := io.ReadAll(resp.Body); err == nil {
+				t.Fatal("the ended stream looks whole")
+			}
+			within(t, "the agent's request is cancelled", cancelled)
+		})
+	}
+}
+
+// Guards against a withdrawn key whose request still runs after it waited in the queue.
+func TestKeyWithdrawnWhileWaiting(t *testing.T) {
+	r := newRig(t, func(o *Options) { o.Settings.QueueTokens = 1 })
+	agent, _ := streamAgent(t)
+	r.service(agent)
+	r.config.set(fleetconfig.KindKey, "k3", fleetconfig.Key{SecretHash: fleetconfig.HashSecret("third"), Workspace: "hraunvegur"})
+	openStream(t, r)
+	waiting := make(chan reply)
+	go func() { waiting <- r.do("POST", "/book", "third", "x") }()
+	for r.entry.gate.Waiting() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	r.config.set(fleetconfig.KindKey, "k3", fleetconfig.Key{
+		SecretHash: fleetconfig.HashSecret("third"), Workspace: "hraunvegur", Withdrawn: true})
+	(<-waiting).wantRefusal(t, outcome.KindKeyWithdrawn, outcome.NotRun)
+	if n := len(agent.calls()); n != 1 {
+		t.Fatalf("the agent received %d requests", n)
+	}
+}
+
+// Guards against an agent that goes on working for a caller that has left.
+func TestCallerGoneCancelsAgent(t *testing.T) {
+	r := newRig(t, nil)
+	agent, cancelled := streamAgent(t)
+	r.service(agent)
+	openStream(t, r).Body.Close()
+	within(t, "the agent's request is cancelled", cancelled)
+}
+
+// Guards against a shutdown that cuts off a stream or takes new work.
+func TestShutdownFinishesStreams(t *testing.T) {
+	r := newRig(t, nil)
+	finish := make(chan struct{})
+	r.service(newAgent(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set("Trailer", dataplane.TrailerComplete)
+		_, _ = io.WriteString(w, "data: 1\n\n")
+		_ = http.NewResponseController(w).Flush()
+		<-finish
+		_, _ = io.WriteString(w, "data: 2\n\n")
+		w.Header().Set(dataplane.TrailerComplete, "true")
+	}))
+	resp := openStream(t, r)
+	r.entry.Leave()
+	r.do("POST", "/book", testSecret, "x").wantRefusal(t, outcome.KindLeaving, outcome.NotRun)
+	stopped := make(chan struct{})
+	go func() {
+		shutdownServer(r.server.Config)
+		close(stopped)
+	}()
+	close(finish)
+	rest, err := io.ReadAll(resp.Body)
+	if err != nil || !strings.HasSuffix(string(rest), "data: 2\n\n") {
+		t.Fatalf("the stream was cut off: %q, %v", rest, err)
+	}
+	within(t, "the server stops", stopped)
+}
+
+// Guards against "not run" for a request of which only the last attempt did not run.
+func TestNotRunCoversAllAttempts(t *testing.T) {
+	r := newRig(t, func(o *Options) { o.Settings.RetryShare = 1 })
+	var calls atomic.Int32
+	serve := func(w http.ResponseWriter, q *http.Request) {
+		if calls.Add(1) == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		refuseCall(outcome.KindOverloaded, outcome.NotRun)(w, q)
+	}
+	r.upstream("desk-1", fleetconfig.UpstreamService, "desk", newAgent(t, serve))
+	r.upstream("desk-2", fleetconfig.UpstreamService, "desk", newAgent(t, serve))
+	r.do("POST", "/fare", testSecret, "x").wantRefusal(t, outcome.KindOverloaded, outcome.MayHaveRun)
+	if n := calls.Load(); n != 2 {
+		t.Fatalf("%d attempts, want 2", n)
+	}
+}
+
+// Guards against workspaces that exceed their limit, and against a refusal without the time to come back.
+func TestQuota(t *testing.T) {
+	r := newRig(t, func(o *Options) { o.Quota = NewQuotaShares("entry-1", o.Config) })
+	r.service(newAgent(t, answerText("90")))
+	// Without grants an entry of 16 has a 32nd of the limit, and saves up two seconds of it: two requests.
+	r.config.set(fleetconfig.KindWorkspace, "hraunvegur", fleetconfig.Workspace{TokensPerSecond: 32})
+	r.do("GET", "/fare", testSecret, "").wantOK(t, "90")
+	r.do("GET", "/fare", testSecret, "").wantOK(t, "90")
+	got := r.do("GET", "/fare", testSecret, "")
+	got.wantRefusal(t, outcome.KindOverQuota, outcome.NotRun)
+	if got.status != http.StatusTooManyRequests || got.header.Get("Retry-After") != "1" {
+		t.Fatalf("got %d %v", got.status, got.header)
+	}
+	r.do("GET", "/open", "", "").wantOK(t, "90")
+}
--- /dev/null
+++ b/entry/fleetroute.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/membership"
+	"github.com/radishshelf/radishshelf/routing"
+)
+
+// chosen is the upstream of one attempt.
+type chosen struct {
+	upstream membership.Upstream
+	decision routing.Decision
+	// attempt identifies the attempt in the count of requests in flight.
+	attempt   string
+	exclusive bool
+}
+
+// choose routes one attempt and counts it as in flight until release is called.
+func (f *Fleet) choose(j *job, attempt int, excluded []string, view *fleetconfig.View, now time.Time) (chosen, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	upstreams := f.members.Upstreams(now)
+	candidates := make([]routing.Candidate, 0, len(upstreams))
+	byName := make(map[string]membership.Upstream, len(upstreams))
+	for _, u := range upstreams {
+		if u.Kind != j.destination.kind {
+			continue
+		}
+		candidates = append(candidates, f.candidate(u, view))
+		byName[u.Name] = u
+	}
+	decision, err := f.router.Route(routing.Request{
+		ID: j.id, Serves: j.destination.serves, Prefix: j.prefix, CostTokens: j.cost, Bytes: int64(len(j.body)),
+		Excluded: excluded, Exclusive: j.exclusive,
+	}, candidates, now)
+	if err != nil {
+		return chosen{decision: decision}, err
+	}
+	c := chosen{
+		upstream: byName[decision.Chosen.Name], decision: decision, attempt: j.id + "#" + strconv.Itoa(attempt),
+		exclusive: j.exclusive,
+	}
+	if c.exclusive {
+		f.reserved[c.upstream.Name]++
+	}
+	f.inFlight.Sent(c.attempt, c.upstream.Name, j.cost, now)
+	f.prefixes.Routed(c.upstream.Name, j.prefix, now)
+	return c, nil
+}
+
+func (f *Fleet) release(c chosen) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.inFlight.Done(c.attempt)
+	if !c.exclusive {
+		return
+	}
+	f.reserved[c.upstream.Name]--
+	if f.reserved[c.upstream.Name] == 0 {
+		delete(f.reserved, c.upstream.Name)
+	}
+}
+
+func (f *Fleet) candidate(u membership.Upstream, view *fleetconfig.View) routing.Candidate {
+	load, at := u.Load, u.ReportedAt
+	if answer, ok := f.loads[u.Name]; ok && answer.at.After(at) {
+		load, at = answer.load, answer.at
+	}
+	configured, known := view.Upstream(u.Name)
+	return routing.Candidate{
+		Name: u.Name, DataCentre: u.DataCentre, Region: u.Region, Serves: u.Serves, Version: u.ActiveVersion,
+		Alive:   u.Status == membership.Live || u.Status == membership.Suspect || u.Status == membership.Leaving,
+		Healthy: u.Healthy, Leaving: u.Leaving || known && configured.Draining, Reserved: f.reserved[u.Name] > 0,
+		ReportedAt: at, Running: load.Running, Queued: load.Queued, PendingTokens: load.PendingTokens,
+		TokensPerSecond: load.TokensPerSecond,
+	}
+}
--- /dev/null
+++ b/entry/gate.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"context"
+	"math/rand"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/radishshelf/radishshelf/admission"
+	"github.com/radishshelf/radishshelf/outcome"
+)
+
+// gateTick is the time between two looks for waiting requests that became too late.
+const gateTick = 50 * time.Millisecond
+
+// Gate lets requests wait for their turn in the admission queue.
+type Gate struct {
+	mu      sync.Mutex
+	queue   *admission.Queue
+	waiting map[string]chan error
+	now     func() time.Time
+}
+
+// NewGate returns a gate in front of a window of outstanding work.
+func NewGate(s Settings, random *rand.Rand, now func() time.Time) *Gate {
+	config := admission.DefaultConfig()
+	config.WindowTokens = s.QueueTokens
+	config.WindowItems = s.MaxRequests
+	config.MaxItems = s.QueueLength
+	return &Gate{queue: admission.New(config, random), waiting: map[string]chan error{}, now: now}
+}
+
+// Acquire waits until the request may be sent. Errors are *outcome.Refusal, or the cause of ctx. done takes the actual
+// cost and must be called once.
+func (g *Gate) Acquire(ctx context.Context, item admission.Item) (done func(actualTokens int64), err error) {
+	turn, err := g.offer(item)
+	if err != nil {
+		return nil, err
+	}
+	done = func(actual int64) { g.done(item.ID, actual) }
+	if turn == nil {
+		return done, nil
+	}
+	select {
+	case err := <-turn:
+		if err != nil {
+			return nil, err
+		}
+		return done, nil
+	case <-ctx.Done():
+		g.abandon(item.ID)
+		return nil, context.Cause(ctx)
+	}
+}
+
+// offer returns a nil channel when the request may be sent at once.
+func (g *Gate) offer(item admission.Item) (<-chan error, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	verdict := g.queue.Offer(item, now)
+	if verdict.Displaced != nil {
+		g.tell(verdict.Displaced.ID, overloaded(verdict.DisplacedRetryAfter))
+	}
+	switch verdict.Action {
+	case admission.Admit:
+		return nil, nil
+	case admission.Refuse:
+		return nil, refusalOfVerdict(verdict)
+	}
+	turn := make(chan error, 1)
+	g.waiting[item.ID] = turn
+	g.pump(now)
+	return turn, nil
+}
+
+func (g *Gate) done(id string, actual int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	g.queue.Done(id, actual, now)
+	g.pump(now)
+}
+
+// abandon removes a request whose caller no longer waits. When it was admitted at the same moment, its place is freed.
+func (g *Gate) abandon(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	delete(g.waiting, id)
+	if _, queued := g.queue.Remove(id, now); !queued {
+		g.queue.Done(id, 0, now)
+	}
+	g.pump(now)
+}
+
+// Run refuses waiting requests as soon as they can no longer finish in time, until ctx ends.
+func (g *Gate) Run(ctx context.Context) {
+	ticker := time.NewTicker(gateTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.mu.Lock()
+			g.pump(g.now())
+			g.mu.Unlock()
+		}
+	}
+}
+
+// pump tells expired and admitted requests. The caller holds the lock.
+func (g *Gate) pump(now time.Time) {
+	for _, item := range g.queue.Expire(now) {
+		r := deadlinePassed(outcome.NotRun)
+		r.Status = http.StatusServiceUnavailable
+		r.RetryAfter = g.queue.RetryAfter(item)
+		g.tell(item.ID, r)
+	}
+	for {
+		item, ok := g.queue.Next(now)
+		if !ok {
+			return
+		}
+		g.tell(item.ID, nil)
+	}
+}
+
+func (g *Gate) tell(id string, err error) {
+	if turn, ok := g.waiting[id]; ok {
+		delete(g.waiting, id)
+		turn <- err
+	}
+}
+
+// Waiting returns the number of queued requests.
+func (g *Gate) Waiting() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.Len()
+}
+
+func overloaded(after time.Duration) *outcome.Refusal {
+	return refuseLater(outcome.KindOverloaded, http.StatusServiceUnavailable, "the queue of this entry is full",
+		"send the request again after the given time", after)
+}
+
+func refusalOfVerdict(v admission.Verdict) *outcome.Refusal {
+	if v.Reason == admission.ReasonDeadline {
+		return refuseLater(outcome.KindDeadline, http.StatusServiceUnavailable,
+			"the expected wait of "+v.ExpectedWait.Round(time.Millisecond).String()+" exceeds the deadline",
+			"send the request again after the given time, or allow more time in X-Request-Timeout", v.RetryAfter)
+	}
+	return overloaded(v.RetryAfter)
+}
--- /dev/null
+++ b/entry/keyuse.go
@@ -0,0 +1,35 @@
+package entry
+
+import (
+	"sync"
+	"time"
+)
+
+// keyUse remembers when each key was last accepted. Only configured keys get here, so that callers cannot make it grow.
+type keyUse struct {
+	mu   sync.Mutex
+	last map[string]time.Time
+}
+
+func (u *keyUse) note(keyID string, now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.last == nil {
+		u.last = map[string]time.Time{}
+	}
+	u.last[keyID] = now
+}
+
+// LastUse returns when a key was last accepted by this entry.
+func (e *Entry) LastUse(keyID string) (time.Time, bool) {
+	e.used.mu.Lock()
+	defer e.used.mu.Unlock()
+	at, ok := e.used.last[keyID]
+	return at, ok
+}
+
+// Decision returns what happened to a recent request of this entry, in a form that encodes as JSON.
+func (e *Entry) Decision(requestID string) (any, bool) {
+	found, ok := e.Explain(requestID)
+	return found, ok
+}
--- /dev/null
+++ b/entry/keywatch.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/outcome"
+)
+
+// isolationCheck is the time between two looks at the freshness of the keys.
+const isolationCheck = 250 * time.Millisecond
+
+// onConfigChange ends the requests whose key or workspace the change took away.
+func (e *Entry) onConfigChange(changed []fleetconfig.Object) {
+	relevant := false
+	for _, object := range changed {
+		relevant = relevant || object.Kind == fleetconfig.KindKey || object.Kind == fleetconfig.KindWorkspace
+	}
+	if !relevant {
+		return
+	}
+	view := e.config.View()
+	for _, keyID := range e.keys.keys() {
+		if keyServes(view, keyID) {
+			continue
+		}
+		count := e.keys.end(keyID, withdrawn(outcome.MayHaveRun))
+		e.log.Info().Str("key_id", keyID).Int("requests", count).Msg("key withdrawn, its requests were ended")
+	}
+}
+
+func keyServes(view *fleetconfig.View, keyID string) bool {
+	key, ok := view.Key(keyID)
+	if !ok || key.Withdrawn {
+		return false
+	}
+	_, ok = view.Workspace(key.Workspace)
+	return ok
+}
+
+// watchIsolation ends keyed requests once the entry is cut off: a key may have been withdrawn elsewhere, and this entry
+// would not learn of it.
+func (e *Entry) watchIsolation(ctx context.Context) {
+	ticker := time.NewTicker(isolationCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if e.config.MayServeKeyed(e.now()) {
+			continue
+		}
+		if count := e.keys.endAll(isolated(outcome.MayHaveRun)); count > 0 {
+			e.log.Warn().Int("requests", count).Msg("keys cannot be confirmed, keyed requests were ended")
+		}
+	}
+}
--- /dev/null
+++ b/entry/leak.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/radishshelf/radishshelf/outcome"
+)
+
+// leaks reports whether any part of r that an agent could see, or its body or trailer, contains the presented secret.
+// Escaped forms are decoded first, because the upstream decodes them too.
+func leaks(r *http.Request, body []byte, secret string) bool {
+	if secret == "" {
+		return false
+	}
+	return inTarget(r.URL, secret) || inHeader(r.Header, secret) || inHeader(r.Trailer, secret) || inBody(body, secret)
+}
+
+func inTarget(u *url.URL, secret string) bool {
+	if strings.Contains(u.Path, secret) || strings.Contains(u.EscapedPath(), secret) || strings.Contains(u.RawQuery, secret) {
+		return true
+	}
+	if decoded, err := url.PathUnescape(u.RawQuery); err == nil && strings.Contains(decoded, secret) {
+		return true
+	}
+	decoded, err := url.QueryUnescape(u.RawQuery)
+	return err != nil || strings.Contains(decoded, secret)
+}
+
+func inHeader(h http.Header, secret string) bool {
+	for name, values := range h {
+		if strings.Contains(strings.ToLower(name), strings.ToLower(secret)) {
+			return true
+		}
+		if name == headerAuthorization || name == headerAPIKey {
+			continue
+		}
+		for _, value := range values {
+			if inHeaderValue(value, secret) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func inHeaderValue(value, secret string) bool {
+	if strings.Contains(value, secret) {
+		return true
+	}
+	decoded, err := url.PathUnescape(value)
+	return err == nil && strings.Contains(decoded, secret)
+}
+
+func inBody(body []byte, secret string) bool {
+	if bytes.Contains(body, []byte(secret)) {
+		return true
+	}
+	if bytes.IndexByte(body, '%') >= 0 || bytes.IndexByte(body, '+') >= 0 {
+		if decoded, err := url.QueryUnescape(string(body)); err == nil && strings.Contains(decoded, secret) {
+			return true
+		}
+	}
+	return bytes.IndexByte(body, '\\') >= 0 && inJSON(body, secret)
+}
+
+// inJSON looks into the decoded strings of a JSON body, where an escape may hide the secret.
+func inJSON(body []byte, secret string) bool {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	for {
+		token, err := dec.Token()
+		if err != nil {
+			return false
+		}
+		if text, ok := token.(string); ok && strings.Contains(text, secret) {
+			return true
+		}
+	}
+}
+
+func leakRefusal() *outcome.Refusal {
+	return refuse(outcome.KindCredentialLeak, http.StatusBadRequest,
+		"the request contains the presented key outside of its header",
+		"send the key only in Authorization: Bearer or X-Api-Key, and replace it if others may have seen it")
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/radishshelf/radishshelf/outcome"
+	"github.com/radishshelf/radishshelf/telemetry"
+)
+
+// entryMetrics are the metrics of the request path. The label "workspace" comes from the configuration, never from a
+// caller, so that callers cannot create series.
+type entryMetrics struct {
+	registry  *telemetry.Registry
+	queueWait *metrics.Histogram
+	firstByte *metrics.Histogram
+	total     *metrics.Histogram
+	hedges    *metrics.Counter
+	leaks     *metrics.Counter
+	aborted   *metrics.Counter
+	replays   *metrics.Counter
+	groups    *metrics.Counter
+	unkept    *metrics.Counter
+}
+
+func newEntryMetrics(registry *telemetry.Registry, e *Entry) *entryMetrics {
+	m := &entryMetrics{
+		registry:  registry,
+		queueWait: registry.GetOrCreateHistogram("radishshelf_entry_queue_wait_seconds"),
+		firstByte: registry.GetOrCreateHistogram("radishshelf_entry_first_byte_seconds"),
+		total:     registry.GetOrCreateHistogram("radishshelf_entry_request_seconds"),
+		hedges:    registry.GetOrCreateCounter("radishshelf_entry_hedges_total"),
+		leaks:     registry.GetOrCreateCounter("radishshelf_entry_credential_leaks_refused_total"),
+		aborted:   registry.GetOrCreateCounter("radishshelf_entry_answers_aborted_total"),
+		replays:   registry.GetOrCreateCounter("radishshelf_entry_idempotent_replays_total"),
+		groups:    registry.GetOrCreateCounter("radishshelf_entry_groups_stored_total"),
+		unkept:    registry.GetOrCreateCounter("radishshelf_entry_groups_not_kept_total"),
+	}
+	registry.GetOrCreateGauge("radishshelf_entry_requests_in_progress", func() float64 {
+		return float64(e.requests.inProgress())
+	})
+	registry.GetOrCreateGauge("radishshelf_entry_queue_length", func() float64 { return float64(e.gate.Waiting()) })
+	return m
+}
+
+func (m *entryMetrics) finished(workspace string, what outcome.Outcome, total time.Duration) {
+	name := fmt.Sprintf("radishshelf_entry_requests_total{workspace=%q,outcome=%q}", workspace, what)
+	m.registry.GetOrCreateCounter(name).Inc()
+	m.total.Update(total.Seconds())
+}
+
+func (m *entryMetrics) refused(kind outcome.Kind) {
+	m.registry.GetOrCreateCounter(fmt.Sprintf("radishshelf_entry_refusals_total{kind=%q}", kind)).Inc()
+}
+
+func (m *entryMetrics) retried(reason string) {
+	m.registry.GetOrCreateCounter(fmt.Sprintf("radishshelf_entry_retries_total{reason=%q}", reason)).Inc()
+}
--- /dev/null
+++ b/entry/models.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+
+	"github.com/radishshelf/radishshelf/dataplane"
+	"github.com/radishshelf/radishshelf/outcome"
+)
+
+// modelList is the answer of GET /v1/models in the OpenAI convention.
+type modelList struct {
+	Object string  `json:"object"`
+	Data   []model `json:"data"`
+}
+
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// models lists the policies that the caller may use.
+func (x *exchange) models() error {
+	if refusal := x.read(); refusal != nil {
+		return refusal
+	}
+	x.record.Destination = "models"
+	list := modelList{Object: "list", Data: []model{}}
+	policies := x.view.Policies()
+	for _, name := range slices.Sorted(maps.Keys(policies)) {
+		if policyDestination(name, policies[name]).authorize(x.caller, x.view) == nil {
+			list.Data = append(list.Data, model{ID: name, Object: "model", OwnedBy: "radishshelf"})
+		}
+	}
+	if x.caller.refusal != nil && len(list.Data) == 0 {
+		return x.caller.refusal
+	}
+	body, err := json.Marshal(list)
+	if err != nil {
+		return asRefusal(err)
+	}
+	x.answerJSON(http.StatusOK, body)
+	return nil
+}
+
+// answerJSON sends an answer that this entry made itself.
+func (x *exchange) answerJSON(status int, body []byte) {
+	x.w.Header().Set("Content-Type", "application/json")
+	x.w.Header().Set(dataplane.HeaderOutcome, outcome.Ran.String())
+	x.record.Status = status
+	x.w.WriteHeader(status)
+	// A caller that has gone away needs no answer.
+	_, _ = x.w.Write(append(body, '\n'))
+}
--- /dev/null
+++ b/entry/owntls.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/radishshelf/radishshelf/settings"
+)
+
+// OwnTLS returns the mutual TLS of the ports and calls between own processes, or nil for plain TCP. The files are read
+// at every handshake, so that a renewed certificate needs no restart.
+func OwnTLS(s *settings.TLS) (*tls.Config, error) {
+	if s == nil {
+		return nil, nil
+	}
+	load := func() (*tls.Certificate, error) {
+		certificate, err := tls.LoadX509KeyPair(s.CertFile, s.KeyFile)
+		if err != nil {
+			return nil, fmt.Errorf("tls certificate: %w", err)
+		}
+		return &certificate, nil
+	}
+	if _, err := load(); err != nil {
+		return nil, err
+	}
+	pool, err := loadPool(s.CAFile)
+	if err != nil {
+		return nil, err
+	}
+	config := &tls.Config{
+		MinVersion: tls.VersionTLS13, ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: pool, RootCAs: pool,
+		GetCertificate:       func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return load() },
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return load() },
+	}
+	config.GetConfigForClient = func(*tls.ClientHelloInfo) (*tls.Config, error) {
+		fresh := config.Clone()
+		pool, err := loadPool(s.CAFile)
+		if err != nil {
+			return nil, err
+		}
+		fresh.ClientCAs = pool
+		return fresh, nil
+	}
+	return config, nil
+}
+
+func loadPool(file string) (*x509.CertPool, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("tls ca file: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, errors.New("tls ca file holds no certificate in PEM form")
+	}
+	return pool, nil
+}
+
+// LoadCredential reads the secret that own processes show each other; it is empty when no file is set.
+func LoadCredential(file string) (string, error) {
+	if file == "" {
+		return "", nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", fmt.Errorf("credential file: %w", err)
+	}
+	secret := strings.TrimSpace(string(data))
+	if secret == "" {
+		return "", fmt.Errorf("credential file %s is empty; write the shared secret into it", file)
+	}
+	return secret, nil
+}
--- /dev/null
+++ b/entry/peer/check.go
@@ -0,0 +1,50 @@
+package peer
+
+import (
+	"net/netip"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/rpc"
+)
+
+// Limits of one report.
+const (
+	maxNameBytes     = 256
+	maxStaged        = 64
+	maxCacheEvents   = 4096
+	maxSuspectsTaken = 1024
+)
+
+// checkReport returns a twirp error that names the faulty field.
+func checkReport(r *rpc.HeartbeatRequest) error {
+	names := []struct{ field, value string }{
+		{"upstream", r.GetUpstream()}, {"policy", r.GetPolicy()}, {"incarnation", r.GetIncarnation()},
+		{"data_centre", r.GetDataCentre()}, {"region", r.GetRegion()},
+	}
+	for _, name := range names {
+		if name.value == "" || len(name.value) > maxNameBytes {
+			return twirp.InvalidArgumentError(name.field, "is missing or too long")
+		}
+	}
+	if _, err := netip.ParseAddrPort(r.GetDataAddress()); err != nil {
+		return twirp.InvalidArgumentError("data_address", "is not an IP address with a port")
+	}
+	if r.GetKind() != fleetconfig.UpstreamEngine && r.GetKind() != fleetconfig.UpstreamService {
+		return twirp.InvalidArgumentError("kind", "is neither engine nor service")
+	}
+	if r.GetReportSeq() <= 0 || r.GetAgeMs() < 0 {
+		return twirp.InvalidArgumentError("report_seq", "is not positive, or the age is negative")
+	}
+	if len(r.GetStagedVersions()) > maxStaged {
+		return twirp.InvalidArgumentError("staged_versions", "are too many")
+	}
+	if len(r.GetCacheAdded()) > maxCacheEvents || len(r.GetCacheRemoved()) > maxCacheEvents {
+		return twirp.InvalidArgumentError("cache_added", "or cache_removed has too many hashes")
+	}
+	if len(r.GetSuspects()) > maxSuspectsTaken {
+		return twirp.InvalidArgumentError("suspects", "are too many")
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/peer/options.go
@@ -0,0 +1,66 @@
+// Package peer serves the calls of entries and agents on an entry's peer port.
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/membership"
+	"github.com/radishshelf/radishshelf/prefixindex"
+	"github.com/radishshelf/radishshelf/quarantine"
+	"github.com/radishshelf/radishshelf/rpc"
+	"github.com/radishshelf/radishshelf/telemetry"
+)
+
+// Members is the view of the fleet. *entry.Fleet implements it.
+type Members interface {
+	Heartbeat(report membership.Upstream, cache prefixindex.Event, suspects []quarantine.Suspect, now time.Time)
+	PassedOn(report membership.Upstream, age time.Duration, now time.Time)
+	EntryReport(e membership.Entry, age time.Duration, now time.Time)
+	Upstreams(now time.Time) []membership.Upstream
+	Suspects(now time.Time) []quarantine.Suspect
+	MergeSuspects(suspects []quarantine.Suspect, now time.Time)
+}
+
+// Syncer exchanges the configuration. *configsync.Syncer implements it.
+type Syncer interface {
+	HandleSync(ctx context.Context, req *rpc.SyncRequest) (*rpc.SyncResponse, error)
+	// Entries returns the other live entries, and Info this one.
+	Entries(now time.Time) []*rpc.EntryInfo
+	Info(now time.Time) *rpc.EntryInfo
+	View() *fleetconfig.View
+}
+
+// Groups keeps copies of completed groups for peers. *lotstore.Store implements it.
+type Groups interface {
+	HoldGroup(ctx context.Context, req *rpc.HoldGroupRequest) (*rpc.HoldGroupResponse, error)
+	ReleaseGroup(ctx context.Context, req *rpc.ReleaseGroupRequest) (*rpc.ReleaseGroupResponse, error)
+}
+
+// Quota grants shares of the workspace limits while this entry holds the role.
+type Quota interface {
+	RequestQuota(ctx context.Context, req *rpc.QuotaRequest) (*rpc.QuotaResponse, error)
+}
+
+// Usage learns which usage records are durable. *usage.Retainer implements it.
+type Usage interface {
+	Flushed(agent, incarnation string, throughSeq int64)
+}
+
+// Options are the parts of a Server. Groups, Quota and Usage may be nil.
+type Options struct {
+	Name     string
+	Syncer   Syncer
+	Members  Members
+	Roles    *RoleView
+	Groups   Groups
+	Quota    Quota
+	Usage    Usage
+	Log      zerolog.Logger
+	Registry *telemetry.Registry
+	// Now is the clock; time.Now when nil.
+	Now func() time.Time
+}
--- /dev/null
+++ b/entry/record.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/radishshelf/radishshelf/outcome"
+)
+
+// maxRecords bounds the requests that can be explained; at about 1 KiB each they stay under 4 MiB.
+const maxRecords = 4096
+
+// Explanation tells an operator what happened to one request.
+type Explanation struct {
+	RequestID string    `json:"request_id"`
+	At        time.Time `json:"at"`
+	Workspace string    `json:"workspace"`
+	// Destination is the policy or route.
+	Destination string `json:"destination"`
+	// Decisions holds one line for each choice of an upstream, and Failures one for each attempt that failed.
+	Decisions []string      `json:"decisions,omitempty"`
+	Failures  []string      `json:"failures,omitempty"`
+	Upstream  string        `json:"upstream,omitempty"`
+	Status    int           `json:"status"`
+	Outcome   string        `json:"outcome"`
+	Refusal   outcome.Kind  `json:"refusal,omitempty"`
+	QueueWait time.Duration `json:"queue_wait_ns"`
+	FirstByte time.Duration `json:"first_byte_ns"`
+	Total     time.Duration `json:"total_ns"`
+}
+
+// requestRecord collects the explanation while the request runs. Hedged samples share one record.
+type requestRecord struct {
+	mu sync.Mutex
+	Explanation
+	// begun is when the request arrived.
+	begun time.Time
+}
+
+func (r *requestRecord) decided(c chosen) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Decisions = append(r.Decisions, c.decision.String())
+}
+
+func (r *requestRecord) served(upstream string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Upstream = upstream
+}
+
+func (r *requestRecord) waited(wait time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.QueueWait = max(r.QueueWait, wait)
+}
+
+func (r *requestRecord) failed(upstream string, refusal *outcome.Refusal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Failures = append(r.Failures, upstream+": "+refusal.Error())
+}
+
+// explanations keeps the most recent explanations by request id.
+type explanations struct {
+	mu    sync.Mutex
+	byID  map[string]Explanation
+	order []string
+	next  int
+}
+
+func newExplanations() *explanations {
+	return &explanations{byID: make(map[string]Explanation), order: make([]string, 0, maxRecords)}
+}
+
+func (x *explanations) add(e Explanation) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.byID[e.RequestID] = e
+	if len(x.order) < maxRecords {
+		x.order = append(x.order, e.RequestID)
+		return
+	}
+	delete(x.byID, x.order[x.next])
+	x.order[x.next] = e.RequestID
+	x.next = (x.next + 1) % maxRecords
+}
+
+// Explain returns what happened to a recent request of this entry.
+func (e *Entry) Explain(requestID string) (Explanation, bool) {
+	e.explained.mu.Lock()
+	defer e.explained.mu.Unlock()
+	found, ok := e.explained.byID[requestID]
+	return found, ok
+}
--- /dev/null
+++ b/entry/route.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"slices"
+
+	"github.com/radishshelf/radishshelf/outcome"
+)
+
+// HeaderIdempotencyKey makes a non-idempotent request safe to send again.
+const HeaderIdempotencyKey = "Idempotency-Key"
+
+// routeMethods are the methods that plain services may use.
+var routeMethods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete,
+}
+
+// route serves the plain services by the longest configured path prefix.
+func (x *exchange) route(ctx context.Context) error {
+	name, route, ok := x.view.RouteFor(x.r.URL.Path)
+	if !ok {
+		if x.caller.refusal != nil {
+			return x.caller.refusal
+		}
+		return nothingServed("path")
+	}
+	x.record.Destination = name
+	d := routeDestination(name, route)
+	if refusal := d.authorize(x.caller, x.view); refusal != nil {
+		return refusal
+	}
+	if !slices.Contains(routeMethods, x.r.Method) {
+		return refuse(outcome.KindMethodNotAllowed, http.StatusMethodNotAllowed,
+			"the method is not allowed here", "use GET, HEAD, POST, PUT, PATCH or DELETE")
+	}
+	if refusal := x.read(); refusal != nil {
+		return refusal
+	}
+	limits := x.e.effective(x.view, x.caller.workspace, "")
+	j, refusal := x.newJob(d, x.r.URL.RequestURI(), x.body, max(route.CostTokens, 1), limits)
+	if refusal != nil {
+		return refusal
+	}
+	key := x.r.Header.Get(HeaderIdempotencyKey)
+	if key != "" && !route.Idempotent {
+		return x.deliverOnce(ctx, j, key)
+	}
+	_, err := x.deliver(ctx, j, x.newRelay())
+	return err
+}
--- /dev/null
+++ b/idempotency/claim.go
@@ -0,0 +1,48 @@
+package idempotency
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/radishshelf/radishshelf/platform"
+)
+
+// Claim is a claim row that this process wrote. Exactly one of Release and Finish ends it; a claim that is not ended
+// makes resends answer "may have run".
+type Claim struct {
+	store    *Store
+	key      string
+	revision int64
+	row      Row
+}
+
+// Release removes the row of a request that did not run, so that a resend may run.
+func (c *Claim) Release(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	_, err := c.store.table.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: c.key, Revision: c.revision}}, Deletes: []string{c.key},
+	})
+	return err
+}
+
+// Finish stores the answer of a request that ran. A nil answer, or one that is too large, is not kept.
+func (c *Claim) Finish(ctx context.Context, answer *Answer) error {
+	if answer != nil && len(answer.Body) > MaxAnswerBytes {
+		answer = nil
+	}
+	row := c.row
+	row.State = Done
+	row.Answer = answer
+	value, err := json.Marshal(row)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	_, err = c.store.table.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: c.key, Revision: c.revision}},
+		Puts:       []platform.Put{{Key: c.key, Value: value}},
+	})
+	return err
+}
--- /dev/null
+++ b/idempotency/row.go
@@ -0,0 +1,33 @@
+package idempotency
+
+import "net/http"
+
+// State is the progress of a claimed request.
+type State string
+
+const (
+	// Claimed requests may have been sent; nothing is known about their effect.
+	Claimed State = "claimed"
+	// Done requests ran; their answer is stored unless it was too large.
+	Done State = "done"
+)
+
+// Row is the value of a claim row.
+type Row struct {
+	State State `json:"state"`
+	// Content identifies method, target and body of the request.
+	Content string `json:"content"`
+	// Owner is unique for each claim. It tells a process whether a write with a lost reply was its own.
+	Owner string `json:"owner"`
+	// Entry and RequestID name the holder of the claim for operators.
+	Entry     string  `json:"entry"`
+	RequestID string  `json:"request_id"`
+	Answer    *Answer `json:"answer,omitempty"`
+}
+
+// Answer is a stored answer.
+type Answer struct {
+	Status int         `json:"status"`
+	Header http.Header `json:"header"`
+	Body   []byte      `json:"body"`
+}
--- /dev/null
+++ b/idempotency/store.go
@@ -0,0 +1,165 @@
+package idempotency
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"golang.org/x/time/rate"
+
+	"github.com/radishshelf/radishshelf/outcome"
+	"github.com/radishshelf/radishshelf/platform"
+)
+
+const (
+	// MaxAnswerBytes bounds a stored body, so that 100 claims a second stay well under the table's capacity.
+	MaxAnswerBytes = 64 << 10
+	// MaxKeyBytes bounds an idempotency key.
+	MaxKeyBytes = 256
+	// tableTimeout bounds one call to the table. A slow store must not use up the caller's deadline.
+	tableTimeout = 2 * time.Second
+	// claimRetry is the advice while the store is down.
+	claimRetry = 5 * time.Second
+)
+
+// Request identifies a request that asks for a claim.
+type Request struct {
+	Workspace string
+	Key       string
+	Content   string
+	RequestID string
+}
+
+// Store claims requests in the table.
+type Store struct {
+	table   platform.Table
+	entry   string
+	limiter *rate.Limiter
+}
+
+// NewStore returns a store for one entry that writes at most claimsPerSecond claims.
+func NewStore(table platform.Table, entry string, claimsPerSecond float64) *Store {
+	burst := max(1, int(claimsPerSecond))
+	return &Store{table: table, entry: entry, limiter: rate.NewLimiter(rate.Limit(claimsPerSecond), burst)}
+}
+
+// Claim writes the claim row of a request. It returns the claim, or the stored answer of an earlier request with the
+// same key. Errors are *outcome.Refusal.
+func (s *Store) Claim(ctx context.Context, r Request) (*Claim, *Answer, error) {
+	if r.Key == "" || len(r.Key) > MaxKeyBytes {
+		return nil, nil, invalidKey()
+	}
+	key := RowKey(r.Workspace, r.Key)
+	if !s.limiter.Allow() {
+		return s.withoutClaim(ctx, key, r)
+	}
+	row := Row{State: Claimed, Content: r.Content, Owner: uuid.NewString(), Entry: s.entry, RequestID: r.RequestID}
+	value, err := json.Marshal(row)
+	if err != nil {
+		return nil, nil, storeDown(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	result, err := s.table.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: key}}, Puts: []platform.Put{{Key: key, Value: value}},
+	})
+	if platform.IsKind(err, platform.KindUnknown) {
+		return s.lookup(ctx, key, r, row.Owner)
+	}
+	if err != nil {
+		return nil, nil, storeDown(err)
+	}
+	if result.Committed {
+		return &Claim{store: s, key: key, revision: result.Revision, row: row}, nil, nil
+	}
+	for _, current := range result.Current {
+		if current.Key == key {
+			return s.resolve(key, current, r, row.Owner)
+		}
+	}
+	return nil, nil, storeDown(fmt.Errorf("the table did not return the row %s", key))
+}
+
+// withoutClaim serves a resend while the rate of claims is used up: reading a stored answer costs no write.
+func (s *Store) withoutClaim(ctx context.Context, key string, r Request) (*Claim, *Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	current, err := s.table.Get(ctx, key)
+	if platform.IsKind(err, platform.KindNotFound) {
+		return nil, nil, tooManyClaims()
+	}
+	if err != nil {
+		return nil, nil, storeDown(err)
+	}
+	return s.resolve(key, current, r, "")
+}
+
+// lookup finds out whether a claim with a lost reply was written.
+func (s *Store) lookup(ctx context.Context, key string, r Request, owner string) (*Claim, *Answer, error) {
+	current, err := s.table.Get(ctx, key)
+	if err != nil {
+		return nil, nil, storeDown(err)
+	}
+	return s.resolve(key, current, r, owner)
+}
+
+func (s *Store) resolve(key string, current platform.Row, r Request, owner string) (*Claim, *Answer, error) {
+	var existing Row
+	if err := json.Unmarshal(current.Value, &existing); err != nil {
+		return nil, nil, storeDown(fmt.Errorf("row %s cannot be read: %w", key, err))
+	}
+	if owner != "" && existing.Owner == owner && existing.State == Claimed {
+		return &Claim{store: s, key: key, revision: current.Revision, row: existing}, nil, nil
+	}
+	verdict := Decide(&existing, r.Content)
+	if verdict == Replay {
+		return nil, existing.Answer, nil
+	}
+	return nil, nil, duplicate(verdict)
+}
+
+func invalidKey() *outcome.Refusal {
+	return &outcome.Refusal{
+		Kind: outcome.KindInvalid, Outcome: outcome.NotRun, Status: http.StatusBadRequest,
+		Message: fmt.Sprintf("the idempotency key is empty or longer than %d bytes", MaxKeyBytes),
+		Remedy:  "send a random key, for example a UUID",
+	}
+}
+
+func tooManyClaims() *outcome.Refusal {
+	return &outcome.Refusal{
+		Kind: outcome.KindOverloaded, Outcome: outcome.NotRun, Status: http.StatusServiceUnavailable,
+		Message: "too many requests with an idempotency key", Remedy: "send the request again with the same key",
+		RetryAfter: time.Second,
+	}
+}
+
+func storeDown(err error) *outcome.Refusal {
+	return &outcome.Refusal{
+		Kind: outcome.KindStoreDown, Outcome: outcome.NotRun, Status: http.StatusServiceUnavailable,
+		Message: "the idempotency key cannot be claimed because the store is unavailable",
+		Remedy:  "send the request again with the same key", RetryAfter: claimRetry, Err: err,
+	}
+}
+
+func duplicate(v Verdict) *outcome.Refusal {
+	r := &outcome.Refusal{
+		Kind: outcome.KindDuplicate, Outcome: outcome.MayHaveRun, Status: http.StatusConflict,
+		Message: "a request with this idempotency key may have run, or is still running",
+		Remedy:  "look up its effect; use a new key only if it had none",
+	}
+	switch v {
+	case Finished:
+		r.Outcome = outcome.Ran
+		r.Message = "a request with this idempotency key ran, and its answer was too large to keep"
+		r.Remedy = "look up its effect"
+	case Different:
+		r.Kind, r.Outcome, r.Status = outcome.KindConflict, outcome.NotRun, http.StatusUnprocessableEntity
+		r.Message = "the idempotency key was used for a different request"
+		r.Remedy = "use a new key for each request"
+	}
+	return r
+}
--- /dev/null
+++ b/membership/entry.go
@@ -0,0 +1,80 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Entry is the state of one entry as it reported itself.
+type Entry struct {
+	Name        string
+	PeerAddress string
+	DataCentre  string
+	Region      string
+	// Incarnation names one run of the process.
+	Incarnation string
+	Leaving     bool
+	// AppliedRevision is the configuration revision that the entry has applied.
+	AppliedRevision int64
+	// ReportedAt is when the report arrived, less its age when a peer passed it on.
+	ReportedAt time.Time
+	// Status is computed by Membership; it is ignored in reports.
+	Status Status
+}
+
+// EntryReport takes a report of an entry about itself (age 0), or one passed on by a peer with its age.
+func (m *Membership) EntryReport(e Entry, age time.Duration, now time.Time) {
+	if e.Name == "" {
+		return
+	}
+	e.ReportedAt = now.Add(-max(age, 0))
+	old, known := m.entries[e.Name]
+	if !known {
+		m.entries[e.Name] = &entryState{report: e, lineage: lineage{current: e.Incarnation}}
+		return
+	}
+	dead := m.options.status(old.report.ReportedAt, now, false, old.refused) == Dead
+	switch {
+	case e.Incarnation == old.report.Incarnation:
+		// Entries number no reports; the time of the report orders them.
+		if !e.ReportedAt.After(old.report.ReportedAt) {
+			return
+		}
+		e.AppliedRevision = max(e.AppliedRevision, old.report.AppliedRevision)
+		e.Leaving = e.Leaving || old.report.Leaving
+	case old.lineage.isSuperseded(e.Incarnation) && (age > 0 || !dead):
+		return
+	case age > 0 && (!dead || !e.ReportedAt.After(old.report.ReportedAt)):
+		return
+	}
+	old.refused = old.refused && age > 0 && e.Incarnation == old.report.Incarnation
+	old.lineage.follow(e.Incarnation)
+	old.report = e
+}
+
+// EntryRefused records that the entry's peer address refused a connection.
+func (m *Membership) EntryRefused(name string) {
+	if s, ok := m.entries[name]; ok {
+		s.refused = true
+	}
+}
+
+// Entries returns every entry in name order, with its status at now.
+func (m *Membership) Entries(now time.Time) []Entry {
+	list := make([]Entry, 0, len(m.entries))
+	for _, s := range m.entries {
+		e := s.report
+		e.Status = m.options.status(e.ReportedAt, now, e.Leaving, s.refused)
+		list = append(list, e)
+	}
+	for _, h := range m.hosts {
+		if _, reported := m.entries[h.Name]; h.Role == RoleEntry && !reported {
+			list = append(list, Entry{
+				Name: h.Name, PeerAddress: h.Address, DataCentre: h.DataCentre, Region: h.Region, Status: Candidate,
+			})
+		}
+	}
+	slices.SortFunc(list, func(a, b Entry) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
--- /dev/null
+++ b/membership/options.go
@@ -0,0 +1,50 @@
+package membership
+
+import "time"
+
+// Options set the times of a Membership.
+type Options struct {
+	// Beat is the time between two heartbeats.
+	Beat time.Duration
+	// MissedBeats is after how many missed beats a process is dead.
+	MissedBeats int
+	// Forget is after how long a dead process is dropped from the view.
+	Forget time.Duration
+}
+
+// Defaults of Options.
+const (
+	defaultBeat        = time.Second
+	defaultMissedBeats = 3
+	// defaultForget keeps the highest incarnation long enough that no delayed report of an older one is still on its
+	// way.
+	defaultForget = 10 * time.Minute
+)
+
+func (o Options) withDefaults() Options {
+	if o.Beat <= 0 {
+		o.Beat = defaultBeat
+	}
+	if o.MissedBeats <= 0 {
+		o.MissedBeats = defaultMissedBeats
+	}
+	if o.Forget <= 0 {
+		o.Forget = defaultForget
+	}
+	return o
+}
+
+// status derives the status of a process from the age of its last report. One late beat is ordinary jitter.
+func (o Options) status(reportedAt, now time.Time, left, refused bool) Status {
+	age := now.Sub(reportedAt)
+	switch {
+	case refused || age > time.Duration(o.MissedBeats)*o.Beat:
+		return Dead
+	case left:
+		return Leaving
+	case age > o.Beat+o.Beat/2:
+		return Suspect
+	default:
+		return Live
+	}
+}
--- /dev/null
+++ b/prefixindex/block.go
@@ -0,0 +1,81 @@
+package prefixindex
+
+import (
+	"container/list"
+	"time"
+)
+
+// holder is an upstream that probably holds a block.
+type holder struct {
+	upstream *upstream
+	// epoch is the upstream's epoch when the entry was confirmed.
+	epoch     int64
+	confirmed time.Time
+}
+
+// block is the set of holders of one hash.
+type block struct {
+	hash    uint64
+	holders []holder
+	// element is the place in the order of use.
+	element *list.Element
+}
+
+// upstream is what is known about the cache events of one upstream.
+type upstream struct {
+	name        string
+	incarnation string
+	lastSeq     int64
+	// epoch grows when the whole cache is known to be lost.
+	epoch int64
+	// gapAt is when events were last found to be missing.
+	gapAt time.Time
+	seen  time.Time
+}
+
+// believed reports whether the holder still counts.
+func (h holder) believed(cfg Config, now time.Time) bool {
+	if h.epoch != h.upstream.epoch {
+		return false
+	}
+	if !now.Before(h.confirmed.Add(cfg.TTL)) {
+		return false
+	}
+	gap := h.upstream.gapAt
+	return !h.confirmed.Before(gap) || now.Before(gap.Add(cfg.GapTTL))
+}
+
+func (b *block) find(u *upstream) int {
+	for i, h := range b.holders {
+		if h.upstream == u {
+			return i
+		}
+	}
+	return -1
+}
+
+// confirm adds or renews a holder; a full block replaces the holder confirmed longest ago.
+func (b *block) confirm(u *upstream, limit int, now time.Time) {
+	h := holder{upstream: u, epoch: u.epoch, confirmed: now}
+	if i := b.find(u); i >= 0 {
+		b.holders[i] = h
+		return
+	}
+	if len(b.holders) < limit {
+		b.holders = append(b.holders, h)
+		return
+	}
+	oldest := 0
+	for i := range b.holders {
+		if b.holders[i].confirmed.Before(b.holders[oldest].confirmed) {
+			oldest = i
+		}
+	}
+	b.holders[oldest] = h
+}
+
+func (b *block) remove(u *upstream) {
+	if i := b.find(u); i >= 0 {
+		b.holders = append(b.holders[:i], b.holders[i+1:]...)
+	}
+}
--- /dev/null
+++ b/prefixindex/index.go
@@ -0,0 +1,152 @@
+package prefixindex
+
+import (
+	"container/list"
+	"slices"
+	"time"
+)
+
+// Index maps block hashes to the upstreams that probably hold them.
+type Index struct {
+	cfg       Config
+	blocks    map[uint64]*block
+	used      *list.List
+	upstreams map[string]*upstream
+}
+
+// New returns an empty index.
+func New(cfg Config) *Index {
+	return &Index{cfg: cfg, blocks: make(map[uint64]*block), used: list.New(), upstreams: make(map[string]*upstream)}
+}
+
+// Routed records that a prompt with these block hashes was sent to an upstream, which will cache it.
+func (x *Index) Routed(name string, hashes []uint64, now time.Time) {
+	u := x.upstream(name, now)
+	// The first block is touched last: if it were evicted before the others, they could not be found any more.
+	for _, hash := range slices.Backward(hashes) {
+		x.block(hash).confirm(u, x.cfg.MaxHolders, now)
+	}
+}
+
+// Apply takes a cache event. A repeated or overtaken event is ignored; a missing one shortens the belief in everything
+// older; a new incarnation forgets the upstream's cache.
+func (x *Index) Apply(e Event, now time.Time) {
+	u := x.upstream(e.Upstream, now)
+	switch {
+	case u.incarnation != e.Incarnation:
+		if u.incarnation != "" {
+			u.epoch++
+		}
+		u.incarnation = e.Incarnation
+	case e.Seq <= u.lastSeq:
+		return
+	case e.Seq > u.lastSeq+1:
+		u.gapAt = now
+	}
+	u.lastSeq = e.Seq
+	for _, hash := range e.Added {
+		x.block(hash).confirm(u, x.cfg.MaxHolders, now)
+	}
+	for _, hash := range e.Removed {
+		x.removeHolder(hash, u)
+	}
+}
+
+// Forget drops everything known about an upstream whose cache is lost, for example after a crash.
+func (x *Index) Forget(name string) {
+	if u, ok := x.upstreams[name]; ok {
+		u.epoch++
+		delete(x.upstreams, name)
+	}
+}
+
+// Match returns for each upstream how many leading blocks of the prompt it probably holds; upstreams without the first
+// block are absent.
+func (x *Index) Match(hashes []uint64, now time.Time) map[string]int {
+	matched := make(map[string]int)
+	var found []*block
+	for i, hash := range hashes {
+		b, ok := x.blocks[hash]
+		if !ok {
+			break
+		}
+		if !x.extend(matched, b, i, now) {
+			break
+		}
+		found = append(found, b)
+	}
+	for _, b := range slices.Backward(found) {
+		x.used.MoveToFront(b.element)
+	}
+	return matched
+}
+
+// extend raises the count of every believed holder that held all earlier blocks.
+func (x *Index) extend(matched map[string]int, b *block, depth int, now time.Time) bool {
+	extended := false
+	for _, h := range b.holders {
+		if h.believed(x.cfg, now) && matched[h.upstream.name] == depth {
+			matched[h.upstream.name] = depth + 1
+			extended = true
+		}
+	}
+	return extended
+}
+
+// Len returns the number of blocks in memory.
+func (x *Index) Len() int { return len(x.blocks) }
+
+func (x *Index) block(hash uint64) *block {
+	if b, ok := x.blocks[hash]; ok {
+		x.used.MoveToFront(b.element)
+		return b
+	}
+	b := &block{hash: hash}
+	b.element = x.used.PushFront(b)
+	x.blocks[hash] = b
+	if len(x.blocks) > x.cfg.MaxBlocks {
+		x.drop(x.used.Back().Value.(*block))
+	}
+	return b
+}
+
+func (x *Index) drop(b *block) {
+	x.used.Remove(b.element)
+	delete(x.blocks, b.hash)
+}
+
+func (x *Index) removeHolder(hash uint64, u *upstream) {
+	b, ok := x.blocks[hash]
+	if !ok {
+		return
+	}
+	b.remove(u)
+	if len(b.holders) == 0 {
+		x.drop(b)
+	}
+}
+
+func (x *Index) upstream(name string, now time.Time) *upstream {
+	u, ok := x.upstreams[name]
+	if !ok {
+		if len(x.upstreams) >= x.cfg.MaxUpstreams {
+			x.forgetOldest()
+		}
+		u = &upstream{name: name}
+		x.upstreams[name] = u
+	}
+	u.seen = now
+	return u
+}
+
+func (x *Index) forgetOldest() {
+	var oldest *upstream
+	for _, u := range x.upstreams {
+		if oldest == nil || u.seen.Before(oldest.seen) || (u.seen.Equal(oldest.seen) && u.name < oldest.name) {
+			oldest = u
+		}
+	}
+	if oldest != nil {
+		x.Forget(oldest.name)
+	}
+}
--- /dev/null
+++ b/quarantine/list.go
@@ -0,0 +1,149 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// List holds the suspects known to one process.
+type List struct {
+	cfg     Config
+	records map[string]*record
+}
+
+// New returns an empty list.
+func New(cfg Config) *List {
+	return &List{cfg: cfg, records: make(map[string]*record)}
+}
+
+// Death adds one death to each fingerprint that ran on an upstream incarnation when it died. A repeated report of the
+// same incarnation changes nothing. It returns the fingerprints that were counted.
+func (l *List) Death(upstream, incarnation string, running []string, now time.Time) []string {
+	var counted []string
+	for _, fp := range running {
+		if l.raise(source{upstream, incarnation}, fp, 1, l.cfg.Hold, now) {
+			counted = append(counted, fp)
+		}
+	}
+	l.bound(now)
+	return counted
+}
+
+// Report takes the suspects that an agent detected itself at its upstream, as repeated in its heartbeats. Figures of
+// different upstreams add up. Suspects that the agent only learned from entries must go to Merge instead.
+func (l *List) Report(upstream, incarnation string, suspects []Suspect, now time.Time) {
+	for _, s := range suspects {
+		l.raise(source{upstream, incarnation}, s.Fingerprint, s.Deaths, s.Remaining, now)
+	}
+	l.bound(now)
+}
+
+// Merge takes the list of a peer: the maximum of the deaths, and the peer's remaining time where the peer knows more
+// deaths. An equal number of deaths extends nothing; otherwise two peers would prolong each other's entries for ever
+// by the transfer time of every exchange.
+func (l *List) Merge(suspects []Suspect, now time.Time) {
+	for _, s := range suspects {
+		if s.Remaining <= 0 || s.Deaths <= 0 {
+			continue
+		}
+		r := l.record(s.Fingerprint, now)
+		if s.Deaths <= r.deaths() {
+			continue
+		}
+		r.peers = s.Deaths
+		r.extend(now.Add(min(s.Remaining, l.cfg.Hold)))
+	}
+	l.bound(now)
+}
+
+// Check says how a request with the fingerprint may run now.
+func (l *List) Check(fingerprint string, now time.Time) Verdict {
+	r, ok := l.records[fingerprint]
+	if !ok || !now.Before(r.expires) {
+		return Verdict{Action: Run}
+	}
+	v := Verdict{Action: RunAlone, Deaths: r.deaths(), Remaining: r.expires.Sub(now)}
+	if v.Deaths >= l.cfg.RefuseDeaths {
+		v.Action = Refuse
+	}
+	return v
+}
+
+// Suspects returns at most limit suspects for a peer, the most dangerous first.
+func (l *List) Suspects(limit int, now time.Time) []Suspect {
+	var list []Suspect
+	for fp, r := range l.records {
+		if now.Before(r.expires) {
+			list = append(list, Suspect{Fingerprint: fp, Deaths: r.deaths(), Remaining: r.expires.Sub(now)})
+		}
+	}
+	slices.SortFunc(list, severity)
+	return list[:min(limit, len(list))]
+}
+
+// Len returns how many fingerprints are held in memory, expired ones included.
+func (l *List) Len() int { return len(l.records) }
+
+func (l *List) raise(s source, fp string, deaths int, remaining time.Duration, now time.Time) bool {
+	if deaths <= 0 || remaining <= 0 {
+		return false
+	}
+	r := l.record(fp, now)
+	if !r.count(s, deaths) {
+		return false
+	}
+	r.extend(now.Add(min(remaining, l.cfg.Hold)))
+	return true
+}
+
+// record returns the record of a fingerprint, emptied when it was forgotten for a whole hold time.
+func (l *List) record(fp string, now time.Time) *record {
+	r, ok := l.records[fp]
+	if !ok || l.forgotten(r, now) {
+		r = &record{sources: make(map[source]int)}
+		l.records[fp] = r
+	}
+	return r
+}
+
+func (r *record) extend(expires time.Time) {
+	if expires.After(r.expires) {
+		r.expires = expires
+	}
+}
+
+// forgotten reports that an expired record can go. It is kept for one more hold time, so that a peer whose copy
+// expires later cannot bring it back.
+func (l *List) forgotten(r *record, now time.Time) bool {
+	return !r.expires.IsZero() && !now.Before(r.expires.Add(l.cfg.Hold))
+}
+
+// bound removes forgotten records, then the least dangerous ones beyond the limit.
+func (l *List) bound(now time.Time) {
+	if len(l.records) <= l.cfg.MaxSuspects {
+		return
+	}
+	list := make([]Suspect, 0, len(l.records))
+	for fp, r := range l.records {
+		if l.forgotten(r, now) {
+			delete(l.records, fp)
+			continue
+		}
+		s := Suspect{Fingerprint: fp, Remaining: r.expires.Sub(now)}
+		if now.Before(r.expires) {
+			s.Deaths = r.deaths()
+		}
+		list = append(list, s)
+	}
+	slices.SortFunc(list, severity)
+	for _, s := range list[min(l.cfg.MaxSuspects, len(list)):] {
+		delete(l.records, s.Fingerprint)
+	}
+}
+
+// severity orders by deaths and time left, both falling, and by fingerprint for a stable result.
+func severity(a, b Suspect) int {
+	return cmp.Or(cmp.Compare(b.Deaths, a.Deaths), cmp.Compare(b.Remaining, a.Remaining),
+		cmp.Compare(a.Fingerprint, b.Fingerprint))
+}
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,116 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Guards against overspending: with lost and late replies, changing demand and a change of the role holder, the rates
+// of all entries never add up to more than the limit.
+func TestSumOfSharesNeverExceedsLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := Config{MaxEntries: 4, StaticPart: rapid.Float64Range(0, 1).Draw(t, "static"), GrantFor: 5 * time.Second, Burst: time.Second, DemandInterval: time.Second}
+		const limit = 1000.0
+		limits := func(string) float64 { return limit }
+		now := start
+		granter := NewGranter(cfg, now)
+		shares := make([]*Shares, cfg.MaxEntries)
+		for i := range shares {
+			shares[i] = NewShares(cfg)
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, len(shares)-1).Draw(t, "entry")
+			shares[i].Take("w", limit, rapid.Int64Range(0, 3000).Draw(t, "cost"), now)
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0:
+				granter = NewGranter(cfg, now)
+			case 1, 2:
+				granter.Request(fmt.Sprint(i), shares[i].Demands(now), limits, now)
+			default:
+				sent := now
+				now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "delay")) * time.Millisecond)
+				grants := granter.Request(fmt.Sprint(i), shares[i].Demands(sent), limits, now)
+				shares[i].Apply(grants, sent, now)
+			}
+			sum := 0.0
+			for _, s := range shares {
+				sum += s.Rate("w", now)
+			}
+			if sum > limit+1e-6 {
+				t.Fatalf("shares add up to %v of %v", sum, limit)
+			}
+		}
+	})
+}
+
+// Guards against consumption above the rate: debt for a large request must be paid back before the next one.
+func TestTakeKeepsTheRateInTheLongRun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := Config{MaxEntries: 1, StaticPart: 0.5, Burst: 2 * time.Second, DemandInterval: time.Second}
+		const limit, largest = 200.0, 1500
+		s := NewShares(cfg)
+		now, used := start, 0.0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			cost := rapid.Int64Range(1, largest).Draw(t, "cost")
+			if s.Take("w", limit, cost, now).Allowed {
+				used += float64(cost)
+			}
+			s.Demands(now)
+			allowed := limit/2*(now.Sub(start).Seconds()+cfg.Burst.Seconds()) + largest
+			if used > allowed+1e-3 {
+				t.Fatalf("used %v of %v", used, allowed)
+			}
+		}
+	})
+}
+
+// Guards against a RetryAfter at which the caller is refused again.
+func TestRetryAfterIsEnough(t *testing.T) {
+	cfg := DefaultConfig()
+	s := NewShares(cfg)
+	now := start
+	for range 50 {
+		v := s.Take("w", 1600, 60, now)
+		if v.Allowed {
+			continue
+		}
+		now = now.Add(v.RetryAfter + time.Microsecond)
+		if v = s.Take("w", 1600, 60, now); !v.Allowed {
+			t.Fatalf("refused again after the given time, %v more", v.RetryAfter)
+		}
+	}
+}
+
+// Guards against a granted half that stays with entries without demand.
+func TestGrantsFollowDemand(t *testing.T) {
+	cfg := DefaultConfig()
+	limits := func(string) float64 { return 1000 }
+	g := NewGranter(cfg, start)
+	if got := g.Request("a", []Demand{{"w", 900}}, limits, start); len(got) != 0 {
+		t.Fatalf("a new holder granted %v while older grants may be valid", got)
+	}
+	now := g.ReadyAt()
+	first := g.Request("a", []Demand{{"w", 900}}, limits, now)
+	if len(first) != 1 || first[0].TokensPerSecond != 500 {
+		t.Fatalf("sole demand got %v", first)
+	}
+	now = now.Add(time.Second)
+	if got := g.Request("b", []Demand{{"w", 900}}, limits, now); got[0].TokensPerSecond != 0 {
+		t.Fatalf("b got %v while a holds everything", got)
+	}
+	now = now.Add(time.Second)
+	g.Request("a", []Demand{{"w", 900}}, limits, now)
+	now = now.Add(cfg.GrantFor - time.Second)
+	g.Request("b", []Demand{{"w", 900}}, limits, now)
+	g.Request("a", []Demand{{"w", 900}}, limits, now)
+	if got := g.Request("b", []Demand{{"w", 900}}, limits, now); got[0].TokensPerSecond != 250 {
+		t.Fatalf("after a's larger grant expired b got %v, want 250", got)
+	}
+}
--- /dev/null
+++ b/quota/shares.go
@@ -0,0 +1,94 @@
+package quota
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// idleIntervals is after how many demand intervals without traffic a workspace is forgotten.
+const idleIntervals = 60
+
+// Shares are the shares of one entry in the limits of all workspaces.
+type Shares struct {
+	cfg     Config
+	buckets map[string]*bucket
+}
+
+// NewShares returns shares without grants.
+func NewShares(cfg Config) *Shares {
+	return &Shares{cfg: cfg, buckets: make(map[string]*bucket)}
+}
+
+// Take asks for cost tokens of a workspace whose limit over all entries is limit tokens per second; 0 is unlimited.
+func (s *Shares) Take(workspace string, limit float64, cost int64, now time.Time) Verdict {
+	if limit <= 0 {
+		return Verdict{Allowed: true}
+	}
+	return s.bucket(workspace, limit, now).take(s.cfg, float64(cost), now)
+}
+
+// Adjust corrects an earlier Take once the real number of tokens is known; extra is negative when fewer were used.
+func (s *Shares) Adjust(workspace string, extra int64, now time.Time) {
+	b, ok := s.buckets[workspace]
+	if !ok {
+		return
+	}
+	b.accrue(s.cfg, now)
+	b.balance -= float64(extra)
+	b.balance = min(b.balance, b.rate(s.cfg, now)*s.cfg.Burst.Seconds())
+}
+
+// Demands returns the demand of each active workspace for the request to the role holder.
+func (s *Shares) Demands(now time.Time) []Demand {
+	var demands []Demand
+	for _, name := range slices.Sorted(maps.Keys(s.buckets)) {
+		b := s.buckets[name]
+		b.measure(s.cfg, now)
+		b.accrue(s.cfg, now)
+		// A debt outlives the idle time: forgetting it would give the workspace a new full bucket.
+		if b.balance >= 0 && now.Sub(b.used) > idleIntervals*s.cfg.DemandInterval {
+			delete(s.buckets, name)
+			continue
+		}
+		demands = append(demands, Demand{Workspace: name, TokensPerSecond: b.demand})
+	}
+	return demands
+}
+
+// Apply takes grants. requestedAt is when the request for them was sent; the validity counts from there, so that it
+// ends here before it ends at the granter, without comparing clocks.
+func (s *Shares) Apply(grants []Grant, requestedAt, now time.Time) {
+	for _, g := range grants {
+		b, ok := s.buckets[g.Workspace]
+		if !ok {
+			continue
+		}
+		b.accrue(s.cfg, now)
+		b.grant = g.TokensPerSecond
+		b.grantUntil = requestedAt.Add(g.ValidFor)
+	}
+}
+
+// Rate returns the current share of a workspace in tokens per second; 0 when it had no traffic.
+func (s *Shares) Rate(workspace string, now time.Time) float64 {
+	b, ok := s.buckets[workspace]
+	if !ok {
+		return 0
+	}
+	return b.rate(s.cfg, now)
+}
+
+func (s *Shares) bucket(workspace string, limit float64, now time.Time) *bucket {
+	b, ok := s.buckets[workspace]
+	if !ok {
+		b = &bucket{limit: limit, updated: now, used: now, since: now}
+		b.balance = b.rate(s.cfg, now) * s.cfg.Burst.Seconds()
+		s.buckets[workspace] = b
+	}
+	if b.limit != limit {
+		b.accrue(s.cfg, now)
+		b.limit = limit
+	}
+	return b
+}
--- /dev/null
+++ b/retry/latency.go
@@ -0,0 +1,39 @@
+package retry
+
+import (
+	"slices"
+	"time"
+)
+
+// latencyWindow is how many recent latencies are kept; of 256, twelve lie above the 95th percentile.
+const latencyWindow = 256
+
+// Latencies keeps the most recent latencies of one kind of work.
+type Latencies struct {
+	recent []time.Duration
+	next   int
+}
+
+// Observe adds the latency of one finished attempt.
+func (l *Latencies) Observe(d time.Duration) {
+	if len(l.recent) < latencyWindow {
+		l.recent = append(l.recent, d)
+		return
+	}
+	l.recent[l.next] = d
+	l.next = (l.next + 1) % latencyWindow
+}
+
+// Count returns how many latencies are kept.
+func (l *Latencies) Count() int { return len(l.recent) }
+
+// Quantile returns the latency below which the share q of the kept latencies lies; 0 when there are none.
+func (l *Latencies) Quantile(q float64) time.Duration {
+	if len(l.recent) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(l.recent)
+	slices.Sort(sorted)
+	i := int(q * float64(len(sorted)))
+	return sorted[min(max(i, 0), len(sorted)-1)]
+}
--- /dev/null
+++ b/retry/reason.go
@@ -0,0 +1,16 @@
+package retry
+
+// Reason says why an attempt is or is not repeated; it is used in log lines and as a metric label.
+type Reason string
+
+// Reasons of a Decision.
+const (
+	ReasonNotRun        Reason = "not_run"
+	ReasonIdempotent    Reason = "idempotent"
+	ReasonFinished      Reason = "finished"
+	ReasonBytesPassed   Reason = "bytes_passed_on"
+	ReasonNotIdempotent Reason = "not_idempotent"
+	ReasonAttempts      Reason = "attempts_used"
+	ReasonDeadline      Reason = "deadline"
+	ReasonBudget        Reason = "budget_empty"
+)
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,112 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/radishshelf/radishshelf/outcome"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Guards against a retry storm: over any history, retries stay below the earned share plus the minimum over time.
+func TestBudgetNeverExceedsWhatWasEarned(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := BudgetConfig{Share: 0.1, MinPerSecond: 0.5, MaxSaved: 10}
+		b := NewBudget(cfg, start)
+		now := start
+		tries, spent := 0, 0
+		for range rapid.IntRange(1, 500).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "first") {
+				b.FirstTry(now)
+				tries++
+			} else if b.Spend(now) {
+				spent++
+			}
+			earned := cfg.MinPerSecond + cfg.Share*float64(tries) + cfg.MinPerSecond*now.Sub(start).Seconds()
+			if float64(spent) > earned+1e-6 {
+				t.Fatalf("spent %d retries of %.2f earned", spent, earned)
+			}
+			if got := b.Balance(now); got > cfg.MaxSaved || got < 0 {
+				t.Fatalf("balance %.2f is outside 0..%v", got, cfg.MaxSaved)
+			}
+		}
+	})
+}
+
+// Guards against rounding that keeps the tenth first try from paying for a retry.
+func TestTenFirstTriesPayOneRetry(t *testing.T) {
+	b := NewBudget(BudgetConfig{Share: 0.1, MaxSaved: 5}, start)
+	for range 10 {
+		b.FirstTry(start)
+	}
+	if !b.Spend(start) || b.Spend(start) {
+		t.Fatalf("ten first tries must pay for exactly one retry; balance %v", b.Balance(start))
+	}
+}
+
+// Guards against running a non-idempotent request twice, and against a second answer after bytes were passed on.
+func TestDecide(t *testing.T) {
+	base := Attempt{Number: 1, Outcome: outcome.MayHaveRun, Idempotent: true, DeadlineLeft: time.Second}
+	tests := []struct {
+		name   string
+		change func(*Attempt)
+		want   Decision
+	}{
+		{"idempotent without an answer", func(*Attempt) {}, Decision{true, ReasonIdempotent}},
+		{"not idempotent without an answer", func(a *Attempt) { a.Idempotent = false }, Decision{false, ReasonNotIdempotent}},
+		{"not idempotent, not run", func(a *Attempt) { a.Idempotent = false; a.Outcome = outcome.NotRun }, Decision{true, ReasonNotRun}},
+		{"bytes passed on", func(a *Attempt) { a.BytesPassedOn = 1 }, Decision{false, ReasonBytesPassed}},
+		{"ran", func(a *Attempt) { a.Outcome = outcome.Ran }, Decision{false, ReasonFinished}},
+		{"last attempt", func(a *Attempt) { a.Number = 3 }, Decision{false, ReasonAttempts}},
+		{"deadline passed", func(a *Attempt) { a.DeadlineLeft = 0 }, Decision{false, ReasonDeadline}},
+		{"no time for another", func(a *Attempt) { a.Needed = 2 * time.Second }, Decision{false, ReasonDeadline}},
+	}
+	for _, tt := range tests {
+		a := base
+		tt.change(&a)
+		b := NewBudget(BudgetConfig{MinPerSecond: 1, MaxSaved: 1}, start)
+		if got := DefaultPolicy().Decide(a, b, start); got != tt.want {
+			t.Errorf("%s: %+v, want %+v", tt.name, got, tt.want)
+		}
+	}
+	empty := NewBudget(BudgetConfig{MaxSaved: 1}, start)
+	if got := DefaultPolicy().Decide(base, empty, start); got.Reason != ReasonBudget {
+		t.Errorf("empty budget: %+v", got)
+	}
+}
+
+// Guards against hedging work that must not run twice, and against hedging every sample of a slow group.
+func TestHedge(t *testing.T) {
+	observed := &Latencies{}
+	for i := range 100 {
+		observed.Observe(time.Duration(i+1) * 100 * time.Millisecond)
+	}
+	base := Straggler{Idempotent: true, Missing: 1, Copies: 1, Running: 11 * time.Second, DeadlineLeft: time.Minute}
+	tests := []struct {
+		name     string
+		change   func(*Straggler)
+		observed *Latencies
+		want     HedgeReason
+	}{
+		{"last missing and slow", func(*Straggler) {}, observed, HedgeSlow},
+		{"not idempotent", func(s *Straggler) { s.Idempotent = false }, observed, HedgeNotIdempotent},
+		{"two missing", func(s *Straggler) { s.Missing = 2 }, observed, HedgeNotLast},
+		{"hedged before", func(s *Straggler) { s.Copies = 2 }, observed, HedgeAlready},
+		{"not slow yet", func(s *Straggler) { s.Running = 9 * time.Second }, observed, HedgeEarly},
+		{"deadline too near", func(s *Straggler) { s.DeadlineLeft = time.Second }, observed, HedgeDeadline},
+		{"nothing observed", func(*Straggler) {}, &Latencies{}, HedgeUnknown},
+	}
+	for _, tt := range tests {
+		s := base
+		tt.change(&s)
+		b := NewBudget(BudgetConfig{MinPerSecond: 1, MaxSaved: 1}, start)
+		ok, got := DefaultHedgeConfig().Hedge(s, tt.observed, b, start)
+		if got != tt.want || ok != (tt.want == HedgeSlow) {
+			t.Errorf("%s: %v %s, want %s", tt.name, ok, got, tt.want)
+		}
+	}
+}
--- /dev/null
+++ b/routing/decision.go
@@ -0,0 +1,55 @@
+package routing
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Part is what one scorer gave, in seconds.
+type Part struct {
+	Scorer string
+	Cost   float64
+}
+
+// Scored is one sampled candidate.
+type Scored struct {
+	Candidate Candidate
+	Parts     []Part
+	Total     float64
+}
+
+// Removed is how many candidates one filter removed.
+type Removed struct {
+	Filter string
+	Count  int
+}
+
+// Decision explains the choice of one upstream.
+type Decision struct {
+	RequestID  string
+	Chosen     Candidate
+	Candidates int
+	Removed    []Removed
+	// Sampled holds the compared candidates, best first.
+	Sampled []Scored
+}
+
+// String returns the decision as one line of key=value pairs.
+func (d Decision) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "request=%s chosen=%s candidates=%d", d.RequestID, d.Chosen.Name, d.Candidates)
+	for _, r := range d.Removed {
+		fmt.Fprintf(&b, " removed.%s=%d", r.Filter, r.Count)
+	}
+	for _, s := range d.Sampled {
+		fmt.Fprintf(&b, " cost.%s=%.3f(", s.Candidate.Name, s.Total)
+		for i, p := range s.Parts {
+			if i > 0 {
+				b.WriteByte(',')
+			}
+			fmt.Fprintf(&b, "%s:%.3f", p.Scorer, p.Cost)
+		}
+		b.WriteByte(')')
+	}
+	return b.String()
+}
--- /dev/null
+++ b/routing/filter.go
@@ -0,0 +1,21 @@
+package routing
+
+// Filter keeps the candidates that may run a request.
+type Filter interface {
+	// Name is the key in Decision.Removed and in the log line.
+	Name() string
+	Keep(req *Request, c *Candidate) bool
+}
+
+// Filters returns all filters in the order in which they run.
+func Filters(inflight *InFlight) []Filter {
+	return []Filter{
+		AliveFilter{},
+		LeavingFilter{},
+		ServesFilter{},
+		VersionFilter{},
+		HealthFilter{},
+		ExcludedFilter{},
+		ExclusiveFilter{InFlight: inflight},
+	}
+}
--- /dev/null
+++ b/routing/filter_alive.go
@@ -0,0 +1,10 @@
+package routing
+
+// AliveFilter removes upstreams whose heartbeats stopped.
+type AliveFilter struct{}
+
+// Name implements Filter.
+func (AliveFilter) Name() string { return "alive" }
+
+// Keep implements Filter.
+func (AliveFilter) Keep(_ *Request, c *Candidate) bool { return c.Alive }
--- /dev/null
+++ b/routing/filter_excluded.go
@@ -0,0 +1,14 @@
+package routing
+
+import "slices"
+
+// ExcludedFilter removes upstreams that already failed this request.
+type ExcludedFilter struct{}
+
+// Name implements Filter.
+func (ExcludedFilter) Name() string { return "excluded" }
+
+// Keep implements Filter.
+func (ExcludedFilter) Keep(req *Request, c *Candidate) bool {
+	return !slices.Contains(req.Excluded, c.Name)
+}
--- /dev/null
+++ b/routing/filter_exclusive.go
@@ -0,0 +1,21 @@
+package routing
+
+// ExclusiveFilter keeps a crash suspect away from other requests: it runs only on an idle upstream, and an upstream
+// that runs one takes nothing else.
+type ExclusiveFilter struct {
+	InFlight *InFlight
+}
+
+// Name implements Filter.
+func (ExclusiveFilter) Name() string { return "exclusive" }
+
+// Keep implements Filter.
+func (f ExclusiveFilter) Keep(req *Request, c *Candidate) bool {
+	if c.Reserved {
+		return false
+	}
+	if !req.Exclusive {
+		return true
+	}
+	return c.Running == 0 && c.Queued == 0 && f.InFlight.Count(c.Name) == 0
+}
--- /dev/null
+++ b/routing/filter_health.go
@@ -0,0 +1,10 @@
+package routing
+
+// HealthFilter removes upstreams whose agent reports a failed probe.
+type HealthFilter struct{}
+
+// Name implements Filter.
+func (HealthFilter) Name() string { return "health" }
+
+// Keep implements Filter.
+func (HealthFilter) Keep(_ *Request, c *Candidate) bool { return c.Healthy }
--- /dev/null
+++ b/routing/inflight.go
@@ -0,0 +1,59 @@
+package routing
+
+import "time"
+
+// sent is one attempt of this entry that is still running.
+type sent struct {
+	upstream string
+	tokens   int64
+	at       time.Time
+}
+
+// InFlight counts this entry's own attempts per upstream. It is exact and current, unlike the load reports.
+type InFlight struct {
+	attempts   map[string]sent
+	byUpstream map[string]map[string]sent
+}
+
+// NewInFlight returns an empty count.
+func NewInFlight() *InFlight {
+	return &InFlight{attempts: make(map[string]sent), byUpstream: make(map[string]map[string]sent)}
+}
+
+// Sent adds an attempt; attempt must be unique, for example request id and attempt number.
+func (f *InFlight) Sent(attempt, upstream string, tokens int64, now time.Time) {
+	f.Done(attempt)
+	s := sent{upstream: upstream, tokens: tokens, at: now}
+	f.attempts[attempt] = s
+	if f.byUpstream[upstream] == nil {
+		f.byUpstream[upstream] = make(map[string]sent)
+	}
+	f.byUpstream[upstream][attempt] = s
+}
+
+// Done removes an attempt; an unknown one is ignored.
+func (f *InFlight) Done(attempt string) {
+	s, ok := f.attempts[attempt]
+	if !ok {
+		return
+	}
+	delete(f.attempts, attempt)
+	delete(f.byUpstream[s.upstream], attempt)
+	if len(f.byUpstream[s.upstream]) == 0 {
+		delete(f.byUpstream, s.upstream)
+	}
+}
+
+// Count returns the running attempts at an upstream.
+func (f *InFlight) Count(upstream string) int { return len(f.byUpstream[upstream]) }
+
+// Tokens returns the cost of all running attempts at an upstream and of those sent after a time.
+func (f *InFlight) Tokens(upstream string, after time.Time) (all, later int64) {
+	for _, s := range f.byUpstream[upstream] {
+		all += s.tokens
+		if s.at.After(after) {
+			later += s.tokens
+		}
+	}
+	return all, later
+}
--- /dev/null
+++ b/routing/picker.go
@@ -0,0 +1,34 @@
+package routing
+
+import (
+	"math/rand"
+	"slices"
+)
+
+// Picker draws the candidates that are scored. Comparing a few random candidates instead of all keeps many entries
+// with the same stale view from choosing the same upstream.
+type Picker struct {
+	Rand          *rand.Rand
+	NearSamples   int
+	AnySamples    int
+	PrefixSamples int
+}
+
+// Sample returns distinct candidates: some of the nearest, some of those with the longest prefix, and some of all. It
+// reorders the slices.
+func (p Picker) Sample(kept, near, prefix []*Candidate) []*Candidate {
+	sampled := p.draw(nil, near, p.NearSamples)
+	sampled = p.draw(sampled, prefix, p.PrefixSamples)
+	return p.draw(sampled, kept, p.AnySamples)
+}
+
+// draw adds up to n candidates of pool that are not sampled yet.
+func (p Picker) draw(sampled, pool []*Candidate, n int) []*Candidate {
+	fresh := slices.DeleteFunc(pool, func(c *Candidate) bool { return slices.Contains(sampled, c) })
+	for i := range min(n, len(fresh)) {
+		j := i + p.Rand.Intn(len(fresh)-i)
+		fresh[i], fresh[j] = fresh[j], fresh[i]
+		sampled = append(sampled, fresh[i])
+	}
+	return sampled
+}
--- /dev/null
+++ b/routing/router.go
@@ -0,0 +1,155 @@
+package routing
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/radishshelf/radishshelf/outcome"
+)
+
+// PrefixMatcher answers how many leading prompt blocks each upstream probably holds. *prefixindex.Index implements it.
+type PrefixMatcher interface {
+	Match(hashes []uint64, now time.Time) map[string]int
+}
+
+// Router chooses upstreams for one entry.
+type Router struct {
+	cfg      Config
+	filters  []Filter
+	prefixes PrefixMatcher
+	inflight *InFlight
+	picker   Picker
+}
+
+// New returns a router. The caller records attempts in inflight and prompts in prefixes.
+func New(cfg Config, prefixes PrefixMatcher, inflight *InFlight, random *rand.Rand) *Router {
+	return &Router{
+		cfg:      cfg,
+		filters:  Filters(inflight),
+		prefixes: prefixes,
+		inflight: inflight,
+		picker: Picker{
+			Rand:          random,
+			NearSamples:   cfg.NearSamples,
+			AnySamples:    cfg.AnySamples,
+			PrefixSamples: cfg.PrefixSamples,
+		},
+	}
+}
+
+// Route chooses an upstream. When no candidate is left it returns the decision with the counts of the filters and an
+// *outcome.Refusal of kind no_upstream.
+func (r *Router) Route(req Request, candidates []Candidate, now time.Time) (Decision, error) {
+	d := Decision{RequestID: req.ID, Candidates: len(candidates)}
+	kept, removed := r.filter(&req, candidates)
+	d.Removed = removed
+	if len(kept) == 0 {
+		return d, r.refusal(&req, d)
+	}
+	prefix := PrefixScorer{BlockTokens: r.cfg.BlockTokens, PrefillTokensPerSecond: r.cfg.PrefillTokensPerSecond}
+	if len(req.Prefix) > 0 {
+		prefix.Matched = r.prefixes.Match(req.Prefix, now)
+	}
+	place := r.place()
+	near := cheapest(kept, func(c *Candidate) float64 { return place.Cost(&req, c, now) })
+	var holders []*Candidate
+	if len(prefix.Matched) > 0 {
+		holders = cheapest(kept, func(c *Candidate) float64 { return prefix.Cost(&req, c, now) })
+	}
+	if len(holders) > 0 && prefix.Matched[holders[0].Name] == 0 {
+		holders = nil
+	}
+	scorers := []Scorer{prefix, r.wait(), place}
+	for _, c := range r.picker.Sample(kept, near, holders) {
+		d.Sampled = append(d.Sampled, score(scorers, &req, c, now))
+	}
+	slices.SortStableFunc(d.Sampled, func(a, b Scored) int { return cmp.Compare(a.Total, b.Total) })
+	d.Chosen = d.Sampled[0].Candidate
+	return d, nil
+}
+
+func (r *Router) wait() WaitScorer {
+	return WaitScorer{
+		InFlight:               r.inflight,
+		MaxReportAge:           r.cfg.MaxReportAge,
+		DefaultTokensPerSecond: r.cfg.DefaultTokensPerSecond,
+	}
+}
+
+func (r *Router) place() PlaceScorer {
+	return PlaceScorer{
+		DataCentre:       r.cfg.DataCentre,
+		Region:           r.cfg.Region,
+		CrossDataCentre:  r.cfg.CrossDataCentre,
+		CrossRegion:      r.cfg.CrossRegion,
+		CrossRegionPerMB: r.cfg.CrossRegionPerMB,
+	}
+}
+
+func (r *Router) filter(req *Request, candidates []Candidate) (kept []*Candidate, removed []Removed) {
+	counts := make([]int, len(r.filters))
+	kept = make([]*Candidate, 0, len(candidates))
+	for n := range candidates {
+		c := &candidates[n]
+		i := slices.IndexFunc(r.filters, func(f Filter) bool { return !f.Keep(req, c) })
+		if i < 0 {
+			kept = append(kept, c)
+			continue
+		}
+		counts[i]++
+	}
+	for i, n := range counts {
+		if n > 0 {
+			removed = append(removed, Removed{Filter: r.filters[i].Name(), Count: n})
+		}
+	}
+	return kept, removed
+}
+
+func (r *Router) refusal(req *Request, d Decision) error {
+	var causes []string
+	for _, m := range d.Removed {
+		causes = append(causes, fmt.Sprintf("%s %d", m.Filter, m.Count))
+	}
+	return &outcome.Refusal{
+		Kind:       outcome.KindNoUpstream,
+		Outcome:    outcome.NotRun,
+		Message:    fmt.Sprintf("none of %d upstreams can run %q now (removed: %s)", d.Candidates, req.Serves, strings.Join(causes, ", ")),
+		Remedy:     "repeat the request after the given time",
+		RetryAfter: r.cfg.RetryAfter,
+		Status:     http.StatusServiceUnavailable,
+	}
+}
+
+func score(scorers []Scorer, req *Request, c *Candidate, now time.Time) Scored {
+	s := Scored{Candidate: *c}
+	for _, scorer := range scorers {
+		cost := scorer.Cost(req, c, now)
+		s.Parts = append(s.Parts, Part{Scorer: scorer.Name(), Cost: cost})
+		s.Total += cost
+	}
+	return s
+}
+
+// cheapest returns the candidates with the lowest cost.
+func cheapest(candidates []*Candidate, cost func(*Candidate) float64) []*Candidate {
+	var best []*Candidate
+	lowest := 0.0
+	for _, c := range candidates {
+		v := cost(c)
+		if len(best) > 0 && v > lowest {
+			continue
+		}
+		if len(best) > 0 && v < lowest {
+			best = best[:0]
+		}
+		lowest = v
+		best = append(best, c)
+	}
+	return best
+}
--- /dev/null
+++ b/routing/scorer_place.go
@@ -0,0 +1,28 @@
+package routing
+
+import "time"
+
+// PlaceScorer charges the delay and the billed volume of leaving the entry's data centre and region.
+type PlaceScorer struct {
+	DataCentre       string
+	Region           string
+	CrossDataCentre  time.Duration
+	CrossRegion      time.Duration
+	CrossRegionPerMB time.Duration
+}
+
+const bytesPerMB = 1e6
+
+// Name implements Scorer.
+func (PlaceScorer) Name() string { return "place" }
+
+// Cost implements Scorer.
+func (s PlaceScorer) Cost(req *Request, c *Candidate, _ time.Time) float64 {
+	if c.Region != s.Region {
+		return s.CrossRegion.Seconds() + float64(req.Bytes)/bytesPerMB*s.CrossRegionPerMB.Seconds()
+	}
+	if c.DataCentre != s.DataCentre {
+		return s.CrossDataCentre.Seconds()
+	}
+	return 0
+}
