--- /dev/null
+++ b/measure/cache.go
@@ -0,0 +1,45 @@
+package measure
+
+import "container/list"
+
+// prefixCache is an engine's cache of prompt blocks; the blocks unused for longest are evicted.
+type prefixCache struct {
+	capacity int
+	order    *list.List
+	blocks   map[uint64]*list.Element
+}
+
+func newPrefixCache(capacity int) *prefixCache {
+	return &prefixCache{capacity: capacity, order: list.New(), blocks: make(map[uint64]*list.Element)}
+}
+
+// leading returns how many first blocks of a prompt are cached.
+func (c *prefixCache) leading(prompt []uint64) int {
+	for i, hash := range prompt {
+		if _, ok := c.blocks[hash]; !ok {
+			return i
+		}
+	}
+	return len(prompt)
+}
+
+// insert stores a prompt and returns what was added and evicted. The last block is touched first, so that the end of a
+// prompt is evicted before its beginning.
+func (c *prefixCache) insert(prompt []uint64) (added, evicted []uint64) {
+	for i := len(prompt) - 1; i >= 0; i-- {
+		hash := prompt[i]
+		if e, ok := c.blocks[hash]; ok {
+			c.order.MoveToFront(e)
+			continue
+		}
+		c.blocks[hash] = c.order.PushFront(hash)
+		added = append(added, hash)
+	}
+	for len(c.blocks) > c.capacity {
+		oldest := c.order.Back()
+		hash := c.order.Remove(oldest).(uint64)
+		delete(c.blocks, hash)
+		evicted = append(evicted, hash)
+	}
+	return added, evicted
+}
--- /dev/null
+++ b/measure/deadline.go
@@ -0,0 +1,105 @@
+package measure
+
+import (
+	"fmt"
+	"time"
+)
+
+// Phases of the overload scenario, and the attempts of a client.
+const (
+	deadlineBefore   = time.Minute
+	deadlineOverload = 2 * time.Minute
+	deadlineAfter    = 5 * time.Minute
+	deadlineCalm     = 0.7
+	deadlineAttempts = 4
+)
+
+// Recovery is reached at the end of the first window in which this share of new requests succeed at once.
+const (
+	recoveryWindow = 5 * time.Second
+	recoveryShare  = 0.95
+)
+
+// DeadlineScenario compares admission by deadline with a plain queue at an overload of factor times the capacity.
+func DeadlineScenario(factor float64) Scenario {
+	return Scenario{
+		Name:    fmt.Sprintf("(c) admission by deadline, two minutes at %g times capacity, four attempts", factor),
+		Against: "plain queue with retries on timeout (clients that left are taken out of the queue)",
+		Run: func(u User, seed int64) []Figure {
+			policy := runDeadline(u, seed, factor, func(s *Sim, p *Pool) gate { return newFairGate(s, p, u.AnswerTokens) })
+			baseline := runDeadline(u, seed, factor, func(_ *Sim, p *Pool) gate { return newPlainGate(p) })
+			return []Figure{
+				{"goodput during overload", "of capacity", HigherIsBetter, policy.goodput(), baseline.goodput()},
+				{"amplification", "attempts/request", LowerIsBetter, policy.amplification(), baseline.amplification()},
+				{"recovery after the fall", "s (300: not within 300)", LowerIsBetter, policy.recovery(), baseline.recovery()},
+			}
+		},
+	}
+}
+
+// deadlineRun is what one run measured.
+type deadlineRun struct {
+	client   *Client
+	capacity float64
+	tokens   float64
+	// sent and succeeded count first attempts by window after the fall.
+	sent      []int
+	succeeded []int
+}
+
+func (r *deadlineRun) goodput() float64 { return r.tokens / (r.capacity * deadlineOverload.Seconds()) }
+
+func (r *deadlineRun) amplification() float64 {
+	return float64(r.client.Sent) / float64(r.client.Requests)
+}
+
+// recovery returns the length of the whole phase when no window was good.
+func (r *deadlineRun) recovery() float64 {
+	for i := range r.sent {
+		if r.sent[i] > 0 && float64(r.succeeded[i]) >= recoveryShare*float64(r.sent[i]) {
+			return float64(i+1) * recoveryWindow.Seconds()
+		}
+	}
+	return deadlineAfter.Seconds()
+}
+
+func runDeadline(u User, seed int64, factor float64, newGate func(*Sim, *Pool) gate) *deadlineRun {
+	s := NewSim(seed)
+	cfg := DefaultEngineConfig()
+	pool := NewPool(s, u.Engines(s, cfg), cfg)
+	client := &Client{
+		sim: s, user: u, pool: pool, gate: newGate(s, pool), prompts: NewPrompts(s, u, cfg), attempts: deadlineAttempts,
+	}
+	windows := int(deadlineAfter / recoveryWindow)
+	run := &deadlineRun{client: client, capacity: pool.Capacity(), sent: make([]int, windows), succeeded: make([]int, windows)}
+	client.ended = run.add
+	rate := func() float64 {
+		load := deadlineCalm
+		if at := s.Elapsed(); at >= deadlineBefore && at < deadlineBefore+deadlineOverload {
+			load = factor
+		}
+		return load * pool.Capacity() / u.AnswerTokens
+	}
+	s.Poisson(rate, func() {
+		w := pick(s, u.Weights)
+		client.Send(w, u.Weights[w])
+	})
+	s.Run(deadlineBefore + deadlineOverload + deadlineAfter)
+	return run
+}
+
+func (r *deadlineRun) add(a attempt) {
+	end := a.end.Sub(epoch)
+	if a.ok && end >= deadlineBefore && end < deadlineBefore+deadlineOverload {
+		r.tokens += float64(a.prompt.Answer)
+	}
+	since := a.begin.Sub(epoch) - deadlineBefore - deadlineOverload
+	if since < 0 || a.number != 1 {
+		return
+	}
+	i := int(since / recoveryWindow)
+	r.sent[i]++
+	if a.ok {
+		r.succeeded[i]++
+	}
+}
--- /dev/null
+++ b/measure/fairness.go
@@ -0,0 +1,119 @@
+package measure
+
+import "time"
+
+// Length and load of the fairness scenario. Every workspace sends a little less than its share, one of the small ones
+// ten times as much.
+const (
+	fairnessLength = 10 * time.Minute
+	fairnessWarmUp = time.Minute
+	fairnessLoad   = 0.9
+	floodFactor    = 10
+)
+
+// FairnessScenario compares the fair queue with first come first served.
+func FairnessScenario() Scenario {
+	return Scenario{
+		Name:    "(b) fair sharing by tokens, one workspace sends ten times its share",
+		Against: "first come first served with the same deadline check",
+		Run: func(u User, seed int64) []Figure {
+			policy := runFairness(u, seed, func(s *Sim, p *Pool) gate { return newFairGate(s, p, u.AnswerTokens) })
+			baseline := runFairness(u, seed, func(s *Sim, p *Pool) gate { return &arrivalGate{newFairGate(s, p, u.AnswerTokens)} })
+			return []Figure{
+				{"worst-served workspace", "of its requests in time", HigherIsBetter, policy.worst(), baseline.worst()},
+				{"its latency p95", "s", LowerIsBetter, policy.worstLatency(), baseline.worstLatency()},
+				{"flooding workspace", "of capacity", Informative, policy.flooder(), baseline.flooder()},
+				{"all answers in time", "of capacity", HigherIsBetter, policy.total(), baseline.total()},
+			}
+		},
+	}
+}
+
+// arrivalGate puts all requests into one queue, which makes the fair queue first come first served.
+type arrivalGate struct {
+	*fairGate
+}
+
+func (g *arrivalGate) offer(w waiting) {
+	w.item.Workspace, w.item.Weight = "all", 1
+	g.fairGate.offer(w)
+}
+
+// fairnessRun counts by workspace; the last one floods.
+type fairnessRun struct {
+	capacity  float64
+	requests  []float64
+	inTime    []float64
+	tokens    []float64
+	latencies [][]float64
+}
+
+func (r *fairnessRun) flood() int { return len(r.requests) - 1 }
+
+// worst is the smallest share of requests answered in time over the workspaces that keep to their share.
+func (r *fairnessRun) worst() float64 {
+	lowest := 1.0
+	for i := range r.flood() {
+		lowest = min(lowest, r.inTime[i]/r.requests[i])
+	}
+	return lowest
+}
+
+// worstLatency is the highest 95th percentile over the same workspaces. A request without an answer counts with the
+// time until it was given up.
+func (r *fairnessRun) worstLatency() float64 {
+	highest := 0.0
+	for i := range r.flood() {
+		highest = max(highest, quantile(r.latencies[i], 0.95))
+	}
+	return highest
+}
+
+func (r *fairnessRun) flooder() float64 { return r.tokens[r.flood()] / r.capacity }
+
+func (r *fairnessRun) total() float64 {
+	sum := 0.0
+	for _, t := range r.tokens {
+		sum += t
+	}
+	return sum / r.capacity
+}
+
+func runFairness(u User, seed int64, newGate func(*Sim, *Pool) gate) *fairnessRun {
+	s := NewSim(seed)
+	cfg := DefaultEngineConfig()
+	pool := NewPool(s, u.Engines(s, cfg), cfg)
+	count := len(u.Weights)
+	run := &fairnessRun{
+		capacity: pool.Capacity() * (fairnessLength - fairnessWarmUp).Seconds(),
+		requests: make([]float64, count), inTime: make([]float64, count), tokens: make([]float64, count),
+		latencies: make([][]float64, count),
+	}
+	client := &Client{sim: s, user: u, pool: pool, gate: newGate(s, pool), prompts: NewPrompts(s, u, cfg), attempts: 1}
+	client.ended = run.add
+	sum := 0.0
+	for _, w := range u.Weights {
+		sum += w
+	}
+	for i, w := range u.Weights {
+		rate := fairnessLoad * pool.Capacity() * w / sum / u.AnswerTokens
+		if i == run.flood() {
+			rate *= floodFactor / fairnessLoad
+		}
+		s.Poisson(func() float64 { return rate }, func() { client.Send(i, w) })
+	}
+	s.Run(fairnessLength)
+	return run
+}
+
+func (r *fairnessRun) add(a attempt) {
+	if a.begin.Sub(epoch) < fairnessWarmUp {
+		return
+	}
+	r.requests[a.workspace]++
+	r.latencies[a.workspace] = append(r.latencies[a.workspace], a.end.Sub(a.begin).Seconds())
+	if a.ok {
+		r.inTime[a.workspace]++
+		r.tokens[a.workspace] += float64(a.prompt.Answer)
+	}
+}
--- /dev/null
+++ b/measure/groups.go
@@ -0,0 +1,85 @@
+package measure
+
+import (
+	"time"
+)
+
+// Length and load of the group scenario. Two trainers share the engines with live traffic; one lot needs about as long
+// to generate as to train on, so that weights change every two and a half minutes. While a trainer works on one lot,
+// the next is generated and nothing beyond it, which keeps samples fresh and makes a straggler hold up the step.
+const (
+	groupsLength   = 30 * time.Minute
+	groupsWarmUp   = 5 * time.Minute
+	groupsTrainers = 2
+	groupsLive     = 0.15
+	lotLoad        = 0.38
+	trainTime      = 150 * time.Second
+	groupSize      = 8
+	// openGroups is how many unfinished groups a trainer keeps; together they need a little more than all slots.
+	openGroups = 40
+	// maxStaleness is the bound at the pull in versions.
+	maxStaleness = 2
+)
+
+// Faults of single attempts: discarded labels, and a start that hangs.
+const (
+	discardShare = 0.02
+	stallShare   = 0.01
+	stallTime    = time.Minute
+)
+
+// GroupsScenario compares priority to what completes a group, and hedging, with plain order.
+func GroupsScenario() Scenario {
+	return Scenario{
+		Name:    "(d) groups of 8: priority to what completes a group, and hedging; 1% of the attempts hang for 60 s, 2% are discarded",
+		Against: "the same queue in plain order, without hedging",
+		Run: func(u User, seed int64) []Figure {
+			policy := runGroups(u, seed, true)
+			baseline := runGroups(u, seed, false)
+			return []Figure{
+				{"time to whole group p50", "s", LowerIsBetter, quantile(policy.whole, 0.5), quantile(baseline.whole, 0.5)},
+				{"time to whole group p99", "s", LowerIsBetter, quantile(policy.whole, 0.99), quantile(baseline.whole, 0.99)},
+				{"trainer idle", "of time", LowerIsBetter, policy.idleShare(), baseline.idleShare()},
+				{"staleness mean", "versions", LowerIsBetter, mean(policy.ages), mean(baseline.ages)},
+				{"staleness max", "versions", LowerIsBetter, quantile(policy.ages, 1), quantile(baseline.ages, 1)},
+				{"wasted tokens", "of generated", LowerIsBetter, policy.wastedShare(), baseline.wastedShare()},
+			}
+		},
+	}
+}
+
+// groupsRun is what one run measured.
+type groupsRun struct {
+	whole     []float64
+	ages      []float64
+	idle      time.Duration
+	generated float64
+	wasted    float64
+}
+
+func (r *groupsRun) idleShare() float64 {
+	return r.idle.Seconds() / (groupsTrainers * (groupsLength - groupsWarmUp).Seconds())
+}
+
+func (r *groupsRun) wastedShare() float64 { return r.wasted / r.generated }
+
+func runGroups(u User, seed int64, policy bool) *groupsRun {
+	s := NewSim(seed)
+	cfg := DefaultEngineConfig()
+	pool := NewPool(s, u.Engines(s, cfg), cfg)
+	queue := newFairGate(s, pool, u.AnswerTokens)
+	run := &groupsRun{}
+	lot := int(lotLoad * pool.Capacity() * trainTime.Seconds() / u.AnswerTokens / groupSize)
+	for i := range groupsTrainers {
+		t := newTrainer(s, u, pool, queue, run, i, lot, policy)
+		t.refill()
+		if policy {
+			s.Every(hedgeInterval, t.hedge)
+		}
+	}
+	live := &Client{sim: s, user: u, pool: pool, gate: queue, prompts: NewPrompts(s, u, cfg), attempts: 1, ended: func(attempt) {}}
+	rate := groupsLive * pool.Capacity() / u.AnswerTokens
+	s.Poisson(func() float64 { return rate }, func() { live.Send(0, 1) })
+	s.Run(groupsLength)
+	return run
+}
--- /dev/null
+++ b/measure/stats.go
@@ -0,0 +1,45 @@
+package measure
+
+import (
+	"math"
+	"slices"
+)
+
+// quantile returns the value below which the share q lies; NaN without values.
+func quantile(values []float64, q float64) float64 {
+	if len(values) == 0 {
+		return math.NaN()
+	}
+	sorted := slices.Clone(values)
+	slices.Sort(sorted)
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
+
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum / float64(len(values))
+}
+
+// lognormal draws an integer with the given mean and spread of the logarithm, between 1 and limit.
+func lognormal(s *Sim, mean, sigma float64, limit int) int {
+	v := math.Exp(math.Log(mean) - sigma*sigma/2 + sigma*s.Rand.NormFloat64())
+	return min(max(int(v), 1), limit)
+}
+
+// pick draws an index with the given weights.
+func pick(s *Sim, weights []float64) int {
+	sum := 0.0
+	for _, w := range weights {
+		sum += w
+	}
+	x := s.Rand.Float64() * sum
+	for i, w := range weights {
+		if x -= w; x < 0 {
+			return i
+		}
+	}
+	return len(weights) - 1
+}
--- /dev/null
+++ b/measure/workload.go
@@ -0,0 +1,78 @@
+package measure
+
+import (
+	"encoding/binary"
+	"math"
+
+	"github.com/radishshelf/radishshelf/prefixindex"
+)
+
+// documentsPerWorkspace is how many distinct prompt beginnings a workspace uses. All of them together need six
+// (Hraunvegur) and ten (Verband) times the cache of one engine.
+const documentsPerWorkspace = 60
+
+// ownBlocks is the part of a prompt that no other prompt shares.
+const ownBlocks = 4
+
+// blockBytes is the size of a prompt block in the model, where a number stands for its text.
+const blockBytes = 8
+
+// bytesPerToken and bytesPerEvent convert prompts and streamed answers into volume.
+const (
+	bytesPerToken = 4
+	bytesPerEvent = 60
+)
+
+// Prompt is the input of one generated request.
+type Prompt struct {
+	Workspace int
+	Blocks    []uint64
+	Tokens    int
+	Answer    int
+	// Bytes is the volume of prompt and answer.
+	Bytes int64
+}
+
+// Prompts draws requests of one user.
+type Prompts struct {
+	sim    *Sim
+	user   User
+	engine EngineConfig
+	// popularity of documents follows Zipf's law.
+	popularity []float64
+	serial     uint64
+}
+
+// NewPrompts returns a source of requests.
+func NewPrompts(s *Sim, u User, engine EngineConfig) *Prompts {
+	p := &Prompts{sim: s, user: u, engine: engine}
+	for i := range documentsPerWorkspace {
+		p.popularity = append(p.popularity, 1/math.Pow(float64(i+1), 0.8))
+	}
+	return p
+}
+
+// Next draws a request.
+func (p *Prompts) Next() Prompt {
+	w := pick(p.sim, p.user.Weights)
+	document := pick(p.sim, p.popularity)
+	total := p.user.PrefixBlocks + ownBlocks
+	var text []byte
+	for i := range p.user.PrefixBlocks {
+		text = binary.BigEndian.AppendUint64(text, uint64(document*total+i))
+	}
+	for range ownBlocks {
+		p.serial++
+		text = binary.BigEndian.AppendUint64(text, 1<<63|p.serial)
+	}
+	scope := prefixindex.Scope{Workspace: string(rune('a' + w)), Policy: "p", Version: 1}
+	tokens := total * p.engine.BlockTokens
+	answer := lognormal(p.sim, p.user.AnswerTokens, 0.6, int(8*p.user.AnswerTokens))
+	return Prompt{
+		Workspace: w,
+		Blocks:    prefixindex.Chain(scope, text, blockBytes, total),
+		Tokens:    tokens,
+		Answer:    answer,
+		Bytes:     int64(tokens*bytesPerToken + answer*bytesPerEvent),
+	}
+}
--- /dev/null
+++ b/standin/quickstart/addresses.go
@@ -0,0 +1,23 @@
+package quickstart
+
+// Addresses of examples/quickstart.
+const (
+	platformURL  = "http://127.0.0.1:17000"
+	entry1Caller = "http://127.0.0.1:17110"
+	entry2Caller = "http://127.0.0.1:17120"
+	entry2Admin  = "127.0.0.1:17121"
+	engine1URL   = "http://127.0.0.1:17210"
+	engine2URL   = "http://127.0.0.1:17220"
+	deskURL      = "http://127.0.0.1:17230"
+	trainerURL   = "http://127.0.0.1:17300"
+)
+
+const policy = "trip-fares"
+
+// statusURLs are the status ports of the own processes.
+func statusURLs() []string {
+	return []string{
+		"http://127.0.0.1:17113", "http://127.0.0.1:17123",
+		"http://127.0.0.1:17213", "http://127.0.0.1:17223", "http://127.0.0.1:17233",
+	}
+}
--- /dev/null
+++ b/standin/quickstart/chat.go
@@ -0,0 +1,91 @@
+package quickstart
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/radishshelf/radishshelf/agent/engineapi"
+)
+
+func chatBody(content string, tokens int, stream bool) engineapi.ChatRequest {
+	return engineapi.ChatRequest{
+		Model: policy, Messages: []engineapi.Message{{Role: "user", Content: content}}, MaxTokens: tokens, Stream: stream,
+	}
+}
+
+// chat sends a plain chat completion and returns the number of generated tokens.
+func chat(ctx context.Context, base, key, content string, tokens int) (int64, error) {
+	a, err := call(ctx, http.MethodPost, base+"/v1/chat/completions", key, chatBody(content, tokens, false))
+	if err != nil {
+		return 0, err
+	}
+	if a.status != http.StatusOK {
+		return 0, fmt.Errorf("chat completion: status %d: %s", a.status, a.body)
+	}
+	var resp engineapi.ChatResponse
+	if err := json.Unmarshal(a.body, &resp); err != nil {
+		return 0, err
+	}
+	if resp.Usage == nil || resp.Usage.CompletionTokens != int64(tokens) {
+		return 0, fmt.Errorf("chat completion: usage %+v, want %d tokens", resp.Usage, tokens)
+	}
+	return resp.Usage.CompletionTokens, nil
+}
+
+// stream is an open streamed chat completion.
+type stream struct {
+	resp   *http.Response
+	reader *bufio.Reader
+	chunks int
+	done   bool
+}
+
+func openStream(ctx context.Context, base, key, content string, tokens int) (*stream, error) {
+	resp, err := open(ctx, http.MethodPost, base+"/v1/chat/completions", key, chatBody(content, tokens, true))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		data, _ := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+		resp.Body.Close()
+		return nil, fmt.Errorf("stream: status %d: %s", resp.StatusCode, data)
+	}
+	return &stream{resp: resp, reader: bufio.NewReader(resp.Body)}, nil
+}
+
+// next reads one event; io.EOF is a clean end of the body.
+func (s *stream) next() error {
+	for {
+		line, err := s.reader.ReadString('\n')
+		if data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: "); ok {
+			if data == engineapi.DoneEvent {
+				s.done = true
+			} else {
+				s.chunks++
+			}
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// finish reads the rest and fails unless the stream ended whole.
+func (s *stream) finish() error {
+	defer s.resp.Body.Close()
+	for {
+		err := s.next()
+		if err == io.EOF && s.done {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("stream ended after %d chunks, done=%v: %w", s.chunks, s.done, err)
+		}
+	}
+}
--- /dev/null
+++ b/standin/quickstart/operations.go
@@ -0,0 +1,196 @@
+package quickstart
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/radishshelf/radishshelf/operatorclient"
+	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/usage"
+)
+
+// longStreamTokens last several seconds at the stand-in engine's rate of 800 tokens a second over eight slots.
+const longStreamTokens = 400
+
+// withdrawTarget is the stated bound: a withdrawn key stops working within seconds.
+const withdrawTarget = 5 * time.Second
+
+// checkWithdrawKey withdraws a key through the other entry while a stream under it is open.
+func checkWithdrawKey(ctx context.Context, f *fleet) (string, error) {
+	s, err := openStream(ctx, entry1Caller, f.secrets["verband-2"], "long", 4*longStreamTokens)
+	if err != nil {
+		return "", err
+	}
+	defer s.resp.Body.Close()
+	if err := s.next(); err != nil {
+		return "", err
+	}
+	var grant operatorclient.KeyGrant
+	data, err := os.ReadFile(filepath.Join(f.dir, "verband-2.key.json"))
+	if err != nil {
+		return "", err
+	}
+	if err := json.Unmarshal(data, &grant); err != nil {
+		return "", err
+	}
+	start := time.Now()
+	if _, err := operatorclient.New(entry2Admin, operatorclient.Options{}).WithdrawKey(ctx, grant.ID); err != nil {
+		return "", err
+	}
+	for err == nil {
+		err = s.next()
+	}
+	ended := time.Since(start)
+	if s.done || err == io.EOF {
+		return "", fmt.Errorf("the stream ended cleanly: done=%v after %s", s.done, ended)
+	}
+	if ended > withdrawTarget {
+		return "", fmt.Errorf("the stream ended %s after the withdrawal, target %s", ended, withdrawTarget)
+	}
+	a, err := call(ctx, http.MethodPost, entry1Caller+"/v1/chat/completions", f.secrets["verband-2"], chatBody("x", 4, false))
+	if err != nil || a.status != http.StatusUnauthorized {
+		return "", fmt.Errorf("after the withdrawal: status %d: %s: %w", a.status, a.body, err)
+	}
+	return fmt.Sprintf("stream_aborted_after=%s next_request=401", ended.Round(time.Millisecond)), nil
+}
+
+// checkUsageWindow waits for reported windows and compares them with what was served.
+func checkUsageWindow(ctx context.Context, _ *fleet) (string, error) {
+	var reports []memory.TakenReport
+	totals := map[string]int64{}
+	err := poll(ctx, "usage reports of both workspaces", func() (bool, error) {
+		if err := get(ctx, platformURL+"/admin/usage", &reports); err != nil {
+			return false, err
+		}
+		clear(totals)
+		for _, r := range reports {
+			var figures usage.Figures
+			if err := json.Unmarshal(r.Body, &figures); err != nil {
+				return false, err
+			}
+			if r.Conflicts > 0 {
+				return false, fmt.Errorf("report %s arrived with different figures", r.ID)
+			}
+			totals[figures.Workspace] += figures.Requests
+		}
+		// eight chat completions each, the lookup of hraunvegur and the one execution of verband's booking
+		return totals["hraunvegur"] >= 9 && totals["verband"] >= 9, nil
+	})
+	if err != nil {
+		return "", fmt.Errorf("%w; totals so far %v", err, totals)
+	}
+	return fmt.Sprintf("reports=%d requests_hraunvegur=%d requests_verband=%d conflicts=0",
+		len(reports), totals["hraunvegur"], totals["verband"]), nil
+}
+
+// checkOrderlyStop stops the agent of the second engine with a stream open on it: the stream ends whole, and requests
+// go on through the first engine.
+func checkOrderlyStop(ctx context.Context, f *fleet) (string, error) {
+	streams, err := openOnBothEngines(ctx, f)
+	if err != nil {
+		return "", err
+	}
+	if err := f.signal("agent-engine-2", syscall.SIGTERM); err != nil {
+		return "", err
+	}
+	served := 0
+	for range 10 {
+		if _, err := chat(ctx, entry2Caller, f.secrets["hraunvegur"], "during the stop", 8); err != nil {
+			return "", err
+		}
+		served++
+	}
+	for _, s := range streams {
+		if err := s.finish(); err != nil {
+			return "", err
+		}
+	}
+	return fmt.Sprintf("streams_whole=%d served_meanwhile=%d", len(streams), served), nil
+}
+
+// openOnBothEngines opens streams until both engines run at least one.
+func openOnBothEngines(ctx context.Context, f *fleet) ([]*stream, error) {
+	var streams []*stream
+	for i := range 6 {
+		s, err := openStream(ctx, entry1Caller, f.secrets["hraunvegur"], fmt.Sprintf("open stream %d", i), longStreamTokens)
+		if err != nil {
+			return nil, err
+		}
+		if err := s.next(); err != nil {
+			return nil, err
+		}
+		streams = append(streams, s)
+	}
+	for _, base := range []string{engine1URL, engine2URL} {
+		var status struct {
+			Running int `json:"running"`
+		}
+		if err := get(ctx, base+"/control/status", &status); err != nil {
+			return nil, err
+		}
+		if status.Running == 0 {
+			return nil, fmt.Errorf("no stream runs on %s; the router sent all to one engine", base)
+		}
+	}
+	return streams, nil
+}
+
+// checkKilledEngine kills the second engine; its agent is stopped already, and the first engine serves on.
+func checkKilledEngine(ctx context.Context, f *fleet) (string, error) {
+	if err := f.signal("engine-2", syscall.SIGKILL); err != nil {
+		return "", err
+	}
+	served := 0
+	for range 10 {
+		for _, base := range []string{entry1Caller, entry2Caller} {
+			if _, err := chat(ctx, base, f.secrets["verband"], "after the kill", 8); err != nil {
+				return "", err
+			}
+			served++
+		}
+	}
+	return fmt.Sprintf("served=%d failed=0", served), nil
+}
+
+// checkEntryShutdown stops the first entry with a stream open: the stream ends whole, then the process is gone.
+func checkEntryShutdown(ctx context.Context, f *fleet) (string, error) {
+	s, err := openStream(ctx, entry1Caller, f.secrets["hraunvegur"], "last stream", 2*longStreamTokens)
+	if err != nil {
+		return "", err
+	}
+	if err := s.next(); err != nil {
+		return "", err
+	}
+	if err := f.signal("entry-1", syscall.SIGTERM); err != nil {
+		return "", err
+	}
+	if err := s.finish(); err != nil {
+		return "", err
+	}
+	start := time.Now()
+	err = poll(ctx, "the end of entry-1", func() (bool, error) { return f.exited("entry-1") })
+	if err != nil {
+		return "", err
+	}
+	if _, err := chat(ctx, entry2Caller, f.secrets["hraunvegur"], "through the other entry", 8); err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("chunks=%d exited_after=%s", s.chunks, time.Since(start).Round(time.Millisecond)), nil
+}
+
+// exited reads the end of the process from its log, since only the script can wait for it.
+func (f *fleet) exited(name string) (bool, error) {
+	data, err := os.ReadFile(filepath.Join(f.dir, name+".log"))
+	if err != nil {
+		return false, err
+	}
+	return strings.Contains(string(data), `event="entry stopped"`), nil
+}
