Make the quickstart's orderly stop repeatable and a retry test strict

TestResetAfterSendRunsOnce passed without the rule for non-idempotent work, because its default retry budget was empty. Change: streams are opened through both entries until both engines run one; the test grants an ample budget.

--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -17,7 +18,8 @@
 
 // Guards against a second execution of a request that must not be repeated, when the connection breaks after the send.
 func TestResetAfterSendRunsOnce(t *testing.T) {
-	r := newRig(t, nil)
+	// With an ample retry budget, so that only the rule for non-idempotent work keeps the request from running again.
+	r := newRig(t, func(o *Options) { o.Settings.RetryShare = 1 })
 	var executions atomic.Int32
 	reset := func(http.ResponseWriter, *http.Request) {
 		executions.Add(1)
@@ -223,7 +225,7 @@
 	r.do("POST", "/book", testSecret, "x").wantRefusal(t, outcome.KindLeaving, outcome.NotRun)
 	stopped := make(chan struct{})
 	go func() {
-		shutdownServer(r.server.Config)
+		_ = r.server.Config.Shutdown(context.Background())
 		close(stopped)
 	}()
 	close(finish)
--- a/standin/quickstart/operations.go
+++ b/standin/quickstart/operations.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/radishshelf/radishshelf/agent/engineapi"
 	"github.com/radishshelf/radishshelf/operatorclient"
 	"github.com/radishshelf/radishshelf/platform/memory"
 	"github.com/radishshelf/radishshelf/usage"
@@ -116,11 +117,13 @@
 	return fmt.Sprintf("streams_whole=%d served_meanwhile=%d", len(streams), served), nil
 }
 
-// openOnBothEngines opens streams until both engines run at least one.
+// openOnBothEngines opens streams through both entries until both engines run at least one.
 func openOnBothEngines(ctx context.Context, f *fleet) ([]*stream, error) {
+	const maxStreams = 12
 	var streams []*stream
-	for i := range 6 {
-		s, err := openStream(ctx, entry1Caller, f.secrets["hraunvegur"], fmt.Sprintf("open stream %d", i), longStreamTokens)
+	for i := range maxStreams {
+		base := []string{entry1Caller, entry2Caller}[i%2]
+		s, err := openStream(ctx, base, f.secrets["hraunvegur"], fmt.Sprintf("open stream %d", i), longStreamTokens)
 		if err != nil {
 			return nil, err
 		}
@@ -128,19 +131,25 @@
 			return nil, err
 		}
 		streams = append(streams, s)
+		both, err := bothEnginesRun(ctx)
+		if both || err != nil {
+			return streams, err
+		}
 	}
+	return nil, fmt.Errorf("the router sent %d streams to one engine", maxStreams)
+}
+
+func bothEnginesRun(ctx context.Context) (bool, error) {
 	for _, base := range []string{engine1URL, engine2URL} {
-		var status struct {
-			Running int `json:"running"`
-		}
-		if err := get(ctx, base+"/control/status", &status); err != nil {
-			return nil, err
+		var status engineapi.Status
+		if err := get(ctx, base+engineapi.PathStatus, &status); err != nil {
+			return false, err
 		}
 		if status.Running == 0 {
-			return nil, fmt.Errorf("no stream runs on %s; the router sent all to one engine", base)
+			return false, nil
 		}
 	}
-	return streams, nil
+	return true, nil
 }
 
 // checkKilledEngine kills the second engine; its agent is stopped already, and the first engine serves on.
