Let the quota holder go on while the table is down

Cause: the lease of the role quota lapses in an outage of the table, and every limited workspace fell to its static share, half of the limit over the maximum of entries, for as long as the outage lasts. Ruled out: long grants (a cut-off entry would keep a share that was given to others); a larger static part (0.35 of the limit is unused under even demand already). Change: the last holder goes on granting while its freshness verdict names an outage of the store. Conclusion: TestQuotaAuthorityInOutage covers outage, cut and pause.

--- a/cmd/radishshelf-entry/process.go
+++ b/cmd/radishshelf-entry/process.go
@@ -94,7 +94,7 @@
 	p.store = configstore.New(p.services.Table)
 	p.roleView = peer.NewRoleView(p.ownRoles)
 	p.syncer = configsync.New(configsync.Options{
-		Name: s.Name, PeerAddress: p.listeners.peer.Addr().String(), DataCentre: s.DataCentre, Region: s.Region,
+		Name: s.Name, PeerAddress: p.peerAddress(), DataCentre: s.DataCentre, Region: s.Region,
 		Incarnation: p.incarnation, Peers: s.Peers, Source: p.store, Dial: p.dialer.Dial,
 		Participants: []configsync.Participant{peer.NewParticipant(p.fleet, p.roleView, nil)},
 		Logger:       p.log, Registry: p.registry,
@@ -109,9 +109,17 @@
 	return nil
 }
 
+// peerAddress returns the address under which other processes reach the peer port.
+func (p *process) peerAddress() string {
+	if p.settings.AdvertisedPeerAddress != "" {
+		return p.settings.AdvertisedPeerAddress
+	}
+	return p.listeners.peer.Addr().String()
+}
+
 func (p *process) buildEntry() {
 	p.shares = entry.NewQuotaShares(p.settings.Name, p.syncer)
-	p.holder = entry.NewQuotaHolder(p.roles.Authority(roles.Quota), p.syncer)
+	p.holder = entry.NewQuotaHolder(entry.NewQuotaAuthority(p.roles.Authority(roles.Quota), p.syncer), p.syncer)
 	p.entry = entry.New(entry.Options{
 		Settings: p.settings, Log: p.log, Registry: p.registry, Tracer: p.tracer, Config: p.syncer, Fleet: p.fleet,
 		Client: dataplane.NewClient(p.tls, p.credential), Quota: p.shares,
--- /dev/null
+++ b/entry/quotaauthority.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/radishshelf/radishshelf/fleetconfig"
+)
+
+// FreshnessSource returns the verdict of the freshness rule. configsync.Syncer implements it.
+type FreshnessSource interface {
+	Verdict(now time.Time) fleetconfig.Verdict
+}
+
+// QuotaAuthority lets the last holder of the quota role go on during an outage of the table. The lease cannot be
+// renewed then, but nobody can take it over either; without this, every limited workspace would fall to the static
+// share for as long as the table is down. An entry that is cut off gets another verdict within seconds and stops long
+// before a successor on the other side has waited out the lease.
+type QuotaAuthority struct {
+	lease     Authority
+	freshness FreshnessSource
+
+	mu   sync.Mutex
+	term int64
+	// heldAt is the last moment at which the lease or the outage rule allowed to act.
+	heldAt time.Time
+}
+
+// outageGap is the longest time without authority after which the outage rule may still continue it. It covers the time
+// in which the lease has lapsed and the freshness rule does not name the outage yet, and stays below the shortest time
+// in which a successor can take over with the default lease.
+const outageGap = 10 * time.Second
+
+// NewQuotaAuthority returns an authority that follows lease while the table answers.
+func NewQuotaAuthority(lease Authority, freshness FreshnessSource) *QuotaAuthority {
+	return &QuotaAuthority{lease: lease, freshness: freshness}
+}
+
+// MayAct implements Authority.
+func (a *QuotaAuthority) MayAct(now time.Time) (term int64, ok bool) {
+	term, held := a.lease.MayAct(now)
+	verdict := a.freshness.Verdict(now)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if held {
+		a.term, a.heldAt = term, now
+		return term, true
+	}
+	if a.term == 0 || now.Sub(a.heldAt) > outageGap {
+		a.term = 0
+		return 0, false
+	}
+	if !verdict.Serve || verdict.Reason != fleetconfig.ReasonStoreDown {
+		return 0, false
+	}
+	a.heldAt = now
+	return a.term, true
+}
--- /dev/null
+++ b/entry/quotaauthority_test.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/radishshelf/radishshelf/fleetconfig"
+)
+
+type fakeLease struct{ term int64 }
+
+func (l *fakeLease) MayAct(time.Time) (int64, bool) { return l.term, l.term != 0 }
+
+type fakeFreshness struct{ verdict fleetconfig.Verdict }
+
+func (f *fakeFreshness) Verdict(time.Time) fleetconfig.Verdict { return f.verdict }
+
+// Guards against workspaces that fall to their static share while the table is down, and against a former holder that
+// goes on granting after it was cut off or after a pause.
+func TestQuotaAuthorityInOutage(t *testing.T) {
+	lease, freshness := &fakeLease{term: 3}, &fakeFreshness{}
+	a := NewQuotaAuthority(lease, freshness)
+	now := time.Unix(0, 0)
+	check := func(step string, want int64) {
+		t.Helper()
+		if term, ok := a.MayAct(now); term != want || ok != (want != 0) {
+			t.Fatalf("%s: MayAct = %d, %v; want term %d", step, term, ok, want)
+		}
+	}
+	confirmed := fleetconfig.Verdict{Serve: true, Reason: fleetconfig.ReasonConfirmed}
+	storeDown := fleetconfig.Verdict{Serve: true, Reason: fleetconfig.ReasonStoreDown}
+	freshness.verdict = confirmed
+	check("holding", 3)
+
+	lease.term = 0
+	now = now.Add(2 * time.Second)
+	check("lease lapsed, table not known to be down", 0)
+	freshness.verdict = storeDown
+	for range 20 {
+		now = now.Add(5 * time.Second)
+		check("table down", 3)
+	}
+	freshness.verdict = fleetconfig.Verdict{Reason: fleetconfig.ReasonTooFewPeers}
+	now = now.Add(time.Second)
+	check("cut off", 0)
+	freshness.verdict = storeDown
+	now = now.Add(outageGap)
+	check("after a pause", 0)
+
+	lease.term = 5
+	check("holding again", 5)
+}
+
+// Guards against an entry that grants without ever having held the role.
+func TestQuotaAuthorityNeverHeld(t *testing.T) {
+	freshness := &fakeFreshness{verdict: fleetconfig.Verdict{Serve: true, Reason: fleetconfig.ReasonStoreDown}}
+	if _, ok := NewQuotaAuthority(&fakeLease{}, freshness).MayAct(time.Unix(0, 0)); ok {
+		t.Fatal("an entry that never held the role may act")
+	}
+}
