--- /dev/null
+++ b/drain/example_test.go
@@ -0,0 +1,24 @@
+package drain_test
+
+import (
+	"fmt"
+
+	"github.com/radishshelf/radishshelf/drain"
+)
+
+// A leaving process refuses new work and stops only when the work in flight has ended.
+func Example() {
+	machine := drain.New()
+	machine.Ready()
+	fmt.Println(machine.Begin(), machine.InFlight())
+	machine.Leave("host is replaced")
+	fmt.Println(machine.Begin())
+	fmt.Println(machine.State())
+	machine.End()
+	fmt.Println(machine.State())
+	// Output:
+	// <nil> 1
+	// no new work while leaving (host is replaced); use another upstream
+	// leaving
+	// stopped
+}
--- a/drain/session_test.go
+++ b/drain/session_test.go
@@ -1,40 +1,16 @@
 package drain
 
 import (
-	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
-)
 
-var update = flag.Bool("update", false, "rewrite the golden files")
+	"github.com/radishshelf/radishshelf/goldentest"
+)
 
 // Guards against new work after leaving, a stop with work in flight, and a return to ready.
 func TestSessions(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.golden")
-	if err != nil || len(files) == 0 {
-		t.Fatalf("no golden files: %v", err)
-	}
-	for _, file := range files {
-		t.Run(filepath.Base(file), func(t *testing.T) {
-			want, err := os.ReadFile(file)
-			if err != nil {
-				t.Fatal(err)
-			}
-			got := replay(t, string(want))
-			if *update {
-				if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
-					t.Fatal(err)
-				}
-				return
-			}
-			if got != string(want) {
-				t.Errorf("session differs from %s:\n%s", file, got)
-			}
-		})
-	}
+	goldentest.Run(t, "testdata/*.golden", func(t *testing.T, _, script string) string { return replay(t, script) })
 }
 
 // replay runs the lines that start with "> " and returns them with the state below.
--- a/fleetconfig/freshness_test.go
+++ b/fleetconfig/freshness_test.go
@@ -1,47 +1,21 @@
 package fleetconfig
 
 import (
-	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
+	"github.com/radishshelf/radishshelf/goldentest"
 )
 
-var update = flag.Bool("update", false, "rewrite the golden files")
-
 const outputPrefix = "  -> "
 
 // Guards against serving withdrawn keys in a cut-off part of the fleet, against refusing all keyed work while only the
 // table is down, and against a restart that trusts one old peer.
 func TestFreshnessSessions(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.golden")
-	if err != nil || len(files) == 0 {
-		t.Fatalf("golden files: %v, %v", files, err)
-	}
-	for _, file := range files {
-		t.Run(filepath.Base(file), func(t *testing.T) {
-			data, err := os.ReadFile(file)
-			if err != nil {
-				t.Fatal(err)
-			}
-			got := replay(t, string(data))
-			if *update {
-				if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
-					t.Fatal(err)
-				}
-				return
-			}
-			if diff := cmp.Diff(string(data), got); diff != "" {
-				t.Errorf("session differs (-want +got):\n%s", diff)
-			}
-		})
-	}
+	goldentest.Run(t, "testdata/*.golden", func(t *testing.T, _, script string) string { return replay(t, script) })
 }
 
 // replay runs the events of a session and returns it with the verdicts after each "verdict" line.
--- /dev/null
+++ b/goldentest/goldentest.go
@@ -0,0 +1,67 @@
+// Package goldentest replays golden sessions in tests. A golden file holds the events of a session and, below each, what
+// followed; the flag -update rewrites the files.
+package goldentest
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// Run replays every file that matches glob in a subtest named after it. replay takes the content of a file, ignores the
+// outputs in it, and returns the events together with the outputs that follow from them.
+func Run(t *testing.T, glob string, replay func(t *testing.T, path, script string) string) {
+	t.Helper()
+	paths, err := filepath.Glob(glob)
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no golden files match %s: %v", glob, err)
+	}
+	for _, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			want, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			check(t, path, string(want), replay(t, path, string(want)))
+		})
+	}
+}
+
+func check(t *testing.T, path, want, got string) {
+	t.Helper()
+	if *update {
+		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("session differs from %s (-want +got):\n%s", path, diff)
+	}
+}
+
+// Events replays a script whose events start with "> " and whose comments start with "#"; respond returns the lines
+// that follow an event, given its words.
+func Events(script string, respond func(words []string) []string) string {
+	var out strings.Builder
+	for line := range strings.Lines(script) {
+		event, isEvent := strings.CutPrefix(line, "> ")
+		if !isEvent && !strings.HasPrefix(line, "#") {
+			continue
+		}
+		out.WriteString(line)
+		if !isEvent {
+			continue
+		}
+		for _, answer := range respond(strings.Fields(event)) {
+			out.WriteString(answer + "\n")
+		}
+	}
+	return out.String()
+}
--- a/lease/session_test.go
+++ b/lease/session_test.go
@@ -1,53 +1,25 @@
 package lease
 
 import (
-	"bufio"
-	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
+	"github.com/radishshelf/radishshelf/goldentest"
 )
 
-var update = flag.Bool("update", false, "rewrite the golden sessions")
-
 // TestSessions replays the scripts in testdata. A line is a command; what follows "=>" is its output.
 // Guards against a change of who may act, and when, that no reader has checked.
 func TestSessions(t *testing.T) {
-	paths, err := filepath.Glob("testdata/*.golden")
-	if err != nil || len(paths) == 0 {
-		t.Fatalf("no sessions found: %v", err)
-	}
-	for _, path := range paths {
-		t.Run(filepath.Base(path), func(t *testing.T) { runSession(t, path) })
-	}
-}
-
-func runSession(t *testing.T, path string) {
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := newSession(t)
-	var got strings.Builder
-	scanner := bufio.NewScanner(strings.NewReader(string(want)))
-	for scanner.Scan() {
-		line := strings.TrimSpace(strings.Split(scanner.Text(), "=>")[0])
-		got.WriteString(s.run(line))
-	}
-	if *update {
-		if err := os.WriteFile(path, []byte(got.String()), 0o644); err != nil {
-			t.Fatal(err)
+	goldentest.Run(t, "testdata/*.golden", func(t *testing.T, _, script string) string {
+		s := newSession(t)
+		var out strings.Builder
+		for line := range strings.Lines(script) {
+			out.WriteString(s.run(strings.TrimSpace(strings.Split(line, "=>")[0])))
 		}
-		return
-	}
-	if diff := cmp.Diff(string(want), got.String()); diff != "" {
-		t.Errorf("session differs (-want +got):\n%s", diff)
-	}
+		return out.String()
+	})
 }
 
 // session holds one row and the candidates that compete for it.
--- a/ordermanager/session_test.go
+++ b/ordermanager/session_test.go
@@ -1,12 +1,8 @@
 package ordermanager
 
 import (
-	"bufio"
 	"context"
-	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,9 +10,9 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
+	"github.com/radishshelf/radishshelf/goldentest"
 	"github.com/radishshelf/radishshelf/lease"
 	"github.com/radishshelf/radishshelf/ordering"
 	"github.com/radishshelf/radishshelf/platform"
@@ -27,56 +23,37 @@
 // testInterval never falls on a tick of the role runner within a session, so that sessions are repeatable.
 const testInterval = 1003 * time.Millisecond
 
-var update = flag.Bool("update", false, "rewrite the golden sessions")
-
 // TestSessions replays the scripts in testdata in virtual time, with real role runners over an in-memory platform.
 // Guards against orders from two processes that both believe they are in charge, and against an order that is repeated
 // under a second identity.
 func TestSessions(t *testing.T) {
-	paths, err := filepath.Glob("testdata/*.golden")
-	if err != nil || len(paths) == 0 {
-		t.Fatalf("no sessions found: %v", err)
-	}
-	for _, path := range paths {
-		t.Run(filepath.Base(path), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { replay(t, path) })
-		})
-	}
+	goldentest.Run(t, "testdata/*.golden", func(t *testing.T, path, script string) string {
+		var out string
+		synctest.Test(t, func(t *testing.T) { out = replay(t, path, script) })
+		return out
+	})
 }
 
-func replay(t *testing.T, path string) {
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
+func replay(t *testing.T, path, script string) string {
 	s := &session{
 		t: t, start: time.Now(), platform: memory.New(memory.Options{CheckTerms: strings.Contains(path, "checking")}),
 		hosts: map[string]*testHost{},
 	}
-	var got strings.Builder
-	scanner := bufio.NewScanner(strings.NewReader(string(want)))
-	for scanner.Scan() {
-		line := scanner.Text()
+	var out strings.Builder
+	for line := range strings.Lines(script) {
+		line = strings.TrimSuffix(line, "\n")
 		if strings.HasPrefix(line, "  ") {
 			continue
 		}
-		got.WriteString(line + "\n")
+		out.WriteString(line + "\n")
 		if line != "" && !strings.HasPrefix(line, "#") {
 			s.run(strings.Fields(line))
 			synctest.Wait()
-			got.WriteString(s.drainEvents())
+			out.WriteString(s.drainEvents())
 		}
 	}
 	s.stop()
-	if *update {
-		if err := os.WriteFile(path, []byte(got.String()), 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	if diff := cmp.Diff(string(want), got.String()); diff != "" {
-		t.Errorf("session differs (-want +got):\n%s", diff)
-	}
+	return out.String()
 }
 
 // session is one platform and the hosts that compete for the role.
--- a/quarantine/session_test.go
+++ b/quarantine/session_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/radishshelf/radishshelf/goldentest"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -17,7 +19,7 @@
 func TestSession(t *testing.T) {
 	l := New(Config{Hold: time.Minute, RefuseDeaths: 2, MaxSuspects: 3})
 	now := start
-	runSession(t, "testdata/suspects.golden", func(t *testing.T, f []string) []string {
+	respond := func(f []string) []string {
 		switch f[0] {
 		case "at":
 			d, err := time.ParseDuration(f[1])
@@ -46,6 +48,9 @@
 		}
 		t.Fatalf("unknown event %q", f[0])
 		return nil
+	}
+	goldentest.Run(t, "testdata/suspects.golden", func(_ *testing.T, _, script string) string {
+		return goldentest.Events(script, respond)
 	})
 }
 
--- a/routing/session_test.go
+++ b/routing/session_test.go
@@ -11,6 +11,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/radishshelf/radishshelf/goldentest"
 	"github.com/radishshelf/radishshelf/outcome"
 )
 
@@ -42,7 +43,9 @@
 // prefix, load and place that nobody intended.
 func TestSession(t *testing.T) {
 	s := newSession()
-	runSession(t, "testdata/routes.golden", s.respond)
+	goldentest.Run(t, "testdata/routes.golden", func(t *testing.T, _, script string) string {
+		return goldentest.Events(script, func(words []string) []string { return s.respond(t, words) })
+	})
 }
 
 func (s *session) respond(t *testing.T, f []string) []string {
--- a/usage/session_test.go
+++ b/usage/session_test.go
@@ -2,19 +2,15 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/radishshelf/radishshelf/dataplane"
+	"github.com/radishshelf/radishshelf/goldentest"
 )
 
-var update = flag.Bool("update", false, "rewrite the golden files")
-
 // session runs a script line by line against recorder, retainer and sealer and records the actions.
 type session struct {
 	recorders map[string]*Recorder
@@ -26,32 +22,16 @@
 
 // Guards against a change of the rules by which records are flushed, recovered, counted and reported missing.
 func TestGoldenSession(t *testing.T) {
-	paths, err := filepath.Glob("testdata/*.golden")
-	if err != nil || len(paths) == 0 {
-		t.Fatalf("no golden sessions: %v", err)
-	}
-	for _, path := range paths {
-		data, err := os.ReadFile(path)
-		if err != nil {
-			t.Fatal(err)
-		}
+	goldentest.Run(t, "testdata/*.golden", func(t *testing.T, _, script string) string {
 		s := session{recorders: map[string]*Recorder{}, retainer: NewRetainer("entry-1", 4), batches: map[string]Batch{}}
-		for line := range strings.Lines(string(data)) {
+		for line := range strings.Lines(script) {
 			if event := strings.TrimSpace(line); event != "" && !strings.HasPrefix(event, "->") {
 				fmt.Fprintln(&s.out, event)
 				s.run(t, strings.Fields(event))
 			}
 		}
-		if *update {
-			if err := os.WriteFile(path, s.out.Bytes(), 0o644); err != nil {
-				t.Fatal(err)
-			}
-			continue
-		}
-		if got := s.out.String(); got != string(data) {
-			t.Errorf("%s differs; run go test ./usage -update and read the change\ngot:\n%s", path, got)
-		}
-	}
+		return s.out.String()
+	})
 }
 
 func (s *session) action(format string, args ...any) { fmt.Fprintf(&s.out, "-> "+format+"\n", args...) }
