Share the start of daemons

Cause: six programs repeated the loading of settings, the set-up of the logger and of the trace exporter. Change: command.NewDaemon and telemetry.StartTracing. Conclusion: tests of the programs and make quickstart pass.

--- a/settings/common.go
+++ b/settings/common.go
@@ -37,3 +37,6 @@
 		c.TLS.validate(p)
 	}
 }
+
+// Level returns the log level of the settings file.
+func (c *Common) Level() string { return c.LogLevel }
--- a/standin/engine/program.go
+++ b/standin/engine/program.go
@@ -5,12 +5,11 @@
 	"errors"
 	"net"
 	"net/http"
-	"os"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/radishshelf/radishshelf/command"
-	"github.com/radishshelf/radishshelf/logging"
-	"github.com/radishshelf/radishshelf/settings"
 	"github.com/radishshelf/radishshelf/telemetry"
 )
 
@@ -20,40 +19,25 @@
 	maxHeaderBytes    = 64 << 10
 )
 
+const programName = "standin-engine"
+
 // Program is the command line of standin-engine.
 func Program() command.Program {
-	return command.Program{
-		Name: "standin-engine", Short: "Stand-in model engine for tests and the quick start",
-		Check: func(path string) error {
-			s := Defaults()
-			return settings.LoadFile(path, &s)
-		},
-		Run: run,
-	}
+	return command.NewDaemon(command.Daemon[Settings]{
+		Name: programName, Short: "Stand-in model engine for tests and the quick start", Defaults: Defaults, Run: run,
+	})
 }
 
-func run(ctx context.Context, path, logLevel string) error {
-	s := Defaults()
-	if err := settings.LoadFile(path, &s); err != nil {
-		return err
-	}
-	if logLevel == "" {
-		logLevel = s.LogLevel
-	}
-	logger, err := logging.New(os.Stderr, "standin-engine", logLevel)
-	if err != nil {
-		return err
-	}
+func run(ctx context.Context, s Settings, logger zerolog.Logger) error {
 	listener, err := net.Listen("tcp", s.Address)
 	if err != nil {
 		return err
 	}
-	telemetry.LogErrors(logger)
-	tracer, err := telemetry.NewTracer(ctx, s.TraceAddress, "standin-engine", s.Address)
+	tracer, stopTracing, err := telemetry.StartTracing(ctx, logger, s.TraceAddress, programName, s.Address)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = tracer.Shutdown(context.Background()) }()
+	defer stopTracing()
 	e := New(s, Options{Logger: logger, Tracer: tracer})
 	server := &http.Server{Handler: e.Handler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 	stop := context.AfterFunc(ctx, func() { _ = server.Shutdown(context.Background()) })
--- a/standin/engine/settings.go
+++ b/standin/engine/settings.go
@@ -75,3 +75,6 @@
 		p.Add(settings.KindInvalid, field, "the value must be greater than zero", "write a positive number")
 	}
 }
+
+// Level returns the log level of the settings file.
+func (s *Settings) Level() string { return s.LogLevel }
--- a/standin/platform/settings.go
+++ b/standin/platform/settings.go
@@ -36,3 +36,6 @@
 		p.Add(settings.KindInvalid, "log_level", "the level is unknown", "write debug, info, warn or error")
 	}
 }
+
+// Level returns the log level of the settings file.
+func (s *Settings) Level() string { return s.LogLevel }
--- a/standin/service/program.go
+++ b/standin/service/program.go
@@ -5,12 +5,11 @@
 	"errors"
 	"net"
 	"net/http"
-	"os"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/radishshelf/radishshelf/command"
-	"github.com/radishshelf/radishshelf/logging"
-	"github.com/radishshelf/radishshelf/settings"
 )
 
 // Limits of the port.
@@ -21,25 +20,12 @@
 
 // Program is the command line of standin-service.
 func Program() command.Program {
-	return command.Program{
-		Name: "standin-service", Short: "Stand-in plain service for tests and the quick start",
-		Check: func(path string) error { return settings.LoadFile(path, &Settings{}) },
-		Run:   run,
-	}
+	return command.NewDaemon(command.Daemon[Settings]{
+		Name: "standin-service", Short: "Stand-in plain service for tests and the quick start", Run: run,
+	})
 }
 
-func run(ctx context.Context, path, logLevel string) error {
-	var s Settings
-	if err := settings.LoadFile(path, &s); err != nil {
-		return err
-	}
-	if logLevel == "" {
-		logLevel = s.LogLevel
-	}
-	logger, err := logging.New(os.Stderr, "standin-service", logLevel)
-	if err != nil {
-		return err
-	}
+func run(ctx context.Context, s Settings, logger zerolog.Logger) error {
 	listener, err := net.Listen("tcp", s.Address)
 	if err != nil {
 		return err
--- a/standin/service/settings.go
+++ b/standin/service/settings.go
@@ -21,3 +21,6 @@
 		p.Add(settings.KindInvalid, "delay", "the duration is below zero", `write for example "20ms"`)
 	}
 }
+
+// Level returns the log level of the settings file.
+func (s *Settings) Level() string { return s.LogLevel }
--- a/standin/trainer/program.go
+++ b/standin/trainer/program.go
@@ -5,12 +5,11 @@
 	"errors"
 	"net"
 	"net/http"
-	"os"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/radishshelf/radishshelf/command"
-	"github.com/radishshelf/radishshelf/logging"
-	"github.com/radishshelf/radishshelf/settings"
 )
 
 // Limits of the admin port.
@@ -22,28 +21,12 @@
 
 // Program is the command line of standin-trainer.
 func Program() command.Program {
-	return command.Program{
-		Name: "standin-trainer", Short: "Stand-in trainer for tests and the quick start",
-		Check: func(path string) error {
-			s := Defaults()
-			return settings.LoadFile(path, &s)
-		},
-		Run: run,
-	}
+	return command.NewDaemon(command.Daemon[Settings]{
+		Name: "standin-trainer", Short: "Stand-in trainer for tests and the quick start", Defaults: Defaults, Run: run,
+	})
 }
 
-func run(ctx context.Context, path, logLevel string) error {
-	s := Defaults()
-	if err := settings.LoadFile(path, &s); err != nil {
-		return err
-	}
-	if logLevel == "" {
-		logLevel = s.LogLevel
-	}
-	log, err := logging.New(os.Stderr, "standin-trainer", logLevel)
-	if err != nil {
-		return err
-	}
+func run(ctx context.Context, s Settings, log zerolog.Logger) error {
 	listener, err := net.Listen("tcp", s.AdminAddress)
 	if err != nil {
 		return err
--- a/standin/trainer/settings.go
+++ b/standin/trainer/settings.go
@@ -58,3 +58,6 @@
 			`write for example "http://127.0.0.1:7001"`)
 	}
 }
+
+// Level returns the log level of the settings file.
+func (s *Settings) Level() string { return s.LogLevel }
--- a/telemetry/trace.go
+++ b/telemetry/trace.go
@@ -52,9 +52,23 @@
 	}, nil
 }
 
-// LogErrors sends the errors of the trace exporter to log.
-func LogErrors(log zerolog.Logger) {
+// traceShutdownTimeout bounds the export of the last spans.
+const traceShutdownTimeout = 5 * time.Second
+
+// StartTracing is NewTracer for a daemon: errors of the exporter go to log, and stop exports the last spans.
+func StartTracing(
+	ctx context.Context, log zerolog.Logger, address, program, name string,
+) (tracer *Tracer, stop func(), err error) {
 	otel.SetErrorHandler(otel.ErrorHandlerFunc(func(err error) { log.Warn().Err(err).Msg("trace export failed") }))
+	tracer, err = NewTracer(ctx, address, program, name)
+	if err != nil {
+		return nil, nil, err
+	}
+	return tracer, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), traceShutdownTimeout)
+		defer cancel()
+		_ = tracer.Shutdown(ctx) // what cannot be exported now is lost; spans are best effort
+	}, nil
 }
 
 // Start begins a span named after one hop.
