Bound figures from outside and prove the credential in replies

Cause: fuzz targets found figures from outside that overflow or never expire (a quarantine record of 151 days, negative timeouts, label counts, ages). Without TLS an agent obeyed a heartbeat reply by address alone.

--- a/agent/auth.go
+++ b/agent/auth.go
@@ -39,13 +39,6 @@
 	return subtle.ConstantTimeCompare([]byte(got), []byte(c)) == 1
 }
 
-// show adds the secret to a request to an own process.
-func (c credential) show(h http.Header) {
-	if c != "" {
-		h.Set("Authorization", bearerPrefix+string(c))
-	}
-}
-
 // require refuses requests that do not show the secret.
 func (c credential) require(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -59,16 +52,3 @@
 		next.ServeHTTP(w, r)
 	})
 }
-
-// showingTransport adds the secret to every request.
-type showingTransport struct {
-	credential credential
-	next       http.RoundTripper
-}
-
-// RoundTrip implements http.RoundTripper.
-func (t showingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	r = r.Clone(r.Context())
-	t.credential.show(r.Header)
-	return t.next.RoundTrip(r)
-}
--- a/agent/call.go
+++ b/agent/call.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return c, invalid(dataplane.HeaderTimeout, "is not a number of milliseconds")
 	}
-	c.timeout = time.Duration(min(ms, maxTimeout.Milliseconds())) * time.Millisecond
+	c.timeout = time.Duration(max(0, min(ms, maxTimeout.Milliseconds()))) * time.Millisecond
 	if text := h.Get(dataplane.HeaderPriority); text != "" {
 		if c.priority, err = strconv.Atoi(text); err != nil {
 			return c, invalid(dataplane.HeaderPriority, "is not an integer")
--- /dev/null
+++ b/agent/fuzz_test.go
@@ -0,0 +1,109 @@
+package agent
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/radishshelf/radishshelf/dataplane"
+	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/rpc"
+	"github.com/radishshelf/radishshelf/telemetry"
+)
+
+// Guards against a forwarded request that reaches control or admin calls of an upstream, or runs without a limit of
+// time, and against headers that stop the agent.
+func FuzzParseCall(f *testing.F) {
+	f.Fuzz(func(t *testing.T, id, method, target, timeout, priority string, engine bool) {
+		h := http.Header{}
+		h.Set(dataplane.HeaderRequestID, id)
+		h.Set(dataplane.HeaderMethod, method)
+		h.Set(dataplane.HeaderTarget, target)
+		h.Set(dataplane.HeaderTimeout, timeout)
+		h.Set(dataplane.HeaderPriority, priority)
+		kind := fleetconfig.UpstreamService
+		if engine {
+			kind = fleetconfig.UpstreamEngine
+		}
+		c, err := parseCall(h, kind)
+		if err != nil {
+			return
+		}
+		if c.timeout > maxTimeout {
+			t.Errorf("timeout %q was read as %s", timeout, c.timeout)
+		}
+		if strings.HasPrefix(timeout, "-") && c.timeout > 0 {
+			t.Errorf("the negative timeout %q was read as %s", timeout, c.timeout)
+		}
+		req, err := http.NewRequest(c.method, "http://upstream"+c.target, nil)
+		if err != nil {
+			return // the send fails before a byte is sent
+		}
+		if strings.HasPrefix(req.URL.Path, adminPrefix) || (engine && !strings.HasPrefix(req.URL.Path, enginePrefix)) {
+			t.Errorf("target %q reaches the path %q", target, req.URL.Path)
+		}
+	})
+}
+
+// Guards against an engine's answer that stops the agent, counts negative tokens, or counts differently when it arrives
+// in other parts.
+func FuzzLabelReader(f *testing.F) {
+	f.Fuzz(func(t *testing.T, body []byte, stream bool, cut uint16) {
+		contentType := "application/json"
+		if stream {
+			contentType = "text/event-stream"
+		}
+		whole, parts := newLabelReader(contentType), newLabelReader(contentType)
+		whole.write(body)
+		whole.end()
+		at := int(cut) % (len(body) + 1)
+		parts.write(body[:at])
+		parts.write(body[at:])
+		parts.end()
+		prompt, completion := whole.counts()
+		if prompt < 0 || completion < 0 || whole.tokens < 0 {
+			t.Errorf("counts %d, %d, labelled %d", prompt, completion, whole.tokens)
+		}
+		if p, c := parts.counts(); p != prompt || c != completion || parts.done != whole.done {
+			t.Errorf("in two parts: counts %d, %d, done %t; whole: %d, %d, %t", p, c, parts.done, prompt, completion, whole.done)
+		}
+	})
+}
+
+// Guards against a heartbeat reply that stops the agent, or that makes it refuse a request for longer than it remembers
+// suspects.
+func FuzzHeartbeatReply(f *testing.F) {
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var reply rpc.HeartbeatResponse
+		if proto.Unmarshal(data, &reply) != nil {
+			return
+		}
+		hold := DefaultSettings().SuspectTime.D()
+		s := newSuspects(hold)
+		now := time.Now()
+		s.learn(reply.Quarantined, now)
+		for _, q := range reply.Quarantined {
+			if s.check(q.Fingerprint, true, now.Add(hold+time.Millisecond)) != nil {
+				t.Errorf("%v is refused after the hold time", q)
+			}
+		}
+		b := newEntryBook("agent-1", []string{"127.0.0.1:1"})
+		b.learn(reply.Entries)
+		if n := len(b.targets()); n == 0 || n > maxHeartbeatTargets {
+			t.Errorf("%d targets", n)
+		}
+		gateOrder(&reply)
+	})
+}
+
+// gateOrder offers the wanted state to an agent without an engine.
+func gateOrder(reply *rpc.HeartbeatResponse) {
+	a := &Agent{settings: Settings{Serves: "planner"}}
+	a.metrics = newAgentMetrics(telemetry.NewRegistry(), newAdmission(1, 1))
+	a.orders = newOrders(a)
+	a.orders.offer("entry-1", reply.Wanted)
+	a.orders.roundEnds(1)
+}
--- a/agent/health.go
+++ b/agent/health.go
@@ -93,6 +93,7 @@
 	}
 	if a.health.answered(status.StartCount) {
 		a.logger.Info().Int64("start_count", status.StartCount).Msg("upstream_alive")
+		a.heartbeatSoon()
 	}
 	if a.versions.probeEnds(changes, status) {
 		a.logger.Warn().Int64("start_count", status.StartCount).Msg("upstream_restarted")
--- a/agent/labels.go
+++ b/agent/labels.go
@@ -12,6 +12,10 @@
 // maxCollectedBytes bounds one event of a stream and a whole plain answer. A longer one stays unlabelled.
 const maxCollectedBytes = 16 << 20
 
+// maxTokens bounds the tokens of one label and of a usage report, so that sums cannot overflow. A larger or negative
+// figure is a fault of the engine and is not counted.
+const maxTokens = 1 << 30
+
 // labelReader reads the labels and the usage out of an engine's answer while it passes through.
 type labelReader struct {
 	stream  bool
@@ -87,11 +91,11 @@
 }
 
 func (l *labelReader) take(r engineapi.ChatResponse) {
-	if r.Usage != nil {
-		l.usage = r.Usage
+	if u := r.Usage; u != nil && plausible(u.PromptTokens) && plausible(u.CompletionTokens) {
+		l.usage = u
 	}
 	for _, label := range r.Labels {
-		if label.Tokens <= 0 {
+		if label.Tokens <= 0 || label.Tokens > maxTokens {
 			continue
 		}
 		l.startCounts[label.StartCount] = true
@@ -105,6 +109,8 @@
 	}
 }
 
+func plausible(tokens int64) bool { return tokens >= 0 && tokens <= maxTokens }
+
 // counts returns the prompt and completion tokens. A stream that broke before its usage counts what was labelled.
 func (l *labelReader) counts() (prompt, completion int64) {
 	if l.usage != nil {
--- a/agent/loops.go
+++ b/agent/loops.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/radishshelf/radishshelf/callproof"
 	"github.com/radishshelf/radishshelf/fleetconfig"
 	"github.com/radishshelf/radishshelf/rpc"
 )
@@ -51,7 +52,7 @@
 		scheme = "https"
 	}
 	transport := &http.Transport{TLSClientConfig: config.Clone(), MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout}
-	client := &http.Client{Transport: showingTransport{credential: a.credential, next: transport}}
+	client := &http.Client{Transport: callproof.Transport(string(a.credential), transport)}
 	return &heartbeats{agent: a, client: client, scheme: scheme, peers: map[string]rpc.Peer{}}
 }
 
--- a/agent/suspects.go
+++ b/agent/suspects.go
@@ -68,8 +68,9 @@
 		if len(s.reported) >= maxSuspects {
 			return
 		}
-		until := now.Add(time.Duration(q.RemainingMs) * time.Millisecond)
-		s.reported[q.Fingerprint] = suspect{deaths: int(q.Deaths), until: until}
+		// Bounded, so that a faulty figure neither overflows nor refuses a request for ever.
+		remaining := time.Duration(min(q.RemainingMs, s.keep.Milliseconds())) * time.Millisecond
+		s.reported[q.Fingerprint] = suspect{deaths: int(q.Deaths), until: now.Add(remaining)}
 	}
 }
 
--- /dev/null
+++ b/configsync/fuzz_test.go
@@ -0,0 +1,45 @@
+package configsync
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/radishshelf/radishshelf/configstore"
+	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/rpc"
+)
+
+// Guards against a message of a peer that stops the entry, or that makes an old confirmation count as a new one, which
+// would let an entry serve withdrawn keys.
+func FuzzSync(f *testing.F) {
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var req rpc.SyncRequest
+		if proto.Unmarshal(data, &req) != nil {
+			return
+		}
+		s := New(Options{
+			Name: "entry-1", PeerAddress: "127.0.0.1:1", DataCentre: "wien",
+			Source: configstore.New(memory.New(memory.Options{}).Table),
+			Dial:   func(string) rpc.Peer { return noPeer{} },
+		})
+		for _, info := range append(req.GetEntries(), req.GetFrom()) {
+			ms := info.GetConfirmationAgeMs()
+			if age := ageOf(info); ms >= 0 && (age < 0 || ms > time.Hour.Milliseconds() && age < time.Hour) {
+				t.Errorf("the age of %d ms was read as %s", ms, age)
+			}
+		}
+		_, _ = s.HandleSync(t.Context(), &req)
+		s.MayServeKeyed(time.Now())
+		s.Entries(time.Now())
+	})
+}
+
+// noPeer answers nothing.
+type noPeer struct{ rpc.Peer }
+
+func (noPeer) Sync(context.Context, *rpc.SyncRequest) (*rpc.SyncResponse, error) {
+	return nil, context.Canceled
+}
--- a/dataplane/answer.go
+++ b/dataplane/answer.go
@@ -60,7 +60,7 @@
 		return result, false
 	}
 	raw := a.mark(TrailerResult)
-	if raw == "" || json.Unmarshal([]byte(raw), &result) != nil {
+	if raw == "" || json.Unmarshal([]byte(raw), &result) != nil || !result.plausible() {
 		return Result{}, false
 	}
 	return result, true
@@ -70,7 +70,7 @@
 func (a *Answer) Load() (Load, bool) {
 	var load Load
 	raw := a.Header.Get(HeaderLoad)
-	if raw == "" || json.Unmarshal([]byte(raw), &load) != nil {
+	if raw == "" || json.Unmarshal([]byte(raw), &load) != nil || !load.Plausible() {
 		return Load{}, false
 	}
 	return load, true
@@ -84,7 +84,7 @@
 		Message: "the agent at " + call.Address + " refused the request", Remedy: "repeat the request", Err: err,
 	}
 	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil && seconds > 0 {
-		r.RetryAfter = time.Duration(seconds) * time.Second
+		r.RetryAfter = time.Duration(min(seconds, int(maxRetryAfter/time.Second))) * time.Second
 	}
 	return r
 }
--- /dev/null
+++ b/dataplane/fuzz_test.go
@@ -0,0 +1,58 @@
+package dataplane
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/radishshelf/radishshelf/outcome"
+)
+
+// Guards against an answer whose trailers or headers stop the entry, that counts as whole without the complete marker,
+// or that reports negative tokens, which would pay a workspace's limit back.
+func FuzzAnswer(f *testing.F) {
+	f.Fuzz(func(t *testing.T, status int, complete, result, load string) {
+		resp := &http.Response{
+			StatusCode: status, Body: io.NopCloser(strings.NewReader("body")),
+			Header: http.Header{HeaderLoad: {load}, TrailerComplete: {complete}, TrailerResult: {result}},
+			Trailer: http.Header{
+				TrailerComplete: {complete}, TrailerResult: {result},
+			},
+		}
+		a := &Answer{Status: status, Header: resp.Header, resp: resp}
+		_, err := io.ReadAll(a)
+		if (err == nil) != (complete == "true") {
+			t.Errorf("complete marker %q: %v", complete, err)
+		}
+		r, _ := a.Result()
+		if r.PromptTokens < 0 || r.CompletionTokens < 0 || r.UsageSeq < 0 || r.PromptTokens+r.CompletionTokens < 0 {
+			t.Errorf("result %+v has negative figures", r)
+		}
+		for _, span := range r.Spans {
+			if span.Tokens < 0 {
+				t.Errorf("result %+v has a negative span", r)
+			}
+		}
+		l, _ := a.Load()
+		if l.Running < 0 || l.Queued < 0 || l.Slots < 0 || l.PendingTokens < 0 || l.TokensPerSecond < 0 {
+			t.Errorf("load %+v has negative figures", l)
+		}
+	})
+}
+
+// Guards against a refusal that counts as "not run" although the agent did not say so.
+func FuzzRefusal(f *testing.F) {
+	f.Fuzz(func(t *testing.T, kind, what, retryAfter string) {
+		resp := &http.Response{StatusCode: http.StatusServiceUnavailable, Header: http.Header{
+			HeaderRefusalKind: {kind}, HeaderOutcome: {what}, "Retry-After": {retryAfter},
+		}}
+		r := refusalOf(Call{Address: "127.0.0.1:1"}, resp)
+		if r.Outcome == outcome.NotRun && what != outcome.NotRun.String() {
+			t.Errorf("outcome %q was read as not run", what)
+		}
+		if r.RetryAfter < 0 {
+			t.Errorf("Retry-After %q was read as %s", retryAfter, r.RetryAfter)
+		}
+	})
+}
--- /dev/null
+++ b/entry/peer/fuzz_test.go
@@ -0,0 +1,64 @@
+package peer
+
+import (
+	"context"
+	"math"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/quarantine"
+	"github.com/radishshelf/radishshelf/rpc"
+)
+
+// checkFleet looks for views that would mislead the routing.
+func checkFleet(t *testing.T, fleet Members, now time.Time) {
+	t.Helper()
+	for _, u := range fleet.Upstreams(now) {
+		if u.ReportedAt.After(now) {
+			t.Errorf("%s reported in the future", u.Name)
+		}
+		l := u.Load
+		if l.Running < 0 || l.Queued < 0 || l.Slots < 0 || l.PendingTokens < 0 || !(l.TokensPerSecond >= 0) || math.IsInf(l.TokensPerSecond, 0) {
+			t.Errorf("%s has the load %+v", u.Name, l)
+		}
+	}
+	for _, s := range fleet.Suspects(now) {
+		if s.Remaining <= 0 || s.Remaining > quarantine.DefaultConfig().Hold {
+			t.Errorf("suspect %+v is held for too long", s)
+		}
+	}
+}
+
+// Guards against a heartbeat that stops the entry or leaves figures that no agent can have.
+func FuzzHeartbeat(f *testing.F) {
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var req rpc.HeartbeatRequest
+		if proto.Unmarshal(data, &req) != nil {
+			return
+		}
+		fleet := newFleet()
+		s := NewServer(Options{
+			Name: "entry-1", Syncer: &fakeSyncer{state: fleetconfig.NewState()}, Members: fleet, Roles: NewRoleView(nil),
+		})
+		_, _ = s.Heartbeat(context.Background(), &req)
+		checkFleet(t, fleet, time.Now())
+	})
+}
+
+// Guards against a message of a peer that stops the entry or leaves figures that no process can have.
+func FuzzSyncMerge(f *testing.F) {
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var req rpc.SyncRequest
+		if proto.Unmarshal(data, &req) != nil {
+			return
+		}
+		fleet, now := newFleet(), time.Now()
+		p := NewParticipant(fleet, NewRoleView(nil), func() time.Time { return now })
+		p.MergeRequest(&req)
+		checkFleet(t, fleet, now)
+		p.FillResponse(&rpc.SyncResponse{})
+	})
+}
--- a/entry/peer/server.go
+++ b/entry/peer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -13,6 +14,10 @@
 	"github.com/radishshelf/radishshelf/telemetry"
 )
 
+// maxEntriesPerReply bounds the other entries that one heartbeat reply names. With 16 replies a second of 90 B for each
+// entry, two keep an agent within 18 KB/s, and it still hears of 350 entries within a minute.
+const maxEntriesPerReply = 2
+
 // Server implements rpc.Peer.
 type Server struct {
 	opts       Options
@@ -61,10 +66,18 @@
 	return &rpc.HeartbeatResponse{
 		UsageWindowSeconds: view.Defaults().UsageWindowSeconds,
 		Entry:              s.opts.Name, Wanted: wanted(view, req), Quarantined: quarantinedOf(s.opts.Members.Suspects(now)),
-		Roles: s.opts.Roles.Roles(), Entries: append(s.opts.Syncer.Entries(now), s.opts.Syncer.Info(now)),
+		Roles: s.opts.Roles.Roles(), Entries: append(s.sampleEntries(now), s.opts.Syncer.Info(now)),
 	}, nil
 }
 
+// sampleEntries returns some of the other entries. An agent collects them over many replies; all 350 of a large fleet
+// would make each reply 32 KB.
+func (s *Server) sampleEntries(now time.Time) []*rpc.EntryInfo {
+	entries := s.opts.Syncer.Entries(now)
+	rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
+	return entries[:min(len(entries), maxEntriesPerReply)]
+}
+
 // wanted returns the state that the rollout of the upstream's policy asks for, or nil when there is none.
 func wanted(view *fleetconfig.View, req *rpc.HeartbeatRequest) *rpc.WantedState {
 	if req.GetKind() != fleetconfig.UpstreamEngine {
--- /dev/null
+++ b/settings/fuzz_test.go
@@ -0,0 +1,20 @@
+package settings
+
+import (
+	"errors"
+	"testing"
+)
+
+// Guards against a settings file that ends the program without an error that names kind and remedy.
+func FuzzLoad(f *testing.F) {
+	f.Fuzz(func(t *testing.T, data []byte) {
+		err := Load(data, &testSettings{})
+		if err == nil {
+			return
+		}
+		var fault *Error
+		if !errors.As(err, &fault) || fault.Kind == "" || fault.Remedy == "" {
+			t.Errorf("Load(%q) = %v; want an *Error with kind and remedy", data, err)
+		}
+	})
+}
--- /dev/null
+++ b/trainerapi/fuzz_test.go
@@ -0,0 +1,27 @@
+package trainerapi
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+)
+
+// Guards against a body of a trainer that stops the entry or gets an answer without a reason.
+func FuzzBodies(f *testing.F) {
+	f.Fuzz(func(t *testing.T, call, body string) {
+		if call != "pull" && call != "versions" {
+			call = "pull"
+		}
+		fake := &fake{content: "{}"}
+		w := fake.send(http.MethodPost, "coach/"+call, "secret", body)
+		if w.Code >= 500 {
+			t.Errorf("%s %q: status %d", call, body, w.Code)
+		}
+		if w.Code >= 400 && !json.Valid(w.Body.Bytes()) {
+			t.Errorf("%s %q: answer %q", call, body, w.Body.String())
+		}
+		if call == "versions" && w.Code < 300 && fake.published <= 0 {
+			t.Errorf("body %q published version %d", body, fake.published)
+		}
+	})
+}
--- a/trainerapi/handler.go
+++ b/trainerapi/handler.go
@@ -2,10 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 
 	"github.com/radishshelf/radishshelf/outcome"
@@ -16,9 +16,8 @@
 
 // Handler serves the calls of trainers.
 type Handler struct {
-	opts     Options
-	mux      *http.ServeMux
-	pullWait *metrics.Histogram
+	opts Options
+	mux  *http.ServeMux
 }
 
 // New returns a Handler for the paths under PathPrefix.
@@ -28,7 +27,6 @@
 	}
 	h := &Handler{
 		opts: opts, mux: http.NewServeMux(),
-		pullWait: opts.Registry.GetOrCreateHistogram("radishshelf_trainer_pull_seconds"),
 	}
 	h.handle("pull", http.MethodPost, h.pull)
 	h.handle("versions", http.MethodPost, h.publish)
@@ -104,4 +102,8 @@
 	return id
 }
 
-func seconds(since time.Time) float64 { return time.Since(since).Seconds() }
+// pulled records how long a trainer waited in a pull; the trainer is idle in that time.
+func (h *Handler) pulled(trainer string, start time.Time) {
+	name := fmt.Sprintf("radishshelf_trainer_pull_seconds{trainer=%q}", trainer)
+	h.opts.Registry.GetOrCreateHistogram(name).Update(time.Since(start).Seconds())
+}
--- a/trainerapi/pull.go
+++ b/trainerapi/pull.go
@@ -39,7 +39,7 @@
 		return err
 	}
 	start := time.Now()
-	defer func() { h.pullWait.Update(seconds(start)) }()
+	defer func() { h.pulled(c.trainer, start) }()
 	content, err := h.await(c, req)
 	if errors.Is(err, lots.ErrNotReady) {
 		c.w.WriteHeader(http.StatusNoContent)
