Add lease timing, lot order and room per trainer, usage windows for operators and metrics by workspace

Cause: takeovers must be testable in seconds; the oldest groups first let staleness drift to the bound; usage-windows answered 501; the worst-served workspace needs waits and refusals by workspace; each request sorted the whole list of upstreams.

--- a/cmd/radishshelf-entry/operator.go
+++ b/cmd/radishshelf-entry/operator.go
@@ -12,6 +12,7 @@
 	"github.com/radishshelf/radishshelf/membership"
 	"github.com/radishshelf/radishshelf/operatorapi"
 	"github.com/radishshelf/radishshelf/operatorclient"
+	"github.com/radishshelf/radishshelf/usageview"
 )
 
 // newOperator returns the server of the operator port.
@@ -22,6 +23,7 @@
 	}
 	handler, err := operatorapi.New(operatorapi.Options{
 		Writer: p.store, Reader: p.syncer, Hosts: operatorSource{p}, Roles: operatorSource{p}, Versions: operatorSource{p},
+		Usage:     usageview.New(usageview.Options{Table: p.services.Table, Window: p.window}),
 		Decisions: p.entry, KeyUse: p.entry, Token: token, Logger: p.log,
 	})
 	if err != nil {
@@ -38,6 +40,9 @@
 	now := time.Now()
 	var list []operatorclient.HostStatus
 	for _, e := range s.p.fleet.Entries(now) {
+		if e.Name == s.p.settings.Name {
+			e.Status, e.ReportedAt = s.ownStatus(), now // an entry sends itself no reports
+		}
 		list = append(list, operatorclient.HostStatus{
 			Name: e.Name, Address: e.PeerAddress, DataCentre: e.DataCentre, Region: e.Region, Role: "entry",
 			State: hostState(e.Status), Detail: hostDetail(e.Status, e.ReportedAt, now),
@@ -46,13 +51,19 @@
 	for _, u := range s.p.fleet.Upstreams(now) {
 		list = append(list, operatorclient.HostStatus{
 			Name: u.Name, Address: u.DataAddress, DataCentre: u.DataCentre, Region: u.Region, Role: "upstream",
-			State: hostState(u.Status), Detail: hostDetail(u.Status, u.ReportedAt, now), Policy: u.Serves,
-			ActiveVersion: u.ActiveVersion,
+			State: hostState(u.Status), Detail: upstreamDetail(u, now), Policy: u.Serves, ActiveVersion: u.ActiveVersion,
 		})
 	}
 	return list, nil
 }
 
+func (s operatorSource) ownStatus() membership.Status {
+	if s.p.leaving.Load() {
+		return membership.Leaving
+	}
+	return membership.Live
+}
+
 func hostState(s membership.Status) string {
 	switch s {
 	case membership.Live:
@@ -66,6 +77,13 @@
 	}
 }
 
+func upstreamDetail(u membership.Upstream, now time.Time) string {
+	if u.Status == membership.Live && !u.Healthy {
+		return "fails its health check and gets no work"
+	}
+	return hostDetail(u.Status, u.ReportedAt, now)
+}
+
 func hostDetail(s membership.Status, reportedAt, now time.Time) string {
 	switch s {
 	case membership.Candidate:
--- a/cmd/radishshelf-entry/process_test.go
+++ b/cmd/radishshelf-entry/process_test.go
@@ -27,6 +27,9 @@
 
 const secret = "secret-of-hraunvegur-0001"
 
+// callerTransport keeps no connections: one that was dialled and not used delays the shutdown of a server by 5 s.
+var callerTransport = &http.Transport{DisableKeepAlives: true}
+
 // cluster is two entries over one platform on loopback.
 type cluster struct {
 	t        *testing.T
@@ -137,7 +140,7 @@
 	req, _ := http.NewRequest("POST", "http://"+p.listeners.caller.Addr().String()+"/book", strings.NewReader(body))
 	req.Header.Set("X-Api-Key", secret)
 	req.Header.Set("Idempotency-Key", idempotencyKey)
-	resp, err := http.DefaultTransport.RoundTrip(req)
+	resp, err := callerTransport.RoundTrip(req)
 	if err != nil {
 		return 0, err.Error(), ""
 	}
--- a/cmd/radishshelf-entry/roles.go
+++ b/cmd/radishshelf-entry/roles.go
@@ -11,7 +11,6 @@
 
 	"github.com/radishshelf/radishshelf/entry"
 	"github.com/radishshelf/radishshelf/fleetconfig"
-	"github.com/radishshelf/radishshelf/lease"
 	"github.com/radishshelf/radishshelf/membership"
 	"github.com/radishshelf/radishshelf/ordering"
 	"github.com/radishshelf/radishshelf/ordermanager"
@@ -24,7 +23,7 @@
 
 func (p *process) newRoles() (*roles.Runner, error) {
 	return roles.New(roles.Options{
-		Table: p.services.Table, Lease: lease.DefaultConfig(p.settings.Name + "/" + p.incarnation), Rank: p.rank,
+		Table: p.services.Table, Lease: p.settings.LeaseConfig(p.settings.Name + "/" + p.incarnation), Rank: p.rank,
 		Eligible: func() bool { return p.ready() == nil }, Log: p.log, Registry: p.registry,
 	})
 }
--- a/cmd/radishshelf-entry/stack_test.go
+++ b/cmd/radishshelf-entry/stack_test.go
@@ -63,7 +63,7 @@
 func (c *cluster) call(p *process, method, path, key, body string) (int, string) {
 	req, _ := http.NewRequest(method, "http://"+p.listeners.caller.Addr().String()+path, strings.NewReader(body))
 	req.Header.Set("Authorization", "Bearer "+key)
-	resp, err := http.DefaultTransport.RoundTrip(req)
+	resp, err := callerTransport.RoundTrip(req)
 	if err != nil {
 		return 0, err.Error()
 	}
--- /dev/null
+++ b/cmd/radishshelf-entry/tls_test.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/twitchtv/twirp"
+
+	"github.com/radishshelf/radishshelf/agent"
+	"github.com/radishshelf/radishshelf/configstore"
+	"github.com/radishshelf/radishshelf/dataplane"
+	"github.com/radishshelf/radishshelf/entry"
+	"github.com/radishshelf/radishshelf/entry/peer"
+	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/outcome"
+	"github.com/radishshelf/radishshelf/platform/httpapi"
+	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/rpc"
+	"github.com/radishshelf/radishshelf/settings"
+	"github.com/radishshelf/radishshelf/standin/certs"
+	"github.com/radishshelf/radishshelf/telemetry"
+	"github.com/radishshelf/radishshelf/usage"
+)
+
+const fleetCredential = "credential-of-the-fleet"
+
+// secureCommon returns the settings that a process of a fleet with TLS and credential has in common with the others.
+func secureCommon(t *testing.T, ca *certs.Authority, name string) settings.Common {
+	t.Helper()
+	files, err := ca.Issue(name, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	credentialFile := filepath.Join(t.TempDir(), "credential")
+	if err := os.WriteFile(credentialFile, []byte(fleetCredential), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return settings.Common{
+		Name: name, DataCentre: "sudur", Region: "sudur", StatusAddress: "127.0.0.1:0", TLS: files, CredentialFile: credentialFile,
+	}
+}
+
+// keepInMemory leaves the usage records with the recorder.
+type keepInMemory struct{}
+
+func (keepInMemory) Flush(context.Context) error { return nil }
+
+// startSecureAgent runs an agent beside a plain service.
+func (c *cluster) startSecureAgent(common settings.Common) {
+	upstream := serveHTTP(c.t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("booked")) }))
+	s := agent.DefaultSettings()
+	s.Common, s.Kind, s.Serves, s.UpstreamURL = common, fleetconfig.UpstreamService, "desk", "http://"+upstream
+	s.AgentAddress, s.ControlAddress = "127.0.0.1:0", "127.0.0.1:0"
+	s.Entries = []string{c.entries[0].listeners.peer.Addr().String()}
+	s.HeartbeatInterval, s.ProbeInterval = settings.Duration(100*time.Millisecond), settings.Duration(100*time.Millisecond)
+	running, err := agent.New(s, agent.Options{
+		Logger: zerolog.Nop(), Registry: telemetry.NewRegistry(), Recorder: usage.NewRecorder(s.Name, "run-1"),
+		Flusher: keepInMemory{}, Incarnation: "run-1",
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		if err := running.Run(ctx); err != nil {
+			c.t.Error(err)
+		}
+	}()
+	c.t.Cleanup(func() {
+		cancel()
+		<-stopped
+	})
+}
+
+// Guards against a fleet with TLS and credential whose processes do not reach each other, and against work, orders or
+// heartbeats that are taken from a process that has a certificate but not the credential.
+func TestFleetWithTLSAndCredential(t *testing.T) {
+	ca, err := certs.NewAuthority(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &cluster{t: t, platform: memory.New(memory.Options{})}
+	address := serveHTTP(t, httpapi.NewHandler(c.platform.Services()))
+	c.store = configstore.New(c.platform.Services().Table)
+	c.write(fleetconfig.KindWorkspace, "hraunvegur", fleetconfig.Workspace{})
+	c.write(fleetconfig.KindKey, "k1", fleetconfig.Key{SecretHash: fleetconfig.HashSecret(secret), Workspace: "hraunvegur"})
+	c.write(fleetconfig.KindRoute, "book", fleetconfig.Route{PathPrefix: "/book", Service: "desk"})
+	var peers []string
+	for _, name := range []string{"entry-1", "entry-2"} {
+		s := entry.DefaultSettings()
+		s.Common = secureCommon(t, ca, name)
+		s.CallerAddress, s.OperatorAddress, s.PeerAddress = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+		s.PlatformAddress, s.Peers, s.ReadinessDelay = address, peers, settings.Duration(50*time.Millisecond)
+		c.start(s)
+		peers = append(peers, c.entries[len(c.entries)-1].listeners.peer.Addr().String())
+	}
+	c.startSecureAgent(secureCommon(t, ca, "desk-1"))
+	for _, p := range c.entries { // the second entry learns of the agent from the first or from the agent
+		c.await("the entry is ready and knows the upstream", func() bool {
+			list := p.fleet.Upstreams(time.Now())
+			return p.ready() == nil && len(list) == 1 && list[0].Healthy
+		})
+		if status, answer := c.call(p, "POST", "/book", secret, "x"); status != http.StatusOK || answer != "booked" {
+			t.Fatalf("call: %d %q", status, answer)
+		}
+	}
+
+	upstream := c.entries[0].fleet.Upstreams(time.Now())[0]
+	for _, credential := range []string{"", "other"} {
+		_, err := peer.NewDialer(credential, c.entries[1].tls, time.Second).Dial(peers[0]).Heartbeat(t.Context(), &rpc.HeartbeatRequest{
+			Upstream: "desk-9", DataAddress: "127.0.0.1:1", DataCentre: "sudur", Region: "sudur", Kind: "service", Policy: "desk",
+			Incarnation: "i", ReportSeq: 1, Healthy: true,
+		})
+		if refused, ok := err.(twirp.Error); !ok || refused.Code() != twirp.Unauthenticated || len(c.entries[0].fleet.Upstreams(time.Now())) != 1 {
+			t.Errorf("credential %q: heartbeat %v; want it refused", credential, err)
+		}
+		client := dataplane.NewClient(c.entries[1].tls, credential)
+		defer client.Close()
+		_, err = client.Do(t.Context(), dataplane.Call{
+			Address: upstream.DataAddress, RequestID: "r1", Timeout: time.Second, Method: "POST", Target: "/book",
+		})
+		if refusal, ok := outcome.AsRefusal(err); !ok || refusal.Kind != outcome.KindUnauthorized || refusal.Outcome != outcome.NotRun {
+			t.Errorf("credential %q: work %v; want it refused as not run", credential, err)
+		}
+	}
+}
--- a/cmd/radishshelf-entry/trainers.go
+++ b/cmd/radishshelf-entry/trainers.go
@@ -20,7 +20,9 @@
 
 func (p *process) lotSpec(trainer string) (lots.Spec, bool) {
 	t, ok := p.syncer.View().Trainer(trainer)
-	return lots.Spec{MaxStaleness: t.MaxStaleness, LotSamples: t.LotSamples}, ok
+	return lots.Spec{
+		MaxStaleness: t.MaxStaleness, LotSamples: t.LotSamples, Order: lots.Order(t.LotOrder), MaxReadySamples: t.MaxReadySamples,
+	}, ok
 }
 
 // newTrainers returns the handler of the trainer calls of an entry.
--- a/cmd/radishshelfctl/main.go
+++ b/cmd/radishshelfctl/main.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"os"
 	"os/signal"
@@ -39,7 +38,7 @@
 	case errors.As(err, &pending):
 		return exitPending
 	default:
-		fmt.Fprintf(stderr, "%s: %v\n", name, err)
+		printError(root, stderr, err)
 		return command.ExitFailure
 	}
 }
--- a/cmd/radishshelfctl/main_test.go
+++ b/cmd/radishshelfctl/main_test.go
@@ -68,6 +68,9 @@
 		{"entries", 0, "entry-1"},
 		{"roles", 1, "does not offer"},
 		{"policies delete fares", 1, "refers to it"},
+		{"policies set fares --value {} --expected 1 --output json", 1, `"current":{"kind":"policy","name":"fares","revision":2`},
+		{"version --output json", 0, `"version":`},
+		{"policies delete nope", 1, "does not exist, nothing was deleted"},
 		{"policies list --output xml", 1, "write json or text"},
 	} {
 		var out bytes.Buffer
--- a/cmd/radishshelfctl/objects.go
+++ b/cmd/radishshelfctl/objects.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strconv"
 
 	"github.com/spf13/cobra"
@@ -116,6 +117,10 @@
 			if err != nil {
 				return err
 			}
+			if current.Revision == 0 && expected == readRevision {
+				return fmt.Errorf("%s %q does not exist, nothing was deleted; check the name with %q", group.singular, args[0],
+					name+" "+group.plural+" list")
+			}
 			result, err := client.Delete(cmd.Context(), group.kind, args[0], expectedOf(expected, current))
 			if err != nil {
 				return err
--- a/cmd/radishshelfctl/root.go
+++ b/cmd/radishshelfctl/root.go
@@ -5,7 +5,6 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/radishshelf/radishshelf/command"
 	"github.com/radishshelf/radishshelf/fleetconfig"
 	"github.com/radishshelf/radishshelf/operatorclient"
 )
@@ -38,6 +37,6 @@
 		root.AddCommand(newObjects(o, group))
 	}
 	root.AddCommand(newDefaults(o), newExceptions(o), newKeys(o), newEntries(o), newHosts(o), newRoles(o),
-		newUsageWindows(o), newVersions(o), newExplain(o), command.NewVersion(name))
+		newUsageWindows(o), newVersions(o), newExplain(o), newVersion(o))
 	return root
 }
--- a/entry/deliver.go
+++ b/entry/deliver.go
@@ -86,7 +86,7 @@
 		CompletesGroup: j.priority < 0,
 	})
 	wait := e.now().Sub(queued)
-	e.metrics.queueWait.Update(wait.Seconds())
+	e.metrics.waited(j.workspace, wait)
 	record.waited(wait)
 	if err != nil {
 		return nil, notSent(err)
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -98,7 +98,7 @@
 		what = refusal.Outcome
 		record.Refusal = refusal.Kind
 		record.Status = refusal.Status
-		x.e.metrics.refused(refusal.Kind)
+		x.e.metrics.refused(record.Workspace, refusal.Kind)
 		if !x.started() {
 			writeRefusal(x.w, x.id, refusal)
 		}
--- a/entry/fleetroute.go
+++ b/entry/fleetroute.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/radishshelf/radishshelf/fleetconfig"
@@ -24,13 +26,11 @@
 	defer f.mu.Unlock()
 	upstreams := f.members.Upstreams(now)
 	candidates := make([]routing.Candidate, 0, len(upstreams))
-	byName := make(map[string]membership.Upstream, len(upstreams))
 	for _, u := range upstreams {
 		if u.Kind != j.destination.kind {
 			continue
 		}
 		candidates = append(candidates, f.candidate(u, view))
-		byName[u.Name] = u
 	}
 	decision, err := f.router.Route(routing.Request{
 		ID: j.id, Serves: j.destination.serves, Prefix: j.prefix, CostTokens: j.cost, Bytes: int64(len(j.body)),
@@ -39,8 +39,12 @@
 	if err != nil {
 		return chosen{decision: decision}, err
 	}
+	// The list is in name order.
+	at, _ := slices.BinarySearchFunc(upstreams, decision.Chosen.Name, func(u membership.Upstream, name string) int {
+		return strings.Compare(u.Name, name)
+	})
 	c := chosen{
-		upstream: byName[decision.Chosen.Name], decision: decision, attempt: j.id + "#" + strconv.Itoa(attempt),
+		upstream: upstreams[at], decision: decision, attempt: j.id + "#" + strconv.Itoa(attempt),
 		exclusive: j.exclusive,
 	}
 	if c.exclusive {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -14,7 +14,6 @@
 // caller, so that callers cannot create series.
 type entryMetrics struct {
 	registry  *telemetry.Registry
-	queueWait *metrics.Histogram
 	firstByte *metrics.Histogram
 	total     *metrics.Histogram
 	hedges    *metrics.Counter
@@ -28,7 +27,6 @@
 func newEntryMetrics(registry *telemetry.Registry, e *Entry) *entryMetrics {
 	m := &entryMetrics{
 		registry:  registry,
-		queueWait: registry.GetOrCreateHistogram("radishshelf_entry_queue_wait_seconds"),
 		firstByte: registry.GetOrCreateHistogram("radishshelf_entry_first_byte_seconds"),
 		total:     registry.GetOrCreateHistogram("radishshelf_entry_request_seconds"),
 		hedges:    registry.GetOrCreateCounter("radishshelf_entry_hedges_total"),
@@ -51,8 +49,15 @@
 	m.total.Update(total.Seconds())
 }
 
-func (m *entryMetrics) refused(kind outcome.Kind) {
-	m.registry.GetOrCreateCounter(fmt.Sprintf("radishshelf_entry_refusals_total{kind=%q}", kind)).Inc()
+// waited and refused have the label "workspace", because the service is measured by its worst-served workspace.
+func (m *entryMetrics) waited(workspace string, wait time.Duration) {
+	name := fmt.Sprintf("radishshelf_entry_queue_wait_seconds{workspace=%q}", workspace)
+	m.registry.GetOrCreateHistogram(name).Update(wait.Seconds())
+}
+
+func (m *entryMetrics) refused(workspace string, kind outcome.Kind) {
+	name := fmt.Sprintf("radishshelf_entry_refusals_total{workspace=%q,kind=%q}", workspace, kind)
+	m.registry.GetOrCreateCounter(name).Inc()
 }
 
 func (m *entryMetrics) retried(reason string) {
--- /dev/null
+++ b/entry/metrics_test.go
@@ -0,0 +1,27 @@
+package entry
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/radishshelf/radishshelf/outcome"
+	"github.com/radishshelf/radishshelf/telemetry"
+)
+
+// Guards against waits and refusals that cannot be compared between workspaces.
+func TestWaitAndRefusalsByWorkspace(t *testing.T) {
+	m := &entryMetrics{registry: telemetry.NewRegistry()}
+	m.waited("north", 2*time.Second)
+	m.refused("south", outcome.KindOverQuota)
+	var text strings.Builder
+	m.registry.WritePrometheus(&text)
+	for _, want := range []string{
+		`radishshelf_entry_queue_wait_seconds_sum{workspace="north"} 2`,
+		`radishshelf_entry_refusals_total{workspace="south",kind="over_quota"} 1`,
+	} {
+		if !strings.Contains(text.String(), want+"\n") {
+			t.Errorf("no line %q in:\n%s", want, text.String())
+		}
+	}
+}
--- a/entry/refusals.go
+++ b/entry/refusals.go
@@ -12,6 +12,7 @@
 	retryIsolated = 5 * time.Second
 	retryBusy     = time.Second
 	retryNoTarget = 2 * time.Second
+	retryNoRoom   = 5 * time.Second
 )
 
 // refuse builds the final answer to a request that was not sent to an agent.
--- a/entry/rollout_test.go
+++ b/entry/rollout_test.go
@@ -22,6 +22,7 @@
 	mu     sync.Mutex
 	groups []samples.Group
 	full   atomic.Bool
+	noRoom atomic.Bool
 	block  chan struct{}
 }
 
@@ -42,6 +43,8 @@
 func (s *fakeSink) Accepting() bool { return !s.full.Load() }
 func (s *fakeSink) Waiting() int    { return 0 }
 
+func (s *fakeSink) HasRoom(string) bool { return !s.noRoom.Load() }
+
 func (s *fakeSink) stored() []samples.Group {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -98,6 +101,12 @@
 			t.Fatalf("sample %d: %+v", i, s)
 		}
 	}
+	sink.noRoom.Store(true)
+	r.do("POST", groupsPath, testSecret, groupBody("g1b", 1)).wantRefusal(t, outcome.KindOverloaded, outcome.NotRun)
+	if calls.Load() != 7 {
+		t.Fatalf("%d generations; a group of a trainer without room was generated", calls.Load())
+	}
+	sink.noRoom.Store(false)
 	sink.full.Store(true)
 	r.do("POST", groupsPath, testSecret, groupBody("g2", 1)).wantRefusal(t, outcome.KindStoreDown, outcome.NotRun)
 	r.do("POST", groupsPath, otherSecret, groupBody("g3", 1)).wantRefusal(t, outcome.KindNotFound, outcome.NotRun)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"github.com/radishshelf/radishshelf/lease"
 	"github.com/radishshelf/radishshelf/settings"
 )
 
@@ -14,6 +15,9 @@
 	CallerAddress   string `json:"caller_address"`
 	OperatorAddress string `json:"operator_address"`
 	PeerAddress     string `json:"peer_address"`
+	// AdvertisedPeerAddress is the peer address that other processes are told, where it differs from PeerAddress because
+	// that names all interfaces or the way leads through a relay.
+	AdvertisedPeerAddress string `json:"advertised_peer_address,omitempty"`
 	// PlatformAddress is the platform's HTTP interface, host:port.
 	PlatformAddress string `json:"platform_address"`
 	// Peers are peer addresses of other entries that are tried before the host list is known.
@@ -62,6 +66,12 @@
 	// holder of role usage looks for windows to finish.
 	UsageGrace    settings.Duration `json:"usage_grace,omitempty"`
 	UsageInterval settings.Duration `json:"usage_interval,omitempty"`
+	// LeaseDuration, RenewInterval, ActWindow and PauseTolerance are the timing of the leased roles, as in lease.Config.
+	// They must be equal at all entries.
+	LeaseDuration  settings.Duration `json:"lease_duration,omitempty"`
+	RenewInterval  settings.Duration `json:"renew_interval,omitempty"`
+	ActWindow      settings.Duration `json:"act_window,omitempty"`
+	PauseTolerance settings.Duration `json:"pause_tolerance,omitempty"`
 }
 
 // Defaults of the settings.
@@ -105,6 +115,10 @@
 		HostListInterval: settings.Duration(defaultHostInterval),
 		UsageGrace:       settings.Duration(defaultUsageGrace),
 		UsageInterval:    settings.Duration(defaultUsageInterval),
+		LeaseDuration:    settings.Duration(lease.DefaultDuration),
+		RenewInterval:    settings.Duration(lease.DefaultRenewInterval),
+		ActWindow:        settings.Duration(lease.DefaultActWindow),
+		PauseTolerance:   settings.Duration(lease.DefaultPauseTolerance),
 	}
 }
 
@@ -113,6 +127,7 @@
 	s.ValidateCommon(p)
 	s.validateAddresses(p)
 	s.validateTimes(p)
+	s.validateLease(p)
 	s.validateCounts(p)
 	if s.RetryShare < 0 || s.RetryShare > 1 {
 		p.Add(settings.KindInvalid, "retry_share", "the share is outside 0 to 1", "write for example 0.1")
@@ -128,6 +143,9 @@
 	p.Address("operator_address", s.OperatorAddress)
 	p.Address("peer_address", s.PeerAddress)
 	p.Address("platform_address", s.PlatformAddress)
+	if s.AdvertisedPeerAddress != "" {
+		p.Address("advertised_peer_address", s.AdvertisedPeerAddress)
+	}
 	for i, peer := range s.Peers {
 		p.Address("peers["+strconv.Itoa(i)+"]", peer)
 	}
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -2,19 +2,12 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 )
 
 // drainCheck is the time between two looks for requests and groups that are still in progress.
 const drainCheck = 20 * time.Millisecond
 
-// shutdownServer stops accepting connections and waits for every request; no period of grace ends a stream.
-func shutdownServer(s *http.Server) {
-	// Without a deadline Shutdown fails only when the listener is closed already, which is what is wanted.
-	_ = s.Shutdown(context.Background())
-}
-
 // Drain makes the entry refuse new requests and returns when those in progress have ended and all completed groups are
 // durable or ctx ends.
 func (e *Entry) Drain(ctx context.Context) {
--- a/fleetconfig/validate_trainer.go
+++ b/fleetconfig/validate_trainer.go
@@ -7,4 +7,13 @@
 	if t.LotSamples < 1 {
 		c.add("lot_samples", "a lot holds no samples", "write 1 or more")
 	}
+	switch t.LotOrder {
+	case "", LotOrderOldest, LotOrderFreshest:
+	default:
+		c.add("lot_order", "the order is unknown", "write "+LotOrderOldest+" or "+LotOrderFreshest)
+	}
+	c.notNegative("max_ready_samples", t.MaxReadySamples < 0)
+	if t.MaxReadySamples > 0 && t.MaxReadySamples < t.LotSamples {
+		c.add("max_ready_samples", "fewer samples may be ready than a lot needs", "write lot_samples or more, or 0 for no bound")
+	}
 }
--- a/lots/form.go
+++ b/lots/form.go
@@ -1,6 +1,7 @@
 package lots
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -24,13 +25,13 @@
 	Take []Ready
 }
 
-// Form chooses the oldest ready groups that pass the staleness bound. The list is in key order and contains no group of
-// an earlier lot. Groups are never split, so a lot may exceed the agreed size by less than its last group.
+// Form chooses ready groups that pass the staleness bound, in the agreed order. The list is in key order and contains no
+// group of an earlier lot. Groups are never split, so a lot may exceed the agreed size by less than its last group.
 func Form(spec Spec, step int64, ready []Ready) Formation {
 	var f Formation
 	total, size := 0, 0
 	full := false
-	for _, r := range ready {
+	for _, r := range spec.Order.sort(ready) {
 		if samples.Stale(step, r.Oldest, spec.MaxStaleness) {
 			f.Discard = append(f.Discard, DiscardedGroup{Ready: r, Reason: samples.ReasonStale})
 			continue
@@ -46,6 +47,9 @@
 	if !full && total < spec.LotSamples && len(f.Take) < MaxGroups {
 		f.Take = nil
 	}
+	byKey := func(a, b Ready) int { return cmp.Compare(a.Key, b.Key) }
+	slices.SortFunc(f.Take, byKey)
+	slices.SortFunc(f.Discard, func(a, b DiscardedGroup) int { return byKey(a.Ready, b.Ready) })
 	return f
 }
 
--- a/lots/ready.go
+++ b/lots/ready.go
@@ -27,6 +27,10 @@
 	MaxStaleness int64
 	// LotSamples is the number of samples that a lot has at least.
 	LotSamples int
+	// Order is which ready groups a lot takes first.
+	Order Order
+	// MaxReadySamples is how many samples may wait for a lot before new rollout groups are refused; 0 means no bound.
+	MaxReadySamples int
 }
 
 // DiscardedGroup is a group that does not reach the trainer.
--- a/lots/session_test.go
+++ b/lots/session_test.go
@@ -63,6 +63,9 @@
 		s.ready = append(s.ready, r)
 		return
 	}
+	if n, _ := fmt.Sscanf(event, "order %s", &s.spec.Order); n == 1 {
+		return
+	}
 	if n, _ := fmt.Sscanf(event, "pull after %d step %d", &after, &step); n == 2 {
 		s.pull(after, step)
 		return
--- a/lotstore/form.go
+++ b/lotstore/form.go
@@ -39,7 +39,7 @@
 		return lots.Lot{}, nil, err
 	}
 	s.metrics.formed.Inc()
-	s.metrics.delivered.Inc()
+	s.metrics.handedOver(p.trainer, p.step-lot.Oldest)
 	s.opts.Log.Info().Str("trainer", p.trainer).Int64("lot", lot.Number).Int64("step", p.step).
 		Int("groups", len(lot.Groups)).Int("samples", lot.Samples).Int64("oldest_version", lot.Oldest).Msg("lot formed")
 	return lot, content, nil
@@ -56,12 +56,17 @@
 	})
 }
 
-// ready reads ready groups in the sequence of their arrival until they fill a lot at the pull's step.
+// ready reads ready groups in the sequence of their arrival until they fill a lot at the pull's step. The freshest ones
+// are known only after all were read, up to maxReadyRead.
 func (s *Store) ready(ctx context.Context, p pull) ([]lots.Ready, error) {
 	var ready []lots.Ready
 	fresh := 0
 	after := ""
-	for fresh < p.spec.LotSamples && len(ready) < lots.MaxGroups {
+	limit := lots.MaxGroups
+	if p.spec.Order == lots.Freshest {
+		limit = maxReadyRead
+	}
+	for (fresh < p.spec.LotSamples || p.spec.Order == lots.Freshest) && len(ready) < limit {
 		page, err := s.readyPage(ctx, p.trainer, after)
 		if err != nil {
 			return nil, err
--- a/lotstore/model_test.go
+++ b/lotstore/model_test.go
@@ -72,6 +72,7 @@
 // world is two entries, a trainer and a platform with faults.
 type world struct {
 	t        *rapid.T
+	spec     lots.Spec
 	platform *memory.Platform
 	table    *interleaver
 	entries  [2]*Store
@@ -93,7 +94,9 @@
 	w := &world{
 		t: t, platform: memory.New(memory.Options{}), acked: map[string]bool{}, sizes: map[string]int{}, step: 3,
 		seen: map[string]bool{}, bytes: map[int64][]byte{}, void: map[int64]bool{},
+		spec: testSpec,
 	}
+	w.spec.Order = rapid.SampledFrom([]lots.Order{lots.Oldest, lots.Freshest}).Draw(t, "order")
 	w.table = &interleaver{Table: w.platform.Table}
 	w.restart(0)
 	w.restart(1)
@@ -106,13 +109,17 @@
 		w.cancel[i]()
 	}
 	w.ctx[i], w.cancel[i] = context.WithCancel(context.Background())
-	w.entries[i] = newTestStore(w.table, w.platform.Objects, func() (Holder, bool) { return w.entries[1-i], true })
+	w.entries[i] = newSpecStore(w.spec, w.table, w.platform.Objects, func() (Holder, bool) { return w.entries[1-i], true })
 }
 
 func newTestStore(table platform.Table, objects platform.Objects, peer func() (Holder, bool)) *Store {
+	return newSpecStore(testSpec, table, objects, peer)
+}
+
+func newSpecStore(spec lots.Spec, table platform.Table, objects platform.Objects, peer func() (Holder, bool)) *Store {
 	return New(Options{
 		Table: table, Objects: objects, Peer: peer, Name: "test", MaxWaitingBytes: 20_000, Retention: time.Hour,
-		Spec: func(string) (lots.Spec, bool) { return testSpec, true },
+		Spec: func(string) (lots.Spec, bool) { return spec, true },
 		Log:  zerolog.Nop(), Registry: telemetry.NewRegistry(),
 	})
 }
--- a/lotstore/options.go
+++ b/lotstore/options.go
@@ -27,6 +27,12 @@
 	deleteRows = 100
 	// readPage is the number of ready rows read at once.
 	readPage = 500
+	// maxReadyRead bounds the ready groups that a pull in the order Freshest reads, 40 reads of a page. Groups beyond it
+	// are not considered before earlier ones are taken or stale.
+	maxReadyRead = 20_000
+	// roomInterval is how long a count of ready samples is used. At the design size, with rollouts for five trainers at
+	// each of 350 entries and three reads a count, it costs 350 of the 2,000 reads per second.
+	roomInterval = 15 * time.Second
 	// pullTries bounds the attempts of one pull against concurrent changes of the head.
 	pullTries = 8
 	// groupReaders bounds the concurrent reads of group content for one lot.
--- a/lotstore/pull.go
+++ b/lotstore/pull.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		return lots.Lot{}, nil, err
 	}
-	s.metrics.delivered.Inc()
+	s.metrics.handedOver(p.trainer, p.step-lot.Oldest)
 	return lot, content, nil
 }
 
--- /dev/null
+++ b/lotstore/room.go
@@ -0,0 +1,105 @@
+package lotstore
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+)
+
+// room is what is known about the ready samples of a trainer with a bound on them.
+type room struct {
+	// asked is set when a group request came since the last count.
+	asked     bool
+	countedAt time.Time
+	full      bool
+}
+
+// HasRoom reports whether new rollout groups of a trainer may start. It is false while more samples are ready than the
+// trainer's MaxReadySamples. It does not block: the count comes from Run and is up to 15 seconds old, and groups in
+// progress are not counted, so the bound is exceeded by what is generated in that time. While nothing is known there is
+// room.
+func (s *Store) HasRoom(trainer string) bool {
+	spec, ok := s.opts.Spec(trainer)
+	if !ok || spec.MaxReadySamples == 0 {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.rooms[trainer]
+	if r == nil {
+		r = &room{}
+		s.rooms[trainer] = r
+	}
+	r.asked = true
+	return !r.full
+}
+
+// CountReady renews the counts that HasRoom uses, for trainers that were asked for and whose count is old. A count that
+// fails leaves the last one in use.
+func (s *Store) CountReady(ctx context.Context) {
+	for _, trainer := range s.toCount() {
+		spec, ok := s.opts.Spec(trainer)
+		if !ok {
+			continue
+		}
+		ready, err := s.readySamples(ctx, trainer, spec.MaxReadySamples)
+		if err != nil {
+			s.opts.Log.Warn().Err(err).Str("trainer", trainer).Msg("ready samples not counted")
+			continue
+		}
+		s.counted(trainer, ready > spec.MaxReadySamples)
+	}
+}
+
+func (s *Store) toCount() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var trainers []string
+	for _, trainer := range slices.Sorted(maps.Keys(s.rooms)) {
+		r := s.rooms[trainer]
+		if r.asked && s.opts.Now().Sub(r.countedAt) >= roomInterval {
+			r.asked = false
+			trainers = append(trainers, trainer)
+		}
+	}
+	return trainers
+}
+
+func (s *Store) counted(trainer string, full bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.rooms[trainer]
+	if r.full != full {
+		s.opts.Log.Info().Str("trainer", trainer).Bool("full", full).Msg("room for rollout groups changed")
+	}
+	r.full = full
+	r.countedAt = s.opts.Now()
+}
+
+// readySamples counts the samples that wait for a lot until there are more than limit.
+func (s *Store) readySamples(ctx context.Context, trainer string, limit int) (int, error) {
+	head, err := s.readHead(ctx, trainer)
+	if err != nil {
+		return 0, err
+	}
+	taken, err := s.unswept(ctx, trainer, head)
+	if err != nil {
+		return 0, err
+	}
+	count := 0
+	after := ""
+	for count <= limit {
+		page, err := s.readyPage(ctx, trainer, after)
+		if err != nil || len(page) == 0 {
+			return count, err
+		}
+		for _, r := range page {
+			if !taken[r.Key] {
+				count += r.Samples
+			}
+		}
+		after = page[len(page)-1].Key
+	}
+	return count, nil
+}
--- a/lotstore/run.go
+++ b/lotstore/run.go
@@ -16,6 +16,7 @@
 		case <-ticker.C:
 		}
 		s.Retry(ctx)
+		s.CountReady(ctx)
 		if round%cleanEvery == 0 {
 			s.cleanServed(ctx)
 		}
--- a/lotstore/store.go
+++ b/lotstore/store.go
@@ -21,6 +21,8 @@
 	mu sync.Mutex
 	// served are the trainers whose pulls came here; their rows are cleaned up here.
 	served map[string]bool
+	// rooms are the trainers for which rollout groups were asked here.
+	rooms map[string]*room
 }
 
 // New returns a Store.
@@ -28,6 +30,7 @@
 	opts.setDefaults()
 	s := &Store{
 		opts: opts, own: newBuffer(opts.MaxWaitingBytes), held: newBuffer(opts.MaxWaitingBytes), served: map[string]bool{},
+		rooms: map[string]*room{},
 	}
 	s.metrics = newStoreMetrics(opts.Registry)
 	return s
--- /dev/null
+++ b/membership/example_test.go
@@ -0,0 +1,32 @@
+package membership_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/radishshelf/radishshelf/membership"
+)
+
+// The host list names candidates; only a report makes a process live, and missed reports make it dead.
+func Example() {
+	now := time.Date(2026, 3, 1, 10, 0, 0, 0, time.UTC)
+	view := membership.New(membership.Options{Beat: time.Second, MissedBeats: 3, Forget: time.Minute})
+	view.HostList([]membership.Host{{Name: "engine-1", Role: membership.RoleUpstream, Address: "127.0.0.1:7211"}})
+	show := func(now time.Time) {
+		for _, u := range view.Upstreams(now) {
+			fmt.Println(u.Name, u.Status)
+		}
+	}
+	show(now)
+	view.Heartbeat(membership.Upstream{
+		Name: "engine-1", DataAddress: "127.0.0.1:7211", Incarnation: "run-1", ReportSeq: 1, Healthy: true,
+	}, now)
+	show(now)
+	show(now.Add(2500 * time.Millisecond))
+	show(now.Add(10 * time.Second))
+	// Output:
+	// engine-1 candidate
+	// engine-1 live
+	// engine-1 suspect
+	// engine-1 dead
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -1,8 +1,8 @@
 package membership
 
 import (
+	"maps"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -90,23 +90,34 @@
 
 // Upstreams returns every upstream in name order, with its status at now.
 func (m *Membership) Upstreams(now time.Time) []Upstream {
-	list := make([]Upstream, 0, len(m.upstreams))
-	for _, s := range m.upstreams {
-		u := s.report
-		u.Status = m.options.status(u.ReportedAt, now, u.Leaving, s.refused)
-		list = append(list, u)
-	}
+	// Names are sorted instead of the large structs, because each request asks for this list.
+	names := slices.Collect(maps.Keys(m.upstreams))
 	for _, h := range m.hosts {
 		if _, reported := m.upstreams[h.Name]; h.Role == RoleUpstream && !reported {
-			list = append(list, Upstream{
-				Name: h.Name, DataAddress: h.Address, DataCentre: h.DataCentre, Region: h.Region, Status: Candidate,
-			})
+			names = append(names, h.Name)
 		}
 	}
-	slices.SortFunc(list, func(a, b Upstream) int { return strings.Compare(a.Name, b.Name) })
+	slices.Sort(names)
+	list := make([]Upstream, 0, len(names))
+	for _, name := range names {
+		list = append(list, m.upstream(name, now))
+	}
 	return list
 }
 
+func (m *Membership) upstream(name string, now time.Time) Upstream {
+	s, reported := m.upstreams[name]
+	if !reported {
+		h := m.hosts[name]
+		return Upstream{
+			Name: h.Name, DataAddress: h.Address, DataCentre: h.DataCentre, Region: h.Region, Status: Candidate,
+		}
+	}
+	u := s.report
+	u.Status = m.options.status(u.ReportedAt, now, u.Leaving, s.refused)
+	return u
+}
+
 // Tick drops processes that have been dead for long and are in no host list.
 func (m *Membership) Tick(now time.Time) {
 	for name, s := range m.upstreams {
--- a/operatorclient/error.go
+++ b/operatorclient/error.go
@@ -45,7 +45,11 @@
 		b.WriteString("; " + e.Remedy)
 	}
 	for _, f := range e.Faults {
-		fmt.Fprintf(&b, "\n  %s: %s; %s", f.Field, f.Problem, f.Remedy)
+		b.WriteString("\n  ")
+		if f.Field != "" {
+			b.WriteString(f.Field + ": ")
+		}
+		fmt.Fprintf(&b, "%s; %s", f.Problem, f.Remedy)
 	}
 	if e.Current != nil {
 		fmt.Fprintf(&b, "\n  current value at revision %d: %s", e.Current.Revision, e.Current.Value)
--- a/ordermanager/manager.go
+++ b/ordermanager/manager.go
@@ -25,6 +25,7 @@
 	intents map[ordering.Pool]Intent
 
 	placed, failed *metrics.Counter
+	cost           cost
 }
 
 // New returns a Manager; Run starts it.
@@ -37,6 +38,7 @@
 		opts:   opts,
 		placed: opts.Registry.NewCounter("radishshelf_orders_placed_total"),
 		failed: opts.Registry.NewCounter("radishshelf_orders_failed_total"),
+		cost:   cost{registry: opts.Registry},
 	}, nil
 }
 
@@ -63,6 +65,7 @@
 	term, ok := m.opts.Authority.MayAct(m.opts.Now())
 	if !ok {
 		m.term = 0
+		m.cost.stop()
 		return nil
 	}
 	if m.term != term {
@@ -71,7 +74,9 @@
 		}
 		m.term = term
 	}
-	for _, s := range m.opts.Signals(m.opts.Now()) {
+	signals := m.opts.Signals(m.opts.Now())
+	m.cost.add(signals, m.ordered, m.opts.Now())
+	for _, s := range signals {
 		if err := m.handle(ctx, s); err != nil {
 			return err
 		}
@@ -109,11 +114,7 @@
 	if known && intent.State == IntentPlanned {
 		return m.finish(ctx, intent)
 	}
-	ordered := s.Live
-	if known {
-		ordered = intent.Count
-	}
-	need, ok := m.planner.Plan(s, ordered, m.opts.Now())
+	need, ok := m.planner.Plan(s, m.ordered(s), m.opts.Now())
 	if !ok {
 		return nil
 	}
@@ -127,6 +128,14 @@
 	return m.place(ctx, next)
 }
 
+// ordered returns the count that the platform was last asked for, or the live count where it was never asked.
+func (m *Manager) ordered(s ordering.Signal) int {
+	if intent, known := m.intents[s.Pool]; known {
+		return intent.Count
+	}
+	return s.Live
+}
+
 // finish settles an intent whose result is unknown: the platform is asked first, then the same order is sent again.
 func (m *Manager) finish(ctx context.Context, intent Intent) error {
 	found, err := m.lookup(ctx, intent)
--- a/usagestore/report.go
+++ b/usagestore/report.go
@@ -82,6 +82,9 @@
 		return fmt.Errorf("report usage of workspace %q in window %s: %w", report.Workspace, window, err)
 	}
 	r.metrics.reported.Inc()
+	if start, err := usage.ParseWindowKey(window); err == nil {
+		r.metrics.delay.Update(r.opts.Now().Sub(r.opts.Window().End(start)).Seconds())
+	}
 	return r.markReported(ctx, window, report.Workspace, term)
 }
 
--- a/usagestore/reporter_metrics.go
+++ b/usagestore/reporter_metrics.go
@@ -13,6 +13,7 @@
 	repeated  *metrics.Counter
 	conflicts *metrics.Counter
 	failed    *metrics.Counter
+	delay     *metrics.Histogram
 }
 
 func newReporterMetrics(registry *telemetry.Registry) reporterMetrics {
@@ -23,5 +24,6 @@
 		repeated:  registry.GetOrCreateCounter("radishshelf_usage_records_repeated_total"),
 		conflicts: registry.GetOrCreateCounter("radishshelf_usage_report_conflicts_total"),
 		failed:    registry.GetOrCreateCounter("radishshelf_usage_report_errors_total"),
+		delay:     registry.GetOrCreateHistogram("radishshelf_usage_report_delay_seconds"),
 	}
 }
--- /dev/null
+++ b/usageview/names.go
@@ -0,0 +1,71 @@
+package usageview
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/usage"
+)
+
+const (
+	// maxWindows bounds the windows that are listed by their closing rows, which stay in the table, and those listed by
+	// their batch rows, which are deleted after the report. It covers two days of hourly windows.
+	maxWindows = 48
+	// page bounds the rows of one scan.
+	page = 500
+	// afterAll sorts after every character that occurs in a key.
+	afterAll = "\xff"
+)
+
+// names returns the windows to list, in order of time.
+func (v *View) names(ctx context.Context) ([]string, error) {
+	window := v.opts.Window()
+	current := window.Start(v.opts.Now())
+	length := window.End(current).Sub(current)
+	found := map[string]bool{usage.WindowKey(current): true}
+	if err := v.addClosing(ctx, current.Add(-maxWindows*length), found); err != nil {
+		return nil, fmt.Errorf("read closed usage windows: %w", err)
+	}
+	if err := v.addUnreported(ctx, found); err != nil {
+		return nil, fmt.Errorf("read usage windows with batches: %w", err)
+	}
+	return slices.Sorted(maps.Keys(found)), nil
+}
+
+// addClosing adds the newest windows with a closing row that began at oldest or later. More than one page of them exists
+// only after the window length was raised; those after the first page are then left out.
+func (v *View) addClosing(ctx context.Context, oldest time.Time, found map[string]bool) error {
+	rows, err := v.opts.Table.Scan(ctx, closingPrefix, closingPrefix+usage.WindowKey(oldest.Add(-time.Second)), page)
+	if err != nil {
+		return err
+	}
+	for _, row := range rows[max(0, len(rows)-maxWindows):] {
+		found[strings.TrimPrefix(row.Key, closingPrefix)] = true
+	}
+	return nil
+}
+
+// addUnreported adds the windows that still have batch rows, by skipping from window to window.
+func (v *View) addUnreported(ctx context.Context, found map[string]bool) error {
+	after := ""
+	for range maxWindows {
+		rows, err := v.opts.Table.Scan(ctx, batchPrefix, after, 1)
+		if err != nil || len(rows) == 0 {
+			return err
+		}
+		name := windowOf(rows[0])
+		found[name] = true
+		after = batchPrefix + name + "/" + afterAll
+	}
+	return nil
+}
+
+func windowOf(batch platform.Row) string {
+	name, _, _ := strings.Cut(strings.TrimPrefix(batch.Key, batchPrefix), "/")
+	return name
+}
--- /dev/null
+++ b/usageview/view.go
@@ -0,0 +1,122 @@
+package usageview
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"time"
+
+	"github.com/radishshelf/radishshelf/operatorclient"
+	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/usage"
+)
+
+const (
+	batchPrefix    = "usage/batch/"
+	closingPrefix  = "usage/closing/"
+	sealedPrefix   = "usage/sealed/"
+	reportedPrefix = "usage/reported/"
+)
+
+// States of a window, from the first to the last.
+const (
+	stateOpen     = "open"
+	stateClosing  = "closing"
+	stateSealed   = "sealed"
+	stateReported = "reported"
+)
+
+// Options configures a View.
+type Options struct {
+	Table platform.Table
+	// Window is asked at each call, since operators may change its length.
+	Window func() usage.Window
+	// Now is the clock; time.Now when nil.
+	Now func() time.Time
+}
+
+// View implements operatorapi.UsageSource.
+type View struct{ opts Options }
+
+// New returns a View.
+func New(opts Options) *View {
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	return &View{opts: opts}
+}
+
+// UsageWindows returns, oldest first, the windows that began in the last maxWindows window lengths, and older ones
+// whose batches are not yet reported.
+func (v *View) UsageWindows(ctx context.Context) ([]operatorclient.UsageWindow, error) {
+	names, err := v.names(ctx)
+	if err != nil {
+		return nil, err
+	}
+	windows := make([]operatorclient.UsageWindow, 0, len(names))
+	for _, name := range names {
+		window, err := v.window(ctx, name)
+		if err != nil {
+			return nil, fmt.Errorf("read usage window %s: %w", name, err)
+		}
+		windows = append(windows, window)
+	}
+	return windows, nil
+}
+
+func (v *View) window(ctx context.Context, name string) (operatorclient.UsageWindow, error) {
+	row, err := v.opts.Table.Get(ctx, sealedPrefix+name)
+	if platform.IsKind(err, platform.KindNotFound) {
+		return v.notSealed(ctx, name)
+	}
+	window := operatorclient.UsageWindow{Window: name, State: stateSealed}
+	if err != nil {
+		return window, err
+	}
+	var sealed usage.Sealed
+	if err := json.Unmarshal(row.Value, &sealed); err != nil {
+		return window, err
+	}
+	window.Workspaces = len(sealed.Reports)
+	window.Reported, err = v.reported(ctx, name, sealed.Reports)
+	if err == nil && window.Reported == window.Workspaces {
+		window.State = stateReported
+	}
+	return window, err
+}
+
+func (v *View) notSealed(ctx context.Context, name string) (operatorclient.UsageWindow, error) {
+	window := operatorclient.UsageWindow{Window: name, State: stateOpen}
+	_, err := v.opts.Table.Get(ctx, closingPrefix+name)
+	if platform.IsKind(err, platform.KindNotFound) {
+		return window, nil
+	}
+	window.State = stateClosing
+	return window, err
+}
+
+// reported counts the workspaces of a sealed window whose report the sink has accepted. The number of scans is bounded
+// by the number of workspaces.
+func (v *View) reported(ctx context.Context, name string, reports []usage.SealedReport) (int, error) {
+	prefix := reportedPrefix + name + "/"
+	pending := make(map[string]bool, len(reports))
+	for _, report := range reports {
+		pending[prefix+url.PathEscape(report.Workspace)] = true
+	}
+	after := ""
+	for range len(reports)/page + 1 {
+		rows, err := v.opts.Table.Scan(ctx, prefix, after, page)
+		if err != nil {
+			return 0, err
+		}
+		for _, row := range rows {
+			delete(pending, row.Key)
+			after = row.Key
+		}
+		if len(rows) < page {
+			break
+		}
+	}
+	return len(reports) - len(pending), nil
+}
