--- /dev/null
+++ b/standin/fleet/balancer.go
@@ -0,0 +1,54 @@
+package fleet
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// balancerInterval is well below the readiness delay of the entries, as for a real balancer.
+const balancerInterval = 50 * time.Millisecond
+
+// Balancer picks ready entries in turn, as the platform's balancer does.
+type Balancer struct {
+	ready []atomic.Bool
+	next  atomic.Int64
+	fleet *Fleet
+}
+
+// NewBalancer starts to watch the readiness of the entries until the test ends.
+func NewBalancer(t testing.TB, f *Fleet) *Balancer {
+	b := &Balancer{fleet: f, ready: make([]atomic.Bool, len(f.Entries))}
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	for i, e := range f.Entries {
+		b.ready[i].Store(ready(e.Status))
+		go b.watch(i, e.Status, stop)
+	}
+	return b
+}
+
+func (b *Balancer) watch(i int, status string, stop <-chan struct{}) {
+	ticker := time.NewTicker(balancerInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+			b.ready[i].Store(ready(status))
+		}
+	}
+}
+
+// Pick returns a ready entry, or any when none is ready.
+func (b *Balancer) Pick() *Entry {
+	start := int(b.next.Add(1))
+	for i := range b.ready {
+		at := (start + i) % len(b.ready)
+		if b.ready[at].Load() {
+			return b.fleet.Entries[at]
+		}
+	}
+	return b.fleet.Entries[start%len(b.ready)]
+}
--- /dev/null
+++ b/standin/fleet/call.go
@@ -0,0 +1,108 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/radishshelf/radishshelf/agent/engineapi"
+	"github.com/radishshelf/radishshelf/dataplane"
+	"github.com/radishshelf/radishshelf/outcome"
+)
+
+// maxAnswerBytes bounds one answer.
+const maxAnswerBytes = 8 << 20
+
+// Answer is a whole answer to a caller.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// NotRun reports whether the answer says that the request did not run.
+func (a Answer) NotRun() bool {
+	return a.Header.Get(dataplane.HeaderOutcome) == outcome.NotRun.String()
+}
+
+// Kind returns the kind of a refusal, or "".
+func (a Answer) Kind() outcome.Kind {
+	var refusal struct {
+		Error struct {
+			Type outcome.Kind `json:"type"`
+		} `json:"error"`
+	}
+	if json.Unmarshal(a.Body, &refusal) != nil {
+		return ""
+	}
+	return refusal.Error.Type
+}
+
+// String names status, outcome and body for messages.
+func (a Answer) String() string {
+	return fmt.Sprintf("status %d, outcome %q: %s", a.Status, a.Header.Get(dataplane.HeaderOutcome), a.Body)
+}
+
+// Call sends a request under a key. An error means that no whole answer came. headers are names and values in turn.
+func Call(ctx context.Context, method, url, key string, body any, headers ...string) (Answer, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return Answer{}, err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(data))
+	if err != nil {
+		return Answer{}, err
+	}
+	// The client must not resend by itself, since the tests count executions.
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer resp.Body.Close()
+	data, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: data}, err
+}
+
+// Chat sends a chat completion.
+func (e *Entry) Chat(ctx context.Context, key, content string, tokens int, stream bool) (Answer, error) {
+	return Call(ctx, http.MethodPost, "http://"+e.Caller+engineapi.PathChat, key, engineapi.ChatRequest{
+		Model: Policy, Messages: []engineapi.Message{{Role: "user", Content: content}}, MaxTokens: tokens, Stream: stream,
+	})
+}
+
+// Book sends a booking under an idempotency key equal to its id.
+func (e *Entry) Book(ctx context.Context, key, id string) (Answer, error) {
+	return Call(ctx, http.MethodPost, "http://"+e.Caller+"/bookings", key, map[string]string{"id": id}, "Idempotency-Key", id)
+}
+
+// Group runs a rollout group.
+func (e *Entry) Group(ctx context.Context, key, id string, size, tokens int) (Answer, error) {
+	return Call(ctx, http.MethodPost, "http://"+e.Caller+"/v1/rollout-groups", key, map[string]any{
+		"policy": Policy, "trainer": TrainerName, "group": id, "size": size, "max_tokens": tokens,
+		"messages": []engineapi.Message{{Role: "user", Content: "The fare of " + id + " is wrong."}},
+	})
+}
+
+// ReadJSON reads an admin or status answer.
+func ReadJSON(t testing.TB, url string, into any) {
+	t.Helper()
+	a, err := Call(t.Context(), http.MethodGet, url, "", nil)
+	if err != nil || a.Status != http.StatusOK {
+		t.Fatalf("GET %s: %v: %v", url, a, err)
+	}
+	if err := json.Unmarshal(a.Body, into); err != nil {
+		t.Fatalf("GET %s: %v", url, err)
+	}
+}
--- /dev/null
+++ b/standin/fleet/configure.go
@@ -0,0 +1,76 @@
+package fleet
+
+import (
+	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/operatorclient"
+)
+
+// Workspaces of a fleet.
+const (
+	Hraunvegur = "hraunvegur"
+	Verband    = "verband"
+)
+
+// usageWindow is the length of a usage window in seconds.
+const usageWindow = 2
+
+func operator(e *Entry) *operatorclient.Client {
+	return operatorclient.New(e.Operator, operatorclient.Options{})
+}
+
+// Operator returns the operator client of an entry, numbered from 0.
+func (f *Fleet) Operator(entry int) *operatorclient.Client { return operator(f.Entries[entry]) }
+
+func (f *Fleet) configure() {
+	f.t.Helper()
+	f.SetMinUpstreams(1)
+	f.put(fleetconfig.KindPolicy, Policy, fleetconfig.Policy{})
+	f.put(fleetconfig.KindTrainer, TrainerName, fleetconfig.Trainer{Policy: Policy, MaxStaleness: 1_000, LotSamples: 4})
+	for _, name := range []string{Hraunvegur, Verband} {
+		f.put(fleetconfig.KindWorkspace, name, fleetconfig.Workspace{Weight: 1})
+	}
+	f.put(fleetconfig.KindRoute, "bookings", fleetconfig.Route{PathPrefix: "/bookings", Service: deskService})
+	f.put(fleetconfig.KindRoute, "fares", fleetconfig.Route{PathPrefix: "/fares", Service: deskService, Idempotent: true})
+}
+
+// SetMinUpstreams sets the fleet's defaults; more than what runs makes the holder of role orders place orders.
+func (f *Fleet) SetMinUpstreams(count int) {
+	f.t.Helper()
+	f.put(fleetconfig.KindDefaults, fleetconfig.DefaultsName, fleetconfig.Defaults{
+		MaxTokens: 4096, RequestTimeoutMs: 60_000, MaxEntries: 4, UsageWindowSeconds: usageWindow,
+		MinUpstreams: count, MaxUpstreams: 4,
+	})
+}
+
+// put creates or replaces a configuration object.
+func (f *Fleet) put(kind fleetconfig.Kind, name string, value any) {
+	f.t.Helper()
+	var revision int64
+	if present, err := f.Operator(0).Get(f.t.Context(), kind, name); err == nil {
+		revision = present.Revision
+	}
+	if _, err := f.Operator(0).Put(f.t.Context(), kind, name, value, revision); err != nil {
+		f.t.Fatalf("put %s %s: %v", kind, name, err)
+	}
+}
+
+// Grant grants a key of a workspace that is in force at every entry.
+func (f *Fleet) Grant(workspace string) operatorclient.KeyGrant {
+	f.t.Helper()
+	return f.grant(operatorclient.KeyRequest{Workspace: workspace})
+}
+
+// GrantTrainer grants the trainer's key and returns its secret.
+func (f *Fleet) GrantTrainer() string {
+	f.t.Helper()
+	return f.grant(operatorclient.KeyRequest{Trainer: TrainerName}).Secret
+}
+
+func (f *Fleet) grant(request operatorclient.KeyRequest) operatorclient.KeyGrant {
+	f.t.Helper()
+	grant, err := f.Operator(0).GrantKey(f.t.Context(), request)
+	if err != nil || !grant.Accepted {
+		f.t.Fatalf("grant a key: %+v: %v", grant.ChangeResult, err)
+	}
+	return grant
+}
--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,131 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	standin "github.com/radishshelf/radishshelf/standin/platform"
+)
+
+// readyTimeout bounds the start of the processes, which share the machine with other tests.
+const readyTimeout = 30 * time.Second
+
+// Entry is an entry with its addresses.
+type Entry struct {
+	*Process
+	Caller, Operator, Peer, Status string
+	DataCentre                     string
+}
+
+// Upstream is an engine or plain service with its agent.
+type Upstream struct {
+	*Process
+	Agent *Process
+	// URL is the base URL of the upstream.
+	URL         string
+	agentStatus string
+}
+
+// Fleet is a set of running processes with the platform.
+type Fleet struct {
+	Platform *Platform
+	Entries  []*Entry
+	Engines  []*Upstream
+	Desks    []*Upstream
+	Trainer  *Process
+	// TrainerURL serves the report of the trainer.
+	TrainerURL string
+	// Relays carry the connections of the entry that Options.RelayEntry names.
+	Relays []*Relay
+	// Recorders stand before the engines when Options.RecordEngines is set.
+	Recorders []*Recorder
+
+	t        testing.TB
+	dir      string
+	binaries Binaries
+	opts     Options
+}
+
+// New starts a fleet and waits until every process is ready. It ends with the test; the logs are kept when the test
+// failed.
+func New(t testing.TB, binaries Binaries, opts Options) *Fleet {
+	t.Helper()
+	reserve(t, opts)
+	dir, err := os.MkdirTemp("", "radishshelf-fleet-")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("logs are in %s", dir)
+			return
+		}
+		_ = os.RemoveAll(dir)
+	})
+	f := &Fleet{
+		Platform: newPlatform(t, standin.Settings{CheckTerms: !opts.IgnoreTerms}),
+		t:        t, dir: dir, binaries: binaries, opts: opts,
+	}
+	f.addEntries()
+	for i, dc := range opts.Engines {
+		f.addEngine(i+1, dc)
+	}
+	for i := range opts.Desks {
+		f.addDesk(i+1, opts.Entries[i%len(opts.Entries)])
+	}
+	f.waitReady()
+	f.configure()
+	if opts.Trainer {
+		f.addTrainer()
+	}
+	return f
+}
+
+func (f *Fleet) waitReady() {
+	f.t.Helper()
+	for _, e := range f.Entries {
+		f.WaitReady(e.Status)
+	}
+	for _, u := range append(append([]*Upstream{}, f.Engines...), f.Desks...) {
+		f.WaitReady(u.agentStatus)
+	}
+	for _, e := range f.Entries {
+		f.waitUpstreams(e)
+	}
+}
+
+// waitUpstreams waits until an entry has heard from every agent that its upstream is healthy.
+func (f *Fleet) waitUpstreams(e *Entry) {
+	f.t.Helper()
+	want := len(f.Engines) + len(f.Desks)
+	Eventually(f.t, readyTimeout, fmt.Sprintf("%d live upstreams at %s", want, e.Name), func() bool {
+		hosts, err := operator(e).Hosts(f.t.Context())
+		live := 0
+		for _, h := range hosts {
+			if h.Role == "upstream" && h.State == "live" && h.Detail == "" {
+				live++
+			}
+		}
+		return err == nil && live == want
+	})
+}
+
+// add writes the settings file of a process and starts it.
+func (f *Fleet) add(name, program string, s Settings) *Process {
+	f.t.Helper()
+	data, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	path := filepath.Join(f.dir, name+".json")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	p := newProcess(f.t, f.dir, name, f.binaries.path(program), path)
+	p.Start()
+	return p
+}
--- /dev/null
+++ b/standin/fleet/freeze_test.go
@@ -0,0 +1,216 @@
+package fleet
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/roles"
+)
+
+// takeoverTime bounds a takeover: lease, pause tolerance, delay by rank and the successor's rounds.
+const takeoverTime = 20 * time.Second
+
+// freezer freezes the holder of a role when a call of it reaches the platform, once armed.
+type freezer struct {
+	f    *Fleet
+	role string
+	// matches selects the call.
+	matches func(path string, body []byte) bool
+
+	mu     sync.Mutex
+	armed  bool
+	frozen *Entry
+	term   int64
+}
+
+func (z *freezer) call(path string, body []byte) {
+	if !z.matches(path, body) {
+		return
+	}
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if !z.armed {
+		return
+	}
+	holder, term := z.f.Holder(z.role)
+	if holder == nil {
+		return
+	}
+	z.armed = false
+	holder.Freeze()
+	z.frozen, z.term = holder, term
+}
+
+func (z *freezer) victim() (*Entry, int64) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return z.frozen, z.term
+}
+
+// freezeHolder freezes the holder of a role at the next matching call and returns it with its term.
+func (f *Fleet) freezeHolder(role, what string, within time.Duration, matches func(path string, body []byte) bool) (*Entry, int64) {
+	f.t.Helper()
+	z := &freezer{f: f, role: role, matches: matches, armed: true}
+	f.Platform.OnCall(z.call)
+	Eventually(f.t, within, "a call of the holder of role "+role+": "+what, func() bool {
+		e, _ := z.victim()
+		return e != nil
+	})
+	f.Platform.OnCall(nil)
+	return z.victim()
+}
+
+// waitSuccessor waits until another entry holds the role under a higher term.
+func (f *Fleet) waitSuccessor(role string, old *Entry, term int64) {
+	f.t.Helper()
+	Eventually(f.t, takeoverTime, "a successor of "+old.Name+" in role "+role, func() bool {
+		e, now := f.Holder(role)
+		return e != nil && e != old && now > term
+	})
+}
+
+func tableWrite(key string) func(path string, body []byte) bool {
+	return func(path string, body []byte) bool { return path == commitPath && bytes.Contains(body, []byte(key)) }
+}
+
+// Guards against a window that is reported with two sets of figures, or by a holder that was replaced while it was
+// frozen in the middle of closing, sealing or reporting.
+func TestFrozenUsageHolder(t *testing.T) {
+	t.Parallel()
+	f := New(t, binaries, Options{Entries: []string{"sudur", "nordur", "austur"}, Engines: []string{"sudur"}})
+	key := f.Grant(Hraunvegur).Secret
+	var served Usage
+	points := []struct {
+		name    string
+		matches func(path string, body []byte) bool
+	}{
+		{"close", tableWrite("usage/closing/")},
+		{"seal", tableWrite("usage/sealed/")},
+		{"report", func(path string, _ []byte) bool { return path == reportPath }},
+	}
+	for _, point := range points {
+		f.serve(f.Entries[0], key, 3, &served)
+		holder, term := f.freezeHolder(roles.Usage, point.name, takeoverTime, point.matches)
+		f.waitSuccessor(roles.Usage, holder, term)
+		f.serve(f.Other(holder), key, 3, &served)
+		f.waitReport(term)
+		holder.Thaw()
+		f.WaitReady(holder.Status)
+	}
+	f.waitReported(Hraunvegur, served)
+	time.Sleep(2 * usageWindow * time.Second)
+	if got := f.Reported(Hraunvegur); got != served {
+		t.Errorf("reported %+v, served %+v", got, served)
+	}
+	f.checkOneReporter()
+}
+
+// waitReport waits for a report of a holder after the given term.
+func (f *Fleet) waitReport(term int64) {
+	f.t.Helper()
+	Eventually(f.t, takeoverTime, fmt.Sprintf("a report under a term above %d", term), func() bool {
+		reports := f.Platform.Reports()
+		return len(reports) > 0 && reports[len(reports)-1].Term > term
+	})
+}
+
+// checkOneReporter fails when the platform received a report with other figures than before, or one under an older
+// term after one under a newer term.
+func (f *Fleet) checkOneReporter() {
+	f.t.Helper()
+	bodies := map[string][]byte{}
+	var highest Arrival
+	for _, r := range f.Platform.Reports() {
+		if before, ok := bodies[r.ID]; ok && !bytes.Equal(before, r.Body) {
+			f.t.Errorf("window %s was reported as %s and as %s", r.ID, before, r.Body)
+		}
+		bodies[r.ID] = r.Body
+		if r.Term < highest.Term {
+			f.t.Errorf("report %s of term %d arrived at %s, after one of term %d at %s", r.ID, r.Term, r.At, highest.Term, highest.At)
+		}
+		if r.Term >= highest.Term {
+			highest = r
+		}
+	}
+}
+
+// Guards against orders from two holders, an order that takes effect twice, or one that is lost, when the holder is
+// frozen in the middle of an order and thawed after its successor has taken over.
+func TestFrozenOrdersHolder(t *testing.T) {
+	t.Parallel()
+	for _, ignore := range []bool{false, true} {
+		for _, lost := range []bool{false, true} {
+			t.Run(fmt.Sprintf("terms ignored %v, order lost %v", ignore, lost), func(t *testing.T) {
+				t.Parallel()
+				testFrozenOrdersHolder(t, ignore, lost)
+			})
+		}
+	}
+}
+
+func testFrozenOrdersHolder(t *testing.T, ignoreTerms, lost bool) {
+	f := New(t, binaries, Options{Entries: []string{"sudur", "nordur"}, Engines: []string{"sudur"}, IgnoreTerms: ignoreTerms})
+	f.SetMinUpstreams(2)
+	holder, term := f.freezeHolder(roles.Orders, "place an order", 40*time.Second, func(path string, _ []byte) bool {
+		if path != placePath {
+			return false
+		}
+		f.Platform.Memory.Orders.Faults.Set(memory.Faults{Outage: lost})
+		return true
+	})
+	f.waitSuccessor(roles.Orders, holder, term)
+	f.Platform.Memory.Orders.Faults.Set(memory.Faults{})
+	f.waitIntentsDone()
+	holder.Thaw()
+	f.WaitReady(holder.Status)
+	// Longer than a round of the thawed process and its first read of the lease row.
+	time.Sleep(3 * time.Second)
+	f.checkOneOrderer()
+	if placed := f.Platform.Placements(); lost && placed[len(placed)-1].Term <= term {
+		t.Errorf("the lost order was not placed under a term above %d", term)
+	}
+}
+
+// waitIntentsDone waits until the successor has finished the orders of its predecessor.
+func (f *Fleet) waitIntentsDone() {
+	f.t.Helper()
+	Eventually(f.t, takeoverTime, "every order intent is done", func() bool {
+		rows, err := f.Platform.Memory.Table.Scan(f.t.Context(), "intent/orders/", "", 100)
+		if err != nil || len(rows) == 0 {
+			return false
+		}
+		for _, row := range rows {
+			if !strings.Contains(string(row.Value), `"state":"done"`) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// checkOneOrderer fails when an order under an older term reached the platform after one under a newer term, or a pool
+// has two orders for the same need.
+func (f *Fleet) checkOneOrderer() {
+	f.t.Helper()
+	var highest Arrival
+	for _, o := range f.Platform.Placements() {
+		if o.Term < highest.Term {
+			f.t.Errorf("order %s of term %d arrived at %s, after %s of term %d at %s", o.ID, o.Term, o.At, highest.ID, highest.Term, highest.At)
+		}
+		if o.Term >= highest.Term {
+			highest = o
+		}
+	}
+	counts := map[string]int{}
+	for _, o := range f.Platform.Memory.Orders.List() {
+		need := fmt.Sprintf("%s/%s/%d", o.DataCentre, o.Kind, o.Count)
+		if counts[need]++; counts[need] > 1 {
+			f.t.Errorf("the need %s was ordered %d times", need, counts[need])
+		}
+	}
+}
--- /dev/null
+++ b/standin/fleet/kill_test.go
@@ -0,0 +1,151 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/radishshelf/radishshelf/agent/engineapi"
+	"github.com/radishshelf/radishshelf/dataplane"
+	"github.com/radishshelf/radishshelf/outcome"
+	"github.com/radishshelf/radishshelf/standin/engine"
+	"github.com/radishshelf/radishshelf/standin/service"
+)
+
+// bookingDelay keeps several bookings in flight when the entry is killed.
+const bookingDelay = 400 * time.Millisecond
+
+// reportTime bounds a report: the recovery flush of an entry runs every 20 s, then the window and its grace pass.
+const reportTime = 40 * time.Second
+
+// Guards against a booking that runs twice, or an answer that hides that it may have run, when the entry that carried
+// it is killed and the caller sends it again through another entry.
+func TestKilledEntryRepeatsNoBooking(t *testing.T) {
+	t.Parallel()
+	f := New(t, binaries, Options{Entries: []string{"sudur", "nordur"}, Desks: 2})
+	key := f.Grant(Verband).Secret
+	for _, d := range f.Desks {
+		if _, err := Call(t.Context(), http.MethodPost, d.URL+"/admin/faults", "", map[string]string{"delay": bookingDelay.String()}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	const count = 12
+	var first [count]Answer
+	var sent sync.WaitGroup
+	for i := range count {
+		sent.Go(func() {
+			first[i], _ = f.Entries[0].Book(t.Context(), key, bookingID(i))
+		})
+		time.Sleep(bookingDelay / 8)
+	}
+	f.Entries[0].Kill()
+	sent.Wait()
+	confirmed, unknown := 0, 0
+	for i := range count {
+		switch f.resend(key, bookingID(i), first[i]) {
+		case http.StatusCreated:
+			confirmed++
+		case http.StatusConflict:
+			unknown++
+		}
+	}
+	if confirmed == 0 || unknown == 0 {
+		t.Errorf("confirmed %d and unknown %d bookings; want some of each, so that the kill hit both cases", confirmed, unknown)
+	}
+	f.checkBookings(nil)
+}
+
+func bookingID(i int) string { return fmt.Sprintf("killed-%d", i) }
+
+// resend repeats a booking through the second entry and compares the answer with the first one and with what ran.
+func (f *Fleet) resend(key, id string, first Answer) int {
+	f.t.Helper()
+	a, err := f.Entries[1].Book(f.t.Context(), key, id)
+	if err != nil {
+		f.t.Errorf("booking %s sent again: %v", id, err)
+		return 0
+	}
+	var answer service.BookingAnswer
+	switch {
+	case first.Status == http.StatusCreated && string(a.Body) != string(first.Body):
+		f.t.Errorf("booking %s was confirmed with %v and then answered with %v", id, first, a)
+	case a.Status == http.StatusCreated:
+		if json.Unmarshal(a.Body, &answer) != nil || answer.Execution != 1 {
+			f.t.Errorf("booking %s: %v; want its first execution", id, a)
+		}
+	case a.Status != http.StatusConflict || a.Header.Get(dataplane.HeaderOutcome) != outcome.MayHaveRun.String():
+		f.t.Errorf("booking %s: %v; want the stored answer or a conflict that says \"may have run\"", id, a)
+	}
+	return a.Status
+}
+
+// Guards against usage that is lost or counted twice when an entry, and later an agent, is killed right after it served
+// requests. The next process is killed only after the usage of the first is safe, since the loss of one host at a time is
+// what must lose nothing.
+func TestKilledProcessesKeepUsage(t *testing.T) {
+	t.Parallel()
+	f := New(t, binaries, Options{
+		Entries: []string{"sudur", "nordur", "austur"}, Engines: []string{"sudur", "nordur"}, UsageFlush: "3s",
+	})
+	key := f.Grant(Hraunvegur).Secret
+	var served Usage
+	f.serve(f.Entries[0], key, 10, &served)
+	f.Entries[0].Kill()
+	f.waitReported(Hraunvegur, served)
+	f.serve(f.Entries[1], key, 10, &served)
+	ranAt := f.nearSecondEntry()
+	ranAt.Agent.Kill()
+	f.serve(f.Entries[2], key, 10, &served)
+	f.waitReported(Hraunvegur, served)
+	// Two more windows show whether a record is counted again.
+	time.Sleep(2 * usageWindow * time.Second)
+	if got := f.Reported(Hraunvegur); got != served {
+		t.Errorf("reported %+v, served %+v", got, served)
+	}
+}
+
+// nearSecondEntry returns the engine near the second entry and fails unless it ran requests, whose usage its agent still holds.
+func (f *Fleet) nearSecondEntry() *Upstream {
+	f.t.Helper()
+	near := f.Engines[1]
+	var executions engine.ExecutionsAnswer
+	ReadJSON(f.t, near.URL+"/admin/executions", &executions)
+	if len(executions.RequestIDs) == 0 {
+		f.t.Fatalf("%s ran no request", near.Name)
+	}
+	return near
+}
+
+// waitReported waits until the reports of a workspace have reached the number of served requests.
+func (f *Fleet) waitReported(workspace string, served Usage) {
+	f.t.Helper()
+	var got Usage
+	defer func() {
+		if got.Requests < served.Requests {
+			f.t.Logf("reported %+v, served %+v", got, served)
+		}
+	}()
+	Eventually(f.t, reportTime, fmt.Sprintf("the reports of %s reach %d requests", workspace, served.Requests), func() bool {
+		got = f.Reported(workspace)
+		return got.Requests >= served.Requests
+	})
+}
+
+// serve sends chat completions one after the other and adds their usage.
+func (f *Fleet) serve(e *Entry, key string, count int, served *Usage) {
+	f.t.Helper()
+	for i := range count {
+		a, err := e.Chat(f.t.Context(), key, fmt.Sprintf("fare %d", i), 8+i, false)
+		if err != nil || a.Status != http.StatusOK {
+			f.t.Fatalf("chat through %s: %v: %v", e.Name, a, err)
+		}
+		var answer engineapi.ChatResponse
+		if err := json.Unmarshal(a.Body, &answer); err != nil || answer.Usage == nil {
+			f.t.Fatalf("chat through %s: %v: %v", e.Name, a, err)
+		}
+		served.Add(1, answer.Usage.PromptTokens, answer.Usage.CompletionTokens)
+	}
+}
--- /dev/null
+++ b/standin/fleet/members.go
@@ -0,0 +1,120 @@
+package fleet
+
+import (
+	"cmp"
+	"fmt"
+)
+
+// Times of the leases in a fleet: a takeover lasts about three seconds.
+const (
+	leaseDuration  = "2s"
+	actWindow      = "1s"
+	renewInterval  = "400ms"
+	pauseTolerance = "1s"
+)
+
+// tokensPerSecond is the rate of an engine slot.
+const tokensPerSecond = 800
+
+func (f *Fleet) addEntries() {
+	f.t.Helper()
+	for i, dc := range f.opts.Entries {
+		f.Entries = append(f.Entries, &Entry{
+			Caller: address(f.t), Operator: address(f.t), Peer: address(f.t), Status: address(f.t), DataCentre: dc,
+			Process: &Process{Name: fmt.Sprintf("entry-%d", i+1)},
+		})
+	}
+	toPeer := f.peerAddresses()
+	for i, e := range f.Entries {
+		platform := f.Platform.Address
+		if i+1 == f.opts.RelayEntry {
+			platform = f.relay(platform)
+		}
+		s := Settings{
+			"name": e.Name, "data_centre": e.DataCentre, "region": e.DataCentre, "status_address": e.Status,
+			"caller_address": e.Caller, "operator_address": e.Operator, "peer_address": e.Peer,
+			"platform_address": platform, "peers": toPeer, "claims_per_second": 50, "readiness_delay": "500ms",
+			"usage_grace": "2s", "usage_interval": "200ms", "host_list_interval": "1s",
+			"lease_duration": leaseDuration, "act_window": actWindow, "renew_interval": renewInterval,
+			"pause_tolerance": pauseTolerance,
+		}
+		if f.opts.RelayEntry > 0 {
+			s["advertised_peer_address"] = toPeer[i]
+		}
+		e.Process = f.add(e.Name, entryProgram, s)
+	}
+}
+
+// peerAddresses returns the addresses under which the entries reach each other.
+func (f *Fleet) peerAddresses() []string {
+	f.t.Helper()
+	var list []string
+	for _, e := range f.Entries {
+		peer := e.Peer
+		if f.opts.RelayEntry > 0 {
+			peer = f.relay(peer)
+		}
+		list = append(list, peer)
+	}
+	return list
+}
+
+func (f *Fleet) relay(target string) string {
+	f.t.Helper()
+	r := NewRelay(f.t, target)
+	f.Relays = append(f.Relays, r)
+	return r.Address
+}
+
+func (f *Fleet) addEngine(number int, dc string) {
+	f.t.Helper()
+	name, engine := fmt.Sprintf("engine-%d", number), address(f.t)
+	p := f.add(name, engineProgram, Settings{
+		"address": engine, "policy": Policy, "initial_version": 1, "slots": 8, "tokens_per_second": tokensPerSecond,
+		"stage_time": "100ms", "activate_time": "20ms", "check_fencing": true, "crash_marker": f.opts.CrashMarker,
+	})
+	target := engine
+	if f.opts.RecordEngines {
+		recorder := newRecorder(f.t, engine)
+		f.Recorders = append(f.Recorders, recorder)
+		target = recorder.Address
+	}
+	u := f.addAgent(p, name, dc, target, "engine", Policy)
+	u.URL = "http://" + engine
+	f.Engines = append(f.Engines, u)
+}
+
+func (f *Fleet) addDesk(number int, dc string) {
+	f.t.Helper()
+	name, desk := fmt.Sprintf("desk-%d", number), address(f.t)
+	p := f.add(name, serviceProgram, Settings{"address": desk, "delay": "20ms"})
+	f.Desks = append(f.Desks, f.addAgent(p, name, dc, desk, "service", deskService))
+}
+
+func (f *Fleet) addAgent(upstream *Process, name, dc, target, kind, serves string) *Upstream {
+	f.t.Helper()
+	status := address(f.t)
+	var entries []string
+	for _, e := range f.Entries {
+		entries = append(entries, e.Peer)
+	}
+	agent := f.add("agent-"+name, agentProgram, Settings{
+		"name": name, "data_centre": dc, "region": dc, "status_address": status,
+		"agent_address": address(f.t), "control_address": address(f.t), "upstream_url": "http://" + target,
+		"kind": kind, "serves": serves, "slots": 8, "queue_limit": 32, "entries": entries,
+		"platform_address": f.Platform.Address, "usage_flush_interval": cmp.Or(f.opts.UsageFlush, "500ms"),
+	})
+	return &Upstream{Process: upstream, Agent: agent, URL: "http://" + target, agentStatus: status}
+}
+
+func (f *Fleet) addTrainer() {
+	f.t.Helper()
+	admin := address(f.t)
+	secret := f.GrantTrainer()
+	f.Trainer = f.add("trainer", trainerProgram, Settings{
+		"admin_address": admin, "service_url": "http://" + f.Entries[len(f.Entries)-1].Caller, "trainer": TrainerName,
+		"key": secret, "initial_version": 1, "train_time": "50ms", "pull_wait": "1s", "retry_interval": "200ms",
+		"publish_versions": false,
+	})
+	f.TrainerURL = "http://" + admin
+}
--- /dev/null
+++ b/standin/fleet/outage_test.go
@@ -0,0 +1,144 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/radishshelf/radishshelf/standin/service"
+	"github.com/radishshelf/radishshelf/standin/trainer"
+)
+
+const (
+	outageTime = 15 * time.Second
+	// withdrawBound is the stated time within which a withdrawn key stops working.
+	withdrawBound = 5 * time.Second
+)
+
+// Guards against an outage of the table that stops keyed requests, runs a booking without its claim, lets a withdrawal
+// be acknowledged that is not in force, or loses or doubles the samples of rollout groups sent meanwhile.
+func TestTableOutage(t *testing.T) {
+	t.Parallel()
+	f := New(t, binaries, Options{
+		Entries: []string{"sudur", "nordur"}, Engines: []string{"sudur", "nordur"}, Desks: 1, Trainer: true,
+	})
+	key, doomed := f.Grant(Hraunvegur).Secret, f.Grant(Verband)
+	f.Platform.Outage(true)
+	end := time.Now().Add(outageTime)
+	var groups groupResults
+	var background sync.WaitGroup
+	background.Go(func() { f.sendGroups(key, end, &groups) })
+	var accepted atomic.Bool
+	background.Go(func() {
+		result, err := f.Operator(0).WithdrawKey(t.Context(), doomed.ID)
+		accepted.Store(err == nil && result.Accepted && time.Now().Before(end))
+	})
+	if a, err := f.Entries[0].Book(t.Context(), key, "during-outage"); err != nil || !a.NotRun() {
+		t.Errorf("a booking whose claim cannot be written: %v: %v; want a refusal as not run", a, err)
+	}
+	f.checkNotBooked("during-outage")
+	served := 0
+	for i := 0; time.Now().Before(end); i++ {
+		e := f.Entries[i%2]
+		if a, err := e.Chat(t.Context(), key, fmt.Sprintf("fare %d", i), 8, false); err != nil || a.Status != http.StatusOK {
+			t.Errorf("chat through %s at %s: %v: %v", e.Name, stamp(), a, err)
+		}
+		served++
+		time.Sleep(50 * time.Millisecond)
+	}
+	f.Platform.Outage(false)
+	background.Wait()
+	if accepted.Load() {
+		t.Error("a withdrawal was accepted while the table was down")
+	}
+	f.checkWithdrawal(doomed.ID, doomed.Secret)
+	f.checkGroups(&groups)
+	t.Logf("served %d chats during the outage, %d groups acknowledged, %d refused as not run, %d unclear",
+		served, len(groups.acknowledged), len(groups.notRun), len(groups.unclear))
+}
+
+// checkNotBooked fails when a booking ran.
+func (f *Fleet) checkNotBooked(id string) {
+	f.t.Helper()
+	for _, d := range f.Desks {
+		var executions service.Executions
+		ReadJSON(f.t, d.URL+"/admin/executions", &executions)
+		if n := executions.Bookings[id]; n > 0 {
+			f.t.Errorf("booking %s ran %d times at %s", id, n, d.Name)
+		}
+	}
+}
+
+// groupResults sorts group ids by the final answer to their caller.
+type groupResults struct {
+	mu                            sync.Mutex
+	acknowledged, notRun, unclear []string
+}
+
+func (g *groupResults) add(id string, a Answer, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case err == nil && a.Status == http.StatusOK:
+		g.acknowledged = append(g.acknowledged, id)
+	case err == nil && a.NotRun():
+		g.notRun = append(g.notRun, id)
+	default:
+		g.unclear = append(g.unclear, id+": "+a.String())
+	}
+}
+
+// sendGroups sends one group a second without waiting for the answers of the earlier ones, and returns with the last.
+func (f *Fleet) sendGroups(key string, until time.Time, results *groupResults) {
+	ctx, cancel := context.WithTimeout(f.t.Context(), 2*outageTime)
+	defer cancel()
+	var sent sync.WaitGroup
+	for i := 0; time.Now().Before(until); i++ {
+		id := fmt.Sprintf("outage-%d", i)
+		sent.Go(func() {
+			a, err := f.Entries[i%2].Group(ctx, key, id, 4, 16)
+			results.add(id, a, err)
+		})
+		time.Sleep(time.Second)
+	}
+	sent.Wait()
+}
+
+// checkWithdrawal withdraws a key through the first entry and checks the time until both refuse it.
+func (f *Fleet) checkWithdrawal(id, secret string) {
+	f.t.Helper()
+	start := time.Now()
+	go func() { _, _ = f.Operator(0).WithdrawKey(f.t.Context(), id) }()
+	for _, e := range f.Entries {
+		Eventually(f.t, withdrawBound-time.Since(start), "the withdrawn key is refused by "+e.Name, func() bool {
+			a, err := e.Chat(f.t.Context(), secret, "fare", 4, false)
+			return err == nil && a.Status == http.StatusUnauthorized
+		})
+	}
+}
+
+// checkGroups fails unless acknowledged groups reach the trainer once, and groups that did not run never.
+func (f *Fleet) checkGroups(groups *groupResults) {
+	f.t.Helper()
+	for _, unclear := range groups.unclear {
+		f.t.Errorf("group neither acknowledged nor refused as not run: %s", unclear)
+	}
+	f.checkTrained(groups.acknowledged, 4)
+	var got trainer.SamplesAnswer
+	ReadJSON(f.t, f.TrainerURL+"/admin/samples", &got)
+	trained := map[string]bool{}
+	for _, id := range got.IDs {
+		trained[id] = true
+	}
+	for _, id := range groups.notRun {
+		for i := range 4 {
+			if sample := fmt.Sprintf("%s/%d", id, i); trained[sample] {
+				f.t.Errorf("sample %s of a group that was refused as not run reached the trainer", sample)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/standin/fleet/platform.go
@@ -0,0 +1,151 @@
+package fleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/platform/memory"
+	standin "github.com/radishshelf/radishshelf/standin/platform"
+)
+
+// Paths of the platform protocol that are recorded.
+const (
+	reportPath = "/v1/usage/report"
+	placePath  = "/v1/orders/place"
+	commitPath = "/v1/table/commit"
+	// maxRecorded bounds the body of one recorded call.
+	maxRecorded = 4 << 20
+)
+
+// Platform is the stand-in platform with a record of the reports and orders that arrived.
+type Platform struct {
+	Address string
+	Memory  *memory.Platform
+
+	mu       sync.Mutex
+	arrivals []Arrival
+	onCall   func(path string, body []byte)
+}
+
+// OnCall runs f when a write of the platform protocol has arrived and before it takes effect; nil ends this.
+func (p *Platform) OnCall(f func(path string, body []byte)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.onCall = f
+}
+
+// Arrival is one report or order as it reached the platform, accepted or not.
+type Arrival struct {
+	Path string
+	// ID is the identity of the report or order, Term the fencing number of its sender.
+	ID   string
+	Term int64
+	Body []byte
+	At   time.Time
+	// Accepted tells whether the platform took it.
+	Accepted bool
+}
+
+func newPlatform(t testing.TB, s standin.Settings) *Platform {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	inner := standin.NewServer(s, zerolog.Nop())
+	p := &Platform{Address: listener.Addr().String(), Memory: inner.Memory}
+	server := &http.Server{Handler: p.record(inner.Handler()), ReadHeaderTimeout: stopTimeout}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return p
+}
+
+// Outage switches the table and the object store off or on.
+func (p *Platform) Outage(on bool) {
+	p.Memory.Table.Faults.Set(memory.Faults{Outage: on})
+	p.Memory.Objects.Faults.Set(memory.Faults{Outage: on})
+}
+
+// Reports returns the usage reports that arrived, in order of arrival.
+func (p *Platform) Reports() []Arrival { return p.received(reportPath) }
+
+// Placements returns the orders that arrived, in order of arrival.
+func (p *Platform) Placements() []Arrival { return p.received(placePath) }
+
+func (p *Platform) received(path string) []Arrival {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []Arrival
+	for _, a := range p.arrivals {
+		if a.Path == path {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+func (p *Platform) record(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != reportPath && r.URL.Path != placePath && r.URL.Path != commitPath {
+			next.ServeHTTP(w, r)
+			return
+		}
+		at := time.Now()
+		body, err := io.ReadAll(io.LimitReader(r.Body, maxRecorded))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		p.mu.Lock()
+		hook := p.onCall
+		p.mu.Unlock()
+		if hook != nil {
+			hook(r.URL.Path, body)
+		}
+		if r.URL.Path == commitPath {
+			next.ServeHTTP(w, r)
+			return
+		}
+		status := &statusWriter{ResponseWriter: w, status: http.StatusOK}
+		// The lock keeps the order of the record equal to the order in which the platform handled the calls.
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		next.ServeHTTP(status, r)
+		p.arrivals = append(p.arrivals, newArrival(r.URL.Path, body, at, status.status == http.StatusOK))
+	})
+}
+
+func newArrival(path string, body []byte, at time.Time, accepted bool) Arrival {
+	a := Arrival{Path: path, At: at, Accepted: accepted, Body: body}
+	if path == reportPath {
+		var report platform.UsageReport
+		_ = json.Unmarshal(body, &report) // a body that is not understood is refused and kept as it is
+		a.ID, a.Term, a.Body = report.ID, report.Term, report.Body
+		return a
+	}
+	var order platform.Order
+	_ = json.Unmarshal(body, &order)
+	a.ID, a.Term = order.ID, order.Term
+	return a
+}
+
+// statusWriter remembers the status of an answer.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+func (w *statusWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
--- /dev/null
+++ b/standin/fleet/relay.go
@@ -0,0 +1,105 @@
+package fleet
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+)
+
+// Relay passes TCP connections on to a target until it is cut.
+type Relay struct {
+	// Address is where the relay listens.
+	Address string
+
+	target string
+	mu     sync.Mutex
+	cut    bool
+	open   map[net.Conn]struct{}
+}
+
+// NewRelay starts a relay to target that ends with the test.
+func NewRelay(t testing.TB, target string) *Relay {
+	t.Helper()
+	listener, err := net.Listen("tcp", address(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &Relay{Address: listener.Addr().String(), target: target, open: map[net.Conn]struct{}{}}
+	go r.serve(listener)
+	t.Cleanup(func() {
+		_ = listener.Close()
+		r.Cut()
+	})
+	return r
+}
+
+// Cut breaks all connections and every one that follows.
+func (r *Relay) Cut() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = true
+	for conn := range r.open {
+		_ = conn.Close()
+	}
+}
+
+// Heal lets new connections pass again.
+func (r *Relay) Heal() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = false
+}
+
+func (r *Relay) serve(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.pass(conn)
+	}
+}
+
+func (r *Relay) pass(caller net.Conn) {
+	if !r.track(caller) {
+		return
+	}
+	defer r.drop(caller)
+	target, err := net.Dial("tcp", r.target)
+	if err != nil || !r.track(target) {
+		return
+	}
+	defer r.drop(target)
+	done := make(chan struct{}, 2)
+	forward := func(to, from net.Conn) {
+		_, _ = io.Copy(to, from)
+		if half, ok := to.(*net.TCPConn); ok {
+			_ = half.CloseWrite()
+		}
+		done <- struct{}{}
+	}
+	go forward(target, caller)
+	go forward(caller, target)
+	<-done
+	<-done
+}
+
+// track registers an open connection; it closes the connection and returns false when the relay is cut.
+func (r *Relay) track(conn net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cut {
+		_ = conn.Close()
+		return false
+	}
+	r.open[conn] = struct{}{}
+	return true
+}
+
+func (r *Relay) drop(conn net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.open, conn)
+	_ = conn.Close()
+}
--- /dev/null
+++ b/standin/fleet/replace_test.go
@@ -0,0 +1,187 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/radishshelf/radishshelf/agent/engineapi"
+	"github.com/radishshelf/radishshelf/standin/service"
+	"github.com/radishshelf/radishshelf/standin/trainer"
+)
+
+const (
+	// maxRounds bounds the load of one worker.
+	maxRounds   = 400
+	plainTokens = 64
+	// streamTokens last 1.5 s, three times the readiness delay, so that every process is asked to stop with streams open.
+	streamTokens = 1200
+)
+
+// load is what callers saw while the fleet changed.
+type load struct {
+	mu       sync.Mutex
+	faults   []string
+	booked   []string
+	groups   []string
+	served   atomic.Int64
+	finished sync.WaitGroup
+}
+
+func (l *load) fault(format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = append(l.faults, fmt.Sprintf(format, args...))
+}
+
+// worker repeats a request until stop closes.
+func (l *load) worker(stop <-chan struct{}, pause time.Duration, send func(round int)) {
+	l.finished.Go(func() {
+		for round := range maxRounds {
+			select {
+			case <-stop:
+				return
+			case <-time.After(pause):
+				send(round)
+			}
+		}
+	})
+}
+
+func (l *load) chat(ctx context.Context, b *Balancer, key string, round int, stream bool) {
+	e, tokens := b.Pick(), plainTokens
+	if stream {
+		tokens = streamTokens
+	}
+	a, err := e.Chat(ctx, key, fmt.Sprintf("fare %d", round), tokens, stream)
+	switch {
+	case err != nil:
+		l.fault("chat stream=%v through %s at %s: %v", stream, e.Name, stamp(), err)
+	case a.Status != http.StatusOK:
+		l.fault("chat stream=%v through %s at %s: %v", stream, e.Name, stamp(), a)
+	case stream && !strings.Contains(string(a.Body), engineapi.DoneEvent):
+		l.fault("stream through %s at %s ended without its last event", e.Name, stamp())
+	default:
+		l.served.Add(1)
+	}
+}
+
+func (l *load) book(ctx context.Context, b *Balancer, key, id string) {
+	e := b.Pick()
+	a, err := e.Book(ctx, key, id)
+	if err != nil || a.Status != http.StatusCreated {
+		l.fault("booking %s through %s at %s: %v: %v", id, e.Name, stamp(), a, err)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.booked = append(l.booked, id)
+}
+
+func (l *load) group(ctx context.Context, b *Balancer, key, id string) {
+	e := b.Pick()
+	a, err := e.Group(ctx, key, id, 4, 32)
+	if err != nil || a.Status != http.StatusOK {
+		l.fault("group %s through %s at %s: %v: %v", id, e.Name, stamp(), a, err)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.groups = append(l.groups, id)
+}
+
+func stamp() string { return time.Now().UTC().Format("15:04:05.000") }
+
+// Guards against a rolling replacement that cuts off requests, repeats bookings, or loses or doubles samples.
+func TestReplaceAllUnderLoad(t *testing.T) {
+	t.Parallel()
+	f := New(t, binaries, Options{
+		Entries: []string{"sudur", "nordur"}, Engines: []string{"sudur", "nordur"}, Desks: 2, Trainer: true,
+	})
+	key := f.Grant(Hraunvegur).Secret
+	b := NewBalancer(t, f)
+	l := &load{}
+	stop := make(chan struct{})
+	ctx := t.Context()
+	for i := range 2 {
+		l.worker(stop, 20*time.Millisecond, func(round int) { l.chat(ctx, b, key, round, false) })
+		l.worker(stop, 20*time.Millisecond, func(round int) { l.chat(ctx, b, key, round, true) })
+		l.worker(stop, 100*time.Millisecond, func(round int) { l.book(ctx, b, key, fmt.Sprintf("b-%d-%d", i, round)) })
+	}
+	l.worker(stop, 200*time.Millisecond, func(round int) { l.group(ctx, b, key, fmt.Sprintf("g-%d", round)) })
+	for _, e := range f.Entries {
+		f.Replace(e.Process, e.Status)
+	}
+	for _, u := range append(append([]*Upstream{}, f.Engines...), f.Desks...) {
+		f.Replace(u.Agent, u.agentStatus)
+		for _, e := range f.Entries {
+			f.waitUpstreams(e)
+		}
+	}
+	close(stop)
+	l.finished.Wait()
+	for _, fault := range l.faults {
+		t.Error(fault)
+	}
+	if l.served.Load() == 0 || len(l.booked) == 0 || len(l.groups) == 0 {
+		t.Errorf("served %d chats, %d bookings and %d groups; want some of each", l.served.Load(), len(l.booked), len(l.groups))
+	}
+	f.checkBookings(l.booked)
+	f.checkTrained(l.groups, 4)
+}
+
+// checkBookings fails unless each booking ran exactly once, and no other ran twice.
+func (f *Fleet) checkBookings(booked []string) {
+	f.t.Helper()
+	ran := map[string]int{}
+	for _, d := range f.Desks {
+		var executions service.Executions
+		ReadJSON(f.t, d.URL+"/admin/executions", &executions)
+		for id, n := range executions.Bookings {
+			ran[id] += n
+		}
+	}
+	for id, n := range ran {
+		if n > 1 {
+			f.t.Errorf("booking %s ran %d times", id, n)
+		}
+	}
+	for _, id := range booked {
+		if ran[id] != 1 {
+			f.t.Errorf("booking %s was confirmed and ran %d times", id, ran[id])
+		}
+	}
+}
+
+// checkTrained fails unless every sample of the groups reaches the trainer exactly once.
+func (f *Fleet) checkTrained(groups []string, size int) {
+	f.t.Helper()
+	want := map[string]bool{}
+	for _, g := range groups {
+		for i := range size {
+			want[fmt.Sprintf("%s/%d", g, i)] = true
+		}
+	}
+	missing := len(want)
+	Eventually(f.t, 15*time.Second, "all acknowledged samples reach the trainer", func() bool {
+		var got trainer.SamplesAnswer
+		ReadJSON(f.t, f.TrainerURL+"/admin/samples", &got)
+		missing = len(want)
+		for _, id := range got.IDs {
+			if want[id] {
+				missing--
+			}
+		}
+		return missing == 0
+	})
+	var report trainer.Report
+	ReadJSON(f.t, f.TrainerURL+"/admin/report", &report)
+	if len(report.Duplicates) > 0 || len(report.ChangedLots) > 0 || len(report.VoidLots) > 0 {
+		f.t.Errorf("duplicates %v, changed lots %v, void lots %v", report.Duplicates, report.ChangedLots, report.VoidLots)
+	}
+}
--- /dev/null
+++ b/standin/fleet/reserve.go
@@ -0,0 +1,25 @@
+package fleet
+
+import (
+	"testing"
+
+	"golang.org/x/sync/semaphore"
+)
+
+// maxProcesses bounds the processes of all fleets that run at once.
+const maxProcesses = 40
+
+var processes = semaphore.NewWeighted(maxProcesses)
+
+// reserve waits until the processes of a fleet may run, and gives them back after the fleet has ended.
+func reserve(t testing.TB, o Options) {
+	t.Helper()
+	count := int64(len(o.Entries) + 2*len(o.Engines) + 2*o.Desks)
+	if o.Trainer {
+		count++
+	}
+	if err := processes.Acquire(t.Context(), count); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { processes.Release(count) })
+}
--- /dev/null
+++ b/standin/fleet/suspect_test.go
@@ -0,0 +1,113 @@
+package fleet
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/radishshelf/radishshelf/outcome"
+)
+
+const (
+	crashMarker = "prompt-that-crashes"
+	// maxLostEngines is how many engines one request may crash before it is refused.
+	maxLostEngines = 2
+	// maxSends bounds the load of the caller who sends the crashing request again.
+	maxSends = 60
+	// Requests that run next to the crashing one; they last half a second.
+	innocentRequests = 6
+	innocentTokens   = 400
+	innocentBound    = 20 * time.Second
+	// refusalBound is the time for an answer that needs no upstream.
+	refusalBound = time.Second
+)
+
+// Guards against a request that crashes one engine after the other while its caller sends it again through several
+// entries, and against innocent requests that are refused with it.
+func TestCrashingRequest(t *testing.T) {
+	t.Parallel()
+	f := New(t, binaries, Options{
+		Entries: []string{"sudur", "nordur"}, Engines: []string{"sudur", "nordur", "sudur"}, CrashMarker: crashMarker,
+	})
+	key := f.Grant(Verband).Secret
+	innocent := f.sendInnocent(key)
+	f.sendUntilQuarantined(key)
+	innocent.Wait()
+	lost := 0
+	for _, engine := range f.Engines {
+		if !engine.Alive() {
+			lost++
+		}
+	}
+	if lost == 0 || lost > maxLostEngines {
+		t.Errorf("the request crashed %d engines; want 1 to %d", lost, maxLostEngines)
+	}
+	for _, e := range f.Entries {
+		f.checkQuarantined(e, key)
+		for i := range 5 {
+			a, err := e.Chat(t.Context(), key, fmt.Sprintf("fare %d", i), 8, false)
+			if err != nil || a.Status != http.StatusOK {
+				t.Errorf("an innocent request through %s: %v: %v", e.Name, a, err)
+			}
+		}
+	}
+}
+
+// sendUntilQuarantined sends the crashing request through both entries in turn until both refuse it as quarantined. A
+// suspect waits until an engine is idle, so that the refusal comes after the innocent requests have ended.
+func (f *Fleet) sendUntilQuarantined(key string) {
+	f.t.Helper()
+	refused := 0
+	for i := range maxSends {
+		e := f.Entries[i%len(f.Entries)]
+		a, err := e.Chat(f.t.Context(), key, crashMarker, 8, false)
+		if err == nil && a.Status == http.StatusOK {
+			f.t.Fatalf("the crashing request was answered: %v", a)
+		}
+		refused++
+		if a.Kind() != outcome.KindQuarantined {
+			refused = 0
+		}
+		if refused == len(f.Entries) {
+			f.t.Logf("quarantined at every entry after %d sends", i+1)
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	f.t.Errorf("the crashing request was not quarantined within %d sends", maxSends)
+}
+
+// sendInnocent sends requests that run while the engines crash. Their callers send them again when they are refused, and
+// each must be served within the bound.
+func (f *Fleet) sendInnocent(key string) *sync.WaitGroup {
+	var sent sync.WaitGroup
+	for i := range innocentRequests {
+		sent.Go(func() {
+			var last Answer
+			for end := time.Now().Add(innocentBound); time.Now().Before(end); time.Sleep(pollInterval) {
+				a, err := f.Entries[i%2].Chat(f.t.Context(), key, fmt.Sprintf("innocent %d", i), innocentTokens, false)
+				if err == nil && a.Status == http.StatusOK {
+					return
+				}
+				last = a
+			}
+			f.t.Errorf("innocent request %d was not served within %s: %v", i, innocentBound, last)
+		})
+	}
+	// The engines run them by then.
+	time.Sleep(200 * time.Millisecond)
+	return &sent
+}
+
+// checkQuarantined fails unless an entry refuses the crashing request at once, as not run and with Retry-After.
+func (f *Fleet) checkQuarantined(e *Entry, key string) {
+	f.t.Helper()
+	start := time.Now()
+	a, err := e.Chat(f.t.Context(), key, crashMarker, 8, false)
+	took := time.Since(start)
+	if err != nil || !a.NotRun() || a.Kind() != outcome.KindQuarantined || a.Header.Get("Retry-After") == "" || took > refusalBound {
+		f.t.Errorf("the crashing request at %s after %s: Retry-After %q, %v: %v", e.Name, took, a.Header.Get("Retry-After"), a, err)
+	}
+}
--- /dev/null
+++ b/standin/fleet/wait.go
@@ -0,0 +1,44 @@
+package fleet
+
+import (
+	"net/http"
+	"testing"
+	"time"
+)
+
+const pollInterval = 50 * time.Millisecond
+
+// Eventually fails the test unless check is true within the time.
+func Eventually(t testing.TB, within time.Duration, what string, check func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(within)
+	for !check() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %s: %s", within, what)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// WaitReady waits for the readiness of the process with a status address.
+func (f *Fleet) WaitReady(status string) {
+	f.t.Helper()
+	Eventually(f.t, readyTimeout, status+" is ready", func() bool { return ready(status) })
+}
+
+func ready(status string) bool {
+	resp, err := http.Get("http://" + status + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Replace stops a process in an orderly way and starts it again with the same settings.
+func (f *Fleet) Replace(p *Process, status string) {
+	f.t.Helper()
+	p.Stop()
+	p.Start()
+	f.WaitReady(status)
+}
