--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	$(GO) run ./measure/cmd/measure --seed $(SEED)
 
 slopes:
-	$(GO) run ./measure/cmd/slopes
+	$(GO) run ./slopes/cmd/slopes
 
 generate:
 	cd tools && $(GO) build -o ../bin/ google.golang.org/protobuf/cmd/protoc-gen-go \
--- a/admission/fair_test.go
+++ b/admission/fair_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -162,3 +164,37 @@
 		t.Errorf("an item of another magnitude got the estimate of the large ones: %v", got)
 	}
 }
+
+// Guards against an item with a deadline that is made to wait for more than its share of the time, and against a bound
+// that refuses items which could start at once.
+func TestNoItemWaitsBeyondItsShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := Config{
+			WindowTokens: 300, WindowItems: 3, MaxItems: 100, TokensPerSecond: 100, RateInterval: time.Second,
+			MaxWaitShare: rapid.Float64Range(0.05, 1).Draw(t, "share"),
+		}
+		q := New(cfg, rand.New(rand.NewSource(1)))
+		now := start
+		for n := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "done") {
+				for _, id := range slices.Sorted(maps.Keys(q.running)) {
+					q.Done(id, 100, now)
+					break
+				}
+				q.Expire(now)
+				q.Next(now)
+			}
+			left := time.Duration(rapid.IntRange(1, 20_000).Draw(t, "left")) * time.Millisecond
+			item := Item{ID: fmt.Sprint(n), Workspace: fmt.Sprint(n % 3), Cost: 100, Deadline: now.Add(left), Service: time.Millisecond}
+			v := q.Offer(item, now)
+			limit := time.Duration(cfg.MaxWaitShare * float64(left))
+			if v.Action == Wait && v.ExpectedWait > limit {
+				t.Fatalf("item waits %v of the %v that it may", v.ExpectedWait, limit)
+			}
+			if v.Action == Refuse && v.ExpectedWait == 0 && left > item.Service {
+				t.Fatalf("item refused although it could start at once: %+v", v)
+			}
+		}
+	})
+}
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -40,7 +40,8 @@
 	}
 }
 
-// Offer takes a new item. An item that cannot finish before its deadline is refused at once instead of being held.
+// Offer takes a new item. An item that cannot finish before its deadline, or would wait for more than its share of the
+// time until then, is refused at once instead of being held.
 func (q *Queue) Offer(item Item, now time.Time) Verdict {
 	item.Cost = max(item.Cost, 1)
 	if item.Weight <= 0 {
@@ -50,8 +51,8 @@
 		item.Service = q.services.estimate(item, now)
 	}
 	wait := q.ExpectedWait(item)
-	if item.late(wait, now) {
-		return q.refuse(ReasonDeadline, q.excess(item, wait, now), wait)
+	if excess := q.excess(item, wait, now); excess > 0 {
+		return q.refuse(ReasonDeadline, excess, wait)
 	}
 	v := Verdict{Action: Wait, ExpectedWait: wait}
 	if q.queued >= q.cfg.MaxItems {
--- a/admission/session_test.go
+++ b/admission/session_test.go
@@ -13,13 +13,28 @@
 
 // Guards against unfair order, a request held past its deadline, a lost removal and a wrong correction of the cost.
 func TestSession(t *testing.T) {
-	cfg := Config{
+	replay(t, "testdata/queue.golden", sessionConfig())
+}
+
+// Guards against a queue that holds an item for longer than its share of the time, and against a refusal whose advice
+// ignores that bound.
+func TestWaitShareSession(t *testing.T) {
+	cfg := sessionConfig()
+	cfg.MaxWaitShare = 0.25
+	replay(t, "testdata/wait_share.golden", cfg)
+}
+
+func sessionConfig() Config {
+	return Config{
 		WindowTokens: 200, WindowItems: 10, MaxItems: 5, TokensPerSecond: 100, RateInterval: time.Hour,
 		MinRetryAfter: time.Second, Spread: 0.5,
 	}
+}
+
+func replay(t *testing.T, path string, cfg Config) {
 	q := New(cfg, rand.New(rand.NewSource(1)))
 	now := start
-	runSession(t, "testdata/queue.golden", func(t *testing.T, f []string) []string {
+	runSession(t, path, func(t *testing.T, f []string) []string {
 		switch f[0] {
 		case "at":
 			d, err := time.ParseDuration(f[1])
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -58,9 +58,17 @@
 	return i.Weight
 }
 
-// excess is how much too long the wait is for the item's deadline.
+// excess is how much too long the wait is for the item's deadline; it is not positive when the item may wait.
 func (q *Queue) excess(item Item, wait time.Duration, now time.Time) time.Duration {
-	return now.Add(wait + item.Service).Sub(item.Deadline)
+	if item.Deadline.IsZero() {
+		return 0
+	}
+	left := item.Deadline.Sub(now)
+	allowed := left - item.Service
+	if q.cfg.MaxWaitShare > 0 {
+		allowed = min(allowed, time.Duration(q.cfg.MaxWaitShare*float64(left)))
+	}
+	return wait - allowed
 }
 
 func (q *Queue) refuse(reason Reason, after, wait time.Duration) Verdict {
--- /dev/null
+++ b/docs/api_test.go
@@ -0,0 +1,47 @@
+package docs
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// constants returns the values of the string constants in a source file that match pattern.
+func constants(t *testing.T, file, pattern string) []string {
+	t.Helper()
+	data, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var values []string
+	for _, match := range regexp.MustCompile(pattern).FindAllStringSubmatch(string(data), -1) {
+		values = append(values, match[1])
+	}
+	if len(values) == 0 {
+		t.Fatalf("%s has no constant that matches %s", file, pattern)
+	}
+	return values
+}
+
+// Guards against a type of refusal that callers get and the page does not explain.
+func TestRefusalsAreListed(t *testing.T) {
+	rows := section(t, page(t, "api.md"), "Refusals")
+	for _, kind := range constants(t, "../outcome/refusal.go", `Kind\w+\s+Kind = "(\w+)"`) {
+		if !strings.Contains(rows, "\n| `"+kind+"` |") {
+			t.Errorf("api.md does not list the refusal %q", kind)
+		}
+	}
+}
+
+// Guards against calls of the operator port and of the caller port that the page does not list.
+func TestPathsAreListed(t *testing.T) {
+	text := page(t, "api.md")
+	paths := constants(t, "../operatorclient/paths.go", `Path\w+\s+= "([^"]+)"`)
+	paths = append(paths, constants(t, "../entry/dispatch.go", `\w+Path\s+= "([^"]+)"`)...)
+	for _, path := range paths {
+		if !strings.Contains(text, path) {
+			t.Errorf("api.md does not list the path %s", path)
+		}
+	}
+}
--- /dev/null
+++ b/docs/docs_test.go
@@ -0,0 +1,57 @@
+package docs
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"unicode/utf8"
+)
+
+// page reads a page of the documentation.
+func page(t *testing.T, name string) string {
+	t.Helper()
+	data, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+// section returns the text under a heading of the second level.
+func section(t *testing.T, text, heading string) string {
+	t.Helper()
+	_, rest, found := strings.Cut(text, "\n## "+heading+"\n")
+	if !found {
+		t.Fatalf("no section %q", heading)
+	}
+	body, _, _ := strings.Cut(rest, "\n## ")
+	return body
+}
+
+// Guards against pages that are not readable in a terminal: prose over 120 columns. Tables and code cannot be wrapped.
+func TestProseIsWrapped(t *testing.T) {
+	const columns = 120
+	var names []string
+	for _, pattern := range []string{"*.md", "operators/*.md"} {
+		found, err := filepath.Glob(pattern)
+		if err != nil {
+			t.Fatal(err)
+		}
+		names = append(names, found...)
+	}
+	// The design page has its own author.
+	names = slices.DeleteFunc(names, func(name string) bool { return name == "design.md" })
+	for _, name := range names {
+		code := false
+		for i, line := range strings.Split(page(t, name), "\n") {
+			if strings.HasPrefix(line, "```") {
+				code = !code
+			}
+			if !code && !strings.HasPrefix(line, "|") && utf8.RuneCountInString(line) > columns {
+				t.Errorf("%s:%d is longer than %d columns", name, i+1, columns)
+			}
+		}
+	}
+}
--- a/measure/deadline.go
+++ b/measure/deadline.go
@@ -28,8 +28,9 @@
 		Run: func(u User, seed int64) []Figure {
 			policy := runDeadline(u, seed, factor, func(s *Sim, p *Pool) gate { return newFairGate(s, p, u.AnswerTokens) })
 			baseline := runDeadline(u, seed, factor, func(_ *Sim, p *Pool) gate { return newPlainGate(p) })
+			capacity := saturatedRate(u, seed)
 			return []Figure{
-				{"goodput during overload", "of capacity", HigherIsBetter, policy.goodput(), baseline.goodput()},
+				{"goodput during overload", "of capacity", HigherIsBetter, policy.goodput(capacity), baseline.goodput(capacity)},
 				{"amplification", "attempts/request", LowerIsBetter, policy.amplification(), baseline.amplification()},
 				{"recovery after the fall", "s (300: not within 300)", LowerIsBetter, policy.recovery(), baseline.recovery()},
 			}
@@ -39,15 +40,45 @@
 
 // deadlineRun is what one run measured.
 type deadlineRun struct {
-	client   *Client
-	capacity float64
-	tokens   float64
+	client *Client
+	tokens float64
 	// sent and succeeded count first attempts by window after the fall.
 	sent      []int
 	succeeded []int
 }
 
-func (r *deadlineRun) goodput() float64 { return r.tokens / (r.capacity * deadlineOverload.Seconds()) }
+// goodput is the rate of tokens answered in time, as a share of capacity in tokens per second.
+func (r *deadlineRun) goodput(capacity float64) float64 {
+	return r.tokens / (capacity * deadlineOverload.Seconds())
+}
+
+// saturatedRate is the capacity: the tokens per second that the same engines generate in the same two minutes when all
+// slots are always in use and no answer is too late.
+func saturatedRate(u User, seed int64) float64 {
+	s := NewSim(seed)
+	cfg := DefaultEngineConfig()
+	pool := NewPool(s, u.Engines(s, cfg), cfg)
+	prompts := NewPrompts(s, u, cfg)
+	tokens := 0
+	var next func()
+	next = func() {
+		p := prompts.Next()
+		pool.Submit(&Job{
+			Prompt: p.Blocks, PromptTokens: p.Tokens, Tokens: p.Answer, Estimate: int64(u.AnswerTokens),
+			Done: func(Finished) {
+				if s.Elapsed() >= deadlineBefore {
+					tokens += p.Answer
+				}
+				next()
+			},
+		})
+	}
+	for range pool.Slots() {
+		next()
+	}
+	s.Run(deadlineBefore + deadlineOverload)
+	return float64(tokens) / deadlineOverload.Seconds()
+}
 
 func (r *deadlineRun) amplification() float64 {
 	return float64(r.client.Sent) / float64(r.client.Requests)
@@ -71,7 +102,7 @@
 		sim: s, user: u, pool: pool, gate: newGate(s, pool), prompts: NewPrompts(s, u, cfg), attempts: deadlineAttempts,
 	}
 	windows := int(deadlineAfter / recoveryWindow)
-	run := &deadlineRun{client: client, capacity: pool.Capacity(), sent: make([]int, windows), succeeded: make([]int, windows)}
+	run := &deadlineRun{client: client, sent: make([]int, windows), succeeded: make([]int, windows)}
 	client.ended = run.add
 	rate := func() float64 {
 		load := deadlineCalm
--- a/measure/groups.go
+++ b/measure/groups.go
@@ -37,8 +37,10 @@
 			policy := runGroups(u, seed, true)
 			baseline := runGroups(u, seed, false)
 			return []Figure{
+				{"time to whole group mean", "s", LowerIsBetter, mean(policy.whole), mean(baseline.whole)},
 				{"time to whole group p50", "s", LowerIsBetter, quantile(policy.whole, 0.5), quantile(baseline.whole, 0.5)},
 				{"time to whole group p99", "s", LowerIsBetter, quantile(policy.whole, 0.99), quantile(baseline.whole, 0.99)},
+				{"groups completed", "/h and trainer", HigherIsBetter, policy.groupsPerHour(), baseline.groupsPerHour()},
 				{"trainer idle", "of time", LowerIsBetter, policy.idleShare(), baseline.idleShare()},
 				{"staleness mean", "versions", LowerIsBetter, mean(policy.ages), mean(baseline.ages)},
 				{"staleness max", "versions", LowerIsBetter, quantile(policy.ages, 1), quantile(baseline.ages, 1)},
@@ -61,6 +63,10 @@
 	return r.idle.Seconds() / (groupsTrainers * (groupsLength - groupsWarmUp).Seconds())
 }
 
+func (r *groupsRun) groupsPerHour() float64 {
+	return float64(len(r.whole)) / groupsTrainers / (groupsLength - groupsWarmUp).Hours()
+}
+
 func (r *groupsRun) wastedShare() float64 { return r.wasted / r.generated }
 
 func runGroups(u User, seed int64, policy bool) *groupsRun {
--- /dev/null
+++ b/measure/orderpool.go
@@ -0,0 +1,127 @@
+package measure
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/radishshelf/radishshelf/ordering"
+)
+
+// orderPool models the upstreams of one data centre in steps of a second. Answers take the time of a full engine.
+type orderPool struct {
+	run    *ordersRun
+	pool   ordering.Pool
+	region int
+	cfg    EngineConfig
+	// inForce is the count of the last order that took effect.
+	inForce int
+	live    int
+	// starting holds when each upstream that starts will be live.
+	starting []time.Time
+	running  int
+	waiting  int
+	refused  int
+}
+
+func newOrderPool(r *ordersRun, pool ordering.Pool, region int) *orderPool {
+	p := &orderPool{run: r, pool: pool, region: region, cfg: DefaultEngineConfig()}
+	p.running = int(p.rate() * p.service())
+	p.inForce = p.wanted(p.running)
+	p.live = p.inForce
+	return p
+}
+
+// service is the mean running time of a request in seconds.
+func (p *orderPool) service() float64 {
+	return p.run.user.AnswerTokens * p.cfg.step(p.cfg.Slots).Seconds()
+}
+
+// wanted is the count that fills the default share of the slots.
+func (p *orderPool) wanted(busy int) int {
+	count := math.Ceil(float64(busy) / (ordering.DefaultUtilisation * float64(p.cfg.Slots)))
+	return min(max(int(count), ordersMin), ordersMax)
+}
+
+// rate is the demand in requests per second.
+func (p *orderPool) rate() float64 {
+	u := p.run.user
+	at := p.run.sim.Elapsed()
+	day := (1 - math.Cos(2*math.Pi*at.Seconds()/ordersDay.Seconds())) / 2
+	load := (ordersNight + (ordersPeak-ordersNight)*day) * math.Exp(p.run.noise)
+	if at >= ordersJumpFrom && at < ordersJumpUntil {
+		load *= ordersJumpFactor
+	}
+	sum := 0.0
+	for _, share := range u.RegionShare {
+		sum += share
+	}
+	engines := float64(u.EnginesPerRegion * len(u.Regions))
+	return load * engines * p.cfg.Capacity() / u.AnswerTokens * u.RegionShare[p.region] / sum
+}
+
+func (p *orderPool) tick() {
+	p.run.hours += float64(p.inForce) * ordersTick.Hours()
+	p.reconcile()
+	p.die()
+	done := min(p.running, poisson(p.run.sim, float64(p.running)*ordersTick.Seconds()/p.service()))
+	p.running -= done
+	p.run.tokens += float64(done) * p.run.user.AnswerTokens
+	p.fill()
+	arrived := poisson(p.run.sim, p.rate()*ordersTick.Seconds())
+	p.run.requests += arrived
+	p.waiting += arrived
+	p.fill()
+	// A request that would wait longer than its answer takes is refused.
+	if excess := p.waiting - p.live*p.cfg.Slots; excess > 0 {
+		p.waiting -= excess
+		p.refused += excess
+		p.run.failed += excess
+	}
+}
+
+func (p *orderPool) fill() {
+	n := min(p.waiting, max(0, p.live*p.cfg.Slots-p.running))
+	p.waiting -= n
+	p.running += n
+}
+
+// reconcile is what the platform does: it starts and ends upstreams until their number is the count in force.
+func (p *orderPool) reconcile() {
+	now := p.run.sim.Now()
+	p.starting = slices.DeleteFunc(p.starting, func(at time.Time) bool {
+		if at.After(now) {
+			return false
+		}
+		p.live++
+		return true
+	})
+	for p.live+len(p.starting) < p.inForce {
+		p.starting = append(p.starting, now.Add(ordersStartMin+seconds(p.run.sim.Rand.Float64()*ordersStartRange.Seconds())))
+	}
+	for p.live+len(p.starting) > p.inForce && len(p.starting) > 0 {
+		p.starting = p.starting[:len(p.starting)-1]
+	}
+	p.live = min(p.live, p.inForce)
+}
+
+// die ends upstreams at random. Their requests run again and count as late.
+func (p *orderPool) die() {
+	deaths := min(p.live, poisson(p.run.sim, float64(p.live)*ordersTick.Seconds()/ordersLifetime.Seconds()))
+	for range deaths {
+		lost := p.running / p.live
+		p.live--
+		p.running -= lost
+		p.waiting += lost
+		p.run.failed += lost
+	}
+}
+
+func (p *orderPool) signal() ordering.Signal {
+	s := ordering.Signal{
+		Pool: p.pool, Live: p.live, Busy: p.running + p.waiting, Slots: p.live * p.cfg.Slots, Refused: p.refused,
+		Min: ordersMin, Max: ordersMax,
+	}
+	p.refused = 0
+	return s
+}
--- /dev/null
+++ b/measure/orders.go
@@ -0,0 +1,111 @@
+package measure
+
+import (
+	"time"
+
+	"github.com/radishshelf/radishshelf/ordering"
+)
+
+// Length and load of the order scenario: a day compressed to four hours, so that the swing is six times as steep as in
+// reality while start-up and hold times are real. The jump doubles the load for twenty minutes.
+const (
+	ordersDay        = 4 * time.Hour
+	ordersTick       = time.Second
+	ordersPeak       = 0.6
+	ordersNight      = 0.2
+	ordersNoise      = 0.15
+	ordersNoiseTime  = 20 * time.Second
+	ordersJumpFrom   = 100 * time.Minute
+	ordersJumpUntil  = 120 * time.Minute
+	ordersJumpFactor = 2
+)
+
+// Upstreams of the order scenario.
+const (
+	ordersStartMin   = 2 * time.Minute
+	ordersStartRange = 2 * time.Minute
+	ordersLifetime   = 2 * time.Hour
+	ordersMin        = 1
+	ordersMax        = 16
+	// ordersReplyLoss is the share of replies that the platform loses; half of them take the request with them.
+	ordersReplyLoss = 0.1
+)
+
+// OrdersScenario compares the order manager with orders straight from the load.
+func OrdersScenario() Scenario {
+	return Scenario{
+		Name:    "(g) ordering upstreams over a day in four hours: swing, noise, a jump, start-up of 2-4 min, upstreams die every 2 h, a tenth of the replies lost",
+		Against: "a count from the load of each second, ordered until a reply comes",
+		Run: func(u User, seed int64) []Figure {
+			policy := runOrders(u, seed, newManagedSender)
+			baseline := runOrders(u, seed, newInstantSender)
+			return []Figure{
+				{"upstream-hours ordered", "/million tokens", LowerIsBetter, policy.hoursPerMillion(), baseline.hoursPerMillion()},
+				{"refused or late", "of requests", LowerIsBetter, policy.failedShare(), baseline.failedShare()},
+				{"orders that took effect", "", LowerIsBetter, float64(policy.platform.effective), float64(baseline.platform.effective)},
+				{"changes of direction", "/h and pool", LowerIsBetter, policy.turnsPerHour(), baseline.turnsPerHour()},
+				{"orders that took effect twice", "", LowerIsBetter, float64(policy.platform.doubled), float64(baseline.platform.doubled)},
+			}
+		},
+	}
+}
+
+// orderSender looks at the load once a second and orders.
+type orderSender interface{ round() }
+
+// ordersRun is the load, the upstreams and what one run measured.
+type ordersRun struct {
+	sim      *Sim
+	user     User
+	platform *orderPlatform
+	pools    []*orderPool
+	noise    float64
+	hours    float64
+	tokens   float64
+	requests int
+	failed   int
+}
+
+func (r *ordersRun) hoursPerMillion() float64 { return r.hours / (r.tokens / 1e6) }
+
+func (r *ordersRun) failedShare() float64 { return float64(r.failed) / float64(r.requests) }
+
+func (r *ordersRun) turnsPerHour() float64 {
+	return float64(r.platform.turns) / ordersDay.Hours() / float64(len(r.pools))
+}
+
+func runOrders(u User, seed int64, newSender func(*ordersRun) orderSender) *ordersRun {
+	s := NewSim(seed)
+	r := &ordersRun{sim: s, user: u, platform: newOrderPlatform(s)}
+	for i, region := range u.Regions {
+		p := newOrderPool(r, ordering.Pool{DataCentre: region, Kind: "engine:p"}, i)
+		r.pools = append(r.pools, p)
+		r.platform.pools[p.pool] = p
+	}
+	sender := newSender(r)
+	s.Every(ordersTick, func() {
+		r.stepNoise()
+		for _, p := range r.pools {
+			p.tick()
+		}
+		sender.round()
+	})
+	s.Run(ordersDay)
+	return r
+}
+
+// stepNoise moves the common noise of the load, which keeps its value for about ordersNoiseTime.
+func (r *ordersRun) stepNoise() {
+	keep := 1 - ordersTick.Seconds()/ordersNoiseTime.Seconds()
+	scale := ordersNoise * noiseScale(keep)
+	r.noise = keep*r.noise + scale*r.sim.Rand.NormFloat64()
+}
+
+// signals is the load of all pools since the last call.
+func (r *ordersRun) signals(time.Time) []ordering.Signal {
+	var all []ordering.Signal
+	for _, p := range r.pools {
+		all = append(all, p.signal())
+	}
+	return all
+}
--- a/measure/scenario.go
+++ b/measure/scenario.go
@@ -1,5 +1,7 @@
 package measure
 
+import "github.com/radishshelf/radishshelf/lots"
+
 // Direction says which value of a figure is better.
 type Direction int
 
@@ -27,6 +29,8 @@
 	Against string
 	// AnyUser is set where the sizes of the user do not matter; the table then has one row for both.
 	AnyUser bool
+	// Sizes are the fleets to measure; nil means both users.
+	Sizes []User
 	// Run measures one user with one seed.
 	Run func(u User, seed int64) []Figure
 }
@@ -43,5 +47,11 @@
 		SuspectsScenario(0.7),
 		QuotaScenario(true),
 		QuotaScenario(false),
+		OrdersScenario(),
+		WeightsScenario(),
+		StalenessScenario(lots.Freshest, 0),
+		StalenessScenario(lots.Oldest, 1),
+		StalenessScenario(lots.Oldest, 1.5),
+		StalenessScenario(lots.Freshest, 1),
 	}
 }
--- a/measure/stats.go
+++ b/measure/stats.go
@@ -43,3 +43,18 @@
 	}
 	return len(weights) - 1
 }
+
+// poisson draws a count with the given mean; large means use the normal distribution.
+func poisson(s *Sim, mean float64) int {
+	if mean > 50 {
+		return max(0, int(math.Round(mean+math.Sqrt(mean)*s.Rand.NormFloat64())))
+	}
+	n := 0
+	for left := s.Rand.ExpFloat64(); left < mean; left += s.Rand.ExpFloat64() {
+		n++
+	}
+	return n
+}
+
+// noiseScale is the step of a first-order autoregressive noise of deviation 1 that keeps a share of its last value.
+func noiseScale(keep float64) float64 { return math.Sqrt(1 - keep*keep) }
--- a/measure/table.go
+++ b/measure/table.go
@@ -43,6 +43,9 @@
 
 // users returns the users to measure; a scenario without sizes needs only one of them.
 func (s Scenario) users() []User {
+	if s.Sizes != nil {
+		return s.Sizes
+	}
 	if !s.AnyUser {
 		return Users()
 	}
--- /dev/null
+++ b/retry/example_test.go
@@ -0,0 +1,25 @@
+package retry_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/radishshelf/radishshelf/outcome"
+	"github.com/radishshelf/radishshelf/retry"
+)
+
+// A request that must not run twice is repeated only when it is known not to have run.
+func Example() {
+	now := time.Date(2026, 3, 1, 10, 0, 0, 0, time.UTC)
+	budget := retry.NewBudget(retry.BudgetConfig{Share: 0.1, MinPerSecond: 1, MaxSaved: 10}, now)
+	policy := retry.DefaultPolicy()
+	lost := retry.Attempt{Number: 1, Outcome: outcome.MayHaveRun, DeadlineLeft: time.Minute}
+	fmt.Println(policy.Decide(lost, budget, now))
+	refused := retry.Attempt{Number: 1, Outcome: outcome.NotRun, DeadlineLeft: time.Minute}
+	fmt.Println(policy.Decide(refused, budget, now))
+	fmt.Println(policy.Decide(refused, budget, now))
+	// Output:
+	// {false not_idempotent}
+	// {true not_run}
+	// {false budget_empty}
+}
--- a/retry/hedge.go
+++ b/retry/hedge.go
@@ -12,9 +12,11 @@
 	MinObservations int
 }
 
-// DefaultHedgeConfig duplicates an attempt that is slower than 95 of 100.
+// DefaultHedgeConfig duplicates an attempt that is slower than 39 of 40. The last sample of a group of 8 is the slowest
+// of eight, so that a third of the groups pass the 95th percentile without a fault; with it, a fifth more tokens were
+// wasted in the group scenario of package measure and the trainer waited no less.
 func DefaultHedgeConfig() HedgeConfig {
-	return HedgeConfig{Quantile: 0.95, MinDelay: 500 * time.Millisecond, MinObservations: 20}
+	return HedgeConfig{Quantile: 0.975, MinDelay: 500 * time.Millisecond, MinObservations: 20}
 }
 
 // Straggler holds the facts about a running attempt.
--- a/retry/latency.go
+++ b/retry/latency.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// latencyWindow is how many recent latencies are kept; of 256, twelve lie above the 95th percentile.
+// latencyWindow is how many recent latencies are kept; of 256, six lie above the 97.5th percentile.
 const latencyWindow = 256
 
 // Latencies keeps the most recent latencies of one kind of work.
--- /dev/null
+++ b/standin/certs/authority.go
@@ -0,0 +1,92 @@
+// Package certs is a stand-in for the authority that signs the certificates of a fleet, for tests.
+package certs
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/radishshelf/radishshelf/settings"
+)
+
+// validity of all certificates, before and after the time of their issue.
+const validity = time.Hour
+
+// Authority signs certificates for 127.0.0.1 and writes them to a directory.
+type Authority struct {
+	dir  string
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+}
+
+// NewAuthority writes the certificate of a new authority to dir.
+func NewAuthority(dir string) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	template := newTemplate("test fleet", 1)
+	template.IsCA, template.BasicConstraintsValid, template.KeyUsage = true, true, x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, err
+	}
+	a := &Authority{dir: dir, key: key}
+	if a.cert, err = x509.ParseCertificate(der); err != nil {
+		return nil, err
+	}
+	return a, a.write("ca.crt", "CERTIFICATE", der)
+}
+
+// Issue writes certificate and key of a process, in place of earlier ones of the name. The serial number tells them
+// apart.
+func (a *Authority) Issue(name string, serial int64) (*settings.TLS, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	template := newTemplate(name, serial)
+	template.IPAddresses = []net.IP{net.IPv4(127, 0, 0, 1)}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		return nil, err
+	}
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return nil, err
+	}
+	if err := a.write(name+".key", "EC PRIVATE KEY", keyDER); err != nil {
+		return nil, err
+	}
+	if err := a.write(name+".crt", "CERTIFICATE", der); err != nil {
+		return nil, err
+	}
+	return &settings.TLS{CertFile: a.path(name + ".crt"), KeyFile: a.path(name + ".key"), CAFile: a.path("ca.crt")}, nil
+}
+
+func newTemplate(name string, serial int64) *x509.Certificate {
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: name}, NotBefore: now.Add(-validity),
+		NotAfter: now.Add(validity), KeyUsage: x509.KeyUsageDigitalSignature,
+	}
+}
+
+func (a *Authority) path(file string) string { return filepath.Join(a.dir, file) }
+
+func (a *Authority) write(file, kind string, der []byte) error {
+	data := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	if err := os.WriteFile(a.path(file), data, 0o600); err != nil {
+		return fmt.Errorf("write certificate: %w", err)
+	}
+	return nil
+}
