Copy staged weights inside a data centre

Cause: every engine fetched each version from the rate-limited weight store over links between regions that are paid. Ruled out: copies through the agents, which have 64 MB; a lease for the engine that fetches, since a second fetch costs only volume. Change: rollout.PlanStage names one engine of a data centre for the store and gives the others the engines that hold the version; they fetch themselves after 30 s without a source. The wanted state in heartbeat replies carries it.

--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -126,6 +126,6 @@
 		ActiveVersion: active, StagedVersions: status.StagedVersions,
 		Running: int32(running), Queued: int32(queued), Slots: int32(a.settings.Slots),
 		PendingTokens: pending, TokensPerSecond: rate,
-		UsageFlushedSeq: a.recorder.FlushedSeq(), Suspects: a.suspects.report(now), HighestTerm: a.orders.highestTerm(),
+		WeightsUrl: a.settings.weightsURL(), UsageFlushedSeq: a.recorder.FlushedSeq(), Suspects: a.suspects.report(now), HighestTerm: a.orders.highestTerm(),
 	}
 }
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -4,13 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/url"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/radishshelf/radishshelf/agent/engineapi"
 	"github.com/radishshelf/radishshelf/fencing"
 	"github.com/radishshelf/radishshelf/rpc"
 )
@@ -38,6 +35,8 @@
 	gate   *fencing.Gate
 	rounds int
 	wanted *rpc.WantedState
+	// wantedSince is when the mark of wanted was first seen.
+	wantedSince time.Time
 	// refused is the mark refused last, so that a stale entry makes one log line and not one per second.
 	refused fencing.Mark
 	// stop ends the staging of staging, for an order that no longer wants that version.
@@ -90,14 +89,19 @@
 
 func (o *orders) replace(w *rpc.WantedState) {
 	if o.wanted != nil && markOf(o.wanted) == markOf(w) {
+		o.updateSources(w)
 		return
 	}
-	o.wanted = w
+	o.wanted, o.wantedSince = w, time.Now()
 	if o.stop != nil && o.staging != w.StageVersion && o.staging != w.ActivateVersion {
 		o.stop()
 	}
 	o.agent.logger.Info().Int64("term", w.Term).Int64("revision", w.Revision).Int64("stage", w.StageVersion).
 		Int64("activate", w.ActivateVersion).Msg("order_accepted")
+	o.wake()
+}
+
+func (o *orders) wake() {
 	select {
 	case o.signal <- struct{}{}:
 	default:
@@ -177,6 +181,9 @@
 	if version == 0 || version == status.ActiveVersion || slices.Contains(status.StagedVersions, version) {
 		return nil
 	}
+	if !o.mayStage(w, version) {
+		return nil
+	}
 	if err := o.stage(ctx, w, version); err != nil {
 		return o.superseded(w, err)
 	}
@@ -252,12 +259,3 @@
 	o.agent.logger.Info().Str("order", what).Int64("term", w.Term).Int64("revision", w.Revision).
 		Int64("version", version).Dur("duration_ms", time.Since(start)).Msg("order_done")
 }
-
-func (o *orders) order(w *rpc.WantedState, version int64) engineapi.Order {
-	order := engineapi.Order{Policy: w.Policy, Version: version, Term: w.Term}
-	if address := o.agent.settings.PlatformAddress; address != "" {
-		source := "http://" + address + "/v1/weights/" + url.PathEscape(w.Policy) + "/" + strconv.FormatInt(version, 10)
-		order.Sources = []string{source}
-	}
-	return order
-}
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -18,6 +18,9 @@
 	ControlAddress string `json:"control_address"`
 	// UpstreamURL is the base URL of the upstream beside the agent.
 	UpstreamURL string `json:"upstream_url"`
+	// AdvertisedUpstreamURL is the base URL under which other engines reach the upstream to copy weights, where it differs
+	// from UpstreamURL.
+	AdvertisedUpstreamURL string `json:"advertised_upstream_url,omitempty"`
 	// Kind is "engine" or "service".
 	Kind string `json:"kind"`
 	// Serves is the policy of an engine or the name of a plain service.
--- a/entry/peer/convert.go
+++ b/entry/peer/convert.go
@@ -20,6 +20,7 @@
 			PendingTokens: r.GetPendingTokens(), TokensPerSecond: r.GetTokensPerSecond(),
 		},
 		UsageFlushedSeq: r.GetUsageFlushedSeq(), HighestTerm: r.GetHighestTerm(),
+		WeightsURL: r.GetWeightsUrl(),
 	}
 }
 
@@ -31,7 +32,7 @@
 		Leaving: u.Leaving, Healthy: u.Healthy, ActiveVersion: u.ActiveVersion, StagedVersions: u.StagedVersions,
 		Running: int32(u.Load.Running), Queued: int32(u.Load.Queued), Slots: int32(u.Load.Slots),
 		PendingTokens: u.Load.PendingTokens, TokensPerSecond: u.Load.TokensPerSecond, UsageFlushedSeq: u.UsageFlushedSeq,
-		HighestTerm: u.HighestTerm,
+		HighestTerm: u.HighestTerm, WeightsUrl: u.WeightsURL,
 		// Rounded up, so that an age never shrinks on its way.
 		AgeMs: now.Sub(u.ReportedAt).Milliseconds() + 1,
 	}
--- a/entry/peer/server.go
+++ b/entry/peer/server.go
@@ -65,7 +65,7 @@
 	view := s.opts.Syncer.View()
 	return &rpc.HeartbeatResponse{
 		UsageWindowSeconds: view.Defaults().UsageWindowSeconds,
-		Entry:              s.opts.Name, Wanted: wanted(view, req), Quarantined: quarantinedOf(s.opts.Members.Suspects(now)),
+		Entry:              s.opts.Name, Wanted: s.wanted(view, req, now), Quarantined: quarantinedOf(s.opts.Members.Suspects(now)),
 		Roles: s.opts.Roles.Roles(), Entries: append(s.sampleEntries(now), s.opts.Syncer.Info(now)),
 	}, nil
 }
@@ -79,7 +79,7 @@
 }
 
 // wanted returns the state that the rollout of the upstream's policy asks for, or nil when there is none.
-func wanted(view *fleetconfig.View, req *rpc.HeartbeatRequest) *rpc.WantedState {
+func (s *Server) wanted(view *fleetconfig.View, req *rpc.HeartbeatRequest, now time.Time) *rpc.WantedState {
 	if req.GetKind() != fleetconfig.UpstreamEngine {
 		return nil
 	}
@@ -95,6 +95,7 @@
 	if rollout.Phase == fleetconfig.PhaseActivate {
 		state.ActivateVersion = rollout.Version
 	}
+	s.planStage(state, req, now)
 	return state
 }
 
--- a/rollout/engine.go
+++ b/rollout/engine.go
@@ -3,6 +3,8 @@
 // Engine is what an agent reports about its engine's weights.
 type Engine struct {
 	Upstream string
+	// WeightsURL is the base URL from which other engines may copy weights; empty when they may not.
+	WeightsURL string
 	// Healthy engines that are not leaving take part in a rollout.
 	Healthy bool
 	Active  int64
