Delete old claim rows

Cause: nothing removed the rows of idempotency claims, so the table grew with every claimed request. Ruled out: deletion by the entry that wrote the row, because hosts are replaced at any time.

--- a/cmd/radishshelf-entry/serve.go
+++ b/cmd/radishshelf-entry/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/radishshelf/radishshelf/entry"
 	"github.com/radishshelf/radishshelf/entry/peer"
+	"github.com/radishshelf/radishshelf/idempotency"
 	"github.com/radishshelf/radishshelf/membership"
 	"github.com/radishshelf/radishshelf/telemetry"
 	"github.com/radishshelf/radishshelf/usage"
@@ -139,6 +140,9 @@
 	plain("quota", func(ctx context.Context) { p.shares.Run(ctx, p.quotaHolder) })
 	plain("usage records", func(ctx context.Context) { p.fleet.WatchUsage(ctx, p.retainer) })
 	plain("usage", p.runUsage)
+	plain("old claims", func(ctx context.Context) {
+		idempotency.NewSweeper(p.services.Table, time.Now).Run(ctx, func() bool { return p.rank("claims") == 0 })
+	})
 	return p.flushUsage, nil
 }
 
--- a/idempotency/row.go
+++ b/idempotency/row.go
@@ -1,6 +1,9 @@
 package idempotency
 
-import "net/http"
+import (
+	"net/http"
+	"time"
+)
 
 // State is the progress of a claimed request.
 type State string
@@ -20,9 +23,11 @@
 	// Owner is unique for each claim. It tells a process whether a write with a lost reply was its own.
 	Owner string `json:"owner"`
 	// Entry and RequestID name the holder of the claim for operators.
-	Entry     string  `json:"entry"`
-	RequestID string  `json:"request_id"`
-	Answer    *Answer `json:"answer,omitempty"`
+	Entry     string `json:"entry"`
+	RequestID string `json:"request_id"`
+	// ClaimedAt is by the clock of the entry; it only decides when the row is deleted.
+	ClaimedAt time.Time `json:"claimed_at"`
+	Answer    *Answer   `json:"answer,omitempty"`
 }
 
 // Answer is a stored answer.
--- a/idempotency/store.go
+++ b/idempotency/store.go
@@ -56,7 +56,7 @@
 	if !s.limiter.Allow() {
 		return s.withoutClaim(ctx, key, r)
 	}
-	row := Row{State: Claimed, Content: r.Content, Owner: uuid.NewString(), Entry: s.entry, RequestID: r.RequestID}
+	row := Row{State: Claimed, Content: r.Content, Owner: uuid.NewString(), Entry: s.entry, RequestID: r.RequestID, ClaimedAt: time.Now().UTC()}
 	value, err := json.Marshal(row)
 	if err != nil {
 		return nil, nil, storeDown(err)
