--- a/cmd/radishshelf-entry/operator.go
+++ b/cmd/radishshelf-entry/operator.go
@@ -49,10 +49,14 @@
 		})
 	}
 	for _, u := range s.p.fleet.Upstreams(now) {
-		list = append(list, operatorclient.HostStatus{
+		host := operatorclient.HostStatus{
 			Name: u.Name, Address: u.DataAddress, DataCentre: u.DataCentre, Region: u.Region, Role: "upstream",
 			State: hostState(u.Status), Detail: upstreamDetail(u, now), Policy: u.Serves, ActiveVersion: u.ActiveVersion,
-		})
+		}
+		if configured, ok := s.p.syncer.View().Upstream(u.Name); ok && configured.Draining && u.Status == membership.Live {
+			host.State, host.Detail = hostState(membership.Leaving), "draining by configuration"
+		}
+		list = append(list, host)
 	}
 	return list, nil
 }
--- /dev/null
+++ b/cmd/radishshelf-entry/operator_test.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"encoding/json"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/radishshelf/radishshelf/configstore"
+	"github.com/radishshelf/radishshelf/configsync"
+	"github.com/radishshelf/radishshelf/entry"
+	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/membership"
+	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/prefixindex"
+	"github.com/radishshelf/radishshelf/rpc"
+)
+
+// Guards against an operator who sees the asked entry as one that does not report, or a draining upstream as one that
+// takes work.
+func TestHostStatusOfOwnEntryAndDrainingUpstream(t *testing.T) {
+	p := &process{settings: entry.DefaultSettings(), fleet: entry.NewFleet("sudur", "sudur", rand.New(rand.NewSource(1)))}
+	p.settings.Name = "entry-1"
+	p.syncer = configsync.New(configsync.Options{
+		Name: "entry-1", PeerAddress: "127.0.0.1:1", DataCentre: "sudur",
+		Source: configstore.New(memory.New(memory.Options{}).Table),
+	})
+	configured, err := json.Marshal(fleetconfig.Upstream{Kind: fleetconfig.UpstreamEngine, Serves: "toll", Draining: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = p.syncer.HandleSync(t.Context(), &rpc.SyncRequest{
+		From:    &rpc.EntryInfo{Name: "entry-2", PeerAddress: "127.0.0.1:2", DataCentre: "sudur", ConfirmationAgeMs: -1},
+		Objects: []*rpc.ConfigObject{{Kind: string(fleetconfig.KindUpstream), Name: "engine-1", Revision: 1, Value: configured}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	p.fleet.HostList([]membership.Host{{Name: "entry-1", Role: membership.RoleEntry, Address: "127.0.0.1:1"}}, now)
+	for _, name := range []string{"engine-1", "engine-2"} {
+		p.fleet.Heartbeat(membership.Upstream{
+			Name: name, DataAddress: "127.0.0.1:9", Kind: fleetconfig.UpstreamEngine, Serves: "toll", Incarnation: "i",
+			ReportSeq: 1, Healthy: true,
+		}, prefixindex.Event{Upstream: name, Incarnation: "i", Seq: 1}, nil, now)
+	}
+	hosts, err := operatorSource{p}.HostStatus(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	states := map[string]string{}
+	for _, h := range hosts {
+		states[h.Name] = h.State
+	}
+	if states["entry-1"] != "live" || states["engine-1"] != "leaving" || states["engine-2"] != "live" {
+		t.Errorf("states %v; want only engine-1 leaving", states)
+	}
+}
--- a/configsync/fuzz_test.go
+++ b/configsync/fuzz_test.go
@@ -43,3 +43,37 @@
 func (noPeer) Sync(context.Context, *rpc.SyncRequest) (*rpc.SyncResponse, error) {
 	return nil, context.Canceled
 }
+
+// fixedPeer answers every Sync alike.
+type fixedPeer struct {
+	rpc.Peer
+	answer *rpc.SyncResponse
+}
+
+func (f fixedPeer) Sync(context.Context, *rpc.SyncRequest) (*rpc.SyncResponse, error) {
+	return f.answer, nil
+}
+
+// Guards against an answer of a peer that stops the entry, or that lets it serve keyed work although the peer has no
+// confirmation by the table that is fresh.
+func FuzzSyncAnswer(f *testing.F) {
+	f.Fuzz(func(t *testing.T, data []byte) {
+		answer := &rpc.SyncResponse{}
+		if proto.Unmarshal(data, answer) != nil {
+			return
+		}
+		s := New(Options{
+			Name: "entry-1", PeerAddress: "127.0.0.1:1", DataCentre: "wien",
+			Source: configstore.New(memory.New(memory.Options{}).Table),
+			Dial:   func(string) rpc.Peer { return noPeer{} },
+		})
+		p := &peer{address: answer.GetFrom().GetPeerAddress(), client: fixedPeer{answer: answer}}
+		_, _ = s.exchange(t.Context(), p, &rpc.SyncRequest{From: s.info(time.Now())})
+		ms := answer.GetFrom().GetConfirmationAgeMs()
+		if fresh := ms >= 0 && ms < time.Minute.Milliseconds(); !fresh && s.MayServeKeyed(time.Now()) {
+			t.Errorf("keyed work is served after a confirmation of %d ms", ms)
+		}
+		s.Entries(time.Now())
+		s.View().Defaults()
+	})
+}
--- a/entry/fuzz_test.go
+++ b/entry/fuzz_test.go
@@ -116,3 +116,12 @@
 		}
 	})
 }
+
+// Guards against an engine's answer that stops the entry when its text becomes a sample.
+func FuzzCompletionText(f *testing.F) {
+	f.Fuzz(func(t *testing.T, body []byte, stream bool) {
+		if text, ok := completionText(body, stream); ok && len(text) > 3*len(body) {
+			t.Errorf("%d bytes of text from an answer of %d bytes", len(text), len(body))
+		}
+	})
+}
--- a/membership/upstream.go
+++ b/membership/upstream.go
@@ -28,8 +28,8 @@
 	Load            dataplane.Load
 	UsageFlushedSeq int64
 	// WeightsURL is the base URL from which other engines may copy weights; empty for a plain service.
-	WeightsURL string
-	HighestTerm     int64
+	WeightsURL  string
+	HighestTerm int64
 	// ReportedAt is when the report arrived, or for a report passed on by a peer that time less its age.
 	ReportedAt time.Time
 	// HeardDirectly is set when the agent reports to this entry itself. Membership computes it as it does Status.
