Take a request for finished once its answer ended, and tell suspects apart by target

A crash suspect has to run alone, and the request before it still counted as running after its caller had the answer. Besides, fingerprints left out the path, so all requests without a body on a route were one suspect. Ruled out: waiting in the router, which would hold back a request whose refusal is due at once. Change: the count ends when the upstream's answer has arrived whole; the fingerprint covers method and target. Without the change TestAnsweredRequestNoLongerRuns prints "1 requests counted as running when the answer was sent, want 0"; a first form of it, 50 requests in turn, did not fail without the change and was replaced. Conclusion: both have a test.

--- a/dataplane/answer.go
+++ b/dataplane/answer.go
@@ -23,6 +23,7 @@
 	Header http.Header
 	resp   *http.Response
 	ended  bool
+	onEnd  func()
 }
 
 // Read returns the body. The end of a body without the complete marker is ErrTruncated, never io.EOF.
@@ -38,9 +39,15 @@
 	if a.mark(TrailerComplete) != "true" {
 		return n, ErrTruncated
 	}
+	if a.onEnd != nil {
+		a.onEnd()
+	}
 	return n, io.EOF
 }
 
+// OnEnd sets a function that is called when the whole body has arrived, before Read returns io.EOF.
+func (a *Answer) OnEnd(f func()) { a.onEnd = f }
+
 // mark returns a trailer. An answer that cannot have a body has no trailers either; the agent sends them as headers.
 func (a *Answer) mark(name string) string {
 	if a.Status == http.StatusNoContent || a.Status == http.StatusNotModified {
--- a/entry/deliver.go
+++ b/entry/deliver.go
@@ -49,7 +49,7 @@
 
 // screen checks the limits of the workspace and the quarantine.
 func (e *Entry) screen(j *job) error {
-	j.fingerprint = quarantine.Fingerprint(j.workspace, j.destination.name, j.body)
+	j.fingerprint = quarantine.Fingerprint(j.workspace, j.method+" "+j.target, j.body)
 	if err := e.checkSuspect(j); err != nil || e.quota == nil {
 		return err
 	}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -99,7 +100,8 @@
 
 // attempt sends j to one upstream and passes the answer to the receiver.
 func (e *Entry) attempt(ctx context.Context, j *job, choice chosen, number int, to receiver) (delivery, error) {
-	defer e.fleet.release(choice)
+	release := sync.OnceFunc(func() { e.fleet.release(choice) })
+	defer release()
 	ctx, span := e.tracer.Start(ctx, "entry.attempt", attribute.String("upstream", choice.upstream.Name),
 		attribute.Int("attempt", number), attribute.String("request_id", j.id))
 	defer span.End()
@@ -115,6 +117,8 @@
 		return delivery{}, err
 	}
 	defer answer.Close()
+	// The upstream is done before the caller gets the end of the answer and may send its next request.
+	answer.OnEnd(release)
 	if load, ok := answer.Load(); ok {
 		e.fleet.answered(choice.upstream.Name, load, e.now())
 	}
--- a/entry/suspect_test.go
+++ b/entry/suspect_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -29,7 +31,7 @@
 	if crashes.Load() != 2 || alone.Load() != 1 {
 		t.Fatalf("%d crashes, %d of them alone; want 2 and 1", crashes.Load(), alone.Load())
 	}
-	fingerprint := quarantine.Fingerprint("hraunvegur", "fare", []byte("poison"))
+	fingerprint := quarantine.Fingerprint("hraunvegur", "POST /fare", []byte("poison"))
 	r.fleet.MergeSuspects([]quarantine.Suspect{{Fingerprint: fingerprint, Deaths: 2, Remaining: time.Minute}}, time.Now())
 	got := r.do("POST", "/fare", testSecret, "poison")
 	got.wantRefusal(t, outcome.KindQuarantined, outcome.NotRun)
@@ -37,3 +39,46 @@
 		t.Fatalf("got %v after %d crashes", got.header, crashes.Load())
 	}
 }
+
+// Guards against the quarantine of every request without a body on a route because one of them crashed its upstream.
+func TestSuspectIsOneTarget(t *testing.T) {
+	r := newRig(t, nil)
+	r.upstream("desk-1", fleetconfig.UpstreamService, "desk", newAgent(t, answerText("90")))
+	fingerprint := quarantine.Fingerprint("hraunvegur", "GET /fare/poison", nil)
+	r.fleet.MergeSuspects([]quarantine.Suspect{{Fingerprint: fingerprint, Deaths: 2, Remaining: time.Minute}}, time.Now())
+	r.do("GET", "/fare/poison", testSecret, "").wantRefusal(t, outcome.KindQuarantined, outcome.NotRun)
+	r.do("GET", "/fare/sudur", testSecret, "").wantOK(t, "90")
+}
+
+// countingWriter notes how many requests count as running when the first byte of the answer goes to the caller.
+type countingWriter struct {
+	*httptest.ResponseRecorder
+	running func() int
+	atWrite int
+}
+
+func (w *countingWriter) Write(p []byte) (int, error) {
+	if w.Body.Len() == 0 {
+		w.atWrite = w.running()
+	}
+	return w.ResponseRecorder.Write(p)
+}
+
+// Guards against a suspect that is refused because the request before it, whose answer its caller already has, is still
+// counted as running.
+func TestAnsweredRequestNoLongerRuns(t *testing.T) {
+	r := newRig(t, nil)
+	r.upstream("desk-1", fleetconfig.UpstreamService, "desk", newAgent(t, answerText("90")))
+	running := func() int {
+		r.fleet.mu.Lock()
+		defer r.fleet.mu.Unlock()
+		return r.fleet.inFlight.Count("desk-1")
+	}
+	w := &countingWriter{ResponseRecorder: httptest.NewRecorder(), running: running, atWrite: -1}
+	req := httptest.NewRequest("POST", "/fare", strings.NewReader("x"))
+	req.Header.Set("X-Api-Key", testSecret)
+	r.entry.ServeHTTP(w, req)
+	if w.Code != http.StatusOK || w.atWrite != 0 {
+		t.Fatalf("status %d; %d requests counted as running when the answer was sent, want 0", w.Code, w.atWrite)
+	}
+}
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -9,11 +9,12 @@
 // fingerprintBytes is the length of a fingerprint before hex encoding; 128 bits make accidental collisions negligible.
 const fingerprintBytes = 16
 
-// Fingerprint identifies a request content on a route within its workspace.
+// Fingerprint identifies a request within its workspace. target is the method and the path with query: requests
+// without a body would otherwise all be the same on a route.
 // Each part is preceded by its length, so that no two workspaces can produce the same input to the hash.
-func Fingerprint(workspace, route string, body []byte) string {
+func Fingerprint(workspace, target string, body []byte) string {
 	h := sha256.New()
-	for _, part := range [][]byte{[]byte(workspace), []byte(route), body} {
+	for _, part := range [][]byte{[]byte(workspace), []byte(target), body} {
 		var length [8]byte
 		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
 		h.Write(length[:])
