Remove logic that stood twice: TLS and credential, record of arrivals, golden sessions

Cause: agent and entry held the same TLS and credential code, the stand-in engine and service the same record of what arrived, and two tests their own replay (found by a search for duplicates). Change: packages fleetauth and standin/arrivals; lots and admission use goldentest.

--- a/admission/session_test.go
+++ b/admission/session_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/radishshelf/radishshelf/goldentest"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -34,7 +36,7 @@
 func replay(t *testing.T, path string, cfg Config) {
 	q := New(cfg, rand.New(rand.NewSource(1)))
 	now := start
-	runSession(t, path, func(t *testing.T, f []string) []string {
+	respond := func(f []string) []string {
 		switch f[0] {
 		case "at":
 			d, err := time.ParseDuration(f[1])
@@ -65,7 +67,8 @@
 		}
 		t.Fatalf("unknown event %q", f[0])
 		return nil
-	})
+	}
+	goldentest.Run(t, path, func(_ *testing.T, _, script string) string { return goldentest.Events(script, respond) })
 }
 
 func parseItem(t *testing.T, f []string) Item {
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
+	"github.com/radishshelf/radishshelf/fleetauth"
 	"github.com/radishshelf/radishshelf/telemetry"
 	"github.com/radishshelf/radishshelf/usage"
 )
@@ -73,7 +74,7 @@
 
 // New returns an agent that does not serve yet. The credential file is read once.
 func New(s Settings, o Options) (*Agent, error) {
-	secret, err := loadCredential(s.CredentialFile)
+	secret, err := fleetauth.LoadCredential(s.CredentialFile)
 	if err != nil {
 		return nil, err
 	}
@@ -84,7 +85,7 @@
 	control := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	a := &Agent{
 		settings: s, incarnation: o.Incarnation, logger: o.Logger, registry: o.Registry, tracer: o.Tracer,
-		recorder: o.Recorder, flusher: o.Flusher, credential: secret,
+		recorder: o.Recorder, flusher: o.Flusher, credential: credential(secret),
 		admission: newAdmission(s.Slots, s.QueueLimit), upstream: newUpstream(base),
 		engine:   engineControl{base: base, client: control},
 		versions: newVersions(), suspects: newSuspects(s.SuspectTime.D()), meter: &loadMeter{}, health: &health{},
--- a/agent/auth.go
+++ b/agent/auth.go
@@ -2,9 +2,7 @@
 
 import (
 	"crypto/subtle"
-	"fmt"
 	"net/http"
-	"os"
 	"strings"
 
 	"github.com/radishshelf/radishshelf/outcome"
@@ -15,21 +13,6 @@
 // credential is the secret that own processes show each other; empty when none is set.
 type credential string
 
-func loadCredential(file string) (credential, error) {
-	if file == "" {
-		return "", nil
-	}
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return "", fmt.Errorf("credential file: %w", err)
-	}
-	secret := strings.TrimSpace(string(data))
-	if secret == "" {
-		return "", fmt.Errorf("credential file %s is empty; write the shared secret into it", file)
-	}
-	return credential(secret), nil
-}
-
 // shown reports whether the request carries the secret.
 func (c credential) shown(h http.Header) bool {
 	if c == "" {
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -14,6 +14,7 @@
 
 	"github.com/radishshelf/radishshelf/dataplane"
 	"github.com/radishshelf/radishshelf/drain"
+	"github.com/radishshelf/radishshelf/fleetauth"
 	"github.com/radishshelf/radishshelf/outcome"
 	"github.com/radishshelf/radishshelf/rpc"
 	"github.com/radishshelf/radishshelf/telemetry"
@@ -134,7 +135,7 @@
 
 // Run serves until ctx ends, then refuses new work, finishes every stream, flushes the usage and returns.
 func (a *Agent) Run(ctx context.Context) error {
-	config, err := tlsConfig(a.settings.TLS)
+	config, err := fleetauth.TLS(a.settings.TLS)
 	if err != nil {
 		return err
 	}
--- a/agent/tls_test.go
+++ b/agent/tls_test.go
@@ -22,6 +22,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/radishshelf/radishshelf/dataplane"
+	"github.com/radishshelf/radishshelf/fleetauth"
 	"github.com/radishshelf/radishshelf/fleetconfig"
 	"github.com/radishshelf/radishshelf/outcome"
 	"github.com/radishshelf/radishshelf/rpc"
@@ -66,7 +67,7 @@
 func TestMutualTLS(t *testing.T) {
 	s, upstream := startService(t)
 	files := writeTLS(t)
-	config, err := tlsConfig(files)
+	config, err := fleetauth.TLS(files)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/callproof/fleet_test.go
+++ b/callproof/fleet_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/radishshelf/radishshelf/agent"
 	"github.com/radishshelf/radishshelf/callproof"
-	"github.com/radishshelf/radishshelf/entry"
+	"github.com/radishshelf/radishshelf/fleetauth"
 	"github.com/radishshelf/radishshelf/fleetconfig"
 	"github.com/radishshelf/radishshelf/rpc"
 	"github.com/radishshelf/radishshelf/settings"
@@ -154,7 +154,7 @@
 // is not used before a restart.
 func TestRenewedCertificateIsUsed(t *testing.T) {
 	ca := newAuthority(t)
-	entryTLS, err := entry.OwnTLS(ca.issue("entry-1", 10))
+	entryTLS, err := fleetauth.TLS(ca.issue("entry-1", 10))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -190,7 +190,7 @@
 	}
 	eventually(t, "renewed client certificate", func() bool { return agentSerial.Load() == 21 })
 
-	stranger, err := entry.OwnTLS(newAuthority(t).issue("entry-9", 90))
+	stranger, err := fleetauth.TLS(newAuthority(t).issue("entry-9", 90))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/radishshelf-entry/operator.go
+++ b/cmd/radishshelf-entry/operator.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/radishshelf/radishshelf/entry"
+	"github.com/radishshelf/radishshelf/fleetauth"
 	"github.com/radishshelf/radishshelf/fleetconfig"
 	"github.com/radishshelf/radishshelf/membership"
 	"github.com/radishshelf/radishshelf/operatorapi"
@@ -17,7 +17,7 @@
 
 // newOperator returns the server of the operator port.
 func (p *process) newOperator() (*http.Server, error) {
-	token, err := entry.LoadCredential(p.settings.OperatorTokenFile)
+	token, err := fleetauth.LoadCredential(p.settings.OperatorTokenFile)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/radishshelf-entry/process.go
+++ b/cmd/radishshelf-entry/process.go
@@ -15,6 +15,7 @@
 	"github.com/radishshelf/radishshelf/dataplane"
 	"github.com/radishshelf/radishshelf/entry"
 	"github.com/radishshelf/radishshelf/entry/peer"
+	"github.com/radishshelf/radishshelf/fleetauth"
 	"github.com/radishshelf/radishshelf/idempotency"
 	"github.com/radishshelf/radishshelf/lotstore"
 	"github.com/radishshelf/radishshelf/platform"
@@ -61,11 +62,11 @@
 
 // newProcess opens the ports and builds the parts; serve starts them.
 func newProcess(s entry.Settings, log zerolog.Logger, tracer *telemetry.Tracer) (*process, error) {
-	own, err := entry.OwnTLS(s.TLS)
+	own, err := fleetauth.TLS(s.TLS)
 	if err != nil {
 		return nil, err
 	}
-	secret, err := entry.LoadCredential(s.CredentialFile)
+	secret, err := fleetauth.LoadCredential(s.CredentialFile)
 	if err != nil {
 		return nil, err
 	}
--- a/agent/tls.go
+++ b/fleetauth/tls.go
@@ -1,4 +1,4 @@
-package agent
+package fleetauth
 
 import (
 	"crypto/tls"
@@ -10,9 +10,9 @@
 	"github.com/radishshelf/radishshelf/settings"
 )
 
-// tlsConfig returns the mutual TLS of the ports and calls between own processes, or nil for plain TCP. The files are
-// read at every handshake, so that a renewed certificate needs no restart.
-func tlsConfig(s *settings.TLS) (*tls.Config, error) {
+// TLS returns the mutual TLS of the ports and calls between own processes, or nil for plain TCP. The files are read
+// at every handshake, so that a renewed certificate needs no restart.
+func TLS(s *settings.TLS) (*tls.Config, error) {
 	if s == nil {
 		return nil, nil
 	}
--- a/lots/session_test.go
+++ b/lots/session_test.go
@@ -2,16 +2,13 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
-)
 
-var update = flag.Bool("update", false, "rewrite the golden files")
+	"github.com/radishshelf/radishshelf/goldentest"
+)
 
 // session runs a script line by line against the pure sequence and records the actions.
 type session struct {
@@ -24,31 +21,15 @@
 
 // Guards against a change of the rules by which lots are formed, repeated, made void and acknowledged.
 func TestGoldenSession(t *testing.T) {
-	paths, err := filepath.Glob("testdata/*.golden")
-	if err != nil || len(paths) == 0 {
-		t.Fatalf("no golden sessions: %v", err)
-	}
-	for _, path := range paths {
-		data, err := os.ReadFile(path)
-		if err != nil {
-			t.Fatal(err)
-		}
+	goldentest.Run(t, "testdata/*.golden", func(t *testing.T, _, script string) string {
 		s := session{spec: Spec{MaxStaleness: 2, LotSamples: 4}}
-		for line := range strings.Lines(string(data)) {
+		for line := range strings.Lines(script) {
 			if event := strings.TrimSpace(line); event != "" && !strings.HasPrefix(event, "->") {
 				s.run(t, event)
 			}
 		}
-		if *update {
-			if err := os.WriteFile(path, s.out.Bytes(), 0o644); err != nil {
-				t.Fatal(err)
-			}
-			continue
-		}
-		if got := s.out.String(); got != string(data) {
-			t.Errorf("%s differs; run go test ./lots -update and read the change\ngot:\n%s", path, got)
-		}
-	}
+		return s.out.String()
+	})
 }
 
 func (s *session) run(t *testing.T, event string) {
--- /dev/null
+++ b/standin/arrivals/record.go
@@ -0,0 +1,79 @@
+// Package arrivals records what arrived at a stand-in upstream, so that a test can ask whether a secret ever did.
+package arrivals
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+)
+
+const adminPrefix = "/admin/"
+
+// Limits of the record of arrived text.
+const (
+	maxSeenBytes = 64 << 20
+	maxBodyBytes = 16 << 20
+)
+
+// Record keeps the request lines, headers and bodies that arrived.
+type Record struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Middleware notes every request but those under /admin/ and passes it on with its body restored.
+func (a *Record) Middleware(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, adminPrefix) {
+			next.ServeHTTP(w, r)
+			return
+		}
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+		if err != nil {
+			http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		a.add(r, body)
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (a *Record) add(r *http.Request, body []byte) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.text.Len() > maxSeenBytes {
+		return
+	}
+	a.text.WriteString(r.RequestURI)
+	a.text.WriteByte('\n')
+	_ = r.Header.Write(&a.text)
+	a.text.Write(body)
+	a.text.WriteByte('\n')
+}
+
+// Contains reports whether text arrived anywhere.
+func (a *Record) Contains(text string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return strings.Contains(a.text.String(), text)
+}
+
+// SeenAnswer is the answer of GET /admin/seen.
+type SeenAnswer struct {
+	Seen bool `json:"seen"`
+}
+
+// ServeSeen answers GET /admin/seen?text=...
+func (a *Record) ServeSeen(w http.ResponseWriter, r *http.Request) {
+	text := r.URL.Query().Get("text")
+	if text == "" {
+		http.Error(w, "name the text to look for: /admin/seen?text=...", http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(SeenAnswer{Seen: a.Contains(text)}) // a client that left gets no answer
+}
--- a/standin/engine/admin.go
+++ b/standin/engine/admin.go
@@ -5,11 +5,6 @@
 	"net/http"
 )
 
-// SeenAnswer is the answer of GET /admin/seen.
-type SeenAnswer struct {
-	Seen bool `json:"seen"`
-}
-
 // ExecutionsAnswer is the answer of GET /admin/executions.
 type ExecutionsAnswer struct {
 	// RequestIDs are in order of their start; an id that ran twice is listed twice.
@@ -17,14 +12,7 @@
 }
 
 func (e *Engine) routeAdmin(mux *http.ServeMux) {
-	mux.HandleFunc("GET /admin/seen", func(w http.ResponseWriter, r *http.Request) {
-		text := r.URL.Query().Get("text")
-		if text == "" {
-			writeError(w, http.StatusBadRequest, "invalid_request", "name the text to look for: /admin/seen?text=...")
-			return
-		}
-		writeJSON(w, http.StatusOK, SeenAnswer{Seen: e.seen.contains(text)})
-	})
+	mux.HandleFunc("GET /admin/seen", e.seen.ServeSeen)
 	mux.HandleFunc("GET /admin/executions", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, ExecutionsAnswer{RequestIDs: e.Executions()})
 	})
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/radishshelf/radishshelf/standin/arrivals"
 	"github.com/radishshelf/radishshelf/telemetry"
 )
 
@@ -25,7 +26,7 @@
 	cache   *prefixCache
 	status  *lagged
 	tracer  *telemetry.Tracer
-	seen    *seen
+	seen    *arrivals.Record
 	faults  *faults
 
 	mu         sync.Mutex
@@ -55,7 +56,7 @@
 	e := &Engine{
 		settings: s, logger: o.Logger, exit: o.Exit, tracer: o.Tracer,
 		weights: newWeights(s), slots: newSlots(s.Slots, s.QueueLimit), cache: newPrefixCache(s),
-		seen: &seen{}, faults: &faults{crashMarker: s.CrashMarker},
+		seen: &arrivals.Record{}, faults: &faults{crashMarker: s.CrashMarker},
 	}
 	e.status = newLagged(s.StatusLag.D(), e.currentStatus)
 	return e
@@ -67,7 +68,7 @@
 	e.routeChat(mux)
 	e.routeControl(mux)
 	e.routeAdmin(mux)
-	return e.seen.record(mux)
+	return e.seen.Middleware(mux)
 }
 
 // Restart loses all state but the settings, as a crash and a new start would, and breaks running requests.
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/radishshelf/radishshelf/agent/engineapi"
 	"github.com/radishshelf/radishshelf/settings"
+	"github.com/radishshelf/radishshelf/standin/arrivals"
 )
 
 func start(t *testing.T, change func(*Settings)) (*Engine, string) {
@@ -183,7 +184,7 @@
 			t.Errorf("%s: status %d, %+v; want 400 with a message", path, got, answer)
 		}
 	}
-	var seen SeenAnswer
+	var seen arrivals.SeenAnswer
 	if call(t, "GET", url+"/admin/seen?text=never", "", &seen); seen.Seen {
 		t.Error("text that never arrived was seen")
 	}
--- a/standin/service/admin.go
+++ b/standin/service/admin.go
@@ -20,23 +20,11 @@
 	Bookings map[string]int `json:"bookings"`
 }
 
-// SeenAnswer is the answer of GET /admin/seen.
-type SeenAnswer struct {
-	Seen bool `json:"seen"`
-}
-
 func (s *Service) routeAdmin(mux *http.ServeMux) {
 	mux.HandleFunc("GET /admin/executions", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, s.Executions())
 	})
-	mux.HandleFunc("GET /admin/seen", func(w http.ResponseWriter, r *http.Request) {
-		text := r.URL.Query().Get("text")
-		if text == "" {
-			writeError(w, http.StatusBadRequest, "name the text to look for: /admin/seen?text=...")
-			return
-		}
-		writeJSON(w, http.StatusOK, SeenAnswer{Seen: s.seen.contains(text)})
-	})
+	mux.HandleFunc("GET /admin/seen", s.seen.ServeSeen)
 	mux.HandleFunc("POST /admin/faults", s.replaceFaults)
 }
 
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/radishshelf/radishshelf/standin/arrivals"
 )
 
 // Service is one stand-in service.
@@ -16,7 +18,7 @@
 	settings Settings
 	logger   zerolog.Logger
 	exit     func(code int)
-	seen     *seen
+	seen     *arrivals.Record
 
 	mu         sync.Mutex
 	faults     Faults
@@ -39,7 +41,7 @@
 		o.Exit = os.Exit
 	}
 	return &Service{
-		settings: s, logger: o.Logger, exit: o.Exit, seen: &seen{},
+		settings: s, logger: o.Logger, exit: o.Exit, seen: &arrivals.Record{},
 		faults:     Faults{Delay: s.Delay, CrashMarker: s.CrashMarker},
 		executions: Executions{Bookings: map[string]int{}, RequestIDs: []string{}},
 	}
@@ -53,5 +55,5 @@
 	mux.HandleFunc("POST /score", s.serveScore)
 	mux.HandleFunc("GET /healthz", s.serveHealth)
 	s.routeAdmin(mux)
-	return s.seen.record(s.withFaults(mux))
+	return s.seen.Middleware(s.withFaults(mux))
 }
