Divide a quarter of a workspace's limit evenly, the rest by demand

Change: the static part is a quarter by default. In an outage of the table the last holder goes on, so that the static part matters for less than a minute.

--- a/quota/example_test.go
+++ b/quota/example_test.go
@@ -30,7 +30,7 @@
 	fmt.Println("after its end:", shares.Rate("north", now.Add(cfg.GrantFor)))
 	// Output:
 	// true
-	// static: 250
-	// with the grant: 750
-	// after its end: 250
+	// static: 125
+	// with the grant: 875
+	// after its end: 125
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -91,6 +91,7 @@
 // Guards against a granted half that stays with entries without demand.
 func TestGrantsFollowDemand(t *testing.T) {
 	cfg := DefaultConfig()
+	cfg.StaticPart = 0.5
 	limits := func(string) float64 { return 1000 }
 	g := NewGranter(cfg, start)
 	if got := g.Request("a", []Demand{{"w", 900}}, limits, start); len(got) != 0 {
