--- /dev/null
+++ b/agent/orderpace_test.go
@@ -0,0 +1,76 @@
+package agent
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/radishshelf/radishshelf/agent/engineapi"
+	"github.com/radishshelf/radishshelf/fencing"
+	"github.com/radishshelf/radishshelf/rpc"
+	"github.com/radishshelf/radishshelf/settings"
+	"github.com/radishshelf/radishshelf/standin/engine"
+)
+
+// Guards against an engine that serves the old version for seconds after one failed swap, because the agent waits for
+// its next periodic probe and look.
+func TestFailedSwapIsRepeatedWithinASecond(t *testing.T) {
+	e, _ := startEngine(t, func(s *engine.Settings) { s.ActivateTime = 0 })
+	var attempts atomic.Int32
+	var failedAt atomic.Int64
+	repeated := make(chan time.Duration, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != engineapi.PathActivate {
+			e.Handler().ServeHTTP(w, r)
+			return
+		}
+		switch attempts.Add(1) {
+		case 1:
+			failedAt.Store(time.Now().UnixNano())
+			http.Error(w, "the swap failed partway", http.StatusInternalServerError)
+			return
+		case 2:
+			repeated <- time.Since(time.Unix(0, failedAt.Load()))
+		}
+		e.Handler().ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	// Without a probe of its own the agent would know the version only after a minute.
+	f := startAgent(t, server.URL, engineKind, func(s *Settings) { s.ProbeInterval = settings.Duration(time.Minute) })
+	want := &rpc.WantedState{Term: 5, Revision: 9, Policy: "planner", StageVersion: 3, ActivateVersion: 3}
+	f.entries[0].want(want)
+	f.entries[1].want(want)
+	f.eventually("version 3", func() bool { return f.entries[0].report().ActiveVersion == 3 })
+	if after := <-repeated; after > time.Second {
+		t.Errorf("repeated after %s", after)
+	}
+}
+
+// Guards against an engine that stays broken and is flooded with swaps: after the first tries the pauses are at least
+// those of 1, 2, 4, 8, 16 and then 30 s, also when probes fail in between.
+func TestBrokenSwapIsRepeatedSlowly(t *testing.T) {
+	for _, random := range []float64{0, 0.5, 1} {
+		var pace orderPace
+		mark := fencing.Mark{Term: 1, Revision: 1}
+		old := []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second, 16 * time.Second, 30 * time.Second}
+		for try := 1; try <= 12; try++ {
+			pause := pace.after(mark, &swapError{errors.New("broken")}, random)
+			pace.after(mark, errNotProbed, random)
+			if try == 1 && pause >= time.Second {
+				t.Errorf("first pause %s", pause)
+			}
+			if try < 3 {
+				continue
+			}
+			if least := old[min(try-3, len(old)-1)]; pause < least {
+				t.Errorf("random %g: pause %s after %d failures, want at least %s", random, pause, try, least)
+			}
+		}
+		if pause := pace.after(fencing.Mark{Term: 1, Revision: 2}, &swapError{errors.New("broken")}, random); pause >= time.Second {
+			t.Errorf("first pause of a newer order %s", pause)
+		}
+	}
+}
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -19,10 +20,11 @@
 	// settleRounds is after how many heartbeat rounds fewer entries suffice.
 	settleRounds    = 3
 	activateTimeout = time.Minute
-	firstOrderRetry = time.Second
-	maxOrderRetry   = 30 * time.Second
 )
 
+// errNotProbed puts an order off until a probe has named the version of the engine.
+var errNotProbed = errors.New("the engine's version is not known yet")
+
 // errSuperseded ends an order for which a newer one arrived.
 var errSuperseded = errors.New("a newer order arrived")
 
@@ -37,6 +39,8 @@
 	wanted *rpc.WantedState
 	// wantedSince is when the mark of wanted was first seen.
 	wantedSince time.Time
+	// fallbackSpread is added to storeFallback for wanted.
+	fallbackSpread time.Duration
 	// refused is the mark refused last, so that a stale entry makes one log line and not one per second.
 	refused fencing.Mark
 	// stop ends the staging of staging, for an order that no longer wants that version.
@@ -93,6 +97,7 @@
 		return
 	}
 	o.wanted, o.wantedSince = w, time.Now()
+	o.fallbackSpread = rand.N(storeFallbackSpread)
 	if o.stop != nil && o.staging != w.StageVersion && o.staging != w.ActivateVersion {
 		o.stop()
 	}
@@ -129,31 +134,50 @@
 
 // run carries out orders until ctx ends.
 func (o *orders) run(ctx context.Context) {
-	retry := firstOrderRetry
+	var pace orderPace
 	for {
+		if pace.swapFailures > 0 {
+			// The probe names the version that the swap left, without which it is not repeated.
+			_ = o.agent.probe(ctx)
+		}
+		mark := o.mark()
 		err := o.reconcile(ctx)
-		if err == nil || errors.Is(err, errSuperseded) {
-			retry = firstOrderRetry
-		} else {
+		pause := pace.after(mark, err, rand.Float64())
+		if err != nil && !errors.Is(err, errSuperseded) && !errors.Is(err, errNotProbed) {
 			o.agent.metrics.ordersFailed.Inc()
-			o.agent.logger.Warn().Err(err).Dur("retry_ms", retry).Msg("order_failed")
+			o.agent.logger.Warn().Err(err).Dur("retry_ms", pause).Msg("order_failed")
 		}
-		timer := time.NewTimer(retry)
+		if !o.wait(ctx, pause, pace) {
+			return
+		}
+	}
+}
+
+// wait returns after the pause or with a signal, and false when ctx ends. A new source does not end the pause of a swap
+// that failed; a newer order does.
+func (o *orders) wait(ctx context.Context, pause time.Duration, pace orderPace) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	for {
 		select {
 		case <-ctx.Done():
-			timer.Stop()
-			return
-		case <-o.signal:
-			timer.Stop()
-			retry = firstOrderRetry
+			return false
 		case <-timer.C:
-			if err != nil {
-				retry = min(2*retry, maxOrderRetry)
+			return true
+		case <-o.signal:
+			if pace.swapFailures == 0 || o.mark() != pace.mark {
+				return true
 			}
 		}
 	}
 }
 
+func (o *orders) mark() fencing.Mark {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return markOf(o.wanted)
+}
+
 // reconcile compares the wanted state with the engine and closes the difference.
 func (o *orders) reconcile(ctx context.Context) error {
 	w := o.latest()
@@ -161,7 +185,7 @@
 		return nil
 	}
 	if !o.agent.versions.isProbed() {
-		return nil
+		return errNotProbed
 	}
 	status, _ := o.agent.versions.current()
 	if w.ActivateVersion != 0 && w.ActivateVersion != status.ActiveVersion {
@@ -247,7 +271,7 @@
 	}
 	o.agent.versions.swapEnds(status, err)
 	if err != nil {
-		return err
+		return &swapError{err}
 	}
 	o.done("activate", w, w.ActivateVersion, start)
 	o.agent.heartbeatSoon()
--- a/agent/sources.go
+++ b/agent/sources.go
@@ -11,9 +11,14 @@
 	"github.com/radishshelf/radishshelf/rpc"
 )
 
-// storeFallback is how long an engine waits for a copy in its data centre before it fetches from the weight store
-// itself. It covers the loss of the engine that fetches.
-const storeFallback = 30 * time.Second
+// An engine waits for a copy in its data centre for storeFallback and a random part of storeFallbackSpread before it
+// fetches from the weight store itself. The wait covers an engine that hangs while it fetches; entries replace one that
+// is lost by themselves. At the design size a regular staging takes about 4 minutes, and engines that fetch earlier
+// overload the store, so that no version is ever complete. The spread lets the first engine serve the others.
+const (
+	storeFallback       = 5 * time.Minute
+	storeFallbackSpread = 5 * time.Minute
+)
 
 // updateSources takes the sources of a state that is wanted already; they change while other engines finish staging.
 func (o *orders) updateSources(w *rpc.WantedState) {
@@ -37,7 +42,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return time.Since(o.wantedSince) >= storeFallback
+	return time.Since(o.wantedSince) >= storeFallback+o.fallbackSpread
 }
 
 // order lists the engines that hold the version first; the weight store is the last resort.
--- a/rollout/decision.go
+++ b/rollout/decision.go
@@ -10,6 +10,8 @@
 	ReasonPublished Reason = "version_published"
 	ReasonAllStaged Reason = "all_staged"
 	ReasonTimeout   Reason = "stage_timeout"
+	// ReasonStragglers is an activation without engines that took much longer than most.
+	ReasonStragglers Reason = "stragglers_left"
 )
 
 // Decision is the next rollout of a policy.
--- a/rollout/engine.go
+++ b/rollout/engine.go
@@ -1,5 +1,7 @@
 package rollout
 
+import "slices"
+
 // Engine is what an agent reports about its engine's weights.
 type Engine struct {
 	Upstream string
@@ -11,15 +13,12 @@
 	Staged  []int64
 }
 
+// holds reports whether other engines may copy version from the engine.
+func (e Engine) holds(version int64) bool {
+	return e.Active == version || slices.Contains(e.Staged, version)
+}
+
 // has reports whether the engine can serve version without loading it.
 func (e Engine) has(version int64) bool {
-	if e.Active >= version {
-		return true
-	}
-	for _, v := range e.Staged {
-		if v == version {
-			return true
-		}
-	}
-	return false
+	return e.Active >= version || e.holds(version)
 }
--- a/rollout/planner.go
+++ b/rollout/planner.go
@@ -13,6 +13,10 @@
 	// age of a phase is not comparable between clocks.
 	stagingSince time.Time
 	staging      int64
+	// started is set when this planner started the staging. Only then is the time that engines took known.
+	started bool
+	// mostStaged is when MinShare of the engines had staged the version; zero before.
+	mostStaged time.Time
 }
 
 // NewPlanner returns a planner without history.
@@ -28,13 +32,12 @@
 func (p *Planner) Plan(current fleetconfig.Rollout, published int64, engines []Engine, term int64, now time.Time) (Decision, bool) {
 	if current.Phase != fleetconfig.PhaseStage {
 		if published > current.Version {
-			return p.stage(current, published, term), true
+			return p.stage(current, published, term, now), true
 		}
 		return Decision{}, false
 	}
 	if p.staging != current.Version {
-		p.staging = current.Version
-		p.stagingSince = now
+		p.begin(current.Version, now, false)
 	}
 	ready, total := countReady(engines, current.Version)
 	reason, activate := p.mayActivate(ready, total, now)
@@ -54,11 +57,17 @@
 	if published <= current.Version || now.Sub(p.stagingSince) < p.cfg.StageTimeout {
 		return Decision{}, false
 	}
-	return p.stage(current, published, term), true
+	return p.stage(current, published, term, now), true
+}
+
+// begin forgets the former staging.
+func (p *Planner) begin(version int64, now time.Time, started bool) {
+	p.staging, p.stagingSince, p.started, p.mostStaged = version, now, started, time.Time{}
 }
 
 // stage starts the rollout of a newer version.
-func (p *Planner) stage(current fleetconfig.Rollout, published, term int64) Decision {
+func (p *Planner) stage(current fleetconfig.Rollout, published, term int64, now time.Time) Decision {
+	p.begin(published, now, true)
 	previous := current.Version
 	if current.Phase == fleetconfig.PhaseStage {
 		previous = current.Previous
@@ -76,11 +85,27 @@
 	if ready == total {
 		return ReasonAllStaged, true
 	}
-	timedOut := now.Sub(p.stagingSince) >= p.cfg.StageTimeout
-	if timedOut && float64(ready) >= p.cfg.MinShare*float64(total) {
+	if float64(ready) < p.cfg.MinShare*float64(total) {
+		return "", false
+	}
+	if p.mostStaged.IsZero() {
+		p.mostStaged = now
+	}
+	waited := now.Sub(p.stagingSince)
+	switch {
+	case waited >= p.cfg.StageTimeout:
 		return ReasonTimeout, true
+	case p.started && waited >= p.patience():
+		return ReasonStragglers, true
+	default:
+		return "", false
 	}
-	return "", false
+}
+
+// patience is how long after the start of staging the engines that are missing hold back activation.
+func (p *Planner) patience() time.Duration {
+	most := p.mostStaged.Sub(p.stagingSince)
+	return max(p.cfg.MinWait, time.Duration(p.cfg.Patience*float64(most)))
 }
 
 func countReady(engines []Engine, version int64) (ready, total int) {
