--- a/slopes/configsync.go
+++ b/slopes/configsync.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	syncSpan = 2 * time.Second
+	syncSpan = 3 * time.Second
 	// changesTimed is the number of changes whose slowest is the time in force.
 	changesTimed = 3
 )
--- a/slopes/datapath.go
+++ b/slopes/datapath.go
@@ -44,30 +44,6 @@
 	cancel  context.CancelFunc
 }
 
-// reportTaker takes the heartbeats of the agent.
-type reportTaker struct {
-	rpc.Peer
-	mu   sync.Mutex
-	last *rpc.HeartbeatRequest
-}
-
-// Heartbeat implements rpc.Peer.
-func (t *reportTaker) Heartbeat(_ context.Context, r *rpc.HeartbeatRequest) (*rpc.HeartbeatResponse, error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.last = r
-	return &rpc.HeartbeatResponse{Entry: "entry-0", UsageWindowSeconds: 3600}, nil
-}
-
-func (t *reportTaker) address() string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !t.last.GetHealthy() {
-		return ""
-	}
-	return t.last.GetDataAddress()
-}
-
 // newDataPath starts the path. The entry also knows that many other upstreams of the policy, which are not healthy.
 func newDataPath(others int) (*dataPath, error) {
 	taker := &reportTaker{}
@@ -215,6 +191,9 @@
 		if size > 1 {
 			count = 480
 		}
+		if size > 200 {
+			count = 240 // keeps the whole program under four minutes
+		}
 		paths := []func(i int) error{
 			func(int) error { return d.viaEntry(size) },
 			func(i int) error { return d.viaAgent(i, size) },
--- a/slopes/fleetreports.go
+++ b/slopes/fleetreports.go
@@ -20,7 +20,7 @@
 		Kind: fleetconfig.UpstreamEngine, Serves: policy, Incarnation: fmt.Sprintf("0b6e9f0a-1f0c-4f7e-9a55-%012d", i),
 		ReportSeq: seq, Healthy: true, ActiveVersion: 1041, StagedVersions: []int64{1041, 1042},
 		Load:            dataplane.Load{Running: i % 40, Queued: i % 7, Slots: 64, PendingTokens: int64(i) * 100, TokensPerSecond: 3970.5},
-		UsageFlushedSeq: seq * 19, HighestTerm: 12,
+		UsageFlushedSeq: seq * 19, HighestTerm: 12, WeightsURL: fmt.Sprintf("http://10.1.%d.%d:8000", i/250, i%250),
 	}
 }
 
--- a/slopes/heartbeats.go
+++ b/slopes/heartbeats.go
@@ -140,6 +140,7 @@
 		Region: u.Region, Kind: fleetconfig.UpstreamEngine, Policy: u.Serves, Incarnation: u.Incarnation, ReportSeq: seq,
 		Healthy: true, ActiveVersion: u.ActiveVersion, StagedVersions: u.StagedVersions, Running: 30, Queued: 3, Slots: 64,
 		PendingTokens: 8000, TokensPerSecond: u.Load.TokensPerSecond, UsageFlushedSeq: seq * 19, HighestTerm: 12,
+		WeightsUrl: u.WeightsURL,
 	}
 }
 
