--- a/entry/gate.go
+++ b/entry/gate.go
@@ -61,7 +61,7 @@
 	now := g.now()
 	verdict := g.queue.Offer(item, now)
 	if verdict.Displaced != nil {
-		g.tell(verdict.Displaced.ID, overloaded(verdict.DisplacedRetryAfter))
+		g.notify(verdict.Displaced.ID, overloaded(verdict.DisplacedRetryAfter))
 	}
 	switch verdict.Action {
 	case admission.Admit:
@@ -71,7 +71,7 @@
 	}
 	turn := make(chan error, 1)
 	g.waiting[item.ID] = turn
-	g.pump(now)
+	g.dispatch(now)
 	return turn, nil
 }
 
@@ -80,7 +80,7 @@
 	defer g.mu.Unlock()
 	now := g.now()
 	g.queue.Done(id, actual, now)
-	g.pump(now)
+	g.dispatch(now)
 }
 
 // abandon removes a request whose caller no longer waits. When it was admitted at the same moment, its place is freed.
@@ -92,7 +92,7 @@
 	if _, queued := g.queue.Remove(id, now); !queued {
 		g.queue.Done(id, 0, now)
 	}
-	g.pump(now)
+	g.dispatch(now)
 }
 
 // Run refuses waiting requests as soon as they can no longer finish in time, until ctx ends.
@@ -105,30 +105,30 @@
 			return
 		case <-ticker.C:
 			g.mu.Lock()
-			g.pump(g.now())
+			g.dispatch(g.now())
 			g.mu.Unlock()
 		}
 	}
 }
 
-// pump tells expired and admitted requests. The caller holds the lock.
-func (g *Gate) pump(now time.Time) {
+// dispatch notifies expired and admitted requests. The caller holds the lock.
+func (g *Gate) dispatch(now time.Time) {
 	for _, item := range g.queue.Expire(now) {
 		r := deadlinePassed(outcome.NotRun)
 		r.Status = http.StatusServiceUnavailable
 		r.RetryAfter = g.queue.RetryAfter(item)
-		g.tell(item.ID, r)
+		g.notify(item.ID, r)
 	}
 	for {
 		item, ok := g.queue.Next(now)
 		if !ok {
 			return
 		}
-		g.tell(item.ID, nil)
+		g.notify(item.ID, nil)
 	}
 }
 
-func (g *Gate) tell(id string, err error) {
+func (g *Gate) notify(id string, err error) {
 	if turn, ok := g.waiting[id]; ok {
 		delete(g.waiting, id)
 		turn <- err
