Wrap errors of the shells with eris

Cause: the house style names eris, and three packages of fifty used it. Ruled out: the pure packages' typed errors, which callers match by kind and which carry a remedy.

--- a/agent/enginecontrol.go
+++ b/agent/enginecontrol.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strconv"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/radishshelf/radishshelf/agent/engineapi"
 )
 
@@ -59,12 +61,12 @@
 	}
 	resp, err := e.client.Do(req)
 	if err != nil {
-		return fmt.Errorf("engine %s: %w", path, err)
+		return eris.Wrapf(err, "engine %s", path)
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxControlAnswer))
 	if err != nil {
-		return fmt.Errorf("engine %s: %w", path, err)
+		return eris.Wrapf(err, "engine %s", path)
 	}
 	if resp.StatusCode != http.StatusOK {
 		var answer engineapi.Error
@@ -72,7 +74,7 @@
 		return fmt.Errorf("engine %s: status %d: %s", path, resp.StatusCode, answer.Error.Message)
 	}
 	if err := json.Unmarshal(data, into); err != nil {
-		return fmt.Errorf("engine %s: %w", path, err)
+		return eris.Wrapf(err, "engine %s", path)
 	}
 	return nil
 }
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/radishshelf/radishshelf/dataplane"
@@ -41,7 +42,7 @@
 		listener, err := net.Listen("tcp", port.address)
 		if err != nil {
 			l.close()
-			return nil, fmt.Errorf("listen: %w", err)
+			return nil, eris.Wrap(err, "listen")
 		}
 		*port.into = listener
 	}
--- a/callproof/transport.go
+++ b/callproof/transport.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+
+	"github.com/rotisserie/eris"
 )
 
 // maxReplyBytes bounds a reply, which is checked as a whole. A full configuration is a few megabytes.
@@ -55,7 +57,7 @@
 	defer r.Body.Close()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		return nil, fmt.Errorf("read request body: %w", err)
+		return nil, eris.Wrap(err, "read request body")
 	}
 	return body, nil
 }
@@ -69,7 +71,7 @@
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
 	if err != nil {
-		return nil, fmt.Errorf("read reply: %w", err)
+		return nil, eris.Wrap(err, "read reply")
 	}
 	if len(body) > maxReplyBytes {
 		return nil, fmt.Errorf("the reply is larger than %d bytes", maxReplyBytes)
--- a/cmd/radishshelfctl/options.go
+++ b/cmd/radishshelfctl/options.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/radishshelf/radishshelf/operatorclient"
 )
 
@@ -38,7 +40,7 @@
 	if o.tokenFile != "" {
 		token, err := os.ReadFile(o.tokenFile)
 		if err != nil {
-			return nil, fmt.Errorf("operator credential: %w", err)
+			return nil, eris.Wrap(err, "operator credential")
 		}
 		opts.Token = strings.TrimSpace(string(token))
 	}
@@ -55,7 +57,7 @@
 func loadCA(path string) (*tls.Config, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("CA of the operator port: %w", err)
+		return nil, eris.Wrap(err, "CA of the operator port")
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(data) {
--- a/cmd/radishshelfctl/value_flags.go
+++ b/cmd/radishshelfctl/value_flags.go
@@ -7,6 +7,7 @@
 	"os"
 	"strings"
 
+	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 )
 
@@ -30,7 +31,7 @@
 	case v.file != "":
 		data, err := os.ReadFile(v.file)
 		if err != nil {
-			return nil, fmt.Errorf("--file: %w", err)
+			return nil, eris.Wrap(err, "--file")
 		}
 		return checkJSON("--file", data)
 	case v.json != "":
@@ -51,7 +52,7 @@
 	fields := map[string]json.RawMessage{}
 	if len(current) > 0 {
 		if err := json.Unmarshal(current, &fields); err != nil {
-			return nil, fmt.Errorf("current value is not an object; replace it with --value: %w", err)
+			return nil, eris.Wrap(err, "current value is not an object; replace it with --value")
 		}
 	}
 	for _, assignment := range v.fields {
--- a/configstore/commit.go
+++ b/configstore/commit.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
 
 	"github.com/radishshelf/radishshelf/fleetconfig"
 	"github.com/radishshelf/radishshelf/platform"
@@ -26,7 +27,7 @@
 func (s *Store) Commit(ctx context.Context, change Change) (revision int64, err error) {
 	value, err := change.encode()
 	if err != nil {
-		return 0, fmt.Errorf("%s %q: the value cannot be encoded as JSON: %w", change.Kind, change.Name, err)
+		return 0, eris.Wrapf(err, "%s %q: the value cannot be encoded as JSON", change.Kind, change.Name)
 	}
 	a := &attempt{store: s, change: change, value: value, id: uuid.NewString()}
 	for range maxAttempts {
--- a/configstore/rows.go
+++ b/configstore/rows.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/radishshelf/radishshelf/fleetconfig"
 	"github.com/radishshelf/radishshelf/platform"
 )
@@ -36,7 +38,7 @@
 
 func decodeRow(row platform.Row, target any) error {
 	if err := json.Unmarshal(row.Value, target); err != nil {
-		return fmt.Errorf("row %s is not understood; restore it from config/log: %w", row.Key, err)
+		return eris.Wrapf(err, "row %s is not understood; restore it from config/log", row.Key)
 	}
 	return nil
 }
--- a/configsync/exchange.go
+++ b/configsync/exchange.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/radishshelf/radishshelf/fleetconfig"
@@ -51,7 +52,7 @@
 	sentAt := time.Now()
 	resp, err := p.client.Sync(ctx, req)
 	if err != nil {
-		return nil, fmt.Errorf("sync with %s: %w", p.address, err)
+		return nil, eris.Wrapf(err, "sync with %s", p.address)
 	}
 	if resp.GetFrom().GetPeerAddress() != p.address {
 		return nil, fmt.Errorf("sync with %s: entry %q answers for address %q; correct its peer address",
--- a/fleetauth/credential.go
+++ b/fleetauth/credential.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"os"
 	"strings"
+
+	"github.com/rotisserie/eris"
 )
 
 // LoadCredential reads the secret that own processes show each other; it is empty when no file is set.
@@ -13,7 +15,7 @@
 	}
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return "", fmt.Errorf("credential file: %w", err)
+		return "", eris.Wrap(err, "credential file")
 	}
 	secret := strings.TrimSpace(string(data))
 	if secret == "" {
--- a/fleetauth/tls.go
+++ b/fleetauth/tls.go
@@ -4,9 +4,10 @@
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
-	"fmt"
 	"os"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/radishshelf/radishshelf/settings"
 )
 
@@ -19,7 +20,7 @@
 	load := func() (*tls.Certificate, error) {
 		certificate, err := tls.LoadX509KeyPair(s.CertFile, s.KeyFile)
 		if err != nil {
-			return nil, fmt.Errorf("tls certificate: %w", err)
+			return nil, eris.Wrap(err, "tls certificate")
 		}
 		return &certificate, nil
 	}
@@ -50,7 +51,7 @@
 func loadPool(file string) (*x509.CertPool, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return nil, fmt.Errorf("tls ca file: %w", err)
+		return nil, eris.Wrap(err, "tls ca file")
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(data) {
--- a/idempotency/store.go
+++ b/idempotency/store.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
 
 	"github.com/radishshelf/radishshelf/outcome"
@@ -109,7 +110,7 @@
 func (s *Store) resolve(key string, current platform.Row, r Request, owner string) (*Claim, *Answer, error) {
 	var existing Row
 	if err := json.Unmarshal(current.Value, &existing); err != nil {
-		return nil, nil, storeDown(fmt.Errorf("row %s cannot be read: %w", key, err))
+		return nil, nil, storeDown(eris.Wrapf(err, "row %s cannot be read", key))
 	}
 	if owner != "" && existing.Owner == owner && existing.State == Claimed {
 		return &Claim{store: s, key: key, revision: current.Revision, row: existing}, nil, nil
--- a/idempotency/sweeper.go
+++ b/idempotency/sweeper.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/radishshelf/radishshelf/platform"
 )
 
@@ -57,7 +58,7 @@
 	defer cancel()
 	rows, err := s.table.Scan(ctx, rowPrefix, s.after, sweepRows)
 	if err != nil {
-		return 0, fmt.Errorf("read claim rows: %w", err)
+		return 0, eris.Wrap(err, "read claim rows")
 	}
 	if len(rows) == 0 {
 		s.after = ""
@@ -72,7 +73,7 @@
 	}
 	if len(txn.Deletes) > 0 {
 		if _, err := s.table.Commit(ctx, txn); err != nil {
-			return 0, fmt.Errorf("delete old claim rows: %w", err)
+			return 0, eris.Wrap(err, "delete old claim rows")
 		}
 	}
 	s.after = rows[len(rows)-1].Key
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 )
 
@@ -18,7 +19,7 @@
 	}
 	parsed, err := zerolog.ParseLevel(level)
 	if err != nil {
-		return zerolog.Nop(), fmt.Errorf("log level %q is unknown; use debug, info, warn or error: %w", level, err)
+		return zerolog.Nop(), eris.Wrapf(err, "log level %q is unknown; use debug, info, warn or error", level)
 	}
 	out := zerolog.ConsoleWriter{
 		Out: w, NoColor: true, TimeFormat: time.RFC3339Nano,
--- a/lotstore/add.go
+++ b/lotstore/add.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/radishshelf/radishshelf/lots"
 	"github.com/radishshelf/radishshelf/outcome"
 	"github.com/radishshelf/radishshelf/platform"
@@ -63,7 +64,7 @@
 		return s.settleGroup(ctx, key, err)
 	}
 	if err != nil {
-		return fmt.Errorf("write %s: %w", key, err)
+		return eris.Wrapf(err, "write %s", key)
 	}
 	if result.Committed {
 		s.metrics.added.Inc()
@@ -76,11 +77,11 @@
 func groupTxn(key string, row groupRow) (platform.Txn, error) {
 	groupValue, err := json.Marshal(row)
 	if err != nil {
-		return platform.Txn{}, fmt.Errorf("encode %s: %w", key, err)
+		return platform.Txn{}, eris.Wrapf(err, "encode %s", key)
 	}
 	readyValue, err := json.Marshal(row.Ready)
 	if err != nil {
-		return platform.Txn{}, fmt.Errorf("encode %s: %w", row.Ready.Key, err)
+		return platform.Txn{}, eris.Wrapf(err, "encode %s", row.Ready.Key)
 	}
 	return platform.Txn{
 		Conditions: []platform.Condition{{Key: key}},
@@ -91,7 +92,7 @@
 // settleGroup reads the group row after a lost reply. An absent row leaves the group waiting; the next try decides.
 func (s *Store) settleGroup(ctx context.Context, key string, cause error) error {
 	if _, err := s.opts.Table.Get(ctx, key); err != nil {
-		return fmt.Errorf("write %s, reply lost and row not found: %w", key, cause)
+		return eris.Wrapf(cause, "write %s, reply lost and row not found", key)
 	}
 	s.metrics.added.Inc()
 	return nil
--- a/lotstore/form.go
+++ b/lotstore/form.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"slices"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/radishshelf/radishshelf/lots"
@@ -88,12 +88,12 @@
 func (s *Store) readyPage(ctx context.Context, trainer, after string) ([]lots.Ready, error) {
 	rows, err := s.opts.Table.Scan(ctx, readyPrefix(trainer), after, readPage)
 	if err != nil {
-		return nil, fmt.Errorf("read ready groups of %s: %w", trainer, err)
+		return nil, eris.Wrapf(err, "read ready groups of %s", trainer)
 	}
 	page := make([]lots.Ready, len(rows))
 	for i, row := range rows {
 		if err := json.Unmarshal(row.Value, &page[i]); err != nil {
-			return nil, fmt.Errorf("decode %s: %w", row.Key, err)
+			return nil, eris.Wrapf(err, "decode %s", row.Key)
 		}
 	}
 	return page, nil
@@ -138,11 +138,11 @@
 		})
 	}
 	if err := readers.Wait(); err != nil {
-		return nil, fmt.Errorf("read groups of lot %d of %s: %w", lot.Number, lot.Trainer, err)
+		return nil, eris.Wrapf(err, "read groups of lot %d of %s", lot.Number, lot.Trainer)
 	}
 	content, err := json.Marshal(lots.NewContent(lot, groups))
 	if err != nil {
-		return nil, fmt.Errorf("encode lot %d of %s: %w", lot.Number, lot.Trainer, err)
+		return nil, eris.Wrapf(err, "encode lot %d of %s", lot.Number, lot.Trainer)
 	}
 	return content, nil
 }
--- a/lotstore/head.go
+++ b/lotstore/head.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
+
+	"github.com/rotisserie/eris"
 
 	"github.com/radishshelf/radishshelf/lots"
 	"github.com/radishshelf/radishshelf/platform"
@@ -46,7 +47,7 @@
 		return errChanged
 	}
 	if err != nil {
-		return fmt.Errorf("write %s: %w", state.key, err)
+		return eris.Wrapf(err, "write %s", state.key)
 	}
 	if !result.Committed {
 		return errChanged
@@ -59,10 +60,10 @@
 func (s *Store) readJSON(ctx context.Context, key string, value any) (int64, error) {
 	row, err := s.opts.Table.Get(ctx, key)
 	if err != nil {
-		return 0, fmt.Errorf("read %s: %w", key, err)
+		return 0, eris.Wrapf(err, "read %s", key)
 	}
 	if err := json.Unmarshal(row.Value, value); err != nil {
-		return 0, fmt.Errorf("decode %s: %w", key, err)
+		return 0, eris.Wrapf(err, "decode %s", key)
 	}
 	return row.Revision, nil
 }
@@ -70,7 +71,7 @@
 func jsonPut(key string, value any) (platform.Put, error) {
 	data, err := json.Marshal(value)
 	if err != nil {
-		return platform.Put{}, fmt.Errorf("encode %s: %w", key, err)
+		return platform.Put{}, eris.Wrapf(err, "encode %s", key)
 	}
 	return platform.Put{Key: key, Value: data}, nil
 }
--- a/lotstore/pull.go
+++ b/lotstore/pull.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"errors"
-	"fmt"
+
+	"github.com/rotisserie/eris"
 
 	"github.com/radishshelf/radishshelf/lots"
 	"github.com/radishshelf/radishshelf/platform"
@@ -135,7 +136,7 @@
 		keys = append(keys, g.Key)
 	}
 	if err := s.deleteAll(ctx, keys, nil); err != nil {
-		return fmt.Errorf("sweep lot %d of %s: %w", lot.Number, lot.Trainer, err)
+		return eris.Wrapf(err, "sweep lot %d of %s", lot.Number, lot.Trainer)
 	}
 	return nil
 }
--- a/lotstore/store.go
+++ b/lotstore/store.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"sync"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/radishshelf/radishshelf/platform"
 )
 
@@ -47,7 +49,7 @@
 	sum := sha256.Sum256(content)
 	key := hex.EncodeToString(sum[:])
 	if err := s.opts.Objects.Put(ctx, key, content); err != nil {
-		return "", fmt.Errorf("store content %s: %w", key, err)
+		return "", eris.Wrapf(err, "store content %s", key)
 	}
 	return key, nil
 }
@@ -55,7 +57,7 @@
 func (s *Store) getObject(ctx context.Context, key string) ([]byte, error) {
 	content, err := s.opts.Objects.Get(ctx, key)
 	if err != nil {
-		return nil, fmt.Errorf("read content %s: %w", key, err)
+		return nil, eris.Wrapf(err, "read content %s", key)
 	}
 	sum := sha256.Sum256(content)
 	if hex.EncodeToString(sum[:]) != key {
--- a/lotstore/waiting.go
+++ b/lotstore/waiting.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"sync"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/radishshelf/radishshelf/lots"
 	"github.com/radishshelf/radishshelf/samples"
 )
@@ -31,7 +33,7 @@
 	}
 	content, err := json.Marshal(g)
 	if err != nil {
-		return nil, fmt.Errorf("encode group %q: %w", g.ID, err)
+		return nil, eris.Wrapf(err, "encode group %q", g.ID)
 	}
 	if len(content) > lots.MaxBytes {
 		return nil, &samples.InvalidGroupError{
--- a/operatorapi/api.go
+++ b/operatorapi/api.go
@@ -2,12 +2,12 @@
 
 import (
 	"crypto/subtle"
-	"fmt"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/kataras/iris/v12"
+	"github.com/rotisserie/eris"
 
 	"github.com/radishshelf/radishshelf/operatorclient"
 )
@@ -41,7 +41,7 @@
 	})
 	a.register(app)
 	if err := app.Build(); err != nil {
-		return nil, fmt.Errorf("operator interface: %w", err)
+		return nil, eris.Wrap(err, "operator interface")
 	}
 	return app, nil
 }
--- a/operatorapi/keys.go
+++ b/operatorapi/keys.go
@@ -6,7 +6,6 @@
 	"crypto/rand"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -14,6 +13,7 @@
 
 	"github.com/google/uuid"
 	"github.com/kataras/iris/v12"
+	"github.com/rotisserie/eris"
 
 	"github.com/radishshelf/radishshelf/configstore"
 	"github.com/radishshelf/radishshelf/fleetconfig"
@@ -78,7 +78,7 @@
 	for range maxWithdrawTries {
 		var key fleetconfig.Key
 		if err := json.Unmarshal(current.Value, &key); err != nil {
-			return 0, fmt.Errorf("key %s is not understood; delete it in the table: %w", current.Name, err)
+			return 0, eris.Wrapf(err, "key %s is not understood; delete it in the table", current.Name)
 		}
 		if key.Withdrawn {
 			return current.Revision, nil
--- a/operatorclient/client.go
+++ b/operatorclient/client.go
@@ -10,6 +10,8 @@
 	"net/url"
 	"strconv"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/radishshelf/radishshelf/fleetconfig"
 )
 
@@ -126,18 +128,18 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return fmt.Errorf("operator interface does not answer; check --entry: %w", err)
+		return eris.Wrap(err, "operator interface does not answer; check --entry")
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
-		return fmt.Errorf("answer of the operator interface was cut: %w", err)
+		return eris.Wrap(err, "answer of the operator interface was cut")
 	}
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return refused(resp.Status, data)
 	}
 	if err := json.Unmarshal(data, answer); err != nil {
-		return fmt.Errorf("answer of the operator interface is not understood; check the version of the entry: %w", err)
+		return eris.Wrap(err, "answer of the operator interface is not understood; check the version of the entry")
 	}
 	return nil
 }
@@ -147,13 +149,13 @@
 	if body != nil {
 		data, err := json.Marshal(body)
 		if err != nil {
-			return nil, fmt.Errorf("request body: %w", err)
+			return nil, eris.Wrap(err, "request body")
 		}
 		reader = bytes.NewReader(data)
 	}
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, reader)
 	if err != nil {
-		return nil, fmt.Errorf("address of the entry is not understood; write host:port: %w", err)
+		return nil, eris.Wrap(err, "address of the entry is not understood; write host:port")
 	}
 	if c.token != "" {
 		req.Header.Set("Authorization", "Bearer "+c.token)
--- a/roles/runner.go
+++ b/roles/runner.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // Runner runs one lease candidate for each role.
@@ -21,7 +22,7 @@
 	for _, role := range opts.Roles {
 		d, err := newDriver(role, opts)
 		if err != nil {
-			return nil, fmt.Errorf("role %s: %w", role, err)
+			return nil, eris.Wrapf(err, "role %s", role)
 		}
 		r.drivers[role] = d
 	}
--- a/telemetry/trace.go
+++ b/telemetry/trace.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
@@ -42,7 +42,7 @@
 	}
 	exporter, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpoint(address), otlptracehttp.WithInsecure())
 	if err != nil {
-		return nil, fmt.Errorf("trace exporter for %s: %w", address, err)
+		return nil, eris.Wrapf(err, "trace exporter for %s", address)
 	}
 	res := resource.NewSchemaless(attribute.String("service.name", program), attribute.String("service.instance.id", name))
 	provider := sdktrace.NewTracerProvider(
--- a/usage/sealer.go
+++ b/usage/sealer.go
@@ -2,10 +2,11 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // Sealer turns the batches of one closed window into its figures.
@@ -62,7 +63,7 @@
 	for _, name := range slices.Sorted(maps.Keys(s.figures)) {
 		body, err := json.Marshal(s.figures[name])
 		if err != nil {
-			return Sealed{}, Counted{}, fmt.Errorf("encode usage figures of workspace %q: %w", name, err)
+			return Sealed{}, Counted{}, eris.Wrapf(err, "encode usage figures of workspace %q", name)
 		}
 		sealed.Reports = append(sealed.Reports, SealedReport{Workspace: name, Body: body})
 	}
--- a/usage/window.go
+++ b/usage/window.go
@@ -1,8 +1,9 @@
 package usage
 
 import (
-	"fmt"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // DefaultWindowLength applies where no length is configured.
@@ -42,7 +43,7 @@
 func ParseWindowKey(key string) (time.Time, error) {
 	start, err := time.Parse(time.RFC3339, key)
 	if err != nil {
-		return time.Time{}, fmt.Errorf("window %q is not a time in RFC 3339: %w", key, err)
+		return time.Time{}, eris.Wrapf(err, "window %q is not a time in RFC 3339", key)
 	}
 	return start.UTC(), nil
 }
--- a/usagestore/commit.go
+++ b/usagestore/commit.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/radishshelf/radishshelf/platform"
 )
 
@@ -20,7 +22,7 @@
 		return r.settle(ctx, key, err)
 	}
 	if err != nil {
-		return nil, fmt.Errorf("write %s: %w", key, err)
+		return nil, eris.Wrapf(err, "write %s", key)
 	}
 	if result.Committed {
 		return nil, nil
@@ -36,7 +38,7 @@
 func (r *Reporter) settle(ctx context.Context, key string, cause error) ([]byte, error) {
 	row, err := r.opts.Table.Get(ctx, key)
 	if err != nil {
-		return nil, fmt.Errorf("write %s, reply lost and row not found: %w", key, cause)
+		return nil, eris.Wrapf(cause, "write %s, reply lost and row not found", key)
 	}
 	return row.Value, nil
 }
--- a/usagestore/report.go
+++ b/usagestore/report.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
+
+	"github.com/rotisserie/eris"
 
 	"github.com/radishshelf/radishshelf/platform"
 	"github.com/radishshelf/radishshelf/usage"
@@ -53,7 +54,7 @@
 	for {
 		rows, err := r.opts.Table.Scan(ctx, reportedPrefix+window+"/", after, reportedPage)
 		if err != nil {
-			return nil, fmt.Errorf("read usage reports of window %s: %w", window, err)
+			return nil, eris.Wrapf(err, "read usage reports of window %s", window)
 		}
 		if len(rows) == 0 {
 			return done, nil
@@ -79,7 +80,7 @@
 			Msg("usage report refused, the sink holds other figures")
 	}
 	if err != nil {
-		return fmt.Errorf("report usage of workspace %q in window %s: %w", report.Workspace, window, err)
+		return eris.Wrapf(err, "report usage of workspace %q in window %s", report.Workspace, window)
 	}
 	r.metrics.reported.Inc()
 	if start, err := usage.ParseWindowKey(window); err == nil {
@@ -91,7 +92,7 @@
 func (r *Reporter) markReported(ctx context.Context, window, workspace string, term int64) error {
 	value, err := json.Marshal(reported{Term: term})
 	if err != nil {
-		return fmt.Errorf("encode usage report mark: %w", err)
+		return eris.Wrap(err, "encode usage report mark")
 	}
 	key := reportedKey(window, workspace)
 	_, err = r.commitAbsent(ctx, key, platform.Txn{Puts: []platform.Put{{Key: key, Value: value}}})
@@ -104,7 +105,7 @@
 	for range cleanTxns {
 		rows, err := r.opts.Table.Scan(ctx, batchPrefix+window+"/", "", cleanRows)
 		if err != nil {
-			return fmt.Errorf("read usage batches: %w", err)
+			return eris.Wrap(err, "read usage batches")
 		}
 		if len(rows) == 0 {
 			return nil
@@ -118,7 +119,7 @@
 			txn.Deletes = append(txn.Deletes, row.Key)
 		}
 		if _, err := r.opts.Table.Commit(ctx, txn); err != nil {
-			return fmt.Errorf("delete usage batches of window %s: %w", window, err)
+			return eris.Wrapf(err, "delete usage batches of window %s", window)
 		}
 	}
 	return nil
--- a/usagestore/seal.go
+++ b/usagestore/seal.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/radishshelf/radishshelf/platform"
 	"github.com/radishshelf/radishshelf/usage"
 )
@@ -26,7 +27,7 @@
 		return nil
 	}
 	if !platform.IsKind(err, platform.KindNotFound) {
-		return fmt.Errorf("close usage window: %w", err)
+		return eris.Wrap(err, "close usage window")
 	}
 	term, ok := r.opts.Authority.MayAct(r.opts.Now())
 	if !ok {
@@ -34,7 +35,7 @@
 	}
 	value, err := json.Marshal(closing{Term: term})
 	if err != nil {
-		return fmt.Errorf("encode %s: %w", key, err)
+		return eris.Wrapf(err, "encode %s", key)
 	}
 	_, err = r.commitAbsent(ctx, key, platform.Txn{Puts: []platform.Put{{Key: key, Value: value}}})
 	return err
@@ -48,7 +49,7 @@
 		return decodeSealed(key, row.Value)
 	}
 	if !platform.IsKind(err, platform.KindNotFound) {
-		return usage.Sealed{}, fmt.Errorf("seal usage window: %w", err)
+		return usage.Sealed{}, eris.Wrap(err, "seal usage window")
 	}
 	counted, condition, err := r.counted(ctx)
 	if err != nil {
@@ -68,11 +69,11 @@
 		return usage.Counted{}, platform.Condition{Key: countedKey}, nil
 	}
 	if err != nil {
-		return usage.Counted{}, platform.Condition{}, fmt.Errorf("read %s: %w", countedKey, err)
+		return usage.Counted{}, platform.Condition{}, eris.Wrapf(err, "read %s", countedKey)
 	}
 	var counted usage.Counted
 	if err := json.Unmarshal(row.Value, &counted); err != nil {
-		return usage.Counted{}, platform.Condition{}, fmt.Errorf("decode %s: %w", countedKey, err)
+		return usage.Counted{}, platform.Condition{}, eris.Wrapf(err, "decode %s", countedKey)
 	}
 	return counted, platform.Condition{Key: countedKey, Revision: row.Revision}, nil
 }
@@ -86,7 +87,7 @@
 	for {
 		rows, err := r.opts.Table.Scan(ctx, prefix, after, scanPage)
 		if err != nil {
-			return usage.Sealed{}, usage.Counted{}, fmt.Errorf("read usage batches: %w", err)
+			return usage.Sealed{}, usage.Counted{}, eris.Wrap(err, "read usage batches")
 		}
 		if len(rows) == 0 {
 			return sealer.Seal()
@@ -94,7 +95,7 @@
 		for _, row := range rows {
 			var batch usage.Batch
 			if err := json.Unmarshal(row.Value, &batch); err != nil {
-				return usage.Sealed{}, usage.Counted{}, fmt.Errorf("decode %s: %w", row.Key, err)
+				return usage.Sealed{}, usage.Counted{}, eris.Wrapf(err, "decode %s", row.Key)
 			}
 			sealer.Add(batch)
 		}
@@ -108,11 +109,11 @@
 	key := sealedKey(sealed.Window)
 	sealedValue, err := json.Marshal(sealed)
 	if err != nil {
-		return usage.Sealed{}, fmt.Errorf("encode %s: %w", key, err)
+		return usage.Sealed{}, eris.Wrapf(err, "encode %s", key)
 	}
 	countedValue, err := json.Marshal(counted)
 	if err != nil {
-		return usage.Sealed{}, fmt.Errorf("encode %s: %w", countedKey, err)
+		return usage.Sealed{}, eris.Wrapf(err, "encode %s", countedKey)
 	}
 	held, err := r.commitAbsent(ctx, key, platform.Txn{
 		Conditions: []platform.Condition{condition},
@@ -135,7 +136,7 @@
 func decodeSealed(key string, value []byte) (usage.Sealed, error) {
 	var sealed usage.Sealed
 	if err := json.Unmarshal(value, &sealed); err != nil {
-		return usage.Sealed{}, fmt.Errorf("decode %s: %w", key, err)
+		return usage.Sealed{}, eris.Wrapf(err, "decode %s", key)
 	}
 	return sealed, nil
 }
--- a/usagestore/writer.go
+++ b/usagestore/writer.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/radishshelf/radishshelf/platform"
 	"github.com/radishshelf/radishshelf/usage"
 )
@@ -51,7 +53,7 @@
 		return w.settle(ctx, key, err)
 	}
 	if err != nil {
-		return false, fmt.Errorf("write usage batch %s: %w", key, err)
+		return false, eris.Wrapf(err, "write usage batch %s", key)
 	}
 	return result.Committed || holds(result.Current, key), nil
 }
@@ -63,7 +65,7 @@
 	if err == nil {
 		return true, nil
 	}
-	return false, fmt.Errorf("write usage batch %s, reply lost and row not found: %w", key, cause)
+	return false, eris.Wrapf(cause, "write usage batch %s, reply lost and row not found", key)
 }
 
 func holds(rows []platform.Row, key string) bool {
--- a/usageview/names.go
+++ b/usageview/names.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/radishshelf/radishshelf/platform"
 	"github.com/radishshelf/radishshelf/usage"
 )
@@ -29,10 +30,10 @@
 	length := window.End(current).Sub(current)
 	found := map[string]bool{usage.WindowKey(current): true}
 	if err := v.addClosing(ctx, current.Add(-maxWindows*length), found); err != nil {
-		return nil, fmt.Errorf("read closed usage windows: %w", err)
+		return nil, eris.Wrap(err, "read closed usage windows")
 	}
 	if err := v.addUnreported(ctx, found); err != nil {
-		return nil, fmt.Errorf("read usage windows with batches: %w", err)
+		return nil, eris.Wrap(err, "read usage windows with batches")
 	}
 	return slices.Sorted(maps.Keys(found)), nil
 }
--- a/usageview/view.go
+++ b/usageview/view.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/url"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/radishshelf/radishshelf/operatorclient"
 	"github.com/radishshelf/radishshelf/platform"
 	"github.com/radishshelf/radishshelf/usage"
@@ -58,7 +59,7 @@
 	for _, name := range names {
 		window, err := v.window(ctx, name)
 		if err != nil {
-			return nil, fmt.Errorf("read usage window %s: %w", name, err)
+			return nil, eris.Wrapf(err, "read usage window %s", name)
 		}
 		windows = append(windows, window)
 	}
