--- a/ordermanager/manager.go
+++ b/ordermanager/manager.go
@@ -4,13 +4,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 
 	"github.com/radishshelf/radishshelf/ordering"
 	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/roles"
 )
 
 // scanLimit bounds the pools that a holder reads; far above data centres times policies and services.
@@ -44,19 +44,10 @@
 
 // Run plans and places orders until ctx ends.
 func (m *Manager) Run(ctx context.Context) error {
-	ticker := time.NewTicker(m.opts.Interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			if err := m.Round(ctx); err != nil {
-				m.failed.Inc()
-				m.opts.Log.Warn().Err(err).Msg("order round failed")
-			}
-		}
-	}
+	return roles.RunRounds(ctx, m.opts.Interval, m.Round, func(err error) {
+		m.failed.Inc()
+		m.opts.Log.Warn().Err(err).Msg("order round failed")
+	})
 }
 
 // Round performs one round: it finishes open intents, then plans and places new orders. Without authority it does
--- a/rolloutmanager/manager.go
+++ b/rolloutmanager/manager.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 
 	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/roles"
 	"github.com/radishshelf/radishshelf/rollout"
 )
 
@@ -35,18 +35,9 @@
 
 // Run moves rollouts on until ctx ends.
 func (m *Manager) Run(ctx context.Context) error {
-	ticker := time.NewTicker(m.opts.Interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			if err := m.Round(ctx); err != nil {
-				m.opts.Log.Warn().Err(err).Msg("rollout round failed")
-			}
-		}
-	}
+	return roles.RunRounds(ctx, m.opts.Interval, m.Round, func(err error) {
+		m.opts.Log.Warn().Err(err).Msg("rollout round failed")
+	})
 }
 
 // Round plans every policy once. Without authority it does nothing.
