Write all log events as words

Cause: the agent logged events as snake_case names and the entry as words, so that one search could not cover both.

--- a/agent/exchange.go
+++ b/agent/exchange.go
@@ -219,5 +219,5 @@
 		Str("policy", e.call.policy).Int("status", e.status).Bool("complete", err == nil).Int64("bytes", e.bytes).
 		Int64("prompt_tokens", result.PromptTokens).Int64("completion_tokens", result.CompletionTokens).
 		Int("spans", len(result.Spans)).Str("discard", result.DiscardReason).Int64("usage_seq", result.UsageSeq).
-		Dur("duration_ms", time.Since(e.started)).Msg("request_done")
+		Dur("duration_ms", time.Since(e.started)).Msg("request done")
 }
--- a/agent/health.go
+++ b/agent/health.go
@@ -92,11 +92,11 @@
 		return err
 	}
 	if a.health.answered(status.StartCount) {
-		a.logger.Info().Int64("start_count", status.StartCount).Msg("upstream_alive")
+		a.logger.Info().Int64("start_count", status.StartCount).Msg("upstream alive")
 		a.heartbeatSoon()
 	}
 	if a.versions.probeEnds(changes, status) {
-		a.logger.Warn().Int64("start_count", status.StartCount).Msg("upstream_restarted")
+		a.logger.Warn().Int64("start_count", status.StartCount).Msg("upstream restarted")
 	}
 	// Work is taken only when the run of the upstream is known, because a death is counted by it.
 	a.admission.ready()
@@ -110,7 +110,7 @@
 		return
 	}
 	a.versions.doubt(discardNoProbe)
-	a.logger.Warn().Err(err).Msg("upstream_dead")
+	a.logger.Warn().Err(err).Msg("upstream dead")
 	a.heartbeatSoon()
 }
 
@@ -153,7 +153,7 @@
 		return
 	}
 	a.suspects.died(fingerprint, incarnation, time.Now())
-	a.logger.Warn().Str("fingerprint", fingerprint).Int64("start_count", incarnation).Msg("crash_suspect")
+	a.logger.Warn().Str("fingerprint", fingerprint).Int64("start_count", incarnation).Msg("crash suspect")
 	a.heartbeatSoon()
 }
 
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -88,7 +88,7 @@
 
 func (a *Agent) heartbeatFailed(address string, err error) {
 	a.metrics.heartbeatFailures.Inc()
-	a.logger.Debug().Str("entry", address).Err(err).Msg("heartbeat_failed")
+	a.logger.Debug().Str("entry", address).Err(err).Msg("heartbeat failed")
 	a.entries.missed(address)
 }
 
--- a/agent/loops.go
+++ b/agent/loops.go
@@ -69,7 +69,7 @@
 			continue // no entry has told the length of the usage windows yet
 		}
 		if err := a.flusher.Flush(ctx); err != nil {
-			a.logger.Warn().Err(err).Msg("usage_flush_failed")
+			a.logger.Warn().Err(err).Msg("usage flush failed")
 		}
 	}
 }
@@ -90,7 +90,7 @@
 		}
 	}
 	if pending := a.recorder.Pending(); pending > 0 {
-		a.logger.Warn().Err(err).Int("records", pending).Msg("usage_left_to_entries")
+		a.logger.Warn().Err(err).Int("records", pending).Msg("usage left to entries")
 	}
 }
 
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -88,7 +88,7 @@
 	}
 	o.refused = markOf(w)
 	o.agent.logger.Warn().Str("entry", entry).Int64("term", w.Term).Int64("revision", w.Revision).Err(err).
-		Msg("order_refused")
+		Msg("order refused")
 }
 
 func (o *orders) replace(w *rpc.WantedState) {
@@ -102,7 +102,7 @@
 		o.stop()
 	}
 	o.agent.logger.Info().Int64("term", w.Term).Int64("revision", w.Revision).Int64("stage", w.StageVersion).
-		Int64("activate", w.ActivateVersion).Msg("order_accepted")
+		Int64("activate", w.ActivateVersion).Msg("order accepted")
 	o.wake()
 }
 
@@ -145,7 +145,7 @@
 		pause := pace.after(mark, err, rand.Float64())
 		if err != nil && !errors.Is(err, errSuperseded) && !errors.Is(err, errNotProbed) {
 			o.agent.metrics.ordersFailed.Inc()
-			o.agent.logger.Warn().Err(err).Dur("retry_ms", pause).Msg("order_failed")
+			o.agent.logger.Warn().Err(err).Dur("retry_ms", pause).Msg("order failed")
 		}
 		if !o.wait(ctx, pause, pace) {
 			return
@@ -281,5 +281,5 @@
 func (o *orders) done(what string, w *rpc.WantedState, version int64, start time.Time) {
 	o.agent.metrics.orders.Inc()
 	o.agent.logger.Info().Str("order", what).Int64("term", w.Term).Int64("revision", w.Revision).
-		Int64("version", version).Dur("duration_ms", time.Since(start)).Msg("order_done")
+		Int64("version", version).Dur("duration_ms", time.Since(start)).Msg("order done")
 }
--- a/agent/run.go
+++ b/agent/run.go
@@ -109,7 +109,7 @@
 	}
 	event.Str("request", c.requestID).Str("workspace", c.workspace).Str("policy", c.policy).
 		Str("kind", string(refusal.Kind)).Stringer("outcome", refusal.Outcome).Str("problem", refusal.Message).
-		Dur("duration_ms", time.Since(start)).Msg("request_refused")
+		Dur("duration_ms", time.Since(start)).Msg("request refused")
 }
 
 func (a *Agent) setLoad(h http.Header) {
--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -65,7 +65,7 @@
 	prompt := engineapi.PromptText(req.Messages)
 	faults := e.faults.get()
 	if faults.CrashMarker != "" && strings.Contains(prompt, faults.CrashMarker) {
-		e.logger.Error().Str("request", id).Msg("crash_marker")
+		e.logger.Error().Str("request", id).Msg("crash marker")
 		e.exit(exitCrash)
 		panic(http.ErrAbortHandler)
 	}
@@ -77,7 +77,7 @@
 		err = e.plain(r.Context(), w, id, req, g)
 	}
 	if err != nil {
-		e.logger.Info().Str("request", id).Err(err).Msg("request_ended_early")
+		e.logger.Info().Str("request", id).Err(err).Msg("request ended early")
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/standin/engine/control.go
+++ b/standin/engine/control.go
@@ -48,11 +48,11 @@
 		return
 	}
 	if err := carryOut(r.Context(), o); err != nil {
-		e.logger.Warn().Int64("version", o.Version).Int64("term", o.Term).Err(err).Msg("order_failed")
+		e.logger.Warn().Int64("version", o.Version).Int64("term", o.Term).Err(err).Msg("order failed")
 		writeError(w, http.StatusInternalServerError, "order_failed", err.Error())
 		return
 	}
-	e.logger.Info().Int64("version", o.Version).Int64("term", o.Term).Str("path", r.URL.Path).Msg("order_done")
+	e.logger.Info().Int64("version", o.Version).Int64("term", o.Term).Str("path", r.URL.Path).Msg("order done")
 	writeJSON(w, http.StatusOK, e.currentStatus())
 }
 
