--- a/measure/scenario.go
+++ b/measure/scenario.go
@@ -53,5 +53,7 @@
 		StalenessScenario(lots.Oldest, 1),
 		StalenessScenario(lots.Oldest, 1.5),
 		StalenessScenario(lots.Freshest, 1),
+		RecoveryScenario(false),
+		RecoveryScenario(true),
 	}
 }
