Show weight versions by upstream, also before the first rollout

Cause: radishshelfctl versions listed nothing until a policy had its first rollout, and only counts afterwards. Change: each policy with its engines, what they serve and hold. Conclusion: seen on the quickstart fleet; the test of the operator source covers it.

--- a/cmd/radishshelf-entry/operator.go
+++ b/cmd/radishshelf-entry/operator.go
@@ -110,9 +110,10 @@
 
 // VersionStatus implements operatorapi.VersionSource.
 func (s operatorSource) VersionStatus(context.Context) ([]operatorclient.VersionStatus, error) {
-	rollouts := s.p.syncer.View().Rollouts()
+	view := s.p.syncer.View()
+	rollouts := view.Rollouts()
 	var list []operatorclient.VersionStatus
-	for _, policy := range slices.Sorted(maps.Keys(rollouts)) {
+	for _, policy := range slices.Sorted(maps.Keys(view.Policies())) {
 		list = append(list, s.version(policy, rollouts[policy]))
 	}
 	return list, nil
@@ -122,6 +123,12 @@
 	status := operatorclient.VersionStatus{Policy: policy, Version: r.Version, Phase: r.Phase, Previous: r.Previous}
 	for _, engine := range s.p.engines(policy, time.Now()) {
 		status.Engines++
+		status.Upstreams = append(status.Upstreams, operatorclient.UpstreamVersion{
+			Upstream: engine.Upstream, Active: engine.Active, Staged: engine.Staged,
+		})
+		if r.Version == 0 {
+			continue
+		}
 		if engine.Active == r.Version {
 			status.Active++
 		}
--- a/cmd/radishshelf-entry/operator_test.go
+++ b/cmd/radishshelf-entry/operator_test.go
@@ -30,8 +30,11 @@
 		t.Fatal(err)
 	}
 	_, err = p.syncer.HandleSync(t.Context(), &rpc.SyncRequest{
-		From:    &rpc.EntryInfo{Name: "entry-2", PeerAddress: "127.0.0.1:2", DataCentre: "sudur", ConfirmationAgeMs: -1},
-		Objects: []*rpc.ConfigObject{{Kind: string(fleetconfig.KindUpstream), Name: "engine-1", Revision: 1, Value: configured}},
+		From: &rpc.EntryInfo{Name: "entry-2", PeerAddress: "127.0.0.1:2", DataCentre: "sudur", ConfirmationAgeMs: -1},
+		Objects: []*rpc.ConfigObject{
+			{Kind: string(fleetconfig.KindUpstream), Name: "engine-1", Revision: 1, Value: configured},
+			{Kind: string(fleetconfig.KindPolicy), Name: "toll", Revision: 2, Value: []byte("{}")},
+		},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -41,7 +44,7 @@
 	for _, name := range []string{"engine-1", "engine-2"} {
 		p.fleet.Heartbeat(membership.Upstream{
 			Name: name, DataAddress: "127.0.0.1:9", Kind: fleetconfig.UpstreamEngine, Serves: "toll", Incarnation: "i",
-			ReportSeq: 1, Healthy: true,
+			ReportSeq: 1, Healthy: true, ActiveVersion: 7, StagedVersions: []int64{8},
 		}, prefixindex.Event{Upstream: name, Incarnation: "i", Seq: 1}, nil, now)
 	}
 	hosts, err := operatorSource{p}.HostStatus(t.Context())
@@ -55,4 +58,12 @@
 	if states["entry-1"] != "live" || states["engine-1"] != "leaving" || states["engine-2"] != "live" {
 		t.Errorf("states %v; want only engine-1 leaving", states)
 	}
+	versions, err := operatorSource{p}.VersionStatus(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Engines are shown before their policy has its first rollout, too.
+	if len(versions) != 1 || len(versions[0].Upstreams) != 2 || versions[0].Upstreams[1].Active != 7 || versions[0].Active != 0 {
+		t.Errorf("versions %+v; want policy toll with two engines that serve version 7", versions)
+	}
 }
--- a/cmd/radishshelfctl/status.go
+++ b/cmd/radishshelfctl/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"strings"
 
 	"github.com/spf13/cobra"
 
@@ -81,10 +82,14 @@
 func newVersions(o *options) *cobra.Command {
 	return newStatus(o, "versions", "List the weight versions of the policies", (*operatorclient.Client).Versions,
 		func(versions []operatorclient.VersionStatus) *table {
-			t := &table{header: []string{"POLICY", "VERSION", "PHASE", "PREVIOUS", "STAGED", "ACTIVE", "ENGINES"}}
+			t := &table{header: []string{"POLICY", "VERSION", "PHASE", "PREVIOUS", "STAGED", "ACTIVE", "ENGINES", "BY UPSTREAM"}}
 			for _, v := range versions {
+				var serving []string
+				for _, u := range v.Upstreams {
+					serving = append(serving, u.Upstream+"="+number(u.Active))
+				}
 				t.add(v.Policy, number(v.Version), v.Phase, number(v.Previous), strconv.Itoa(v.Staged),
-					strconv.Itoa(v.Active), strconv.Itoa(v.Engines))
+					strconv.Itoa(v.Active), strconv.Itoa(v.Engines), strings.Join(serving, " "))
 			}
 			return t
 		})
--- a/operatorclient/status.go
+++ b/operatorclient/status.go
@@ -49,7 +49,7 @@
 	Reported   int `json:"reported"`
 }
 
-// VersionStatus is the rollout of the weights of one policy.
+// VersionStatus is the rollout of the weights of one policy. Version is 0 before the first rollout.
 type VersionStatus struct {
 	Policy   string `json:"policy"`
 	Version  int64  `json:"version"`
@@ -59,4 +59,14 @@
 	Staged  int `json:"staged"`
 	Active  int `json:"active"`
 	Engines int `json:"engines"`
+	// Upstreams are the engines in name order.
+	Upstreams []UpstreamVersion `json:"upstreams"`
+}
+
+// UpstreamVersion is what one engine serves and holds.
+type UpstreamVersion struct {
+	Upstream string `json:"upstream"`
+	// Active is 0 while the version in the engine is unknown.
+	Active int64   `json:"active"`
+	Staged []int64 `json:"staged,omitempty"`
 }
