Speak TLS on the operator port where TLS is set

Cause: radishshelfctl had --ca-file, but the operator port spoke plain TCP only, so secrets of new keys crossed the network in clear. Ruled out: the mutual TLS of own processes, because operators have a token and no certificate of the fleet. Change: fleetauth.ServerTLS, read at every handshake. Conclusion: TestFleetWithTLSAndCredential calls the port with the CA, without TLS and with other CAs.

--- a/cmd/radishshelf-entry/serve.go
+++ b/cmd/radishshelf-entry/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/radishshelf/radishshelf/entry"
 	"github.com/radishshelf/radishshelf/entry/peer"
+	"github.com/radishshelf/radishshelf/fleetauth"
 	"github.com/radishshelf/radishshelf/idempotency"
 	"github.com/radishshelf/radishshelf/membership"
 	"github.com/radishshelf/radishshelf/telemetry"
@@ -215,9 +216,13 @@
 	if err != nil {
 		return nil, err
 	}
+	operatorTLS, err := fleetauth.ServerTLS(p.settings.TLS)
+	if err != nil {
+		return nil, err
+	}
 	return []server{
 		{http: entry.NewCallerServer(p.entry, p.settings), listener: p.listeners.caller, patient: true},
-		{http: operator, listener: p.listeners.operator},
+		{http: operator, listener: p.listeners.operator, tls: operatorTLS},
 		{http: peer.NewHTTPServer(service, p.credential, p.tls), listener: p.listeners.peer, tls: p.tls},
 		{http: telemetry.NewStatusServer(p.registry, p.ready), listener: p.listeners.status},
 	}, nil
--- a/cmd/radishshelf-entry/tls_test.go
+++ b/cmd/radishshelf-entry/tls_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -17,6 +19,7 @@
 	"github.com/radishshelf/radishshelf/entry"
 	"github.com/radishshelf/radishshelf/entry/peer"
 	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/operatorclient"
 	"github.com/radishshelf/radishshelf/outcome"
 	"github.com/radishshelf/radishshelf/platform/httpapi"
 	"github.com/radishshelf/radishshelf/platform/memory"
@@ -79,6 +82,30 @@
 	})
 }
 
+// checkOperatorPort calls the operator port with the CA of the fleet and without it.
+func (c *cluster) checkOperatorPort(ca *certs.Authority) {
+	c.t.Helper()
+	files, err := ca.Issue("operator", 9)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	pem, err := os.ReadFile(files.CAFile)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(pem)
+	address := c.entries[0].listeners.operator.Addr().String()
+	if _, err := operatorclient.New(address, operatorclient.Options{TLS: &tls.Config{RootCAs: pool}}).Entries(c.t.Context()); err != nil {
+		c.t.Errorf("operator with the CA of the fleet: %v", err)
+	}
+	for name, config := range map[string]*tls.Config{"without TLS": nil, "with other CAs": {RootCAs: x509.NewCertPool()}} {
+		if _, err := operatorclient.New(address, operatorclient.Options{TLS: config}).Entries(c.t.Context()); err == nil {
+			c.t.Errorf("operator %s was answered", name)
+		}
+	}
+}
+
 // Guards against a fleet with TLS and credential whose processes do not reach each other, and against work, orders or
 // heartbeats that are taken from a process that has a certificate but not the credential.
 func TestFleetWithTLSAndCredential(t *testing.T) {
@@ -112,6 +139,7 @@
 		}
 	}
 
+	c.checkOperatorPort(ca)
 	upstream := c.entries[0].fleet.Upstreams(time.Now())[0]
 	for _, credential := range []string{"", "other"} {
 		_, err := peer.NewDialer(credential, c.entries[1].tls, time.Second).Dial(peers[0]).Heartbeat(t.Context(), &rpc.HeartbeatRequest{
--- a/fleetauth/tls.go
+++ b/fleetauth/tls.go
@@ -17,13 +17,7 @@
 	if s == nil {
 		return nil, nil
 	}
-	load := func() (*tls.Certificate, error) {
-		certificate, err := tls.LoadX509KeyPair(s.CertFile, s.KeyFile)
-		if err != nil {
-			return nil, eris.Wrap(err, "tls certificate")
-		}
-		return &certificate, nil
-	}
+	load := loader(s)
 	if _, err := load(); err != nil {
 		return nil, err
 	}
@@ -48,6 +42,33 @@
 	return config, nil
 }
 
+// ServerTLS returns the TLS of a port for callers that have no certificate of the fleet, such as operators, or nil for
+// plain TCP. The files are read at every handshake.
+func ServerTLS(s *settings.TLS) (*tls.Config, error) {
+	if s == nil {
+		return nil, nil
+	}
+	load := loader(s)
+	if _, err := load(); err != nil {
+		return nil, err
+	}
+	return &tls.Config{
+		MinVersion:     tls.VersionTLS13,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return load() },
+	}, nil
+}
+
+// loader returns a function that reads the certificate and its key.
+func loader(s *settings.TLS) func() (*tls.Certificate, error) {
+	return func() (*tls.Certificate, error) {
+		certificate, err := tls.LoadX509KeyPair(s.CertFile, s.KeyFile)
+		if err != nil {
+			return nil, eris.Wrap(err, "tls certificate")
+		}
+		return &certificate, nil
+	}
+}
+
 func loadPool(file string) (*x509.CertPool, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
