Bound the quota holder's outage gap by the lease timing

Cause: the gap of 10 s assumed the default lease; with the shorter leases that settings now allow, a former holder could go on beside its successor. Change: a third of the takeover time bounds it. Conclusion: TestQuotaAuthorityFollowsShortLeases.

--- a/cmd/radishshelf-entry/process.go
+++ b/cmd/radishshelf-entry/process.go
@@ -131,7 +131,8 @@
 
 func (p *process) buildEntry() {
 	p.shares = entry.NewQuotaShares(p.settings.Name, p.syncer)
-	p.holder = entry.NewQuotaHolder(entry.NewQuotaAuthority(p.roles.Authority(roles.Quota), p.syncer), p.syncer)
+	authority := entry.NewQuotaAuthority(p.roles.Authority(roles.Quota), p.syncer, p.settings.TakeoverTime())
+	p.holder = entry.NewQuotaHolder(authority, p.syncer)
 	p.entry = entry.New(entry.Options{
 		Settings: p.settings, Log: p.log, Registry: p.registry, Tracer: p.tracer, Config: p.syncer, Fleet: p.fleet,
 		Client: dataplane.NewClient(p.tls, p.credential), Quota: p.shares,
--- a/entry/quotaauthority.go
+++ b/entry/quotaauthority.go
@@ -19,6 +19,7 @@
 type QuotaAuthority struct {
 	lease     Authority
 	freshness FreshnessSource
+	gap       time.Duration
 
 	mu   sync.Mutex
 	term int64
@@ -27,13 +28,13 @@
 }
 
 // outageGap is the longest time without authority after which the outage rule may still continue it. It covers the time
-// in which the lease has lapsed and the freshness rule does not name the outage yet, and stays below the shortest time
-// in which a successor can take over with the default lease.
+// in which the lease has lapsed and the freshness rule does not name the outage yet.
 const outageGap = 10 * time.Second
 
-// NewQuotaAuthority returns an authority that follows lease while the table answers.
-func NewQuotaAuthority(lease Authority, freshness FreshnessSource) *QuotaAuthority {
-	return &QuotaAuthority{lease: lease, freshness: freshness}
+// NewQuotaAuthority returns an authority that follows lease while the table answers. takeover is the shortest time after
+// the last action of a holder in which a successor may act; a third of it bounds the gap.
+func NewQuotaAuthority(lease Authority, freshness FreshnessSource, takeover time.Duration) *QuotaAuthority {
+	return &QuotaAuthority{lease: lease, freshness: freshness, gap: min(outageGap, takeover/3)}
 }
 
 // MayAct implements Authority.
@@ -46,7 +47,7 @@
 		a.term, a.heldAt = term, now
 		return term, true
 	}
-	if a.term == 0 || now.Sub(a.heldAt) > outageGap {
+	if a.term == 0 || now.Sub(a.heldAt) > a.gap {
 		a.term = 0
 		return 0, false
 	}
--- a/entry/quotaauthority_test.go
+++ b/entry/quotaauthority_test.go
@@ -7,6 +7,9 @@
 	"github.com/radishshelf/radishshelf/fleetconfig"
 )
 
+// testTakeover is that of the default lease.
+const testTakeover = 34500 * time.Millisecond
+
 type fakeLease struct{ term int64 }
 
 func (l *fakeLease) MayAct(time.Time) (int64, bool) { return l.term, l.term != 0 }
@@ -19,7 +22,7 @@
 // goes on granting after it was cut off or after a pause.
 func TestQuotaAuthorityInOutage(t *testing.T) {
 	lease, freshness := &fakeLease{term: 3}, &fakeFreshness{}
-	a := NewQuotaAuthority(lease, freshness)
+	a := NewQuotaAuthority(lease, freshness, testTakeover)
 	now := time.Unix(0, 0)
 	check := func(step string, want int64) {
 		t.Helper()
@@ -54,7 +57,20 @@
 // Guards against an entry that grants without ever having held the role.
 func TestQuotaAuthorityNeverHeld(t *testing.T) {
 	freshness := &fakeFreshness{verdict: fleetconfig.Verdict{Serve: true, Reason: fleetconfig.ReasonStoreDown}}
-	if _, ok := NewQuotaAuthority(&fakeLease{}, freshness).MayAct(time.Unix(0, 0)); ok {
+	if _, ok := NewQuotaAuthority(&fakeLease{}, freshness, testTakeover).MayAct(time.Unix(0, 0)); ok {
 		t.Fatal("an entry that never held the role may act")
 	}
 }
+
+// Guards against a former holder that goes on granting beside its successor where the lease is shorter.
+func TestQuotaAuthorityFollowsShortLeases(t *testing.T) {
+	lease, freshness := &fakeLease{term: 3}, &fakeFreshness{}
+	a := NewQuotaAuthority(lease, freshness, 3*time.Second)
+	now := time.Unix(0, 0)
+	a.MayAct(now)
+	lease.term = 0
+	freshness.verdict = fleetconfig.Verdict{Serve: true, Reason: fleetconfig.ReasonStoreDown}
+	if _, ok := a.MayAct(now.Add(2 * time.Second)); ok {
+		t.Fatal("goes on after a pause of two thirds of the takeover time")
+	}
+}
--- a/entry/settings_lease.go
+++ b/entry/settings_lease.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/radishshelf/radishshelf/lease"
 	"github.com/radishshelf/radishshelf/settings"
 )
@@ -13,6 +15,11 @@
 	}
 }
 
+// TakeoverTime is the shortest time between the last check of a holder and the first action of its successor.
+func (s *Settings) TakeoverTime() time.Duration {
+	return s.LeaseDuration.D() - s.ActWindow.D() + s.PauseTolerance.D()
+}
+
 func (s *Settings) validateLease(p *settings.Problems) {
 	p.Positive("lease_duration", s.LeaseDuration)
 	p.Positive("renew_interval", s.RenewInterval)
