--- a/cmd/radishshelf-agent/program.go
+++ b/cmd/radishshelf-agent/program.go
@@ -8,7 +8,7 @@
 
 	"github.com/radishshelf/radishshelf/agent"
 	"github.com/radishshelf/radishshelf/command"
-	"github.com/radishshelf/radishshelf/platform/httpapi"
+	"github.com/radishshelf/radishshelf/standin/httpapi"
 	"github.com/radishshelf/radishshelf/telemetry"
 	"github.com/radishshelf/radishshelf/usage"
 	"github.com/radishshelf/radishshelf/usagestore"
--- a/cmd/radishshelf-entry/hosts.go
+++ b/cmd/radishshelf-entry/hosts.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/membership"
-	"github.com/radishshelf/radishshelf/platform"
 )
 
 // watchHosts reads the platform's lagging host list until ctx ends. While it cannot be read, the last one holds.
@@ -35,7 +35,7 @@
 	hosts := make([]membership.Host, 0, len(list))
 	for _, h := range list {
 		role := membership.RoleUpstream
-		if h.Role == platform.HostEntry {
+		if h.Role == hosting.HostEntry {
 			role = membership.RoleEntry
 		}
 		hosts = append(hosts, membership.Host{
--- a/cmd/radishshelf-entry/operator_test.go
+++ b/cmd/radishshelf-entry/operator_test.go
@@ -11,9 +11,9 @@
 	"github.com/radishshelf/radishshelf/entry"
 	"github.com/radishshelf/radishshelf/fleetconfig"
 	"github.com/radishshelf/radishshelf/membership"
-	"github.com/radishshelf/radishshelf/platform/memory"
 	"github.com/radishshelf/radishshelf/prefixindex"
 	"github.com/radishshelf/radishshelf/rpc"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // Guards against an operator who sees the asked entry as one that does not report, or a draining upstream as one that
--- a/cmd/radishshelf-entry/process.go
+++ b/cmd/radishshelf-entry/process.go
@@ -16,11 +16,11 @@
 	"github.com/radishshelf/radishshelf/entry"
 	"github.com/radishshelf/radishshelf/entry/peer"
 	"github.com/radishshelf/radishshelf/fleetauth"
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/idempotency"
 	"github.com/radishshelf/radishshelf/lotstore"
-	"github.com/radishshelf/radishshelf/platform"
-	"github.com/radishshelf/radishshelf/platform/httpapi"
 	"github.com/radishshelf/radishshelf/roles"
+	"github.com/radishshelf/radishshelf/standin/httpapi"
 	"github.com/radishshelf/radishshelf/telemetry"
 	"github.com/radishshelf/radishshelf/usage"
 )
@@ -42,7 +42,7 @@
 	tracer      *telemetry.Tracer
 	tls         *tls.Config
 	credential  string
-	services    platform.Services
+	services    hosting.Services
 	listeners   listeners
 	dialer      *peer.Dialer
 
--- a/cmd/radishshelf-entry/process_test.go
+++ b/cmd/radishshelf-entry/process_test.go
@@ -18,10 +18,10 @@
 	"github.com/radishshelf/radishshelf/dataplane"
 	"github.com/radishshelf/radishshelf/entry"
 	"github.com/radishshelf/radishshelf/fleetconfig"
-	"github.com/radishshelf/radishshelf/platform/httpapi"
-	"github.com/radishshelf/radishshelf/platform/memory"
 	"github.com/radishshelf/radishshelf/rpc"
 	"github.com/radishshelf/radishshelf/settings"
+	"github.com/radishshelf/radishshelf/standin/httpapi"
+	"github.com/radishshelf/radishshelf/standin/memory"
 	"github.com/radishshelf/radishshelf/telemetry"
 )
 
--- a/cmd/radishshelf-entry/tls_test.go
+++ b/cmd/radishshelf-entry/tls_test.go
@@ -21,11 +21,11 @@
 	"github.com/radishshelf/radishshelf/fleetconfig"
 	"github.com/radishshelf/radishshelf/operatorclient"
 	"github.com/radishshelf/radishshelf/outcome"
-	"github.com/radishshelf/radishshelf/platform/httpapi"
-	"github.com/radishshelf/radishshelf/platform/memory"
 	"github.com/radishshelf/radishshelf/rpc"
 	"github.com/radishshelf/radishshelf/settings"
 	"github.com/radishshelf/radishshelf/standin/certs"
+	"github.com/radishshelf/radishshelf/standin/httpapi"
+	"github.com/radishshelf/radishshelf/standin/memory"
 	"github.com/radishshelf/radishshelf/telemetry"
 	"github.com/radishshelf/radishshelf/usage"
 )
--- a/cmd/radishshelfctl/main_test.go
+++ b/cmd/radishshelfctl/main_test.go
@@ -13,7 +13,7 @@
 	"github.com/radishshelf/radishshelf/configstore"
 	"github.com/radishshelf/radishshelf/configsync"
 	"github.com/radishshelf/radishshelf/operatorapi"
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // startEntry serves the operator interface of a fleet of one entry and returns its address.
--- a/configstore/change.go
+++ b/configstore/change.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 
 	"github.com/radishshelf/radishshelf/fleetconfig"
-	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/hosting"
 )
 
 // Change is one wanted change of an object.
@@ -17,7 +17,7 @@
 	// Expected is the revision that the object must have; 0 means that it must not exist.
 	Expected int64
 	// Guards are further conditions, such as the lease row of a role. When one fails the change is a *GuardError.
-	Guards []platform.Condition
+	Guards []hosting.Condition
 }
 
 func (c *Change) encode() (json.RawMessage, error) {
--- a/configstore/commit.go
+++ b/configstore/commit.go
@@ -12,7 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/radishshelf/radishshelf/fleetconfig"
-	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/hosting"
 )
 
 const (
@@ -42,8 +42,8 @@
 			return 0, a.classify(err)
 		}
 	}
-	return 0, a.classify(&platform.Error{
-		Kind: platform.KindUnavailable, Op: "configuration change", Remedy: "repeat the change later",
+	return 0, a.classify(&hosting.Error{
+		Kind: hosting.KindUnavailable, Op: "configuration change", Remedy: "repeat the change later",
 		Err: fmt.Errorf("other changes were faster %d times", maxAttempts),
 	})
 }
@@ -113,13 +113,13 @@
 	return a.change.validate(view, a.value)
 }
 
-func (a *attempt) commit(ctx context.Context, head, object platform.Row, next int64) (int64, bool, error) {
+func (a *attempt) commit(ctx context.Context, head, object hosting.Row, next int64) (int64, bool, error) {
 	txn, err := a.transaction(head, object, next)
 	if err != nil {
 		return 0, false, err
 	}
 	result, err := a.store.table.Commit(ctx, txn)
-	if platform.IsKind(err, platform.KindUnknown) {
+	if hosting.IsKind(err, hosting.KindUnknown) {
 		a.open = next
 		return 0, false, nil
 	}
@@ -132,12 +132,12 @@
 	return next, true, nil
 }
 
-func (a *attempt) transaction(head, object platform.Row, next int64) (platform.Txn, error) {
+func (a *attempt) transaction(head, object hosting.Row, next int64) (hosting.Txn, error) {
 	changed := fleetconfig.Object{
 		Kind: a.change.Kind, Name: a.change.Name, Revision: next, Value: a.value, Deleted: a.change.Delete,
 	}
 	key := objectKey(a.change.Kind, a.change.Name)
-	txn := platform.Txn{Conditions: append([]platform.Condition{
+	txn := hosting.Txn{Conditions: append([]hosting.Condition{
 		{Key: headKey, Revision: head.Revision},
 		{Key: key, Revision: object.Revision},
 	}, a.change.Guards...)}
@@ -149,13 +149,13 @@
 		if err != nil {
 			return txn, err
 		}
-		txn.Puts = append(txn.Puts, platform.Put{Key: put.key, Value: data})
+		txn.Puts = append(txn.Puts, hosting.Put{Key: put.key, Value: data})
 	}
 	return txn, nil
 }
 
 // failedGuard returns a *GuardError when a guard is among the conditions that failed.
-func (a *attempt) failedGuard(result platform.TxnResult) error {
+func (a *attempt) failedGuard(result hosting.TxnResult) error {
 	revisions := make(map[string]int64, len(result.Current))
 	for _, row := range result.Current {
 		revisions[row.Key] = row.Revision
@@ -173,21 +173,21 @@
 	if a.open == 0 {
 		return err
 	}
-	return &platform.Error{
-		Kind: platform.KindUnknown, Op: "configuration change", Err: err,
+	return &hosting.Error{
+		Kind: hosting.KindUnknown, Op: "configuration change", Err: err,
 		Remedy: fmt.Sprintf("the change may have been accepted as revision %d; read %s %q before repeating it",
 			a.open, a.change.Kind, a.change.Name),
 	}
 }
 
-func (s *Store) readObject(ctx context.Context, kind fleetconfig.Kind, name string) (platform.Row, fleetconfig.Object, error) {
+func (s *Store) readObject(ctx context.Context, kind fleetconfig.Kind, name string) (hosting.Row, fleetconfig.Object, error) {
 	var o fleetconfig.Object
 	row, err := s.table.Get(ctx, objectKey(kind, name))
-	if platform.IsKind(err, platform.KindNotFound) {
-		return platform.Row{}, o, nil
+	if hosting.IsKind(err, hosting.KindNotFound) {
+		return hosting.Row{}, o, nil
 	}
 	if err != nil {
-		return platform.Row{}, o, err
+		return hosting.Row{}, o, err
 	}
 	return row, o, decodeRow(row, &o)
 }
--- a/configstore/faulty_table_test.go
+++ b/configstore/faulty_table_test.go
@@ -6,35 +6,35 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/hosting"
 )
 
 // faultyTable loses replies of commits before, after or long before the commit takes effect.
 type faultyTable struct {
-	platform.Table
+	hosting.Table
 	t       *rapid.T
-	delayed []platform.Txn
+	delayed []hosting.Txn
 }
 
-func (f *faultyTable) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+func (f *faultyTable) Commit(ctx context.Context, txn hosting.Txn) (hosting.TxnResult, error) {
 	f.deliver(ctx)
-	lost := &platform.Error{Kind: platform.KindUnknown, Op: "table commit", Err: errors.New("reply lost")}
+	lost := &hosting.Error{Kind: hosting.KindUnknown, Op: "table commit", Err: errors.New("reply lost")}
 	switch rapid.IntRange(0, 4).Draw(f.t, "fault") {
 	case 0:
-		return platform.TxnResult{}, lost
+		return hosting.TxnResult{}, lost
 	case 1:
 		f.delayed = append(f.delayed, txn)
-		return platform.TxnResult{}, lost
+		return hosting.TxnResult{}, lost
 	case 2:
 		if _, err := f.Table.Commit(ctx, txn); err != nil {
-			return platform.TxnResult{}, err
+			return hosting.TxnResult{}, err
 		}
-		return platform.TxnResult{}, lost
+		return hosting.TxnResult{}, lost
 	}
 	return f.Table.Commit(ctx, txn)
 }
 
-func (f *faultyTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (f *faultyTable) Get(ctx context.Context, key string) (hosting.Row, error) {
 	f.deliver(ctx)
 	return f.Table.Get(ctx, key)
 }
--- a/configstore/outage_test.go
+++ b/configstore/outage_test.go
@@ -3,14 +3,14 @@
 import (
 	"context"
 
-	"github.com/radishshelf/radishshelf/platform"
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // outageAfterCommit switches the table off as soon as one commit was sent.
 type outageAfterCommit struct{ *memory.Table }
 
-func (o outageAfterCommit) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+func (o outageAfterCommit) Commit(ctx context.Context, txn hosting.Txn) (hosting.TxnResult, error) {
 	result, err := o.Table.Commit(ctx, txn)
 	o.Table.Faults.Set(memory.Faults{Outage: true})
 	return result, err
--- a/configstore/rows.go
+++ b/configstore/rows.go
@@ -7,7 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/radishshelf/radishshelf/fleetconfig"
-	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/hosting"
 )
 
 // Row keys.
@@ -36,7 +36,7 @@
 // logKey pads the revision, so that the order of keys is the order of revisions.
 func logKey(revision int64) string { return fmt.Sprintf("%s%019d", logPrefix, revision) }
 
-func decodeRow(row platform.Row, target any) error {
+func decodeRow(row hosting.Row, target any) error {
 	if err := json.Unmarshal(row.Value, target); err != nil {
 		return eris.Wrapf(err, "row %s is not understood; restore it from config/log", row.Key)
 	}
--- a/configstore/store.go
+++ b/configstore/store.go
@@ -5,7 +5,7 @@
 	"sync"
 
 	"github.com/radishshelf/radishshelf/fleetconfig"
-	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/hosting"
 )
 
 // pageRows is the number of rows that one scan asks for.
@@ -13,7 +13,7 @@
 
 // Store reads and changes the configuration objects in the table. Its methods may be called concurrently.
 type Store struct {
-	table platform.Table
+	table hosting.Table
 
 	// mu guards state, which is what changes are validated against.
 	mu    sync.Mutex
@@ -21,7 +21,7 @@
 }
 
 // New returns a store over table.
-func New(table platform.Table) *Store { return &Store{table: table, state: fleetconfig.NewState()} }
+func New(table hosting.Table) *Store { return &Store{table: table, state: fleetconfig.NewState()} }
 
 // Head returns the revision of the latest change; 0 when there was none.
 func (s *Store) Head(ctx context.Context) (int64, error) {
@@ -29,14 +29,14 @@
 	return head.Revision, err
 }
 
-func (s *Store) readHead(ctx context.Context) (platform.Row, headRow, error) {
+func (s *Store) readHead(ctx context.Context) (hosting.Row, headRow, error) {
 	var head headRow
 	row, err := s.table.Get(ctx, headKey)
-	if platform.IsKind(err, platform.KindNotFound) {
-		return platform.Row{}, head, nil
+	if hosting.IsKind(err, hosting.KindNotFound) {
+		return hosting.Row{}, head, nil
 	}
 	if err != nil {
-		return platform.Row{}, head, err
+		return hosting.Row{}, head, err
 	}
 	return row, head, decodeRow(row, &head)
 }
@@ -49,7 +49,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	err = s.scan(ctx, objectPrefix, objectPrefix, func(row platform.Row) error {
+	err = s.scan(ctx, objectPrefix, objectPrefix, func(row hosting.Row) error {
 		var o fleetconfig.Object
 		if err := decodeRow(row, &o); err != nil {
 			return err
@@ -63,7 +63,7 @@
 // Since returns the changes after revision in order; they are complete up to through.
 func (s *Store) Since(ctx context.Context, revision int64) (objects []fleetconfig.Object, through int64, err error) {
 	through = revision
-	err = s.scan(ctx, logPrefix, logKey(revision), func(row platform.Row) error {
+	err = s.scan(ctx, logPrefix, logKey(revision), func(row hosting.Row) error {
 		var entry logRow
 		if err := decodeRow(row, &entry); err != nil {
 			return err
@@ -75,7 +75,7 @@
 	return objects, through, err
 }
 
-func (s *Store) scan(ctx context.Context, prefix, after string, visit func(platform.Row) error) error {
+func (s *Store) scan(ctx context.Context, prefix, after string, visit func(hosting.Row) error) error {
 	for {
 		rows, err := s.table.Scan(ctx, prefix, after, pageRows)
 		if err != nil {
--- a/configstore/store_test.go
+++ b/configstore/store_test.go
@@ -12,9 +12,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/radishshelf/radishshelf/fleetconfig"
-	"github.com/radishshelf/radishshelf/platform"
-	"github.com/radishshelf/radishshelf/platform/httpapi"
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/standin/httpapi"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // Guards against two racing operators both being told that their change of one object was accepted, and against a
@@ -87,11 +87,11 @@
 	mem.Table.Faults.Set(memory.Faults{LoseReplies: memory.LoseAllReplies})
 	store := New(outageAfterCommit{mem.Table})
 	_, err := store.Write(t.Context(), fleetconfig.KindPolicy, "p", fleetconfig.Policy{}, 0)
-	if !platform.IsKind(err, platform.KindUnknown) {
+	if !hosting.IsKind(err, hosting.KindUnknown) {
 		t.Fatalf("Write = %v; want unknown", err)
 	}
 	mem.Table.Faults.Set(memory.Faults{Outage: true})
-	if _, err := store.Write(t.Context(), fleetconfig.KindPolicy, "p", fleetconfig.Policy{}, 0); !platform.IsKind(err, platform.KindUnavailable) {
+	if _, err := store.Write(t.Context(), fleetconfig.KindPolicy, "p", fleetconfig.Policy{}, 0); !hosting.IsKind(err, hosting.KindUnavailable) {
 		t.Fatalf("Write during an outage = %v; want unavailable", err)
 	}
 }
@@ -146,7 +146,7 @@
 	}
 	if _, err := store.Commit(ctx, Change{
 		Kind: fleetconfig.KindPolicy, Name: "c", Value: fleetconfig.Policy{},
-		Guards: []platform.Condition{{Key: "lease/rollout", Revision: 5}},
+		Guards: []hosting.Condition{{Key: "lease/rollout", Revision: 5}},
 	}); !errors.As(err, new(*GuardError)) {
 		t.Errorf("Commit with a failed guard = %v", err)
 	}
--- a/configsync/fuzz_test.go
+++ b/configsync/fuzz_test.go
@@ -8,8 +8,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/radishshelf/radishshelf/configstore"
-	"github.com/radishshelf/radishshelf/platform/memory"
 	"github.com/radishshelf/radishshelf/rpc"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // Guards against a message of a peer that stops the entry, or that makes an old confirmation count as a new one, which
--- a/configsync/network_test.go
+++ b/configsync/network_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/radishshelf/radishshelf/configstore"
 	"github.com/radishshelf/radishshelf/fleetconfig"
-	"github.com/radishshelf/radishshelf/platform/memory"
 	"github.com/radishshelf/radishshelf/rpc"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // network connects entries in one process. A call over a cut link hangs until its deadline.
--- a/configsync/syncer_test.go
+++ b/configsync/syncer_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/radishshelf/radishshelf/fleetconfig"
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 var centres = []string{"sudur", "nordur", "austur"}
--- a/configsync/twirp_test.go
+++ b/configsync/twirp_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/radishshelf/radishshelf/configstore"
 	"github.com/radishshelf/radishshelf/fleetconfig"
-	"github.com/radishshelf/radishshelf/platform/memory"
 	"github.com/radishshelf/radishshelf/rpc"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // counter is a Participant that sends one quarantined fingerprint and counts the messages that carry one.
--- a/docs/settings_test.go
+++ b/docs/settings_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/radishshelf/radishshelf/agent"
 	"github.com/radishshelf/radishshelf/entry"
-	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/settings"
 	"github.com/radishshelf/radishshelf/standin/engine"
 	standin "github.com/radishshelf/radishshelf/standin/platform"
@@ -22,7 +22,7 @@
 	for heading, value := range map[string]any{
 		"Common fields": settings.Common{}, "TLS": settings.TLS{}, "radishshelf-entry": entry.DefaultSettings(),
 		"radishshelf-agent": agent.DefaultSettings(), "standin-platform": standin.Settings{},
-		"Hosts of standin-platform": platform.Host{}, "standin-engine": engine.Defaults(),
+		"Hosts of standin-platform": hosting.Host{}, "standin-engine": engine.Defaults(),
 		"standin-service": service.Settings{}, "standin-trainer": trainer.Defaults(),
 	} {
 		t.Run(heading, func(t *testing.T) {
--- /dev/null
+++ b/hosting/hosts.go
@@ -0,0 +1,39 @@
+package hosting
+
+import "context"
+
+// HostState is the state of a host in the platform's list.
+type HostState string
+
+const (
+	// HostLive hosts are running.
+	HostLive HostState = "live"
+	// HostLeaving hosts will be stopped.
+	HostLeaving HostState = "leaving"
+)
+
+// HostRole says which program runs on the host.
+type HostRole string
+
+const (
+	// HostEntry runs radishshelf-entry.
+	HostEntry HostRole = "entry"
+	// HostUpstream runs an upstream and its radishshelf-agent.
+	HostUpstream HostRole = "upstream"
+)
+
+// Host is one line of the platform's host list, which lags by tens of seconds.
+type Host struct {
+	Name string `json:"name"`
+	// Address is the entry's peer address or the agent's data address, as host:port.
+	Address    string    `json:"address"`
+	DataCentre string    `json:"data_centre"`
+	Region     string    `json:"region"`
+	Role       HostRole  `json:"role"`
+	State      HostState `json:"state"`
+}
+
+// Hosts is the lagging list of live and leaving hosts.
+type Hosts interface {
+	List(ctx context.Context) ([]Host, error)
+}
--- a/idempotency/claim.go
+++ b/idempotency/claim.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 
-	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/hosting"
 )
 
 // Claim is a claim row that this process wrote. Exactly one of Release and Finish ends it; a claim that is not ended
@@ -20,8 +20,8 @@
 func (c *Claim) Release(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
-	_, err := c.store.table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: c.key, Revision: c.revision}}, Deletes: []string{c.key},
+	_, err := c.store.table.Commit(ctx, hosting.Txn{
+		Conditions: []hosting.Condition{{Key: c.key, Revision: c.revision}}, Deletes: []string{c.key},
 	})
 	return err
 }
@@ -40,9 +40,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
-	_, err = c.store.table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: c.key, Revision: c.revision}},
-		Puts:       []platform.Put{{Key: c.key, Value: value}},
+	_, err = c.store.table.Commit(ctx, hosting.Txn{
+		Conditions: []hosting.Condition{{Key: c.key, Revision: c.revision}},
+		Puts:       []hosting.Put{{Key: c.key, Value: value}},
 	})
 	return err
 }
--- a/idempotency/store.go
+++ b/idempotency/store.go
@@ -11,8 +11,8 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
 
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/outcome"
-	"github.com/radishshelf/radishshelf/platform"
 )
 
 const (
@@ -36,13 +36,13 @@
 
 // Store claims requests in the table.
 type Store struct {
-	table   platform.Table
+	table   hosting.Table
 	entry   string
 	limiter *rate.Limiter
 }
 
 // NewStore returns a store for one entry that writes at most claimsPerSecond claims.
-func NewStore(table platform.Table, entry string, claimsPerSecond float64) *Store {
+func NewStore(table hosting.Table, entry string, claimsPerSecond float64) *Store {
 	burst := max(1, int(claimsPerSecond))
 	return &Store{table: table, entry: entry, limiter: rate.NewLimiter(rate.Limit(claimsPerSecond), burst)}
 }
@@ -64,10 +64,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
-	result, err := s.table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: key}}, Puts: []platform.Put{{Key: key, Value: value}},
+	result, err := s.table.Commit(ctx, hosting.Txn{
+		Conditions: []hosting.Condition{{Key: key}}, Puts: []hosting.Put{{Key: key, Value: value}},
 	})
-	if platform.IsKind(err, platform.KindUnknown) {
+	if hosting.IsKind(err, hosting.KindUnknown) {
 		return s.lookup(ctx, key, r, row.Owner)
 	}
 	if err != nil {
@@ -89,7 +89,7 @@
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	current, err := s.table.Get(ctx, key)
-	if platform.IsKind(err, platform.KindNotFound) {
+	if hosting.IsKind(err, hosting.KindNotFound) {
 		return nil, nil, tooManyClaims()
 	}
 	if err != nil {
@@ -107,7 +107,7 @@
 	return s.resolve(key, current, r, owner)
 }
 
-func (s *Store) resolve(key string, current platform.Row, r Request, owner string) (*Claim, *Answer, error) {
+func (s *Store) resolve(key string, current hosting.Row, r Request, owner string) (*Claim, *Answer, error) {
 	var existing Row
 	if err := json.Unmarshal(current.Value, &existing); err != nil {
 		return nil, nil, storeDown(eris.Wrapf(err, "row %s cannot be read", key))
--- a/idempotency/store_test.go
+++ b/idempotency/store_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/radishshelf/radishshelf/outcome"
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 func newStores(p *memory.Platform) (a, b *Store) {
--- a/idempotency/sweeper.go
+++ b/idempotency/sweeper.go
@@ -7,7 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/hosting"
 )
 
 const (
@@ -24,14 +24,14 @@
 // Sweeper deletes old claim rows in bounded steps. Any number of sweepers may run: each deletion names the revision
 // that it read, so a row that changed stays.
 type Sweeper struct {
-	table platform.Table
+	table hosting.Table
 	now   func() time.Time
 	// after is the last row of the previous step; the sweep starts again behind the last row.
 	after string
 }
 
 // NewSweeper returns a sweeper that starts at the first row.
-func NewSweeper(table platform.Table, now func() time.Time) *Sweeper {
+func NewSweeper(table hosting.Table, now func() time.Time) *Sweeper {
 	return &Sweeper{table: table, now: now}
 }
 
@@ -64,10 +64,10 @@
 		s.after = ""
 		return 0, nil
 	}
-	var txn platform.Txn
+	var txn hosting.Txn
 	for _, row := range rows {
 		if s.old(row) {
-			txn.Conditions = append(txn.Conditions, platform.Condition{Key: row.Key, Revision: row.Revision})
+			txn.Conditions = append(txn.Conditions, hosting.Condition{Key: row.Key, Revision: row.Revision})
 			txn.Deletes = append(txn.Deletes, row.Key)
 		}
 	}
@@ -81,7 +81,7 @@
 }
 
 // old reports whether a row has outlived its retention. A row that cannot be read or has no time is kept.
-func (s *Sweeper) old(row platform.Row) bool {
+func (s *Sweeper) old(row hosting.Row) bool {
 	var r Row
 	if json.Unmarshal(row.Value, &r) != nil || r.ClaimedAt.IsZero() {
 		return false
--- a/idempotency/sweeper_test.go
+++ b/idempotency/sweeper_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
-	"github.com/radishshelf/radishshelf/platform"
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // Guards against claim rows that fill the table for ever, and against the deletion of a claim that callers may still
@@ -40,7 +40,7 @@
 	if n := sweep(); n != claims {
 		t.Fatalf("deleted %d old rows, want %d", n, claims)
 	}
-	if _, err := p.Table.Get(t.Context(), RowKey("verband", "key-1")); !platform.IsKind(err, platform.KindNotFound) {
+	if _, err := p.Table.Get(t.Context(), RowKey("verband", "key-1")); !hosting.IsKind(err, hosting.KindNotFound) {
 		t.Fatalf("an old row is still there: %v", err)
 	}
 }
--- a/lotstore/add.go
+++ b/lotstore/add.go
@@ -7,9 +7,9 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/lots"
 	"github.com/radishshelf/radishshelf/outcome"
-	"github.com/radishshelf/radishshelf/platform"
 	"github.com/radishshelf/radishshelf/samples"
 )
 
@@ -60,7 +60,7 @@
 		return err
 	}
 	result, err := s.opts.Table.Commit(ctx, txn)
-	if platform.IsKind(err, platform.KindUnknown) {
+	if hosting.IsKind(err, hosting.KindUnknown) {
 		return s.settleGroup(ctx, key, err)
 	}
 	if err != nil {
@@ -74,18 +74,18 @@
 	return nil
 }
 
-func groupTxn(key string, row groupRow) (platform.Txn, error) {
+func groupTxn(key string, row groupRow) (hosting.Txn, error) {
 	groupValue, err := json.Marshal(row)
 	if err != nil {
-		return platform.Txn{}, eris.Wrapf(err, "encode %s", key)
+		return hosting.Txn{}, eris.Wrapf(err, "encode %s", key)
 	}
 	readyValue, err := json.Marshal(row.Ready)
 	if err != nil {
-		return platform.Txn{}, eris.Wrapf(err, "encode %s", row.Ready.Key)
+		return hosting.Txn{}, eris.Wrapf(err, "encode %s", row.Ready.Key)
 	}
-	return platform.Txn{
-		Conditions: []platform.Condition{{Key: key}},
-		Puts:       []platform.Put{{Key: key, Value: groupValue}, {Key: row.Ready.Key, Value: readyValue}},
+	return hosting.Txn{
+		Conditions: []hosting.Condition{{Key: key}},
+		Puts:       []hosting.Put{{Key: key, Value: groupValue}, {Key: row.Ready.Key, Value: readyValue}},
 	}, nil
 }
 
@@ -100,7 +100,7 @@
 
 // isPermanent reports whether repeating the call cannot help.
 func isPermanent(err error) bool {
-	return platform.IsKind(err, platform.KindInvalid)
+	return hosting.IsKind(err, hosting.KindInvalid)
 }
 
 func refuseFull(cause error) error {
--- a/lotstore/clean.go
+++ b/lotstore/clean.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/lots"
-	"github.com/radishshelf/radishshelf/platform"
 )
 
 // cleanSteps bounds the lots and discard rows deleted in one cleanup of a trainer.
@@ -64,7 +64,7 @@
 	}
 	next := head.Head
 	next.Cleaned = number
-	return true, s.commitHead(ctx, head, next, platform.Txn{Deletes: []string{lotKey(trainer, number)}})
+	return true, s.commitHead(ctx, head, next, hosting.Txn{Deletes: []string{lotKey(trainer, number)}})
 }
 
 func (s *Store) cleanDiscards(ctx context.Context, trainer string, head *headState) (bool, error) {
@@ -85,7 +85,7 @@
 	}
 	next := head.Head
 	next.DiscardsCleaned = number
-	return true, s.commitHead(ctx, head, next, platform.Txn{Deletes: []string{discardKey(trainer, number)}})
+	return true, s.commitHead(ctx, head, next, hosting.Txn{Deletes: []string{discardKey(trainer, number)}})
 }
 
 // deleteGroups deletes group rows under the condition that the head is unchanged: once it has moved, another cleanup
@@ -95,14 +95,14 @@
 	for _, g := range groups {
 		keys = append(keys, groupKey(trainer, g.Group))
 	}
-	return s.deleteAll(ctx, keys, []platform.Condition{{Key: head.key, Revision: head.revision}})
+	return s.deleteAll(ctx, keys, []hosting.Condition{{Key: head.key, Revision: head.revision}})
 }
 
 // deleteAll deletes rows, a bounded number in each transaction.
-func (s *Store) deleteAll(ctx context.Context, keys []string, conditions []platform.Condition) error {
+func (s *Store) deleteAll(ctx context.Context, keys []string, conditions []hosting.Condition) error {
 	for chunk := range slices.Chunk(keys, deleteRows) {
-		result, err := s.opts.Table.Commit(ctx, platform.Txn{Conditions: conditions, Deletes: chunk})
-		if platform.IsKind(err, platform.KindUnknown) {
+		result, err := s.opts.Table.Commit(ctx, hosting.Txn{Conditions: conditions, Deletes: chunk})
+		if hosting.IsKind(err, hosting.KindUnknown) {
 			return errChanged
 		}
 		if err != nil {
--- a/lotstore/form.go
+++ b/lotstore/form.go
@@ -8,8 +8,8 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/lots"
-	"github.com/radishshelf/radishshelf/platform"
 	"github.com/radishshelf/radishshelf/samples"
 )
 
@@ -50,9 +50,9 @@
 	if err != nil {
 		return err
 	}
-	return s.commitHead(ctx, head, next, platform.Txn{
-		Conditions: []platform.Condition{{Key: put.Key}},
-		Puts:       []platform.Put{put},
+	return s.commitHead(ctx, head, next, hosting.Txn{
+		Conditions: []hosting.Condition{{Key: put.Key}},
+		Puts:       []hosting.Put{put},
 	})
 }
 
@@ -109,7 +109,7 @@
 		if err != nil {
 			return err
 		}
-		txn := platform.Txn{Puts: []platform.Put{put}}
+		txn := hosting.Txn{Puts: []hosting.Put{put}}
 		for _, g := range chunk {
 			txn.Deletes = append(txn.Deletes, g.Key)
 		}
--- a/lotstore/head.go
+++ b/lotstore/head.go
@@ -6,8 +6,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/lots"
-	"github.com/radishshelf/radishshelf/platform"
 )
 
 // headState is a trainer's head as read or as last written by this pull.
@@ -20,7 +20,7 @@
 func (s *Store) readHead(ctx context.Context, trainer string) (*headState, error) {
 	state := &headState{key: headKey(trainer)}
 	revision, err := s.readJSON(ctx, state.key, &state.Head)
-	if platform.IsKind(err, platform.KindNotFound) {
+	if hosting.IsKind(err, hosting.KindNotFound) {
 		return state, nil
 	}
 	state.revision = revision
@@ -35,15 +35,15 @@
 
 // commitHead replaces the head together with the rows of txn, and updates state. It returns errChanged when the head
 // has changed or the reply was lost.
-func (s *Store) commitHead(ctx context.Context, state *headState, next lots.Head, txn platform.Txn) error {
+func (s *Store) commitHead(ctx context.Context, state *headState, next lots.Head, txn hosting.Txn) error {
 	put, err := jsonPut(state.key, next)
 	if err != nil {
 		return err
 	}
-	txn.Conditions = append(txn.Conditions, platform.Condition{Key: state.key, Revision: state.revision})
+	txn.Conditions = append(txn.Conditions, hosting.Condition{Key: state.key, Revision: state.revision})
 	txn.Puts = append(txn.Puts, put)
 	result, err := s.opts.Table.Commit(ctx, txn)
-	if platform.IsKind(err, platform.KindUnknown) {
+	if hosting.IsKind(err, hosting.KindUnknown) {
 		return errChanged
 	}
 	if err != nil {
@@ -68,10 +68,10 @@
 	return row.Revision, nil
 }
 
-func jsonPut(key string, value any) (platform.Put, error) {
+func jsonPut(key string, value any) (hosting.Put, error) {
 	data, err := json.Marshal(value)
 	if err != nil {
-		return platform.Put{}, eris.Wrapf(err, "encode %s", key)
+		return hosting.Put{}, eris.Wrapf(err, "encode %s", key)
 	}
-	return platform.Put{Key: key, Value: data}, nil
+	return hosting.Put{Key: key, Value: data}, nil
 }
--- a/lotstore/model_test.go
+++ b/lotstore/model_test.go
@@ -15,10 +15,10 @@
 	"pgregory.net/rapid"
 
 	"github.com/radishshelf/radishshelf/dataplane"
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/lots"
-	"github.com/radishshelf/radishshelf/platform"
-	"github.com/radishshelf/radishshelf/platform/memory"
 	"github.com/radishshelf/radishshelf/samples"
+	"github.com/radishshelf/radishshelf/standin/memory"
 	"github.com/radishshelf/radishshelf/telemetry"
 )
 
@@ -38,15 +38,15 @@
 
 // interleaver runs another action before one commit, to place it between the reads and the write of a call.
 type interleaver struct {
-	platform.Table
+	hosting.Table
 	skip int
 	then func()
 	// delay is the number of coming commits whose reply is lost and that take effect at deliver, if at all.
 	delay   int
-	delayed []platform.Txn
+	delayed []hosting.Txn
 }
 
-func (i *interleaver) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+func (i *interleaver) Commit(ctx context.Context, txn hosting.Txn) (hosting.TxnResult, error) {
 	if then := i.then; then != nil {
 		if i.skip == 0 {
 			i.then = nil
@@ -57,7 +57,7 @@
 	if i.delay > 0 {
 		i.delay--
 		i.delayed = append(i.delayed, txn)
-		return platform.TxnResult{}, &platform.Error{Kind: platform.KindUnknown, Op: "table commit"}
+		return hosting.TxnResult{}, &hosting.Error{Kind: hosting.KindUnknown, Op: "table commit"}
 	}
 	return i.Table.Commit(ctx, txn)
 }
@@ -112,11 +112,11 @@
 	w.entries[i] = newSpecStore(w.spec, w.table, w.platform.Objects, func() (Holder, bool) { return w.entries[1-i], true })
 }
 
-func newTestStore(table platform.Table, objects platform.Objects, peer func() (Holder, bool)) *Store {
+func newTestStore(table hosting.Table, objects hosting.Objects, peer func() (Holder, bool)) *Store {
 	return newSpecStore(testSpec, table, objects, peer)
 }
 
-func newSpecStore(spec lots.Spec, table platform.Table, objects platform.Objects, peer func() (Holder, bool)) *Store {
+func newSpecStore(spec lots.Spec, table hosting.Table, objects hosting.Objects, peer func() (Holder, bool)) *Store {
 	return New(Options{
 		Table: table, Objects: objects, Peer: peer, Name: "test", MaxWaitingBytes: 20_000, Retention: time.Hour,
 		Spec: func(string) (lots.Spec, bool) { return spec, true },
--- a/lotstore/options.go
+++ b/lotstore/options.go
@@ -5,8 +5,8 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/lots"
-	"github.com/radishshelf/radishshelf/platform"
 	"github.com/radishshelf/radishshelf/telemetry"
 )
 
@@ -41,8 +41,8 @@
 
 // Options configures a Store.
 type Options struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   hosting.Table
+	Objects hosting.Objects
 	// Spec returns what a trainer has agreed, or false for an unknown trainer.
 	Spec func(trainer string) (lots.Spec, bool)
 	// Peer returns a live entry to hold copies, or false when there is none. It may be nil.
--- a/lotstore/outage_test.go
+++ b/lotstore/outage_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/radishshelf/radishshelf/lots"
 	"github.com/radishshelf/radishshelf/outcome"
-	"github.com/radishshelf/radishshelf/platform/memory"
 	"github.com/radishshelf/radishshelf/rpc"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // Guards against an acknowledgement before the group is durable, unbounded memory, and rollout work that is taken while
--- a/lotstore/property_test.go
+++ b/lotstore/property_test.go
@@ -11,8 +11,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/radishshelf/radishshelf/lots"
-	"github.com/radishshelf/radishshelf/platform/memory"
 	"github.com/radishshelf/radishshelf/samples"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // bubbleTB hides the deadline of the test, which rapid asks for and synctest forbids to ask.
--- a/lotstore/pull.go
+++ b/lotstore/pull.go
@@ -6,8 +6,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/lots"
-	"github.com/radishshelf/radishshelf/platform"
 )
 
 // ErrUnknownTrainer means that the configuration has no trainer of that name.
@@ -26,7 +26,7 @@
 }
 
 // Pull acknowledges all lots up to after and returns the next lot and its content. A repeated pull returns the same
-// bytes. Errors are lots.ErrNotReady, *lots.VoidError, *lots.SequenceError, ErrUnknownTrainer or wrap a platform.Error.
+// bytes. Errors are lots.ErrNotReady, *lots.VoidError, *lots.SequenceError, ErrUnknownTrainer or wrap a hosting.Error.
 func (s *Store) Pull(ctx context.Context, trainer string, after, step int64) (lots.Lot, []byte, error) {
 	spec, ok := s.opts.Spec(trainer)
 	if !ok {
@@ -41,8 +41,8 @@
 		}
 		return lot, content, err
 	}
-	return lots.Lot{}, nil, &platform.Error{
-		Kind: platform.KindUnavailable, Op: "lot pull", Err: errChanged, Remedy: "pull again",
+	return lots.Lot{}, nil, &hosting.Error{
+		Kind: hosting.KindUnavailable, Op: "lot pull", Err: errChanged, Remedy: "pull again",
 	}
 }
 
@@ -99,9 +99,9 @@
 	if err != nil {
 		return err
 	}
-	err = s.commitHead(ctx, head, next.At(p.step), platform.Txn{
-		Conditions: []platform.Condition{{Key: put.Key, Revision: revision}},
-		Puts:       []platform.Put{put},
+	err = s.commitHead(ctx, head, next.At(p.step), hosting.Txn{
+		Conditions: []hosting.Condition{{Key: put.Key, Revision: revision}},
+		Puts:       []hosting.Put{put},
 	})
 	if err != nil {
 		return err
@@ -126,7 +126,7 @@
 	}
 	next := head.Acknowledge(lot).At(p.step)
 	next.Swept = lot.Number
-	return s.commitHead(ctx, head, next, platform.Txn{})
+	return s.commitHead(ctx, head, next, hosting.Txn{})
 }
 
 // sweep deletes the ready rows of a lot. Their keys are never used again, so a repeated or late deletion is harmless.
--- a/lotstore/room_test.go
+++ b/lotstore/room_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/radishshelf/radishshelf/lots"
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // Guards against rollout groups that are generated although enough samples wait, against a trainer that gets no more
--- a/lotstore/staleness_test.go
+++ b/lotstore/staleness_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // Guards against a staleness metric that leaves out a hand-over or shows another age than that of the oldest sample.
--- a/lotstore/store.go
+++ b/lotstore/store.go
@@ -9,7 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/hosting"
 )
 
 // Store adds groups and serves pulls. It is safe for concurrent use; Run must be running.
@@ -61,8 +61,8 @@
 	}
 	sum := sha256.Sum256(content)
 	if hex.EncodeToString(sum[:]) != key {
-		return nil, &platform.Error{
-			Kind: platform.KindInvalid, Op: "object get", Err: fmt.Errorf("content of %s has another hash", key),
+		return nil, &hosting.Error{
+			Kind: hosting.KindInvalid, Op: "object get", Err: fmt.Errorf("content of %s has another hash", key),
 			Remedy: "check the object store for damage",
 		}
 	}
--- a/measure/orderplatform.go
+++ b/measure/orderplatform.go
@@ -4,9 +4,9 @@
 	"context"
 	"errors"
 
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/ordering"
-	"github.com/radishshelf/radishshelf/platform"
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // orderPlatform takes orders for the pools and loses replies. It does not check terms.
@@ -43,13 +43,13 @@
 }
 
 func lostReply(op string) error {
-	return &platform.Error{
-		Kind: platform.KindUnknown, Op: op, Err: errors.New("the reply was lost"), Remedy: "look the result up",
+	return &hosting.Error{
+		Kind: hosting.KindUnknown, Op: op, Err: errors.New("the reply was lost"), Remedy: "look the result up",
 	}
 }
 
-// Place implements platform.Orders.
-func (p *orderPlatform) Place(ctx context.Context, order platform.Order) error {
+// Place implements hosting.Orders.
+func (p *orderPlatform) Place(ctx context.Context, order hosting.Order) error {
 	fails, effect := p.lose()
 	if effect {
 		if err := p.orders.Place(ctx, order); err != nil {
@@ -63,7 +63,7 @@
 	return nil
 }
 
-func (p *orderPlatform) take(order platform.Order) {
+func (p *orderPlatform) take(order hosting.Order) {
 	if p.known[order.ID] {
 		return
 	}
@@ -88,10 +88,10 @@
 	state.inForce = order.Count
 }
 
-// Lookup implements platform.Orders.
-func (p *orderPlatform) Lookup(ctx context.Context, id string) (platform.Order, error) {
+// Lookup implements hosting.Orders.
+func (p *orderPlatform) Lookup(ctx context.Context, id string) (hosting.Order, error) {
 	if fails, _ := p.lose(); fails {
-		return platform.Order{}, lostReply("order lookup")
+		return hosting.Order{}, lostReply("order lookup")
 	}
 	return p.orders.Lookup(ctx, id)
 }
@@ -102,15 +102,15 @@
 	platform *orderPlatform
 }
 
-// Commit implements platform.Table.
-func (t *lossyTable) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+// Commit implements hosting.Table.
+func (t *lossyTable) Commit(ctx context.Context, txn hosting.Txn) (hosting.TxnResult, error) {
 	fails, effect := t.platform.lose()
 	if !effect {
-		return platform.TxnResult{}, lostReply("table commit")
+		return hosting.TxnResult{}, lostReply("table commit")
 	}
 	result, err := t.Table.Commit(ctx, txn)
 	if fails && err == nil {
-		return platform.TxnResult{}, lostReply("table commit")
+		return hosting.TxnResult{}, lostReply("table commit")
 	}
 	return result, err
 }
--- a/measure/ordersender.go
+++ b/measure/ordersender.go
@@ -8,9 +8,9 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/ordering"
 	"github.com/radishshelf/radishshelf/ordermanager"
-	"github.com/radishshelf/radishshelf/platform"
 )
 
 // The role changes its holder after a tenure, and after a share of the failed rounds, so that some orders are finished
@@ -59,8 +59,8 @@
 func (m *managedSender) take() {
 	m.term++
 	m.until = m.run.sim.Now().Add(ordersTenure)
-	result, err := m.run.platform.table.Commit(context.Background(), platform.Txn{
-		Puts: []platform.Put{{Key: ordersLease, Value: []byte(fmt.Sprint(m.term))}},
+	result, err := m.run.platform.table.Commit(context.Background(), hosting.Txn{
+		Puts: []hosting.Put{{Key: ordersLease, Value: []byte(fmt.Sprint(m.term))}},
 	})
 	if err != nil {
 		panic(err) // the in-memory table is up and this write bypasses the lost replies
@@ -84,8 +84,8 @@
 func (t tenure) MayAct(time.Time) (int64, bool) { return t.term, true }
 
 // Guard implements roles.Authority.
-func (t tenure) Guard() (platform.Condition, bool) {
-	return platform.Condition{Key: ordersLease, Revision: t.revision}, true
+func (t tenure) Guard() (hosting.Condition, bool) {
+	return hosting.Condition{Key: ordersLease, Revision: t.revision}, true
 }
 
 // instantSender orders whatever the load of the second needs, again with a new identity until a reply comes.
@@ -112,7 +112,7 @@
 			continue
 		}
 		s.serial++
-		err := s.run.platform.Place(context.Background(), platform.Order{
+		err := s.run.platform.Place(context.Background(), hosting.Order{
 			ID: fmt.Sprint(s.serial), DataCentre: signal.Pool.DataCentre, Kind: signal.Pool.Kind, Count: count,
 		})
 		if err == nil {
--- a/operatorapi/api_test.go
+++ b/operatorapi/api_test.go
@@ -15,7 +15,7 @@
 	"github.com/radishshelf/radishshelf/configsync"
 	"github.com/radishshelf/radishshelf/fleetconfig"
 	"github.com/radishshelf/radishshelf/operatorclient"
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 type fixture struct {
--- a/operatorapi/fuzz_test.go
+++ b/operatorapi/fuzz_test.go
@@ -15,7 +15,7 @@
 	"github.com/radishshelf/radishshelf/configstore"
 	"github.com/radishshelf/radishshelf/configsync"
 	"github.com/radishshelf/radishshelf/operatorclient"
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // Guards against an operator's body, name or parameter that stops the entry, or that is refused without a remedy.
--- a/operatorapi/keys.go
+++ b/operatorapi/keys.go
@@ -17,8 +17,8 @@
 
 	"github.com/radishshelf/radishshelf/configstore"
 	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/operatorclient"
-	"github.com/radishshelf/radishshelf/platform"
 )
 
 // secretPrefix lets scanners of source code recognise a leaked key.
@@ -43,7 +43,7 @@
 		GrantedAt: time.Now().UTC().Format(time.RFC3339),
 	}
 	revision, err := a.opts.Writer.Write(ctx.Request().Context(), fleetconfig.KindKey, id, key, 0)
-	if platform.IsKind(err, platform.KindUnknown) {
+	if hosting.IsKind(err, hosting.KindUnknown) {
 		refuse(ctx, iris.StatusGatewayTimeout, &operatorclient.Error{
 			Kind: operatorclient.KindUnknown, Message: "key " + id + " may have been granted: " + err.Error(),
 			Remedy: "its secret is lost; grant another key, and withdraw " + id + " if it is listed",
@@ -86,7 +86,7 @@
 		key.Withdrawn = true
 		revision, err = a.opts.Writer.Write(ctx, fleetconfig.KindKey, current.Name, key, current.Revision)
 		var conflict *configstore.ConflictError
-		if !errors.As(err, &conflict) || platform.IsKind(err, platform.KindUnknown) || conflict.Current.Deleted {
+		if !errors.As(err, &conflict) || hosting.IsKind(err, hosting.KindUnknown) || conflict.Current.Deleted {
 			return revision, err
 		}
 		current = conflict.Current
--- a/operatorapi/refusal.go
+++ b/operatorapi/refusal.go
@@ -7,8 +7,8 @@
 
 	"github.com/radishshelf/radishshelf/configstore"
 	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/operatorclient"
-	"github.com/radishshelf/radishshelf/platform"
 )
 
 // retryAfterSeconds is when to repeat a change that the table could not take.
@@ -18,7 +18,7 @@
 func refuseChange(ctx iris.Context, err error) {
 	var conflict *configstore.ConflictError
 	switch {
-	case platform.IsKind(err, platform.KindUnknown):
+	case hosting.IsKind(err, hosting.KindUnknown):
 		refuse(ctx, iris.StatusGatewayTimeout, &operatorclient.Error{
 			Kind: operatorclient.KindUnknown, Message: err.Error(), Remedy: "read the object before you repeat the change",
 		})
--- a/ordermanager/gate_test.go
+++ b/ordermanager/gate_test.go
@@ -6,7 +6,7 @@
 	"sync"
 	"testing/synctest"
 
-	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/hosting"
 )
 
 // gate stands between a host and everything outside it. A frozen host is stopped directly before its next call leaves,
@@ -90,32 +90,32 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.killed {
-		return &platform.Error{Kind: platform.KindUnavailable, Op: "gate", Err: errors.New("the host is dead")}
+		return &hosting.Error{Kind: hosting.KindUnavailable, Op: "gate", Err: errors.New("the host is dead")}
 	}
 	return nil
 }
 
 // gatedTable passes table calls through the gate.
 type gatedTable struct {
-	platform.Table
+	hosting.Table
 	gate *gate
 }
 
-func (t *gatedTable) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+func (t *gatedTable) Commit(ctx context.Context, txn hosting.Txn) (hosting.TxnResult, error) {
 	if err := t.gate.pass(); err != nil {
-		return platform.TxnResult{}, err
+		return hosting.TxnResult{}, err
 	}
 	return t.Table.Commit(context.WithoutCancel(ctx), txn)
 }
 
-func (t *gatedTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t *gatedTable) Get(ctx context.Context, key string) (hosting.Row, error) {
 	if err := t.gate.pass(); err != nil {
-		return platform.Row{}, err
+		return hosting.Row{}, err
 	}
 	return t.Table.Get(ctx, key)
 }
 
-func (t *gatedTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *gatedTable) Scan(ctx context.Context, prefix, after string, limit int) ([]hosting.Row, error) {
 	if err := t.gate.pass(); err != nil {
 		return nil, err
 	}
--- a/ordermanager/intent.go
+++ b/ordermanager/intent.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/ordering"
-	"github.com/radishshelf/radishshelf/platform"
 )
 
 // intentPrefix is the key prefix of the intent rows; there is one row for each pool.
@@ -36,8 +36,8 @@
 func (i Intent) key() string { return intentPrefix + i.Pool.String() }
 
 // order returns the order under the fixed identity and the present holder's term.
-func (i Intent) order(term int64) platform.Order {
-	return platform.Order{
+func (i Intent) order(term int64) hosting.Order {
+	return hosting.Order{
 		ID:         fmt.Sprintf("%s#%d", i.Pool, i.Generation),
 		DataCentre: i.Pool.DataCentre, Kind: i.Pool.Kind, Count: i.Count, Term: term,
 	}
--- a/ordermanager/manager.go
+++ b/ordermanager/manager.go
@@ -8,8 +8,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/ordering"
-	"github.com/radishshelf/radishshelf/platform"
 	"github.com/radishshelf/radishshelf/roles"
 )
 
@@ -143,7 +143,7 @@
 	ctx, cancel := context.WithTimeout(ctx, m.opts.CallTimeout)
 	defer cancel()
 	_, err := m.opts.Orders.Lookup(ctx, intent.order(0).ID)
-	if platform.IsKind(err, platform.KindNotFound) {
+	if hosting.IsKind(err, hosting.KindNotFound) {
 		return false, nil
 	}
 	if err != nil {
@@ -189,9 +189,9 @@
 	if err != nil {
 		return intent, err
 	}
-	result, err := m.opts.Table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{guard, {Key: intent.key(), Revision: intent.revision}},
-		Puts:       []platform.Put{{Key: intent.key(), Value: value}},
+	result, err := m.opts.Table.Commit(ctx, hosting.Txn{
+		Conditions: []hosting.Condition{guard, {Key: intent.key(), Revision: intent.revision}},
+		Puts:       []hosting.Put{{Key: intent.key(), Value: value}},
 	})
 	if err != nil || !result.Committed {
 		m.term = 0 // reload the intents before the next round
--- a/ordermanager/options.go
+++ b/ordermanager/options.go
@@ -5,8 +5,8 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/ordering"
-	"github.com/radishshelf/radishshelf/platform"
 	"github.com/radishshelf/radishshelf/roles"
 	"github.com/radishshelf/radishshelf/telemetry"
 )
@@ -19,8 +19,8 @@
 
 // Options configures a Manager.
 type Options struct {
-	Table     platform.Table
-	Orders    platform.Orders
+	Table     hosting.Table
+	Orders    hosting.Orders
 	Authority roles.Authority
 	Planning  ordering.Config
 	// Signals returns the load of every pool.
--- a/ordermanager/session_test.go
+++ b/ordermanager/session_test.go
@@ -13,11 +13,11 @@
 	"github.com/rs/zerolog"
 
 	"github.com/radishshelf/radishshelf/goldentest"
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/lease"
 	"github.com/radishshelf/radishshelf/ordering"
-	"github.com/radishshelf/radishshelf/platform"
-	"github.com/radishshelf/radishshelf/platform/memory"
 	"github.com/radishshelf/radishshelf/roles"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // testInterval never falls on a tick of the role runner within a session, so that sessions are repeatable.
@@ -174,13 +174,13 @@
 
 // gatedOrders records each order that arrives at the platform.
 type gatedOrders struct {
-	platform.Orders
+	hosting.Orders
 	gate    *gate
 	session *session
 	host    string
 }
 
-func (o *gatedOrders) Place(ctx context.Context, order platform.Order) error {
+func (o *gatedOrders) Place(ctx context.Context, order hosting.Order) error {
 	if err := o.gate.passOrder(); err != nil {
 		return err
 	}
@@ -189,9 +189,9 @@
 	return err
 }
 
-func (o *gatedOrders) Lookup(ctx context.Context, id string) (platform.Order, error) {
+func (o *gatedOrders) Lookup(ctx context.Context, id string) (hosting.Order, error) {
 	if err := o.gate.pass(); err != nil {
-		return platform.Order{}, err
+		return hosting.Order{}, err
 	}
 	order, err := o.Orders.Lookup(ctx, id)
 	o.session.event("%s lookup %s => %s", o.host, id, resultText(err))
@@ -199,8 +199,8 @@
 }
 
 func resultText(err error) string {
-	for _, kind := range []platform.ErrorKind{platform.KindUnknown, platform.KindNotFound, platform.KindFenced, platform.KindUnavailable} {
-		if platform.IsKind(err, kind) {
+	for _, kind := range []hosting.ErrorKind{hosting.KindUnknown, hosting.KindNotFound, hosting.KindFenced, hosting.KindUnavailable} {
+		if hosting.IsKind(err, kind) {
 			return string(kind)
 		}
 	}
--- a/roles/authority.go
+++ b/roles/authority.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/hosting"
 )
 
 // Authority tells whether this process may act for a role.
@@ -12,5 +12,5 @@
 	MayAct(now time.Time) (term int64, ok bool)
 	// Guard returns the condition that makes a table transaction fail once another process took the role over.
 	// It is false while the role is not held.
-	Guard() (platform.Condition, bool)
+	Guard() (hosting.Condition, bool)
 }
--- a/roles/driver.go
+++ b/roles/driver.go
@@ -9,8 +9,8 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/lease"
-	"github.com/radishshelf/radishshelf/platform"
 )
 
 // releaseTimeout bounds the release of a role at shutdown; without it the successor waits out the lease.
@@ -51,13 +51,13 @@
 }
 
 // Guard implements Authority.
-func (d *driver) Guard() (platform.Condition, bool) {
+func (d *driver) Guard() (hosting.Condition, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if _, ok := d.candidate.MayAct(time.Now()); !ok {
-		return platform.Condition{}, false
+		return hosting.Condition{}, false
 	}
-	return platform.Condition{Key: TermKey(d.role), Revision: d.termRevision}, true
+	return hosting.Condition{Key: TermKey(d.role), Revision: d.termRevision}, true
 }
 
 func (d *driver) info(now time.Time) Info {
@@ -165,7 +165,7 @@
 	if err == nil {
 		obs.Revision = row.Revision
 		err = json.Unmarshal(row.Value, &obs.Record)
-	} else if platform.IsKind(err, platform.KindNotFound) {
+	} else if hosting.IsKind(err, hosting.KindNotFound) {
 		err = nil
 	}
 	d.mu.Lock()
@@ -186,7 +186,7 @@
 	switch {
 	case err != nil:
 		d.log.Debug().Err(err).Msg("lease row not written")
-		return d.candidate.Failed(!platform.IsKind(err, platform.KindUnavailable), time.Now())
+		return d.candidate.Failed(!hosting.IsKind(err, hosting.KindUnavailable), time.Now())
 	case result.Committed:
 		return d.noteTerm(d.candidate.Written(result.Revision, time.Now()))
 	default:
@@ -206,17 +206,17 @@
 }
 
 // commit writes the lease row, and with a change of holder the term row, which gets the same revision.
-func (d *driver) commit(ctx context.Context, a lease.Action) (platform.TxnResult, error) {
+func (d *driver) commit(ctx context.Context, a lease.Action) (hosting.TxnResult, error) {
 	value, err := json.Marshal(a.Record)
 	if err != nil {
-		return platform.TxnResult{}, err
+		return hosting.TxnResult{}, err
 	}
-	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: RowKey(d.role), Revision: a.Revision}},
-		Puts:       []platform.Put{{Key: RowKey(d.role), Value: value}},
+	txn := hosting.Txn{
+		Conditions: []hosting.Condition{{Key: RowKey(d.role), Revision: a.Revision}},
+		Puts:       []hosting.Put{{Key: RowKey(d.role), Value: value}},
 	}
 	if a.Record.Renewal == 0 && a.Record.Holder != "" {
-		txn.Puts = append(txn.Puts, platform.Put{Key: TermKey(d.role), Value: value})
+		txn.Puts = append(txn.Puts, hosting.Put{Key: TermKey(d.role), Value: value})
 	}
 	return d.opts.Table.Commit(ctx, txn)
 }
--- a/roles/no_authority.go
+++ b/roles/no_authority.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/hosting"
 )
 
 // noAuthority is the authority of a role that this process does not run for.
@@ -13,4 +13,4 @@
 func (noAuthority) MayAct(time.Time) (int64, bool) { return 0, false }
 
 // Guard implements Authority.
-func (noAuthority) Guard() (platform.Condition, bool) { return platform.Condition{}, false }
+func (noAuthority) Guard() (hosting.Condition, bool) { return hosting.Condition{}, false }
--- a/roles/options.go
+++ b/roles/options.go
@@ -5,8 +5,8 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/lease"
-	"github.com/radishshelf/radishshelf/platform"
 	"github.com/radishshelf/radishshelf/telemetry"
 )
 
@@ -23,7 +23,7 @@
 
 // Options configures a Runner.
 type Options struct {
-	Table platform.Table
+	Table hosting.Table
 	// Lease is the timing; its Candidate must be unique to this incarnation of the process.
 	Lease lease.Config
 	// Roles to run for; nil means all.
--- a/roles/runner_test.go
+++ b/roles/runner_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/lease"
-	"github.com/radishshelf/radishshelf/platform"
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // testProcess is one process that competes for the role "usage".
@@ -22,7 +22,7 @@
 	stop     func()
 }
 
-func startProcess(t *testing.T, table platform.Table, name string) *testProcess {
+func startProcess(t *testing.T, table hosting.Table, name string) *testProcess {
 	p := &testProcess{}
 	p.eligible.Store(true)
 	runner, err := New(Options{
@@ -87,8 +87,8 @@
 			t.Fatal("the holder has no guard")
 		}
 		commit := func() bool {
-			result, err := table.Commit(t.Context(), platform.Txn{
-				Conditions: []platform.Condition{guard}, Puts: []platform.Put{{Key: "k", Value: []byte("v")}},
+			result, err := table.Commit(t.Context(), hosting.Txn{
+				Conditions: []hosting.Condition{guard}, Puts: []hosting.Put{{Key: "k", Value: []byte("v")}},
 			})
 			if err != nil {
 				t.Fatal(err)
--- a/rolloutmanager/manager_test.go
+++ b/rolloutmanager/manager_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/radishshelf/radishshelf/configstore"
 	"github.com/radishshelf/radishshelf/fleetconfig"
-	"github.com/radishshelf/radishshelf/platform"
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/rollout"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // fakeAuthority holds the role while its term is not 0.
@@ -19,7 +19,7 @@
 
 func (a *fakeAuthority) MayAct(time.Time) (int64, bool) { return a.term, a.term != 0 }
 
-func (a *fakeAuthority) Guard() (platform.Condition, bool) { return platform.Condition{}, a.term != 0 }
+func (a *fakeAuthority) Guard() (hosting.Condition, bool) { return hosting.Condition{}, a.term != 0 }
 
 // rig is a manager over an in-memory platform with one engine.
 type rig struct {
@@ -104,7 +104,7 @@
 	}
 	wait.Wait()
 	p.Table.Faults.Set(memory.Faults{LoseReplies: 1})
-	if err := Publish(t.Context(), p.Table, "fares", "coach", 9); !platform.IsKind(err, platform.KindUnknown) {
+	if err := Publish(t.Context(), p.Table, "fares", "coach", 9); !hosting.IsKind(err, hosting.KindUnknown) {
 		t.Fatalf("lost reply: %v", err)
 	}
 	for _, version := range []int64{9, 2} {
--- a/rolloutmanager/options.go
+++ b/rolloutmanager/options.go
@@ -7,7 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/radishshelf/radishshelf/fleetconfig"
-	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/roles"
 	"github.com/radishshelf/radishshelf/rollout"
 	"github.com/radishshelf/radishshelf/telemetry"
@@ -34,7 +34,7 @@
 
 // Options configures a Manager.
 type Options struct {
-	Table     platform.Table
+	Table     hosting.Table
 	Config    ConfigWriter
 	Authority roles.Authority
 	Planning  rollout.Config
--- a/rolloutmanager/published.go
+++ b/rolloutmanager/published.go
@@ -7,7 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/hosting"
 )
 
 // publishAttempts bounds the races of one publication with others of the same policy.
@@ -24,7 +24,7 @@
 
 // Publish records a version of a policy. A version that is not above the recorded one changes nothing, so a repeated
 // call is harmless.
-func Publish(ctx context.Context, table platform.Table, policy, trainer string, version int64) error {
+func Publish(ctx context.Context, table hosting.Table, policy, trainer string, version int64) error {
 	value, err := json.Marshal(Published{Version: version, Trainer: trainer})
 	if err != nil {
 		return err
@@ -37,9 +37,9 @@
 		if version <= current.Version {
 			return nil
 		}
-		result, err := table.Commit(ctx, platform.Txn{
-			Conditions: []platform.Condition{{Key: PublishedKey(policy), Revision: revision}},
-			Puts:       []platform.Put{{Key: PublishedKey(policy), Value: value}},
+		result, err := table.Commit(ctx, hosting.Txn{
+			Conditions: []hosting.Condition{{Key: PublishedKey(policy), Revision: revision}},
+			Puts:       []hosting.Put{{Key: PublishedKey(policy), Value: value}},
 		})
 		if err != nil {
 			return eris.Wrapf(err, "publish version %d of policy %s", version, policy)
@@ -51,9 +51,9 @@
 	return fmt.Errorf("version %d of policy %q raced %d times with other publications; publish it again", version, policy, publishAttempts)
 }
 
-func readPublished(ctx context.Context, table platform.Table, policy string) (Published, int64, error) {
+func readPublished(ctx context.Context, table hosting.Table, policy string) (Published, int64, error) {
 	row, err := table.Get(ctx, PublishedKey(policy))
-	if platform.IsKind(err, platform.KindNotFound) {
+	if hosting.IsKind(err, hosting.KindNotFound) {
 		return Published{}, 0, nil
 	}
 	if err != nil {
--- a/slopes/atrest.go
+++ b/slopes/atrest.go
@@ -4,7 +4,7 @@
 	"strconv"
 	"time"
 
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // measureAtRest shows the memory that one more idle entry or agent takes in this process. The fixed part of the resident
--- a/slopes/claims.go
+++ b/slopes/claims.go
@@ -6,7 +6,7 @@
 	"strconv"
 
 	"github.com/radishshelf/radishshelf/idempotency"
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // measureClaims shows the writes of non-idempotent requests that carry an idempotency key.
--- a/slopes/countedtable.go
+++ b/slopes/countedtable.go
@@ -4,7 +4,7 @@
 	"context"
 	"sync"
 
-	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/hosting"
 )
 
 // tableCount is what a table was asked for. Rows counts the rows that scans and gets returned, Bytes the values written.
@@ -20,13 +20,13 @@
 
 // countedTable counts the calls to a table.
 type countedTable struct {
-	platform.Table
+	hosting.Table
 
 	mu    sync.Mutex
 	count tableCount
 }
 
-func newCountedTable(table platform.Table) *countedTable {
+func newCountedTable(table hosting.Table) *countedTable {
 	return &countedTable{Table: table}
 }
 
@@ -42,8 +42,8 @@
 	change(&t.count)
 }
 
-// Commit implements platform.Table.
-func (t *countedTable) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+// Commit implements hosting.Table.
+func (t *countedTable) Commit(ctx context.Context, txn hosting.Txn) (hosting.TxnResult, error) {
 	size := 0
 	for _, put := range txn.Puts {
 		size += len(put.Value)
@@ -56,8 +56,8 @@
 	return t.Table.Commit(ctx, txn)
 }
 
-// Get implements platform.Table.
-func (t *countedTable) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements hosting.Table.
+func (t *countedTable) Get(ctx context.Context, key string) (hosting.Row, error) {
 	t.note(func(c *tableCount) {
 		c.Reads++
 		c.RowsRead++
@@ -65,8 +65,8 @@
 	return t.Table.Get(ctx, key)
 }
 
-// Scan implements platform.Table.
-func (t *countedTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements hosting.Table.
+func (t *countedTable) Scan(ctx context.Context, prefix, after string, limit int) ([]hosting.Row, error) {
 	rows, err := t.Table.Scan(ctx, prefix, after, limit)
 	t.note(func(c *tableCount) {
 		c.Reads++
--- a/slopes/datapath.go
+++ b/slopes/datapath.go
@@ -16,9 +16,9 @@
 	"github.com/radishshelf/radishshelf/agent/engineapi"
 	"github.com/radishshelf/radishshelf/dataplane"
 	"github.com/radishshelf/radishshelf/entry"
-	"github.com/radishshelf/radishshelf/platform/memory"
 	"github.com/radishshelf/radishshelf/prefixindex"
 	"github.com/radishshelf/radishshelf/rpc"
+	"github.com/radishshelf/radishshelf/standin/memory"
 	"github.com/radishshelf/radishshelf/usage"
 )
 
--- a/slopes/heartbeats.go
+++ b/slopes/heartbeats.go
@@ -10,8 +10,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/radishshelf/radishshelf/fleetconfig"
-	"github.com/radishshelf/radishshelf/platform/memory"
 	"github.com/radishshelf/radishshelf/rpc"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // Without Sync the entries name each other in their replies for 5 s; warm-up and measurement fit into that time.
--- a/slopes/hostlist.go
+++ b/slopes/hostlist.go
@@ -4,9 +4,9 @@
 	"context"
 	"fmt"
 
-	"github.com/radishshelf/radishshelf/platform"
-	"github.com/radishshelf/radishshelf/platform/httpapi"
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/standin/httpapi"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // measureHostList shows what one read of the host list costs; every entry reads it every 5 s by default.
@@ -35,13 +35,13 @@
 	return nil
 }
 
-func hostsOf(count int) []platform.Host {
-	var list []platform.Host
+func hostsOf(count int) []hosting.Host {
+	var list []hosting.Host
 	for i := range count {
 		dc, region := place(i, 8)
-		list = append(list, platform.Host{
+		list = append(list, hosting.Host{
 			Name: fmt.Sprintf("engine-%04d", i), Address: fmt.Sprintf("10.1.%d.%d:7201", i/250, i%250), DataCentre: dc,
-			Region: region, Role: platform.HostUpstream, State: platform.HostLive,
+			Region: region, Role: hosting.HostUpstream, State: hosting.HostLive,
 		})
 	}
 	return list
--- a/slopes/leases.go
+++ b/slopes/leases.go
@@ -9,8 +9,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/radishshelf/radishshelf/lease"
-	"github.com/radishshelf/radishshelf/platform/memory"
 	"github.com/radishshelf/radishshelf/roles"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // leaseSpan covers three renewals.
--- a/slopes/lotgroups.go
+++ b/slopes/lotgroups.go
@@ -10,11 +10,11 @@
 	"github.com/rs/zerolog"
 
 	"github.com/radishshelf/radishshelf/dataplane"
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/lots"
 	"github.com/radishshelf/radishshelf/lotstore"
-	"github.com/radishshelf/radishshelf/platform"
-	"github.com/radishshelf/radishshelf/platform/memory"
 	"github.com/radishshelf/radishshelf/samples"
+	"github.com/radishshelf/radishshelf/standin/memory"
 	"github.com/radishshelf/radishshelf/telemetry"
 )
 
@@ -43,7 +43,7 @@
 
 // countedObjects counts the bytes put to an object store.
 type countedObjects struct {
-	platform.Objects
+	hosting.Objects
 	putBytes float64
 }
 
@@ -52,7 +52,7 @@
 	return o.Objects.Put(ctx, key, data)
 }
 
-func newLotStore(table platform.Table, objects platform.Objects, lotSamples int) *lotstore.Store {
+func newLotStore(table hosting.Table, objects hosting.Objects, lotSamples int) *lotstore.Store {
 	return lotstore.New(lotstore.Options{
 		Table: table, Objects: objects, Name: "entry-1", Log: zerolog.Nop(), Registry: telemetry.NewRegistry(),
 		Spec: func(string) (lots.Spec, bool) { return lots.Spec{MaxStaleness: 8, LotSamples: lotSamples}, true },
--- a/slopes/node.go
+++ b/slopes/node.go
@@ -15,7 +15,7 @@
 	"github.com/radishshelf/radishshelf/configsync"
 	"github.com/radishshelf/radishshelf/entry"
 	"github.com/radishshelf/radishshelf/entry/peer"
-	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/rpc"
 	"github.com/radishshelf/radishshelf/usage"
 )
@@ -40,7 +40,7 @@
 }
 
 // newNode serves the peer port of an entry; run starts its loops.
-func newNode(i, dataCentres int, table platform.Table, known []string) (*node, error) {
+func newNode(i, dataCentres int, table hosting.Table, known []string) (*node, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
--- a/slopes/nodes.go
+++ b/slopes/nodes.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/radishshelf/radishshelf/configstore"
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // settleTimeout bounds the wait for a fleet to become ready.
--- a/slopes/sidecar.go
+++ b/slopes/sidecar.go
@@ -8,7 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/radishshelf/radishshelf/agent"
-	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/telemetry"
 	"github.com/radishshelf/radishshelf/usage"
 	"github.com/radishshelf/radishshelf/usagestore"
@@ -23,7 +23,7 @@
 
 // startSidecar runs the i-th agent, which reports to entries. The agent gets no platform address, since the stand-in
 // engine fetches no weights.
-func startSidecar(i, dataCentres int, entries []string, table platform.Table) (*sidecar, error) {
+func startSidecar(i, dataCentres int, entries []string, table hosting.Table) (*sidecar, error) {
 	e, err := newEngine()
 	if err != nil {
 		return nil, err
--- a/slopes/sidecars.go
+++ b/slopes/sidecars.go
@@ -3,13 +3,13 @@
 import (
 	"sync"
 
-	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/hosting"
 )
 
 // sidecars are the agents of a fleet.
 type sidecars []*sidecar
 
-func startSidecars(count, dataCentres int, entries []string, table platform.Table) (sidecars, error) {
+func startSidecars(count, dataCentres int, entries []string, table hosting.Table) (sidecars, error) {
 	var list sidecars
 	for i := range count {
 		c, err := startSidecar(i, dataCentres, entries, table)
--- a/slopes/usages.go
+++ b/slopes/usages.go
@@ -10,8 +10,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/radishshelf/radishshelf/dataplane"
-	"github.com/radishshelf/radishshelf/platform"
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/standin/memory"
 	"github.com/radishshelf/radishshelf/telemetry"
 	"github.com/radishshelf/radishshelf/usage"
 	"github.com/radishshelf/radishshelf/usagestore"
@@ -99,7 +99,7 @@
 	return nil
 }
 
-func flush(table platform.Table, recorder *usage.Recorder) error {
+func flush(table hosting.Table, recorder *usage.Recorder) error {
 	flusher := usagestore.NewFlusher("agent", usagestore.NewWriter(table, recorder.Window, time.Now),
 		usagestore.FromRecorder(recorder), usagestore.FlusherOptions{}, zerolog.Nop(), telemetry.NewRegistry())
 	return flusher.Flush(context.Background())
@@ -160,6 +160,6 @@
 
 func (alwaysHolder) MayAct(time.Time) (int64, bool) { return 1, true }
 
-func (alwaysHolder) Guard() (platform.Condition, bool) {
-	return platform.Condition{Key: "term/usage"}, true
+func (alwaysHolder) Guard() (hosting.Condition, bool) {
+	return hosting.Condition{Key: "term/usage"}, true
 }
--- a/standin/fleet/freeze_test.go
+++ b/standin/fleet/freeze_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"github.com/radishshelf/radishshelf/platform/memory"
 	"github.com/radishshelf/radishshelf/roles"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // takeoverTime bounds a takeover: lease, pause tolerance, delay by rank and the successor's rounds.
--- a/standin/fleet/platform.go
+++ b/standin/fleet/platform.go
@@ -12,8 +12,8 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/radishshelf/radishshelf/platform"
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/standin/memory"
 	standin "github.com/radishshelf/radishshelf/standin/platform"
 )
 
@@ -128,12 +128,12 @@
 func newArrival(path string, body []byte, at time.Time, accepted bool) Arrival {
 	a := Arrival{Path: path, At: at, Accepted: accepted, Body: body}
 	if path == reportPath {
-		var report platform.UsageReport
+		var report hosting.UsageReport
 		_ = json.Unmarshal(body, &report) // a body that is not understood is refused and kept as it is
 		a.ID, a.Term, a.Body = report.ID, report.Term, report.Body
 		return a
 	}
-	var order platform.Order
+	var order hosting.Order
 	_ = json.Unmarshal(body, &order)
 	a.ID, a.Term = order.ID, order.Term
 	return a
--- /dev/null
+++ b/standin/httpapi/fuzz_test.go
@@ -0,0 +1,54 @@
+package httpapi
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/radishshelf/radishshelf/hosting"
+)
+
+// fixedAnswer answers every call alike.
+type fixedAnswer struct {
+	status int
+	body   string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (f fixedAnswer) RoundTrip(r *http.Request) (*http.Response, error) {
+	return &http.Response{
+		StatusCode: f.status, Status: "fixed", Proto: "HTTP/1.1", Header: http.Header{},
+		Body: io.NopCloser(strings.NewReader(f.body)), Request: r,
+	}, nil
+}
+
+// Guards against an answer of the platform that stops a process, that has no typed error, or that makes a write count
+// as refused although it may have taken effect.
+func FuzzClientAnswers(f *testing.F) {
+	f.Fuzz(func(t *testing.T, status int, body string) {
+		if status < 200 || status > 599 || (status >= 300 && status < 400) {
+			return // net/http handles these
+		}
+		c := &client{base: "http://127.0.0.1:1", http: &http.Client{Transport: fixedAnswer{status, body}}, timeout: DefaultTimeout}
+		ctx := context.Background()
+		check := func(op string, err error) {
+			var typed *hosting.Error
+			if err != nil && (!errors.As(err, &typed) || typed.Kind == "" || typed.Op == "") {
+				t.Errorf("%s: %v is not typed", op, err)
+			}
+		}
+		var result hosting.TxnResult
+		err := c.call(ctx, "commit", "/v1/table/commit", write, hosting.Txn{}, &result)
+		check("commit", err)
+		if err != nil && !strings.Contains(body, `ind"`) && !hosting.IsKind(err, hosting.KindUnknown) {
+			t.Errorf("commit with the answer %d %q: %v; want an unknown effect", status, body, err)
+		}
+		var rows []hosting.Row
+		check("scan", c.call(ctx, "scan", "/v1/table/scan", read, struct{}{}, &rows))
+		_, err = c.send(ctx, "get", http.MethodGet, "/v1/objects/x", read, nil, 16)
+		check("get", err)
+	})
+}
--- /dev/null
+++ b/standin/httpapi/handler.go
@@ -0,0 +1,68 @@
+package httpapi
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+
+	"github.com/radishshelf/radishshelf/hosting"
+)
+
+// call serves one JSON call.
+func call[Q, A any](op string, serve func(context.Context, Q) (A, error)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var request Q
+		dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxJSONBytes))
+		dec.DisallowUnknownFields()
+		if err := dec.Decode(&request); err != nil {
+			writeError(w, invalidRequest(op, err))
+			return
+		}
+		answer, err := serve(r.Context(), request)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(answer) // a client that left gets no answer
+	})
+}
+
+func invalidRequest(op string, err error) error {
+	return &hosting.Error{Kind: hosting.KindInvalid, Op: op, Err: err, Remedy: "correct the request"}
+}
+
+// writeError sends err. A lost reply becomes a cut connection, so that the client has to classify it as it would in
+// production.
+func writeError(w http.ResponseWriter, err error) {
+	if hosting.IsKind(err, hosting.KindUnknown) {
+		panic(http.ErrAbortHandler)
+	}
+	body := errorBody{Kind: hosting.KindUnavailable, Message: err.Error()}
+	var own *hosting.Error
+	if errors.As(err, &own) {
+		body = errorBody{Kind: own.Kind, Op: own.Op, Remedy: own.Remedy}
+		if own.Err != nil {
+			body.Message = own.Err.Error()
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(statusOf(body.Kind))
+	_ = json.NewEncoder(w).Encode(body) // a client that left gets no answer
+}
+
+func statusOf(kind hosting.ErrorKind) int {
+	switch kind {
+	case hosting.KindNotFound:
+		return http.StatusNotFound
+	case hosting.KindConflict:
+		return http.StatusConflict
+	case hosting.KindFenced:
+		return http.StatusPreconditionFailed
+	case hosting.KindInvalid:
+		return http.StatusBadRequest
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/standin/memory/limited_reader.go
@@ -0,0 +1,27 @@
+package memory
+
+import (
+	"context"
+	"io"
+
+	"golang.org/x/time/rate"
+)
+
+// limitedReader takes the bytes that it reads from a shared rate limit.
+type limitedReader struct {
+	ctx     context.Context
+	limiter *rate.Limiter
+	source  io.Reader
+}
+
+// Read implements io.Reader.
+func (r *limitedReader) Read(p []byte) (int, error) {
+	n, err := r.source.Read(p[:min(len(p), weightChunkBytes)])
+	if n == 0 {
+		return n, err
+	}
+	if waitErr := r.limiter.WaitN(r.ctx, n); waitErr != nil {
+		return 0, unavailable("weight read", waitErr)
+	}
+	return n, err
+}
--- /dev/null
+++ b/standin/memory/limits.go
@@ -0,0 +1,57 @@
+package memory
+
+import (
+	"strconv"
+
+	"github.com/radishshelf/radishshelf/hosting"
+)
+
+// Limits of the services.
+const (
+	MaxKeyBytes    = 512
+	MaxValueBytes  = 1 << 20
+	MaxTxnRows     = 128
+	MaxScanRows    = 1000
+	MaxObjectBytes = 64 << 20
+	MaxBlobBytes   = 1 << 30
+)
+
+func checkTxn(txn hosting.Txn) error {
+	if len(txn.Conditions)+len(txn.Puts)+len(txn.Deletes) > MaxTxnRows {
+		return invalid(opCommit, "the transaction names more than "+strconv.Itoa(MaxTxnRows)+" rows", "split it")
+	}
+	written := make(map[string]bool, len(txn.Puts)+len(txn.Deletes))
+	for _, put := range txn.Puts {
+		if len(put.Value) > MaxValueBytes {
+			return invalid(opCommit, "the value of "+put.Key+" exceeds "+strconv.Itoa(MaxValueBytes)+" bytes",
+				"keep large content in the object store")
+		}
+		if err := checkWritten(put.Key, written); err != nil {
+			return err
+		}
+	}
+	for _, key := range txn.Deletes {
+		if err := checkWritten(key, written); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkWritten(key string, written map[string]bool) error {
+	if err := checkKey(opCommit, key); err != nil {
+		return err
+	}
+	if written[key] {
+		return invalid(opCommit, "row "+key+" is written twice", "name each row once")
+	}
+	written[key] = true
+	return nil
+}
+
+func checkKey(op, key string) error {
+	if key == "" || len(key) > MaxKeyBytes {
+		return invalid(op, "the key is empty or longer than "+strconv.Itoa(MaxKeyBytes)+" bytes", "use a shorter key")
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/memory/usage.go
@@ -0,0 +1,83 @@
+package memory
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+
+	"github.com/radishshelf/radishshelf/hosting"
+)
+
+const opReport = "usage report"
+
+// TakenReport is a usage report that the sink accepted.
+type TakenReport struct {
+	hosting.UsageReport
+	// Received counts arrivals with the same body, Conflicts those with a different body.
+	Received  int `json:"received"`
+	Conflicts int `json:"conflicts"`
+}
+
+// UsageSink takes usage reports and refuses a different body under the same ID.
+type UsageSink struct {
+	Faults FaultSwitch
+
+	mu       sync.Mutex
+	byID     map[string]*TakenReport
+	sequence []string
+}
+
+func newUsageSink() *UsageSink { return &UsageSink{byID: make(map[string]*TakenReport)} }
+
+// Report implements hosting.UsageSink.
+func (u *UsageSink) Report(ctx context.Context, report hosting.UsageReport) error {
+	if err := checkKey(opReport, report.ID); err != nil {
+		return err
+	}
+	if len(report.Body) > MaxValueBytes {
+		return invalid(opReport, "the body is too large", "send totals and not single records")
+	}
+	if err := u.Faults.before(ctx, opReport); err != nil {
+		return err
+	}
+	if err := u.take(report); err != nil {
+		return err
+	}
+	return u.Faults.afterWrite(opReport)
+}
+
+func (u *UsageSink) take(report hosting.UsageReport) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	taken, ok := u.byID[report.ID]
+	if !ok {
+		report.Body = bytes.Clone(report.Body)
+		u.byID[report.ID] = &TakenReport{UsageReport: report, Received: 1}
+		u.sequence = append(u.sequence, report.ID)
+		return nil
+	}
+	if !bytes.Equal(taken.Body, report.Body) {
+		taken.Conflicts++
+		return &hosting.Error{
+			Kind: hosting.KindConflict, Op: opReport, Err: errors.New("report " + report.ID + " exists with another body"),
+			Remedy: "send the sealed figures byte for byte",
+		}
+	}
+	taken.Received++
+	return nil
+}
+
+// List returns all reports in the sequence in which they took effect.
+func (u *UsageSink) List() []TakenReport {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	reports := make([]TakenReport, 0, len(u.sequence))
+	for _, id := range u.sequence {
+		taken := *u.byID[id]
+		taken.Body = slices.Clone(taken.Body)
+		reports = append(reports, taken)
+	}
+	return reports
+}
--- a/standin/platform/admin.go
+++ b/standin/platform/admin.go
@@ -7,9 +7,9 @@
 	"net/http"
 	"strconv"
 
-	"github.com/radishshelf/radishshelf/platform"
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/settings"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // Limits of the admin interface.
@@ -83,7 +83,7 @@
 }
 
 func (a *admin) setHosts(w http.ResponseWriter, r *http.Request) {
-	var hosts []platform.Host
+	var hosts []hosting.Host
 	if !readJSON(w, r, &hosts) {
 		return
 	}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -9,8 +9,8 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/radishshelf/radishshelf/platform/httpapi"
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/standin/httpapi"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // shutdownTimeout bounds the wait for open calls at the end.
--- a/standin/platform/server_test.go
+++ b/standin/platform/server_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/radishshelf/radishshelf/platform"
-	"github.com/radishshelf/radishshelf/platform/httpapi"
+	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/standin/httpapi"
 	"github.com/radishshelf/radishshelf/telemetry"
 )
 
@@ -38,18 +38,18 @@
 	server := httptest.NewServer(NewServer(Settings{}, zerolog.Nop()).Handler())
 	defer server.Close()
 	services := httpapi.NewServices(server.Listener.Addr().String(), httpapi.Options{})
-	order := platform.Order{ID: "o1", DataCentre: "wien", Kind: "engine", Count: 2, Term: 1}
+	order := hosting.Order{ID: "o1", DataCentre: "wien", Kind: "engine", Count: 2, Term: 1}
 	for _, step := range []struct {
 		faults string
-		kind   platform.ErrorKind
+		kind   hosting.ErrorKind
 	}{
-		{`{"outage":true}`, platform.KindUnavailable},
-		{`{"lose_replies":1,"delay":"1ms"}`, platform.KindUnknown},
+		{`{"outage":true}`, hosting.KindUnavailable},
+		{`{"lose_replies":1,"delay":"1ms"}`, hosting.KindUnknown},
 	} {
 		if code, body := request(t, "PUT", server.URL+"/admin/faults/orders", step.faults); code != http.StatusOK {
 			t.Fatalf("faults %s: %d %s", step.faults, code, body)
 		}
-		if err := services.Orders.Place(t.Context(), order); !platform.IsKind(err, step.kind) {
+		if err := services.Orders.Place(t.Context(), order); !hosting.IsKind(err, step.kind) {
 			t.Errorf("Place with %s = %v; want %s", step.faults, err, step.kind)
 		}
 	}
--- a/standin/platform/settings.go
+++ b/standin/platform/settings.go
@@ -1,7 +1,7 @@
 package platform
 
 import (
-	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/settings"
 )
 
@@ -16,7 +16,7 @@
 	// WeightBytesPerSecond limits the weight store; 0 means unlimited.
 	WeightBytesPerSecond int64 `json:"weight_bytes_per_second,omitempty"`
 	// Hosts is the host list at the start.
-	Hosts []platform.Host `json:"hosts,omitempty"`
+	Hosts []hosting.Host `json:"hosts,omitempty"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"log_level,omitempty"`
 }
--- a/standin/quickstart/operations.go
+++ b/standin/quickstart/operations.go
@@ -14,7 +14,7 @@
 
 	"github.com/radishshelf/radishshelf/agent/engineapi"
 	"github.com/radishshelf/radishshelf/operatorclient"
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/standin/memory"
 	"github.com/radishshelf/radishshelf/usage"
 )
 
--- a/standin/trainer/trainer_test.go
+++ b/standin/trainer/trainer_test.go
@@ -18,9 +18,9 @@
 	"github.com/radishshelf/radishshelf/dataplane"
 	"github.com/radishshelf/radishshelf/lots"
 	"github.com/radishshelf/radishshelf/lotstore"
-	"github.com/radishshelf/radishshelf/platform/memory"
 	"github.com/radishshelf/radishshelf/samples"
 	"github.com/radishshelf/radishshelf/settings"
+	"github.com/radishshelf/radishshelf/standin/memory"
 	"github.com/radishshelf/radishshelf/telemetry"
 	"github.com/radishshelf/radishshelf/trainerapi"
 )
--- a/trainerapi/errors.go
+++ b/trainerapi/errors.go
@@ -7,10 +7,10 @@
 	"net/http"
 	"strconv"
 
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/lots"
 	"github.com/radishshelf/radishshelf/lotstore"
 	"github.com/radishshelf/radishshelf/outcome"
-	"github.com/radishshelf/radishshelf/platform"
 )
 
 // ErrorBody is the JSON form of every refusal.
@@ -90,7 +90,7 @@
 		"repeat the call; it has no further effect when the first one took effect", err)
 	refusal.RetryAfter = retryStoreDown
 	refusal.Outcome = outcome.MayHaveRun
-	if platform.IsKind(err, platform.KindUnavailable) {
+	if hosting.IsKind(err, hosting.KindUnavailable) {
 		refusal.Outcome = outcome.NotRun
 	}
 	return refusal
--- a/trainerapi/handler_test.go
+++ b/trainerapi/handler_test.go
@@ -14,10 +14,10 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/lots"
 	"github.com/radishshelf/radishshelf/lotstore"
 	"github.com/radishshelf/radishshelf/outcome"
-	"github.com/radishshelf/radishshelf/platform"
 	"github.com/radishshelf/radishshelf/telemetry"
 )
 
@@ -60,7 +60,7 @@
 
 // Guards against answers from which a trainer cannot tell what to do next, and against a lot given to another trainer.
 func TestAnswers(t *testing.T) {
-	down := &platform.Error{Kind: platform.KindUnavailable, Op: "table get"}
+	down := &hosting.Error{Kind: hosting.KindUnavailable, Op: "table get"}
 	const pull = `{"after":1,"step":2}`
 	tests := []struct {
 		name, method, path, key, body string
@@ -121,7 +121,7 @@
 
 // Guards against "not run" for a call whose effect is unknown.
 func TestUnknownEffectIsNotCalledNotRun(t *testing.T) {
-	f := &fake{err: errors.Join(&platform.Error{Kind: platform.KindUnknown, Op: "table commit"})}
+	f := &fake{err: errors.Join(&hosting.Error{Kind: hosting.KindUnknown, Op: "table commit"})}
 	w := f.send("POST", "coach/versions", "secret", `{"version":4}`)
 	if w.Code != 503 || !strings.Contains(w.Body.String(), `"may-have-run"`) {
 		t.Fatalf("status %d, body %s", w.Code, w.Body)
--- a/usagestore/commit.go
+++ b/usagestore/commit.go
@@ -6,19 +6,19 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/hosting"
 )
 
 // commitAbsent writes puts when key is absent and the role is still held. It returns the row's value if another
 // transaction, or an earlier try of this one whose reply was lost, has written key.
-func (r *Reporter) commitAbsent(ctx context.Context, key string, txn platform.Txn) ([]byte, error) {
+func (r *Reporter) commitAbsent(ctx context.Context, key string, txn hosting.Txn) ([]byte, error) {
 	guard, ok := r.opts.Authority.Guard()
 	if !ok {
 		return nil, ErrNotHolder
 	}
-	txn.Conditions = append(txn.Conditions, guard, platform.Condition{Key: key})
+	txn.Conditions = append(txn.Conditions, guard, hosting.Condition{Key: key})
 	result, err := r.opts.Table.Commit(ctx, txn)
-	if platform.IsKind(err, platform.KindUnknown) {
+	if hosting.IsKind(err, hosting.KindUnknown) {
 		return r.settle(ctx, key, err)
 	}
 	if err != nil {
@@ -44,7 +44,7 @@
 }
 
 // refusedBy tells a lost role from another condition that did not hold; the latter is tried again at the next step.
-func refusedBy(guard platform.Condition, current []platform.Row, key string) error {
+func refusedBy(guard hosting.Condition, current []hosting.Row, key string) error {
 	for _, row := range current {
 		if row.Key == guard.Key && row.Revision == guard.Revision {
 			return fmt.Errorf("write %s: a row it depends on has changed; the next step reads it again", key)
--- a/usagestore/delay_test.go
+++ b/usagestore/delay_test.go
@@ -4,7 +4,7 @@
 	"strings"
 	"testing"
 
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/standin/memory"
 	"github.com/radishshelf/radishshelf/telemetry"
 )
 
--- a/usagestore/model_test.go
+++ b/usagestore/model_test.go
@@ -10,8 +10,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/radishshelf/radishshelf/dataplane"
-	"github.com/radishshelf/radishshelf/platform"
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/standin/memory"
 	"github.com/radishshelf/radishshelf/telemetry"
 	"github.com/radishshelf/radishshelf/usage"
 )
@@ -35,27 +35,27 @@
 
 func (a authority) MayAct(time.Time) (int64, bool) { return a.revision, a.revision > 0 }
 
-func (a authority) Guard() (platform.Condition, bool) {
-	return platform.Condition{Key: leaseKey, Revision: a.revision}, a.revision > 0
+func (a authority) Guard() (hosting.Condition, bool) {
+	return hosting.Condition{Key: leaseKey, Revision: a.revision}, a.revision > 0
 }
 
 // hooked runs another action before a commit or report, to place it in the middle of a step.
 type hooked struct {
-	platform.Table
-	platform.UsageSink
+	hosting.Table
+	hosting.UsageSink
 	skip int
 	then func()
 	// delay is the number of coming commits whose reply is lost and that take effect at deliver.
 	delay   int
-	delayed []platform.Txn
+	delayed []hosting.Txn
 }
 
-func (h *hooked) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+func (h *hooked) Commit(ctx context.Context, txn hosting.Txn) (hosting.TxnResult, error) {
 	h.before()
 	if h.delay > 0 {
 		h.delay--
 		h.delayed = append(h.delayed, txn)
-		return platform.TxnResult{}, &platform.Error{Kind: platform.KindUnknown, Op: "table commit"}
+		return hosting.TxnResult{}, &hosting.Error{Kind: hosting.KindUnknown, Op: "table commit"}
 	}
 	return h.Table.Commit(ctx, txn)
 }
@@ -67,7 +67,7 @@
 	h.delayed = nil
 }
 
-func (h *hooked) Report(ctx context.Context, report platform.UsageReport) error {
+func (h *hooked) Report(ctx context.Context, report hosting.UsageReport) error {
 	h.before()
 	return h.UsageSink.Report(ctx, report)
 }
@@ -135,7 +135,7 @@
 
 // takeOver gives the role to a new holder; the old one still believes that it holds the role.
 func (w *world) takeOver() {
-	result, err := w.platform.Table.Commit(w.ctx, platform.Txn{Puts: []platform.Put{{Key: leaseKey, Value: []byte(`{}`)}}})
+	result, err := w.platform.Table.Commit(w.ctx, hosting.Txn{Puts: []hosting.Put{{Key: leaseKey, Value: []byte(`{}`)}}})
 	if err != nil {
 		return
 	}
--- a/usagestore/property_test.go
+++ b/usagestore/property_test.go
@@ -7,7 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/standin/memory"
 )
 
 // Guards against usage that is lost or counted twice, and against a window reported with different figures, when the
--- a/usagestore/report.go
+++ b/usagestore/report.go
@@ -6,7 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/usage"
 )
 
@@ -37,7 +37,7 @@
 			continue
 		}
 		err := r.send(ctx, sealed.Window, report)
-		if platform.IsKind(err, platform.KindConflict) {
+		if hosting.IsKind(err, hosting.KindConflict) {
 			refused = err
 			continue
 		}
@@ -71,10 +71,10 @@
 	if !ok {
 		return ErrNotHolder
 	}
-	err := r.opts.Sink.Report(ctx, platform.UsageReport{
+	err := r.opts.Sink.Report(ctx, hosting.UsageReport{
 		ID: window + "/" + report.Workspace, Workspace: report.Workspace, Window: window, Body: report.Body, Term: term,
 	})
-	if platform.IsKind(err, platform.KindConflict) {
+	if hosting.IsKind(err, hosting.KindConflict) {
 		r.metrics.conflicts.Inc()
 		r.opts.Log.Error().Err(err).Str("window", window).Str("workspace", report.Workspace).
 			Msg("usage report refused, the sink holds other figures")
@@ -95,7 +95,7 @@
 		return eris.Wrap(err, "encode usage report mark")
 	}
 	key := reportedKey(window, workspace)
-	_, err = r.commitAbsent(ctx, key, platform.Txn{Puts: []platform.Put{{Key: key, Value: value}}})
+	_, err = r.commitAbsent(ctx, key, hosting.Txn{Puts: []hosting.Put{{Key: key, Value: value}}})
 	return err
 }
 
@@ -114,7 +114,7 @@
 		if !ok {
 			return ErrNotHolder
 		}
-		txn := platform.Txn{Conditions: []platform.Condition{guard}}
+		txn := hosting.Txn{Conditions: []hosting.Condition{guard}}
 		for _, row := range rows {
 			txn.Deletes = append(txn.Deletes, row.Key)
 		}
--- a/usagestore/reporter.go
+++ b/usagestore/reporter.go
@@ -7,7 +7,7 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/telemetry"
 	"github.com/radishshelf/radishshelf/usage"
 )
@@ -25,8 +25,8 @@
 
 // ReporterOptions configures a Reporter.
 type ReporterOptions struct {
-	Table platform.Table
-	Sink  platform.UsageSink
+	Table hosting.Table
+	Sink  hosting.UsageSink
 	// Authority of role usage.
 	Authority Authority
 	// Window is asked at each step, since operators may change its length.
@@ -107,7 +107,7 @@
 	var refused error
 	for _, sealed := range due {
 		err := r.finish(ctx, sealed)
-		if platform.IsKind(err, platform.KindConflict) {
+		if hosting.IsKind(err, hosting.KindConflict) {
 			refused = err
 			continue
 		}
--- a/usagestore/run_test.go
+++ b/usagestore/run_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/radishshelf/radishshelf/platform"
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/standin/memory"
 	"github.com/radishshelf/radishshelf/telemetry"
 	"github.com/radishshelf/radishshelf/usage"
 )
@@ -27,7 +27,7 @@
 	w.request("north", 7)
 	w.now = w.now.Add(2 * testWindow.Length)
 	w.platform.Usage.Faults.Set(memory.Faults{Outage: true})
-	if err := w.reporter.Step(w.ctx); !platform.IsKind(err, platform.KindUnavailable) {
+	if err := w.reporter.Step(w.ctx); !hosting.IsKind(err, hosting.KindUnavailable) {
 		t.Fatalf("step with the sink down: %v", err)
 	}
 	sealed, err := w.platform.Table.Get(w.ctx, sealedKey("2026-03-01T10:00:00Z"))
@@ -68,7 +68,7 @@
 	if err := w.old.Step(w.ctx); !errors.Is(err, ErrNotHolder) {
 		t.Fatalf("step of the old holder: %v", err)
 	}
-	if _, err := w.platform.Table.Get(w.ctx, closingKey("2026-03-01T10:00:00Z")); !platform.IsKind(err, platform.KindNotFound) {
+	if _, err := w.platform.Table.Get(w.ctx, closingKey("2026-03-01T10:00:00Z")); !hosting.IsKind(err, hosting.KindNotFound) {
 		t.Fatalf("the old holder closed the window: %v", err)
 	}
 }
@@ -76,7 +76,7 @@
 // Guards against a report that the sink refuses holding back the reports of other workspaces and windows.
 func TestConflictDoesNotBlockOthers(t *testing.T) {
 	w := newWorld()
-	err := w.platform.Usage.Report(w.ctx, platform.UsageReport{ID: "2026-03-01T10:00:00Z/north", Body: []byte("other")})
+	err := w.platform.Usage.Report(w.ctx, hosting.UsageReport{ID: "2026-03-01T10:00:00Z/north", Body: []byte("other")})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -91,7 +91,7 @@
 		t.Fatal(err)
 	}
 	w.now = w.now.Add(2 * testWindow.Length)
-	if err := w.reporter.Step(w.ctx); !platform.IsKind(err, platform.KindConflict) {
+	if err := w.reporter.Step(w.ctx); !hosting.IsKind(err, hosting.KindConflict) {
 		t.Fatalf("step: %v", err)
 	}
 	if reports := w.platform.Usage.List(); len(reports) != 3 {
@@ -106,7 +106,7 @@
 		recorder := usage.NewRecorder("agent", "i1")
 		writer := NewWriter(p.Table, fixedWindow, time.Now)
 		flusher := NewFlusher("agent", writer, FromRecorder(recorder), FlusherOptions{}, zerolog.Nop(), telemetry.NewRegistry())
-		lease, err := p.Table.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: leaseKey}}})
+		lease, err := p.Table.Commit(t.Context(), hosting.Txn{Puts: []hosting.Put{{Key: leaseKey}}})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/usagestore/seal.go
+++ b/usagestore/seal.go
@@ -7,7 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/usage"
 )
 
@@ -26,7 +26,7 @@
 	if err == nil {
 		return nil
 	}
-	if !platform.IsKind(err, platform.KindNotFound) {
+	if !hosting.IsKind(err, hosting.KindNotFound) {
 		return eris.Wrap(err, "close usage window")
 	}
 	term, ok := r.opts.Authority.MayAct(r.opts.Now())
@@ -37,7 +37,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "encode %s", key)
 	}
-	_, err = r.commitAbsent(ctx, key, platform.Txn{Puts: []platform.Put{{Key: key, Value: value}}})
+	_, err = r.commitAbsent(ctx, key, hosting.Txn{Puts: []hosting.Put{{Key: key, Value: value}}})
 	return err
 }
 
@@ -48,7 +48,7 @@
 	if err == nil {
 		return decodeSealed(key, row.Value)
 	}
-	if !platform.IsKind(err, platform.KindNotFound) {
+	if !hosting.IsKind(err, hosting.KindNotFound) {
 		return usage.Sealed{}, eris.Wrap(err, "seal usage window")
 	}
 	counted, condition, err := r.counted(ctx)
@@ -63,19 +63,19 @@
 }
 
 // counted reads what the seals so far have counted, and the condition that no other seal comes between.
-func (r *Reporter) counted(ctx context.Context) (usage.Counted, platform.Condition, error) {
+func (r *Reporter) counted(ctx context.Context) (usage.Counted, hosting.Condition, error) {
 	row, err := r.opts.Table.Get(ctx, countedKey)
-	if platform.IsKind(err, platform.KindNotFound) {
-		return usage.Counted{}, platform.Condition{Key: countedKey}, nil
+	if hosting.IsKind(err, hosting.KindNotFound) {
+		return usage.Counted{}, hosting.Condition{Key: countedKey}, nil
 	}
 	if err != nil {
-		return usage.Counted{}, platform.Condition{}, eris.Wrapf(err, "read %s", countedKey)
+		return usage.Counted{}, hosting.Condition{}, eris.Wrapf(err, "read %s", countedKey)
 	}
 	var counted usage.Counted
 	if err := json.Unmarshal(row.Value, &counted); err != nil {
-		return usage.Counted{}, platform.Condition{}, eris.Wrapf(err, "decode %s", countedKey)
+		return usage.Counted{}, hosting.Condition{}, eris.Wrapf(err, "decode %s", countedKey)
 	}
-	return counted, platform.Condition{Key: countedKey, Revision: row.Revision}, nil
+	return counted, hosting.Condition{Key: countedKey, Revision: row.Revision}, nil
 }
 
 func (r *Reporter) figures(
@@ -104,7 +104,7 @@
 }
 
 func (r *Reporter) writeSealed(
-	ctx context.Context, sealed usage.Sealed, counted usage.Counted, condition platform.Condition,
+	ctx context.Context, sealed usage.Sealed, counted usage.Counted, condition hosting.Condition,
 ) (usage.Sealed, error) {
 	key := sealedKey(sealed.Window)
 	sealedValue, err := json.Marshal(sealed)
@@ -115,9 +115,9 @@
 	if err != nil {
 		return usage.Sealed{}, eris.Wrapf(err, "encode %s", countedKey)
 	}
-	held, err := r.commitAbsent(ctx, key, platform.Txn{
-		Conditions: []platform.Condition{condition},
-		Puts:       []platform.Put{{Key: key, Value: sealedValue}, {Key: countedKey, Value: countedValue}},
+	held, err := r.commitAbsent(ctx, key, hosting.Txn{
+		Conditions: []hosting.Condition{condition},
+		Puts:       []hosting.Put{{Key: key, Value: sealedValue}, {Key: countedKey, Value: countedValue}},
 	})
 	if err != nil {
 		return usage.Sealed{}, err
--- a/usagestore/writer.go
+++ b/usagestore/writer.go
@@ -8,20 +8,20 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/usage"
 )
 
 // Writer makes batches durable. It is safe for concurrent use.
 type Writer struct {
-	table  platform.Table
+	table  hosting.Table
 	window func() usage.Window
 	now    func() time.Time
 }
 
 // NewWriter returns a Writer. window is asked for each batch, since operators may change its length; a batch that is
 // written twice under two lengths still counts once.
-func NewWriter(table platform.Table, window func() usage.Window, now func() time.Time) *Writer {
+func NewWriter(table hosting.Table, window func() usage.Window, now func() time.Time) *Writer {
 	return &Writer{table: table, window: window, now: now}
 }
 
@@ -45,11 +45,11 @@
 		return false, fmt.Errorf("encode usage batch %s of agent %s: %w", b.Identity(), b.Agent, err)
 	}
 	key := batchKey(window, b)
-	result, err := w.table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: closingKey(window)}, {Key: key}},
-		Puts:       []platform.Put{{Key: key, Value: value}},
+	result, err := w.table.Commit(ctx, hosting.Txn{
+		Conditions: []hosting.Condition{{Key: closingKey(window)}, {Key: key}},
+		Puts:       []hosting.Put{{Key: key, Value: value}},
 	})
-	if platform.IsKind(err, platform.KindUnknown) {
+	if hosting.IsKind(err, hosting.KindUnknown) {
 		return w.settle(ctx, key, err)
 	}
 	if err != nil {
@@ -68,7 +68,7 @@
 	return false, eris.Wrapf(cause, "write usage batch %s, reply lost and row not found", key)
 }
 
-func holds(rows []platform.Row, key string) bool {
+func holds(rows []hosting.Row, key string) bool {
 	for _, row := range rows {
 		if row.Key == key {
 			return true
--- a/usageview/names.go
+++ b/usageview/names.go
@@ -9,7 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/usage"
 )
 
@@ -66,7 +66,7 @@
 	return nil
 }
 
-func windowOf(batch platform.Row) string {
+func windowOf(batch hosting.Row) string {
 	name, _, _ := strings.Cut(strings.TrimPrefix(batch.Key, batchPrefix), "/")
 	return name
 }
--- a/usageview/view.go
+++ b/usageview/view.go
@@ -8,8 +8,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/operatorclient"
-	"github.com/radishshelf/radishshelf/platform"
 	"github.com/radishshelf/radishshelf/usage"
 )
 
@@ -30,7 +30,7 @@
 
 // Options configures a View.
 type Options struct {
-	Table platform.Table
+	Table hosting.Table
 	// Window is asked at each call, since operators may change its length.
 	Window func() usage.Window
 	// Now is the clock; time.Now when nil.
@@ -68,7 +68,7 @@
 
 func (v *View) window(ctx context.Context, name string) (operatorclient.UsageWindow, error) {
 	row, err := v.opts.Table.Get(ctx, sealedPrefix+name)
-	if platform.IsKind(err, platform.KindNotFound) {
+	if hosting.IsKind(err, hosting.KindNotFound) {
 		return v.notSealed(ctx, name)
 	}
 	window := operatorclient.UsageWindow{Window: name, State: stateSealed}
@@ -90,7 +90,7 @@
 func (v *View) notSealed(ctx context.Context, name string) (operatorclient.UsageWindow, error) {
 	window := operatorclient.UsageWindow{Window: name, State: stateOpen}
 	_, err := v.opts.Table.Get(ctx, closingPrefix+name)
-	if platform.IsKind(err, platform.KindNotFound) {
+	if hosting.IsKind(err, hosting.KindNotFound) {
 		return window, nil
 	}
 	window.State = stateClosing
--- a/usageview/view_test.go
+++ b/usageview/view_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/operatorclient"
-	"github.com/radishshelf/radishshelf/platform"
-	"github.com/radishshelf/radishshelf/platform/memory"
+	"github.com/radishshelf/radishshelf/standin/memory"
 	"github.com/radishshelf/radishshelf/usage"
 )
 
@@ -26,7 +26,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		result, err := table.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: key, Value: data}}})
+		result, err := table.Commit(t.Context(), hosting.Txn{Puts: []hosting.Put{{Key: key, Value: data}}})
 		if err != nil || !result.Committed {
 			t.Fatalf("put %s: %+v, %v", key, result, err)
 		}
@@ -92,16 +92,16 @@
 }
 
 type countingTable struct {
-	platform.Table
+	hosting.Table
 	reads int
 }
 
-func (c *countingTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (c *countingTable) Get(ctx context.Context, key string) (hosting.Row, error) {
 	c.reads++
 	return c.Table.Get(ctx, key)
 }
 
-func (c *countingTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (c *countingTable) Scan(ctx context.Context, prefix, after string, limit int) ([]hosting.Row, error) {
 	c.reads++
 	return c.Table.Scan(ctx, prefix, after, limit)
 }
