--- a/Makefile
+++ b/Makefile
@@ -36,8 +36,9 @@
 generate:
 	cd tools && $(GO) build -o ../bin/ google.golang.org/protobuf/cmd/protoc-gen-go \
 		github.com/twitchtv/twirp/protoc-gen-twirp
-	protoc --plugin=bin/protoc-gen-go --plugin=bin/protoc-gen-twirp --go_out=. --go_opt=paths=source_relative \
-		--twirp_out=. --twirp_opt=paths=source_relative rpc/radishshelf.proto
+	for file in rpc/radishshelf.proto rpc/relaypb/relay.proto; do \
+		protoc --plugin=bin/protoc-gen-go --plugin=bin/protoc-gen-twirp --go_out=. --go_opt=paths=source_relative \
+			--twirp_out=. --twirp_opt=paths=source_relative $$file; done
 
 clean:
 	rm -rf bin run
--- /dev/null
+++ b/batch/job.go
@@ -0,0 +1,255 @@
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Phase is where an item stands.
+type Phase int
+
+const (
+	// Waiting items want an upstream.
+	Waiting Phase = iota
+	// Running items generate their text.
+	Running
+	// Scoring items have their whole text and want a score.
+	Scoring
+	// Finished items have a result that is not listed yet.
+	Finished
+	// Listed items have a result at a position.
+	Listed
+)
+
+// Limits bound the runs of the items of a job.
+type Limits struct {
+	// MaxFailures is the number of failed runs after which an item is abandoned.
+	MaxFailures int
+	// SingleVersion requires texts of one weight version.
+	SingleVersion bool
+}
+
+// Progress is the state of one item.
+type Progress struct {
+	Item  *Item
+	Phase Phase
+	Text  Text
+	// Failures counts answers that count as a failed run, and ScoreFailures those of the score call.
+	Failures, ScoreFailures int
+	// NotBefore is when the item may be tried again, and Avoid the upstream that let it down last.
+	NotBefore time.Time
+	Avoid     string
+	// group is the index of the item's group in the order of the groups.
+	group  int
+	result Result
+}
+
+// Remaining estimates the output tokens that are still to be generated, given the tokens in one event.
+func (p *Progress) Remaining(tokensPerEvent int) int {
+	return max(p.Item.ExpectedTokens()-p.Text.Last()*tokensPerEvent, 1)
+}
+
+// Job is a job in the hands of its owner.
+type Job struct {
+	Spec   Spec
+	Record Record
+	Limits Limits
+	items  []*Progress
+	byID   map[string]*Progress
+	// needed is the number of groups, in their order, that the trainer waits for.
+	needed int
+	// begun holds how many items of each group have left Waiting.
+	begun []int
+	// finished holds the items with a result that is not listed yet, in the order in which they ended.
+	finished []*Progress
+	listed   int
+}
+
+// NewJob returns a job of which the results in listed stand already.
+func NewJob(spec Spec, record Record, limits Limits, listed []Result) *Job {
+	j := &Job{Spec: spec, Record: record, Limits: limits, byID: make(map[string]*Progress, len(spec.Items))}
+	for i := range spec.Items {
+		p := &Progress{Item: &spec.Items[i]}
+		j.items = append(j.items, p)
+		j.byID[p.Item.ID] = p
+	}
+	j.rankGroups()
+	for _, r := range listed {
+		if p, ok := j.byID[r.ID]; ok && p.Phase != Listed {
+			p.Phase = Listed
+			j.listed++
+		}
+	}
+	return j
+}
+
+// rankGroups orders the groups by their expected longest text, so that the groups that the trainer need not wait for are
+// the slowest ones. Groups carried over from an earlier job come first in a job; the trainer waits for them in any case.
+func (j *Job) rankGroups() {
+	type group struct {
+		name    string
+		index   int
+		longest int
+	}
+	var groups []*group
+	byName := map[string]*group{}
+	for i, p := range j.items {
+		g, ok := byName[p.Item.Group]
+		if !ok {
+			g = &group{name: p.Item.Group, index: i}
+			byName[p.Item.Group] = g
+			groups = append(groups, g)
+		}
+		g.longest = max(g.longest, p.Item.ExpectedTokens())
+	}
+	j.needed = len(groups)
+	if j.Spec.Desired > 0 {
+		j.needed = min(j.Spec.Desired, len(groups))
+	}
+	slices.SortStableFunc(groups, func(a, b *group) int { return cmp.Compare(a.longest, b.longest) })
+	rank := make(map[string]int, len(groups))
+	for i, g := range groups {
+		rank[g.name] = i
+	}
+	for _, p := range j.items {
+		p.group = rank[p.Item.Group]
+	}
+	j.begun = make([]int, len(groups))
+}
+
+// Get returns the progress of an item.
+func (j *Job) Get(id string) (*Progress, bool) {
+	p, ok := j.byID[id]
+	return p, ok
+}
+
+// Items returns the items in the order in which they were handed in.
+func (j *Job) Items() []*Progress { return j.items }
+
+// Start marks an item as running.
+func (j *Job) Start(p *Progress) {
+	p.Phase = Running
+	j.begun[p.group]++
+}
+
+// Requeue puts an item back among the waiting ones, keeping its text as far as it goes.
+func (j *Job) Requeue(p *Progress, notBefore time.Time, avoid string) {
+	if p.Phase != Running {
+		return
+	}
+	p.Phase, p.NotBefore, p.Avoid = Waiting, notBefore, avoid
+	if !p.Text.Fits(j.Spec.MinVersion, j.Limits.SingleVersion) {
+		p.Text.Reset()
+	}
+}
+
+// RunFailed counts a failed run, and abandons the item after the last one that is allowed.
+func (j *Job) RunFailed(p *Progress, notBefore time.Time, avoid string) {
+	p.Failures++
+	p.Text.Reset()
+	if p.Failures >= j.Limits.MaxFailures {
+		j.Abandon(p)
+		return
+	}
+	j.Requeue(p, notBefore, avoid)
+}
+
+// TextComplete takes the end of a text. A text whose versions do not fit is dropped and the item starts again.
+func (j *Job) TextComplete(p *Progress, now time.Time) {
+	if p.Phase != Running {
+		return
+	}
+	if !p.Text.Fits(j.Spec.MinVersion, j.Limits.SingleVersion) {
+		p.Text.Reset()
+		j.Requeue(p, now, "")
+		return
+	}
+	if p.Item.Score == nil {
+		j.succeed(p, "")
+		return
+	}
+	p.Phase = Scoring
+}
+
+// Scored takes the score of a complete text.
+func (j *Job) Scored(p *Progress, score string) {
+	if p.Phase == Scoring {
+		j.succeed(p, score)
+	}
+}
+
+// ScoreFailed counts a failed score call, of which limit are allowed, and reports whether the item is abandoned.
+func (j *Job) ScoreFailed(p *Progress, limit int) bool {
+	p.ScoreFailures++
+	if p.ScoreFailures < limit {
+		return false
+	}
+	j.Abandon(p)
+	return true
+}
+
+func (j *Job) succeed(p *Progress, score string) {
+	j.finish(p, Result{
+		ID: p.Item.ID, State: Succeeded, Output: p.Text.Output(), Versions: p.Text.Versions, Score: score,
+	})
+}
+
+// Abandon ends an item without a text.
+func (j *Job) Abandon(p *Progress) { j.finish(p, Result{ID: p.Item.ID, State: Abandoned}) }
+
+func (j *Job) finish(p *Progress, r Result) {
+	if p.Phase >= Finished {
+		return
+	}
+	p.Phase, p.result = Finished, r
+	p.Text.Events = nil
+	j.finished = append(j.finished, p)
+}
+
+// Unlisted returns the results that are not listed yet, in the order of their positions from Record.Listed on.
+func (j *Job) Unlisted() []Result {
+	list := make([]Result, 0, len(j.finished))
+	for _, p := range j.finished {
+		list = append(list, p.result)
+	}
+	return list
+}
+
+// MarkListed tells that the first n unlisted results stand in the store.
+func (j *Job) MarkListed(n int) {
+	for _, p := range j.finished[:n] {
+		p.Phase = Listed
+		p.result = Result{}
+		j.listed++
+	}
+	j.finished = slices.Delete(j.finished, 0, n)
+}
+
+// Complete reports whether every item is listed.
+func (j *Job) Complete() bool { return j.listed == len(j.items) }
+
+// Waiting returns the items that want an upstream at now.
+func (j *Job) Waiting(now time.Time) []*Progress {
+	var list []*Progress
+	for _, p := range j.items {
+		if p.Phase == Waiting && !now.Before(p.NotBefore) {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+// Optional reports whether the trainer does not wait for the group of an item.
+func (j *Job) Optional(p *Progress) bool { return p.group >= j.needed }
+
+// Count returns the number of items in a phase.
+func (j *Job) Count(phase Phase) int {
+	n := 0
+	for _, p := range j.items {
+		if p.Phase == phase {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/batch/order.go
@@ -0,0 +1,40 @@
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Candidate is a waiting item with its job.
+type Candidate struct {
+	Job  *Job
+	Item *Progress
+}
+
+// Order sorts candidates by who runs next. Items that the trainer waits for come before the others; among them the job
+// that is due first, then the longest remaining text, because it decides when its group is whole.
+func Order(list []Candidate, tokensPerEvent int) {
+	slices.SortStableFunc(list, func(a, b Candidate) int {
+		return cmp.Or(
+			compareBool(a.Job.Optional(a.Item), b.Job.Optional(b.Item)),
+			cmp.Compare(a.due(), b.due()),
+			cmp.Compare(b.Item.Remaining(tokensPerEvent), a.Item.Remaining(tokensPerEvent)),
+			cmp.Compare(a.Item.group, b.Item.group),
+		)
+	})
+}
+
+func (c Candidate) due() time.Duration { return c.Job.Record.AcceptedAt + c.Job.Record.Due }
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
--- /dev/null
+++ b/batch/spec.go
@@ -0,0 +1,45 @@
+package batch
+
+// Spec is a job as it was handed in.
+type Spec struct {
+	ID string `json:"id"`
+	// Step is the trainer's step, counted from 0.
+	Step int64 `json:"step"`
+	// Model is the model whose weights the items run on, and MinVersion the oldest version that may generate a text.
+	Model      string `json:"model"`
+	MinVersion int64  `json:"min_version"`
+	// Desired is the number of complete groups that the trainer waits for.
+	Desired int    `json:"desired"`
+	Items   []Item `json:"items"`
+}
+
+// Item is one request of a job.
+type Item struct {
+	ID      string            `json:"id"`
+	Path    string            `json:"path"`
+	Headers map[string]string `json:"headers"`
+	Body    []byte            `json:"body"`
+	// Tokens is the sum of prompt tokens and the maximum of output tokens.
+	Tokens int `json:"tokens"`
+	// LengthHint is the trainer's estimate of the output tokens; 0 when there is none.
+	LengthHint int    `json:"length_hint,omitempty"`
+	Group      string `json:"group,omitempty"`
+	// Score is the call that scores the text; nil when the text needs no score.
+	Score *ScoreCall `json:"score,omitempty"`
+}
+
+// ExpectedTokens is the best estimate of the output length, for ordering only.
+func (i *Item) ExpectedTokens() int {
+	if i.LengthHint > 0 {
+		return i.LengthHint
+	}
+	return i.Tokens
+}
+
+// ScoreCall is the request that scores the text of an item. It may be repeated.
+type ScoreCall struct {
+	ID   string `json:"id"`
+	Host string `json:"host"`
+	Path string `json:"path"`
+	Body []byte `json:"body"`
+}
--- /dev/null
+++ b/cmd/radishshelf-gateway/process.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"github.com/radishshelf/radishshelf/gateway"
+	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/logging"
+	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/rowrelay"
+	"github.com/radishshelf/radishshelf/telemetry"
+)
+
+const (
+	// memoryShare is the part of the host's memory at which the runtime collects garbage harder.
+	memoryShare = 0.6
+	// gcPercent lets the heap grow to several times what is live: memory is cheap next to processor time.
+	gcPercent = 400
+	// storeDialTimeout and peerDialTimeout are several round trips between regions.
+	storeDialTimeout = 500 * time.Millisecond
+	peerDialTimeout  = 400 * time.Millisecond
+	// defaultHeaderTimeout and defaultIdleTimeout hold until the configuration is read. They are generous, because
+	// callers rely on the configured ones.
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = 60 * time.Second
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 64 << 10
+	// outOfRotation is the time after which the platform sends no new connections to a process that is not ready.
+	outOfRotation = 2500 * time.Millisecond
+	// graceReserve is left of the grace at a stop.
+	graceReserve = 1500 * time.Millisecond
+)
+
+// process is the gateway with its listeners.
+type process struct {
+	settings platform.Settings
+	log      zerolog.Logger
+	gateway  *gateway.Gateway
+	servers  []*http.Server
+	front    *http.Server
+}
+
+func run(path, level, metricsPort string) error {
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(max(settings.Cores, 1))
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+	out := logging.NewAsyncWriter(os.Stdout)
+	defer out.Close()
+	log, err := logging.New(out, name, level)
+	if err != nil {
+		return err
+	}
+	log = log.With().Str("host", settings.Name).Logger()
+	registry := telemetry.NewRegistry()
+	registry.NewGauge("radishshelf_gateway_log_lines_dropped", func() float64 { return float64(out.Dropped()) })
+	p := &process{settings: settings, log: log}
+	p.gateway = newGateway(settings, log, registry)
+	return p.serve(registry, metricsPort)
+}
+
+// newGateway wires the gateway to the platform.
+func newGateway(s platform.Settings, log zerolog.Logger, registry *telemetry.Registry) *gateway.Gateway {
+	store := platform.NewStore(s.StoreAddress, platform.Dialer(storeDialTimeout))
+	peerClient := &http.Client{Transport: &http.Transport{DialContext: platform.Dialer(peerDialTimeout)}}
+	var g *gateway.Gateway
+	peers := func() []hosting.Rows {
+		var list []hosting.Rows
+		for _, address := range g.PeerAddresses() {
+			list = append(list, rowrelay.NewPeer(address, peerClient))
+		}
+		return list
+	}
+	g = gateway.New(gateway.Options{
+		Host: s.Name, Incarnation: uuid.NewString(), DataCentre: s.DataCentre, RegionOf: s.RegionOf,
+		PeerAddress: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), RowBytes: s.StoreRowBytes,
+		UsageDuty: s.HasUsageDuty(), ScaleDuty: s.HasScaleDuty(),
+		Timing: gateway.Timing{
+			Lease: s.Bounds.Lease, Grace: s.Bounds.Grace, UsageWindow: s.Bounds.UsageWindow, UsageLate: s.Bounds.UsageLate,
+			BatchLifetime: s.Bounds.BatchLifetime, Settle: s.Bounds.Settle,
+		},
+		Rows: rowrelay.New(store, peers), Codec: platform.Codec{}, Log: log, Registry: registry,
+		Upstreams: platform.NewUpstreamClient(platform.UpstreamDialer()),
+		Duties:    platform.NewDutyClient(s.DutyAddress, platform.Dialer(storeDialTimeout)),
+	})
+	return g
+}
+
+// serve runs until SIGTERM.
+func (p *process) serve(registry *telemetry.Registry, metricsPort string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	failed := make(chan error, 1)
+	if err := p.listen(registry, metricsPort, failed); err != nil {
+		return err
+	}
+	p.log.Info().Str("data_centre", p.settings.DataCentre).Str("front", p.settings.FrontAddress).Msg("started")
+	// The loops outlive ctx: duties and watches go on while the process leaves.
+	loops, stopLoops := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { p.gateway.Run(loops) })
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+		p.log.Error().Err(err).Msg("a listener failed")
+	}
+	p.leave()
+	stopLoops()
+	running.Wait()
+	p.gateway.Stop()
+	return err
+}
+
+// listen opens every address of the process.
+func (p *process) listen(registry *telemetry.Registry, metricsPort string, failed chan<- error) error {
+	store := platform.NewStore(p.settings.StoreAddress, platform.Dialer(storeDialTimeout))
+	mux := http.NewServeMux()
+	mux.Handle("/", rowrelay.NewHandler(store))
+	p.front = &http.Server{
+		Handler: platform.NewIngress(p.gateway), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	}
+	status := telemetry.NewStatusServer(registry, p.gateway.Ready)
+	plain := func(h http.Handler) *http.Server {
+		return &http.Server{
+			Handler: h, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		}
+	}
+	for _, l := range []struct {
+		address string
+		server  *http.Server
+	}{
+		{p.settings.FrontAddress, p.front},
+		{p.settings.ReadyAddress, plain(platform.NewReadyHandler(p.gateway))},
+		{net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.FirstPort)), plain(mux)},
+		{net.JoinHostPort(p.settings.IP, metricsPort), status},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return err
+		}
+		p.servers = append(p.servers, l.server)
+		go func() {
+			if err := l.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		}()
+	}
+	return nil
+}
+
+// leave hands jobs over, waits until the platform sends no more connections, and lets the requests in flight end.
+func (p *process) leave() {
+	started := time.Now()
+	p.gateway.Leave()
+	time.Sleep(outOfRotation - min(time.Since(started), outOfRotation))
+	left := p.settings.Bounds.Grace - graceReserve - time.Since(started)
+	ctx, cancel := context.WithTimeout(context.Background(), max(left, 0))
+	defer cancel()
+	if err := p.front.Shutdown(ctx); err != nil {
+		p.log.Warn().Err(err).Msg("requests were still in flight at the stop")
+	}
+}
--- a/command/command.go
+++ b/command/command.go
@@ -50,12 +50,13 @@
 	root.SetErr(stderr)
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintf(stderr, "%s: %v\n", p.Name, err)
-		return exitCode(err)
+		return ExitCode(err)
 	}
 	return ExitOK
 }
 
-func exitCode(err error) int {
+// ExitCode returns the exit code that tells a fault of the settings from other failures.
+func ExitCode(err error) int {
 	var settingsErr *settings.Error
 	if errors.As(err, &settingsErr) {
 		return ExitSettings
--- /dev/null
+++ b/gateway/adopt.go
@@ -0,0 +1,217 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/radishshelf/radishshelf/batch"
+	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/presence"
+)
+
+const (
+	// superviseInterval is how often jobs without a live owner are looked for.
+	superviseInterval = 150 * time.Millisecond
+	// adoptStep is how much longer the next process in line waits before it takes a job over itself.
+	adoptStep = 600 * time.Millisecond
+)
+
+// superviseLoop advances the views that depend on time and takes over jobs whose owner is dead or gave them up.
+func (g *Gateway) superviseLoop(ctx context.Context) {
+	orphanedSince := map[string]time.Time{}
+	for ctx.Err() == nil {
+		now := time.Now()
+		g.mu.Lock()
+		g.peers.Tick(now, g.storeFresh(storeLostAfter))
+		for _, id := range g.upstreams.Expire(now) {
+			g.opts.Log.Info().Str("upstream", id).Msg("upstream gone after its entry lapsed")
+		}
+		due := g.orphans(now, orphanedSince)
+		for _, e := range due {
+			e.adopting = true
+		}
+		g.mu.Unlock()
+		for _, e := range due {
+			go g.adopt(ctx, e)
+		}
+		sleep(ctx, superviseInterval)
+	}
+}
+
+// orphans returns the jobs that this process has to take over now. The caller holds the lock.
+func (g *Gateway) orphans(now time.Time, since map[string]time.Time) []*jobEntry {
+	var due []*jobEntry
+	if g.leaving || !g.storeFresh(storeLostAfter) {
+		return nil
+	}
+	live := g.peers.Live()
+	for id, e := range g.jobs {
+		orphan := e.record.Open() && e.owned == nil && !e.adopting && !g.expired(e) &&
+			(e.record.Owner == "" || e.record.OwnedBy(g.opts.Host, g.opts.Incarnation) ||
+				!g.peers.Alive(e.record.Owner, e.record.OwnerIncarnation))
+		if !orphan {
+			delete(since, id)
+			continue
+		}
+		if _, ok := since[id]; !ok {
+			since[id] = now
+		}
+		wait := time.Duration(rank(live, id, g.opts.Host)) * adoptStep
+		if e.record.OwnedBy(g.opts.Host, g.opts.Incarnation) {
+			wait = adoptStep // the acceptance of the job may still be at work
+		}
+		if now.Sub(since[id]) >= wait {
+			delete(since, id)
+			due = append(due, e)
+		}
+	}
+	return due
+}
+
+// expired reports whether no item of a job has to be tried any more. The caller holds the lock.
+func (g *Gateway) expired(e *jobEntry) bool {
+	return e.record.Lifetime > 0 && g.storeClock() > e.record.AcceptedAt+2*e.record.Lifetime
+}
+
+// rank is the place of a process in the order in which the live ones take a job over; every process computes the same.
+func rank(live []presence.Beat, job, host string) int {
+	var hosts []string
+	for _, b := range live {
+		if !b.Leaving {
+			hosts = append(hosts, b.Host)
+		}
+	}
+	slices.SortFunc(hosts, func(a, b string) int { return cmp.Compare(mix(job, a), mix(job, b)) })
+	return max(slices.Index(hosts, host), 0)
+}
+
+func mix(job, host string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(host))
+	h.Write([]byte(job))
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd // spreads the last bytes into the high bits, as the finalizer of MurmurHash3 does
+	return x ^ x>>33
+}
+
+// adopt takes a job over: it becomes the owner in the store and goes on from the stored results and texts.
+func (g *Gateway) adopt(ctx context.Context, e *jobEntry) {
+	defer func() {
+		g.mu.Lock()
+		e.adopting = false
+		g.mu.Unlock()
+	}()
+	spec, err := g.readSpec(ctx, e)
+	if err != nil {
+		g.opts.Log.Warn().Str("job", e.id).Err(err).Msg("job not taken over yet")
+		return
+	}
+	g.mu.Lock()
+	record, version := e.record, e.version
+	g.mu.Unlock()
+	from := record.Owner
+	record.Owner, record.OwnerIncarnation = g.opts.Host, g.opts.Incarnation
+	if committed, err := g.claim(ctx, e, record, version); err != nil || !committed {
+		if err != nil {
+			g.opts.Log.Warn().Str("job", e.id).Err(err).Msg("job not taken over yet")
+		}
+		return
+	}
+	g.startAdopted(ctx, e, spec, from)
+}
+
+// claim writes the record with this process as the owner under the condition that nobody changed it.
+func (g *Gateway) claim(ctx context.Context, e *jobEntry, record batch.Record, version int64) (bool, error) {
+	value, err := json.Marshal(record)
+	if err != nil {
+		return false, err
+	}
+	key := jobKey(jobTable, e.id)
+	result, err := g.opts.Rows.Commit(ctx, hosting.RowTxn{
+		Conditions: []hosting.StoredRow{{RowKey: key, Version: version}},
+		Puts:       []hosting.StoredRow{{RowKey: key, Value: value}},
+	})
+	if err != nil {
+		return false, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if result.Committed {
+		g.takeRecord(e.id, record, result.Version)
+		return true, nil
+	}
+	for _, row := range result.Current {
+		g.takeJobRow(row)
+	}
+	return false, nil
+}
+
+// startAdopted reads what is stored of a job that this process owns and begins to run it.
+func (g *Gateway) startAdopted(ctx context.Context, e *jobEntry, spec batch.Spec, from string) {
+	results, err := g.readResultRows(ctx, e.id, 0)
+	if err != nil {
+		g.opts.Log.Warn().Str("job", e.id).Err(err).Msg("results of an adopted job not read")
+		return // the job is still open and owned here, so the next round tries again
+	}
+	texts, err := g.readTexts(ctx, e.id)
+	if err != nil {
+		g.opts.Log.Warn().Str("job", e.id).Err(err).Msg("texts of an adopted job not read, its items start again")
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if e.owned != nil || !e.record.Open() || !e.record.OwnedBy(g.opts.Host, g.opts.Incarnation) {
+		return
+	}
+	g.met.jobsAdopted.Inc()
+	g.opts.Log.Info().Str("job", e.id).Str("from", from).Int("listed", len(results)).Int("total", e.record.Total).
+		Int("texts", len(texts)).Msg("job taken over")
+	g.own(e, spec, results, texts)
+}
+
+// readSpec reads the content of a job.
+func (g *Gateway) readSpec(ctx context.Context, e *jobEntry) (batch.Spec, error) {
+	rows, _, err := readPart(ctx, g.opts.Rows, jobRange(contentTable, e.id), g.storeAnswered)
+	if err != nil {
+		return batch.Spec{}, err
+	}
+	g.mu.Lock()
+	want := e.record.Chunks
+	g.mu.Unlock()
+	if len(rows) != want {
+		return batch.Spec{}, fmt.Errorf("content of job %s: %d of %d rows", e.id, len(rows), want)
+	}
+	var content []byte
+	for _, r := range rows {
+		content = append(content, r.Value...)
+	}
+	var spec batch.Spec
+	if err := json.Unmarshal(content, &spec); err != nil {
+		return batch.Spec{}, fmt.Errorf("content of job %s: %w", e.id, err)
+	}
+	return spec, nil
+}
+
+// readTexts reads the saved texts in progress of a job, by item.
+func (g *Gateway) readTexts(ctx context.Context, id string) (map[string]batch.Text, error) {
+	rows, _, err := readPart(ctx, g.opts.Rows, jobRange(progressTable, id), g.storeAnswered)
+	if err != nil {
+		return nil, err
+	}
+	texts := make(map[string]batch.Text, len(rows))
+	for _, r := range rows {
+		var text batch.Text
+		if err := json.Unmarshal(r.Value, &text); err != nil {
+			g.opts.Log.Warn().Str("key", r.Key).Err(err).Msg("row skipped")
+			continue
+		}
+		texts[strings.TrimPrefix(r.Key, id+"/")] = text
+	}
+	return texts, nil
+}
--- /dev/null
+++ b/gateway/choose.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/radishshelf/radishshelf/serving"
+	"github.com/radishshelf/radishshelf/upstreams"
+)
+
+// Costs of a choice, in units of the utilisation of an upstream: an upstream further away is taken when a nearer one is
+// that much fuller.
+const (
+	// otherDataCentreCost is for an upstream in another data centre of the same region.
+	otherDataCentreCost = 0.15
+	// otherRegionCost is for an upstream in another region, where bytes are paid for and a round trip takes 40 ms.
+	otherRegionCost = 0.3
+	// suspectCost puts an upstream whose last request failed behind all sound ones.
+	suspectCost = 4
+)
+
+// chooseService picks a target of a route by weight.
+func chooseService(route *serving.Route) (string, bool) {
+	if len(route.Targets) == 1 {
+		return route.Targets[0].Service, true
+	}
+	sum := 0.0
+	for _, t := range route.Targets {
+		sum += t.Weight
+	}
+	at := rand.Float64() * sum
+	for _, t := range route.Targets {
+		if at -= t.Weight; at < 0 {
+			return t.Service, true
+		}
+	}
+	return "", false
+}
+
+// choosePlain picks an upstream of a service for a request that runs on no model. The ones in tried come last, and not
+// at all when again is false. The caller holds the lock.
+func (g *Gateway) choosePlain(service string, tried map[string]bool, again bool, now time.Time) (upstreams.Entry, bool) {
+	var best upstreams.Entry
+	bestScore, found := 0.0, false
+	for _, e := range g.upstreams.Ready(service) {
+		if tried[e.ID] && !again {
+			continue
+		}
+		score := g.score(e, now)
+		if tried[e.ID] {
+			score += 2 * suspectCost
+		}
+		if g.healthOf(e.ID).IsBusy("", now) {
+			score += suspectCost
+		}
+		if !found || score < bestScore {
+			best, bestScore, found = e, score, true
+		}
+	}
+	return best, found
+}
+
+// score is the cost of sending one more request to an upstream. The caller holds the lock.
+func (g *Gateway) score(e upstreams.Entry, now time.Time) float64 {
+	h := g.healthOf(e.ID)
+	utilisation := float64(g.inFlight[e.ID]+g.othersLoad[e.ID]+1) / float64(max(e.Slots, 1))
+	score := utilisation*g.slowness(e) + g.distance(e) + rand.Float64()*0.01 // breaks ties
+	if !h.Allowed(now, g.inFlight[e.ID]) {
+		score += suspectCost
+	}
+	return score
+}
+
+func (g *Gateway) distance(e upstreams.Entry) float64 {
+	switch {
+	case e.DataCentre == g.opts.DataCentre:
+		return 0
+	case g.region(e.DataCentre) == g.region(g.opts.DataCentre):
+		return otherDataCentreCost
+	default:
+		return otherRegionCost
+	}
+}
+
+// slowness compares the pace of an upstream with the fastest of its service. The caller holds the lock.
+func (g *Gateway) slowness(e upstreams.Entry) float64 {
+	pace := g.healthOf(e.ID).Pace()
+	if pace == 0 {
+		return 1
+	}
+	fastest := pace
+	for _, other := range g.upstreams.Ready(e.Service) {
+		if p := g.healthOf(other.ID).Pace(); p > 0 {
+			fastest = min(fastest, p)
+		}
+	}
+	return float64(pace) / float64(fastest)
+}
--- /dev/null
+++ b/gateway/duty.go
@@ -0,0 +1,164 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/radishshelf/radishshelf/bootclock"
+	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/lease"
+)
+
+// Shares of the lease time of the platform.
+const (
+	// renewShare is the time between renewals, actShare how long a holder acts after it sent one. The rest is for calls
+	// that are on their way when the time to act is over.
+	renewShare = 0.22
+	actShare   = 0.6
+	// dutyTick is how often the holder looks for work.
+	dutyTick = 100 * time.Millisecond
+	// maxTakeoverDelay spreads the candidates, so that mostly one of them writes.
+	maxTakeoverDelay = 300 * time.Millisecond
+	// maxDutyCall bounds one call of a holder.
+	maxDutyCall = 700 * time.Millisecond
+)
+
+// termHolder is the state of the lease that all duties share.
+type termHolder struct {
+	mu        sync.Mutex
+	candidate *lease.Candidate
+	// held tells that the last look found the duties held here.
+	held bool
+}
+
+// leaseKey is the row of the lease.
+var leaseKey = hosting.RowKey{Table: leaseTable, Key: "duties"}
+
+// mayAct returns the term and the time left to act; ok is false unless this process holds the duties. Call it directly
+// before each call.
+func (g *Gateway) mayAct() (term int64, ok bool) {
+	g.term.mu.Lock()
+	defer g.term.mu.Unlock()
+	if g.term.candidate == nil {
+		return 0, false
+	}
+	return g.term.candidate.MayAct(bootclock.Now())
+}
+
+// dutyLoop competes for the duties and works on them while this process holds them.
+func (g *Gateway) dutyLoop(ctx context.Context) {
+	bound := g.opts.Timing.Lease
+	candidate, err := lease.New(lease.Config{
+		Candidate:     g.opts.Host + "#" + g.opts.Incarnation,
+		Duration:      bound,
+		RenewInterval: time.Duration(renewShare * float64(bound)),
+		ActWindow:     time.Duration(actShare * float64(bound)),
+	})
+	if err != nil {
+		g.opts.Log.Error().Err(err).Msg("no duties here")
+		return
+	}
+	candidate.SetDelay(rand.N(maxTakeoverDelay))
+	g.term.mu.Lock()
+	g.term.candidate = candidate
+	g.term.mu.Unlock()
+	work := newDutyWork(g)
+	for ctx.Err() == nil {
+		g.term.mu.Lock()
+		actions := candidate.Tick(bootclock.Now())
+		g.term.mu.Unlock()
+		g.carryOut(ctx, actions)
+		if _, ok := g.mayAct(); ok {
+			work.round(ctx)
+		}
+		sleep(ctx, dutyTick)
+	}
+	work.wait()
+	g.releaseDuties()
+}
+
+// carryOut does the I/O of the lease.
+func (g *Gateway) carryOut(ctx context.Context, actions []lease.Action) {
+	for len(actions) > 0 {
+		var next []lease.Action
+		for _, a := range actions {
+			next = append(next, g.leaseAction(ctx, a)...)
+		}
+		actions = next
+	}
+}
+
+func (g *Gateway) leaseAction(ctx context.Context, a lease.Action) []lease.Action {
+	switch a.Kind {
+	case lease.ActionRead:
+		page, err := g.opts.Rows.Range(ctx, hosting.RowRange{
+			Table: leaseKey.Table, From: leaseKey.Key, To: leaseKey.Key + "\x00", Limit: 1,
+		})
+		return g.leaseRead(page, err)
+	case lease.ActionWrite:
+		value, err := json.Marshal(a.Record)
+		if err != nil {
+			g.opts.Log.Error().Err(err).Msg("lease not encoded")
+			return g.leaseStep(func(c *lease.Candidate, now time.Time) []lease.Action { return c.Failed(false, now) })
+		}
+		result, err := g.opts.Rows.Commit(ctx, hosting.RowTxn{
+			Conditions: []hosting.StoredRow{{RowKey: leaseKey, Version: a.Revision}},
+			Puts:       []hosting.StoredRow{{RowKey: leaseKey, Value: value}},
+		})
+		return g.leaseStep(func(c *lease.Candidate, now time.Time) []lease.Action {
+			switch {
+			case err != nil:
+				return c.Failed(hosting.IsKind(err, hosting.KindUnknown), now)
+			case result.Committed:
+				return c.Written(result.Version, now)
+			default:
+				return c.Rejected(now)
+			}
+		})
+	case lease.ActionAcquired:
+		g.opts.Log.Info().Int64("term", a.Record.Term).Msg("duties taken")
+		g.met.dutiesTaken.Inc()
+	case lease.ActionLost:
+		g.opts.Log.Warn().Int64("term", a.Record.Term).Msg("duties lost")
+	}
+	return nil
+}
+
+func (g *Gateway) leaseRead(page hosting.RowPage, err error) []lease.Action {
+	return g.leaseStep(func(c *lease.Candidate, now time.Time) []lease.Action {
+		if err != nil {
+			return c.Failed(false, now)
+		}
+		if len(page.Rows) == 0 {
+			return c.Observed(lease.Observation{}, now)
+		}
+		var record lease.Record
+		if err := json.Unmarshal(page.Rows[0].Value, &record); err != nil {
+			g.opts.Log.Error().Err(err).Msg("lease cannot be read")
+			return c.Failed(false, now)
+		}
+		return c.Observed(lease.Observation{Revision: page.Rows[0].Version, Record: record}, now)
+	})
+}
+
+func (g *Gateway) leaseStep(step func(c *lease.Candidate, now time.Time) []lease.Action) []lease.Action {
+	g.term.mu.Lock()
+	defer g.term.mu.Unlock()
+	return step(g.term.candidate, bootclock.Now())
+}
+
+// releaseTimeout bounds the release of the lease at a stop.
+const releaseTimeout = time.Second
+
+// releaseDuties gives the lease up so that a successor need not wait.
+func (g *Gateway) releaseDuties() {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	g.term.mu.Lock()
+	actions := g.term.candidate.Release(bootclock.Now())
+	g.term.mu.Unlock()
+	g.carryOut(ctx, actions)
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/radishshelf/radishshelf/presence"
+	"github.com/radishshelf/radishshelf/retry"
+	"github.com/radishshelf/radishshelf/serving"
+	"github.com/radishshelf/radishshelf/upstreamhealth"
+	"github.com/radishshelf/radishshelf/upstreams"
+)
+
+// deadAfter is how long a process is silent, in time in which the store answered, before its jobs are taken over.
+const deadAfter = 2500 * time.Millisecond
+
+// Gateway is the entry process. All methods are safe for concurrent use.
+type Gateway struct {
+	opts Options
+	met  *metricSet
+
+	mu sync.Mutex
+	// config is nil until the first configuration was read.
+	config *serving.Config
+	// named holds the newest version of each model.
+	named     map[string]int64
+	upstreams *upstreams.View
+	// registryRead tells that the upstreams' table was read once.
+	registryRead bool
+	peers        *presence.View
+	jobs         map[string]*jobEntry
+	jobsRead     bool
+	health       map[string]*upstreamhealth.Health
+	// inFlight counts the requests of this process at each upstream.
+	inFlight map[string]int
+	// othersLoad holds what the other processes reported to have in flight at each upstream.
+	othersLoad map[string]int
+	// clock is the store's clock as of clockAt.
+	clock   time.Duration
+	clockAt time.Time
+	// answeredAt is when the store answered last, and storeLost tells that it is taken for lost.
+	answeredAt time.Time
+	storeLost  bool
+	leaving    bool
+	hedges     *retry.Budget
+	usage      usageCounts
+
+	kick    chan struct{}
+	ownedWG sync.WaitGroup
+	// work is the context of everything that runs on behalf of jobs; it ends when the process stops.
+	work     context.Context
+	stopWork context.CancelFunc
+	term     termHolder
+}
+
+// New returns a gateway that has read nothing yet.
+func New(opts Options) *Gateway {
+	g := &Gateway{
+		opts: opts, named: map[string]int64{}, upstreams: upstreams.NewView(), peers: presence.NewView(deadAfter),
+		jobs: map[string]*jobEntry{}, health: map[string]*upstreamhealth.Health{}, inFlight: map[string]int{},
+		othersLoad: map[string]int{}, hedges: retry.NewBudget(retry.DefaultBudgetConfig(), time.Now()),
+		usage: usageCounts{}, kick: make(chan struct{}, 1),
+	}
+	g.met = newMetricSet(opts.Registry, g)
+	g.work, g.stopWork = context.WithCancel(context.Background())
+	return g
+}
+
+// Run works until ctx ends. What runs for callers and jobs then is ended by Leave.
+func (g *Gateway) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, loop := range []func(context.Context){
+		g.operatorWatch().run, g.upstreamWatch().run, g.beatWatch().run, g.jobWatch().run,
+		g.beatLoop, g.scheduleLoop, g.superviseLoop, g.dutyLoop, g.usageFlushLoop,
+	} {
+		wg.Go(func() { loop(ctx) })
+	}
+	wg.Wait()
+}
+
+// wake makes the scheduler look for work.
+func (g *Gateway) wake() {
+	select {
+	case g.kick <- struct{}{}:
+	default:
+	}
+}
+
+// healthOf returns the judgement of an upstream. The caller holds the lock.
+func (g *Gateway) healthOf(id string) *upstreamhealth.Health {
+	h, ok := g.health[id]
+	if !ok {
+		h = &upstreamhealth.Health{}
+		g.health[id] = h
+	}
+	return h
+}
+
+// storeClock returns the store's clock now. The caller holds the lock.
+func (g *Gateway) storeClock() time.Duration {
+	if g.clockAt.IsZero() {
+		return 0
+	}
+	return g.clock + time.Since(g.clockAt)
+}
+
+// region returns the region of a data centre.
+func (g *Gateway) region(dataCentre string) string { return g.opts.RegionOf[dataCentre] }
+
+// jitter returns a random time between half of d and d, so that processes do not act in step.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
--- /dev/null
+++ b/gateway/list.go
@@ -0,0 +1,172 @@
+package gateway
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/radishshelf/radishshelf/batch"
+	"github.com/radishshelf/radishshelf/hosting"
+)
+
+// Pace of the lister.
+const (
+	// listDelay collects results that finish close together into one transaction.
+	listDelay = 40 * time.Millisecond
+	// listRetry follows a failed transaction.
+	listRetry = 100 * time.Millisecond
+	// maxListed bounds the results of one transaction; it takes 100 rows.
+	maxListed = 60
+)
+
+// listLoop writes finished results into the store until the job ends or every item is listed.
+func (o *ownedJob) listLoop() {
+	for {
+		select {
+		case <-o.ctx.Done():
+			return
+		case <-o.ready:
+		}
+		sleep(o.ctx, listDelay)
+		for o.listOnce() {
+		}
+		o.g.mu.Lock()
+		complete := o.job.Complete()
+		if complete && o.ctx.Err() == nil {
+			o.g.opts.Log.Info().Str("job", o.entry.id).Int("total", o.entry.record.Total).Msg("job complete")
+			o.end()
+		}
+		o.g.mu.Unlock()
+		if complete {
+			return
+		}
+	}
+}
+
+// listOnce lists a batch of results and reports whether there may be more.
+func (o *ownedJob) listOnce() bool {
+	o.listing.Lock()
+	defer o.listing.Unlock()
+	o.g.mu.Lock()
+	results := o.job.Unlisted()
+	o.g.mu.Unlock()
+	if len(results) == 0 || o.ctx.Err() != nil {
+		return false
+	}
+	n, rows := o.resultRows(results)
+	if n == 0 {
+		return false
+	}
+	return o.commitResults(results[:n], rows)
+}
+
+// resultRows encodes results from the current position on, as many as fit into a transaction.
+func (o *ownedJob) resultRows(results []batch.Result) (int, []hosting.StoredRow) {
+	o.g.mu.Lock()
+	position := o.entry.record.Listed
+	o.g.mu.Unlock()
+	var rows []hosting.StoredRow
+	size := 0
+	for i, r := range results {
+		value, err := json.Marshal(r)
+		if err != nil {
+			o.g.opts.Log.Error().Str("job", o.entry.id).Str("item", r.ID).Err(err).Msg("result not encoded")
+			return i, rows
+		}
+		size += len(value)
+		if i > 0 && (size > maxTxnBytes || i >= maxListed) {
+			return i, rows
+		}
+		rows = append(rows, splitValue(positionKey(o.entry.id, position+i), value, o.g.opts.RowBytes-chunkReserve)...)
+	}
+	return len(results), rows
+}
+
+// splitValue stores a value that may be larger than a row: the first part under the key, the others under keys that
+// follow it.
+func splitValue(key hosting.RowKey, value []byte, size int) []hosting.StoredRow {
+	var rows []hosting.StoredRow
+	for part := 0; part == 0 || len(value) > 0; part++ {
+		n := min(size, len(value))
+		row := hosting.StoredRow{RowKey: key, Value: value[:n]}
+		if part > 0 {
+			row.Key += continuation(part)
+		}
+		rows = append(rows, row)
+		value = value[n:]
+	}
+	return rows
+}
+
+// continuation is the suffix of the key of a further part of a value; it sorts before the next position.
+func continuation(part int) string { return "+" + string(rune('a'+part-1)) }
+
+// commitResults writes the rows under the condition that the record is unchanged. A transaction without an answer is
+// repeated as it was; the record then shows which of the two took effect. It reports whether the results were listed.
+func (o *ownedJob) commitResults(results []batch.Result, rows []hosting.StoredRow) bool {
+	for o.ctx.Err() == nil {
+		o.g.mu.Lock()
+		record, version := o.entry.record, o.entry.version
+		o.g.mu.Unlock()
+		record.Listed += len(results)
+		value, err := json.Marshal(record)
+		if err != nil {
+			o.g.opts.Log.Error().Str("job", o.entry.id).Err(err).Msg("record not encoded")
+			return false
+		}
+		key := jobKey(jobTable, o.entry.id)
+		result, err := o.g.opts.Rows.Commit(o.ctx, hosting.RowTxn{
+			Conditions: []hosting.StoredRow{{RowKey: key, Version: version}},
+			Puts:       append([]hosting.StoredRow{{RowKey: key, Value: value}}, rows...),
+		})
+		switch {
+		case err == nil && result.Committed:
+			o.noteListed(results, record, result.Version)
+			return true
+		case err == nil:
+			if listed, decided := o.conflict(result.Current, results, record); decided {
+				return listed
+			}
+		default:
+			o.g.opts.Log.Warn().Str("job", o.entry.id).Err(err).Msg("results not listed yet")
+			sleep(o.ctx, listRetry)
+		}
+	}
+	return false
+}
+
+func (o *ownedJob) noteListed(results []batch.Result, record batch.Record, version int64) {
+	o.g.mu.Lock()
+	defer o.g.mu.Unlock()
+	for i, r := range results {
+		o.entry.cache[record.Listed-len(results)+i] = r
+	}
+	o.job.MarkListed(len(results))
+	o.g.met.resultsListed.Add(len(results))
+	o.g.takeRecord(o.entry.id, record, version)
+}
+
+// conflict looks at the record that stood in the way. decided is false when the transaction has to be repeated under the
+// new version of the record.
+func (o *ownedJob) conflict(current []hosting.StoredRow, results []batch.Result, sent batch.Record) (listed, decided bool) {
+	o.g.mu.Lock()
+	defer o.g.mu.Unlock()
+	for _, row := range current {
+		var record batch.Record
+		if err := json.Unmarshal(row.Value, &record); err != nil {
+			o.g.opts.Log.Error().Str("job", o.entry.id).Err(err).Msg("record of an owned job cannot be read")
+			o.end()
+			return false, true
+		}
+		mine := record.OwnedBy(o.g.opts.Host, o.g.opts.Incarnation)
+		if mine && record.Listed == sent.Listed {
+			// An earlier try whose answer was lost took effect.
+			o.job.MarkListed(len(results))
+			o.g.takeRecord(o.entry.id, record, row.Version)
+			return true, true
+		}
+		o.g.takeRecord(o.entry.id, record, row.Version) // ends the ownership where the job was ended or taken over
+		return false, o.entry.owned != o
+	}
+	o.end() // the job is gone
+	return false, true
+}
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/radishshelf/radishshelf/batch"
+	"github.com/radishshelf/radishshelf/telemetry"
+)
+
+// metricSet holds the metrics of a gateway.
+type metricSet struct {
+	registry      *telemetry.Registry
+	hedges        *metrics.Counter
+	watchFailures *metrics.Counter
+	jobsAccepted  *metrics.Counter
+	jobsAdopted   *metrics.Counter
+	resultsListed *metrics.Counter
+	usageReports  *metrics.Counter
+	dutiesTaken   *metrics.Counter
+	upstreamTime  *metrics.Histogram
+	itemTime      *metrics.Histogram
+	requestTime   *metrics.Histogram
+}
+
+func newMetricSet(r *telemetry.Registry, g *Gateway) *metricSet {
+	r.NewGauge("radishshelf_gateway_store_silent_seconds", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.answeredAt.IsZero() {
+			return 0
+		}
+		return time.Since(g.answeredAt).Seconds()
+	})
+	r.NewGauge("radishshelf_gateway_config_version", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.config == nil {
+			return 0
+		}
+		return float64(g.config.Version)
+	})
+	r.NewGauge("radishshelf_gateway_upstreams", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(g.upstreams.Len())
+	})
+	r.NewGauge("radishshelf_gateway_duties_held", func() float64 {
+		if _, ok := g.mayAct(); ok {
+			return 1
+		}
+		return 0
+	})
+	for phase, name := range map[batch.Phase]string{
+		batch.Waiting: "waiting", batch.Running: "running", batch.Scoring: "scoring", batch.Finished: "finished",
+	} {
+		r.NewGauge(fmt.Sprintf("radishshelf_gateway_items{phase=%q}", name), func() float64 { return g.countItems(phase) })
+	}
+	return &metricSet{
+		registry:      r,
+		hedges:        r.NewCounter("radishshelf_gateway_hedges_total"),
+		watchFailures: r.NewCounter("radishshelf_gateway_watch_failures_total"),
+		jobsAccepted:  r.NewCounter("radishshelf_gateway_jobs_accepted_total"),
+		jobsAdopted:   r.NewCounter("radishshelf_gateway_jobs_adopted_total"),
+		resultsListed: r.NewCounter("radishshelf_gateway_results_listed_total"),
+		usageReports:  r.NewCounter("radishshelf_gateway_usage_reports_total"),
+		dutiesTaken:   r.NewCounter("radishshelf_gateway_duties_taken_total"),
+		upstreamTime:  r.NewHistogram("radishshelf_gateway_upstream_seconds"),
+		itemTime:      r.NewHistogram("radishshelf_gateway_item_seconds"),
+		requestTime:   r.NewHistogram("radishshelf_gateway_request_seconds"),
+	}
+}
+
+// countItems counts the items of owned jobs in a phase.
+func (g *Gateway) countItems(phase batch.Phase) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, e := range g.jobs {
+		if e.owned != nil {
+			n += e.owned.job.Count(phase)
+		}
+	}
+	return float64(n)
+}
+
+// itemFailures counts runs that ended early, by reason.
+func (m *metricSet) itemFailures(reason string) *metrics.Counter {
+	return m.registry.GetOrCreateCounter(fmt.Sprintf("radishshelf_gateway_item_failures_total{reason=%q}", reason))
+}
+
+// orders counts version orders, by answer.
+func (m *metricSet) orders(answer string) *metrics.Counter {
+	return m.registry.GetOrCreateCounter(fmt.Sprintf("radishshelf_gateway_version_orders_total{answer=%q}", answer))
+}
+
+// requests counts answers to callers, by kind.
+func (m *metricSet) requests(kind string) *metrics.Counter {
+	return m.registry.GetOrCreateCounter(fmt.Sprintf("radishshelf_gateway_requests_total{kind=%q}", kind))
+}
--- /dev/null
+++ b/gateway/own.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+
+	"github.com/radishshelf/radishshelf/batch"
+)
+
+// defaultMaxFailures is the number of failed runs after which an item is abandoned where the route sets none.
+const defaultMaxFailures = 3
+
+// ownedJob is a job whose items this process runs.
+type ownedJob struct {
+	g     *Gateway
+	entry *jobEntry
+	job   *batch.Job
+	// ctx ends with the ownership, and with it all runs of the job.
+	ctx  context.Context
+	stop context.CancelFunc
+	// ready wakes the lister when an item has finished.
+	ready chan struct{}
+	// saved holds for each item how many events of its text the store knows.
+	saved map[string]int
+	// listing is held while results are written, so that no two writers list the same results.
+	listing sync.Mutex
+}
+
+// own begins to run a job. listed are the results that stand already, and texts the texts in progress of its items. The
+// caller holds the lock.
+func (g *Gateway) own(e *jobEntry, spec batch.Spec, listed []batch.Result, texts map[string]batch.Text) {
+	limits := batch.Limits{MaxFailures: defaultMaxFailures}
+	if g.config != nil {
+		if route, ok := g.config.Route(e.record.Host, e.record.PathPrefix); ok {
+			limits = batch.Limits{MaxFailures: route.MaxAttempts, SingleVersion: route.SingleVersion}
+		}
+	}
+	o := &ownedJob{
+		g: g, entry: e, job: batch.NewJob(spec, e.record, limits, listed), ready: make(chan struct{}, 1),
+		saved: map[string]int{},
+	}
+	for id, text := range texts {
+		if p, ok := o.job.Get(id); ok && p.Phase == batch.Waiting && text.Fits(spec.MinVersion, limits.SingleVersion) {
+			p.Text = text
+			o.saved[id] = text.Last()
+		}
+	}
+	o.ctx, o.stop = context.WithCancel(g.work)
+	e.owned = o
+	g.ownedWG.Go(o.listLoop)
+	g.ownedWG.Go(o.saveLoop)
+	g.wake()
+}
+
+// ownedChanged follows a change of the record of an owned job. The caller holds the lock.
+func (g *Gateway) ownedChanged(e *jobEntry) {
+	o := e.owned
+	o.job.Record = e.record
+	if !e.record.OwnedBy(g.opts.Host, g.opts.Incarnation) {
+		g.opts.Log.Warn().Str("job", e.id).Str("owner", e.record.Owner).Msg("job taken over by another process")
+		o.end()
+	} else if e.record.Ended {
+		g.opts.Log.Info().Str("job", e.id).Int("listed", e.record.Listed).Int("total", e.record.Total).Msg("job ended")
+		o.end()
+	}
+}
+
+// end stops everything that runs for the job. The caller holds the lock.
+func (o *ownedJob) end() {
+	o.stop()
+	if o.entry.owned == o {
+		o.entry.owned = nil
+	}
+}
+
+// signal wakes the lister.
+func (o *ownedJob) signal() {
+	select {
+	case o.ready <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/gateway/plain.go
@@ -0,0 +1,328 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/radishshelf/radishshelf/call"
+	"github.com/radishshelf/radishshelf/outcome"
+	"github.com/radishshelf/radishshelf/upstreamcall"
+	"github.com/radishshelf/radishshelf/upstreams"
+)
+
+// Bounds of a plain request.
+const (
+	// defaultTimeout holds where neither the caller nor the route sets one.
+	defaultTimeout = 30 * time.Second
+	// hedgeShare is the part of the target latency after which a repeatable request is sent to a second upstream.
+	hedgeShare = 0.4
+	// minHedgeDelay covers a round trip between regions and usual work.
+	minHedgeDelay = 60 * time.Millisecond
+	// waitShare is the part of the target latency for which a request may wait for room at an upstream.
+	waitShare = 0.2
+	// busyPause separates two tries at busy upstreams.
+	busyPause = 15 * time.Millisecond
+	// maxTries bounds the sends of one request, those that were refused as not run included.
+	maxTries = 12
+)
+
+// forward sends a plain request to upstreams until one answers it.
+func (g *Gateway) forward(ctx context.Context, r *call.Request, t *target) (*call.Answer, error) {
+	f := newForwarding(g, r, t)
+	ctx, cancel := context.WithDeadline(ctx, f.deadline)
+	defer cancel() // ends the sends that lost
+	return f.run(ctx)
+}
+
+// forwarding is one plain request on its way.
+type forwarding struct {
+	g        *Gateway
+	request  *call.Request
+	target   *target
+	service  string
+	deadline time.Time
+	// waitUntil bounds how long the request waits for room.
+	waitUntil time.Time
+	// tried holds the upstreams that may have begun to run the request, and refused those that surely have not.
+	tried, refused map[string]bool
+	sends, pending int
+	counted        bool
+	hedged         bool
+	results        chan sendResult
+	// last is the failed answer that the caller gets when nothing better comes.
+	last    *call.Answer
+	failure *upstreamcall.Failure
+}
+
+type sendResult struct {
+	upstream upstreams.Entry
+	answer   *call.Answer
+	failure  *upstreamcall.Failure
+	// signature is the upstream's signature of the answer.
+	signature string
+	took      time.Duration
+}
+
+func newForwarding(g *Gateway, r *call.Request, t *target) *forwarding {
+	timeout := defaultTimeout
+	if t.route.Timeout > 0 {
+		timeout = t.route.Timeout
+	}
+	if r.Patience > 0 {
+		timeout = min(timeout, r.Patience)
+	}
+	return &forwarding{
+		g: g, request: r, target: t, deadline: r.Received.Add(timeout),
+		waitUntil: r.Received.Add(time.Duration(waitShare * float64(t.route.TargetLatency))),
+		tried:     map[string]bool{}, refused: map[string]bool{}, results: make(chan sendResult, maxTries),
+	}
+}
+
+func (f *forwarding) run(ctx context.Context) (*call.Answer, error) {
+	var ok bool
+	if f.service, ok = chooseService(f.target.route); !ok {
+		return nil, refuseFor(outcome.KindNoUpstream, "the route has no service", retryStore)
+	}
+	hedge := time.NewTimer(f.hedgeDelay())
+	defer hedge.Stop()
+	if err := f.send(ctx); err != nil {
+		return nil, err
+	}
+	for {
+		select {
+		case result := <-f.results:
+			f.pending--
+			if answer, err, done := f.take(ctx, result); done {
+				return answer, err
+			}
+		case <-hedge.C:
+			f.hedge(ctx)
+		case <-ctx.Done():
+			return nil, f.timedOut(ctx)
+		}
+	}
+}
+
+// repeatable reports whether the request may be sent to one more upstream although it may have run.
+func (f *forwarding) repeatable() bool {
+	return f.target.route.Repeatable() && len(f.tried) < f.target.route.MaxAttempts
+}
+
+func (f *forwarding) hedgeDelay() time.Duration {
+	return max(minHedgeDelay, time.Duration(hedgeShare*float64(f.target.route.TargetLatency)))
+}
+
+func (f *forwarding) hedge(ctx context.Context) {
+	if f.hedged || f.pending == 0 || !f.repeatable() {
+		return
+	}
+	f.hedged = true
+	f.g.mu.Lock()
+	paid := f.g.hedges.Spend(time.Now())
+	f.g.mu.Unlock()
+	if !paid {
+		return
+	}
+	f.g.met.hedges.Inc()
+	_ = f.send(ctx) // without a second upstream the first one is waited for
+}
+
+// send starts one more send.
+func (f *forwarding) send(ctx context.Context) error {
+	now := time.Now()
+	f.g.mu.Lock()
+	exclude := f.tried
+	if len(f.refused) > 0 {
+		exclude = map[string]bool{}
+		for id := range f.tried {
+			exclude[id] = true
+		}
+		for id := range f.refused {
+			exclude[id] = true
+		}
+	}
+	u, ok := f.g.choosePlain(f.service, exclude, false, now)
+	if ok {
+		f.g.inFlight[u.ID]++
+	}
+	if f.sends == 0 {
+		f.g.hedges.FirstTry(now)
+	}
+	f.g.mu.Unlock()
+	if !ok {
+		return refuseFor(outcome.KindNoUpstream, "no upstream of the service takes the request", retryBusy)
+	}
+	f.sends++
+	f.pending++
+	f.tried[u.ID] = true
+	req := &upstreamcall.Request{
+		ID: f.request.ID, Host: f.request.Host, Method: f.request.Method, Target: f.request.Target,
+		Header: f.request.Header, Body: f.request.Body, Workspace: f.target.workspaceName(),
+		TimeLeft: time.Until(f.deadline), Priority: upstreamcall.NoPriority, Upstream: u,
+	}
+	go func() { f.results <- f.g.sendWhole(ctx, req) }()
+	return nil
+}
+
+// take decides on the end of one send.
+func (f *forwarding) take(ctx context.Context, r sendResult) (*call.Answer, error, bool) {
+	if r.failure == nil {
+		f.countUsage()
+		if r.answer.Status < http.StatusInternalServerError {
+			return r.answer, nil, true
+		}
+		f.last = r.answer
+	} else {
+		f.failure = r.failure
+		if r.failure.Outcome == outcome.NotRun {
+			delete(f.tried, r.upstream.ID)
+			f.refused[r.upstream.ID] = true
+		} else {
+			f.countUsage()
+		}
+	}
+	if ctx.Err() != nil {
+		return nil, f.timedOut(ctx), true
+	}
+	if f.mayRepeat(r) && f.sends < maxTries && f.send(ctx) == nil {
+		return nil, nil, false
+	}
+	if f.pending > 0 {
+		return nil, nil, false
+	}
+	if f.waitForRoom(ctx, r) {
+		return nil, nil, false
+	}
+	answer, err := f.giveUp()
+	return answer, err, true
+}
+
+// mayRepeat reports whether one more send is allowed after a result.
+func (f *forwarding) mayRepeat(r sendResult) bool {
+	if r.failure != nil && r.failure.Outcome == outcome.NotRun {
+		return len(f.tried) < f.target.route.MaxAttempts
+	}
+	return f.repeatable()
+}
+
+// waitForRoom tries the busy upstreams once more while the time for waiting lasts.
+func (f *forwarding) waitForRoom(ctx context.Context, r sendResult) bool {
+	if r.failure == nil || r.failure.Outcome != outcome.NotRun || f.sends >= maxTries || time.Now().After(f.waitUntil) {
+		return false
+	}
+	sleep(ctx, busyPause)
+	clear(f.refused)
+	return f.send(ctx) == nil
+}
+
+// giveUp is the final answer when no send can follow.
+func (f *forwarding) giveUp() (*call.Answer, error) {
+	switch {
+	case f.last != nil:
+		return f.last, nil
+	case len(f.tried) == 0:
+		return nil, refuseFor(outcome.KindOverloaded, "no upstream of the service had room", retryBusy)
+	default:
+		return nil, undecided(outcome.KindUpstreamFailed, http.StatusBadGateway, "the upstream gave no whole answer", f.failure)
+	}
+}
+
+// timedOut is the final answer at the deadline, or for a caller that left.
+func (f *forwarding) timedOut(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return undecided(outcome.KindDeadline, http.StatusBadGateway, "the caller left", ctx.Err())
+	}
+	if f.pending == 0 && len(f.tried) == 0 {
+		return refuseFor(outcome.KindDeadline, "no upstream took the request in time", retryBusy)
+	}
+	return undecided(outcome.KindDeadline, http.StatusGatewayTimeout, "no answer in time", f.failure)
+}
+
+func (f *forwarding) countUsage() {
+	if f.counted || f.target.workspace == nil {
+		return
+	}
+	f.counted = true
+	f.g.countUsage(f.target.workspace.Name, time.Now())
+}
+
+// maxWholeAnswer bounds an answer that is kept until it is whole.
+const maxWholeAnswer = 32 << 20
+
+// errAnswerTooLarge is the failure of an answer over maxWholeAnswer.
+var errAnswerTooLarge = errors.New("the answer is larger than 32 MiB")
+
+// sendWhole sends a request, reads the whole answer and learns from it about the upstream.
+func (g *Gateway) sendWhole(ctx context.Context, req *upstreamcall.Request) sendResult {
+	started := time.Now()
+	result := sendResult{upstream: req.Upstream}
+	result.answer, result.signature, result.failure = g.readWhole(ctx, req)
+	result.took = time.Since(started)
+	g.learn(req.Upstream, "", result.failure, ctx)
+	if result.failure == nil {
+		g.met.upstreamTime.UpdateDuration(started)
+	}
+	return result
+}
+
+func (g *Gateway) readWhole(
+	ctx context.Context, req *upstreamcall.Request,
+) (*call.Answer, string, *upstreamcall.Failure) {
+	answer, err := g.opts.Upstreams.Send(ctx, req)
+	if err != nil {
+		return nil, "", upstreamcall.AsFailure(err)
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWholeAnswer+1))
+	if err == nil && len(body) > maxWholeAnswer {
+		err = errAnswerTooLarge
+	}
+	if err != nil {
+		return nil, "", &upstreamcall.Failure{Reason: upstreamcall.Broken, Outcome: outcome.MayHaveRun, Err: err}
+	}
+	if answer.Status < http.StatusMultipleChoices && !answer.Signed {
+		return nil, "", &upstreamcall.Failure{
+			Reason: upstreamcall.Crossed, Outcome: outcome.MayHaveRun, Err: errors.New("a success without a signature"),
+		}
+	}
+	return &call.Answer{Status: answer.Status, Header: answer.Header, Body: body}, answer.Signature, nil
+}
+
+// learn takes the end of a send into the judgement of its upstream.
+func (g *Gateway) learn(u upstreams.Entry, model string, failure *upstreamcall.Failure, ctx context.Context) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inFlight[u.ID]--
+	if g.inFlight[u.ID] <= 0 {
+		delete(g.inFlight, u.ID)
+	}
+	h := g.healthOf(u.ID)
+	switch {
+	case failure == nil:
+		if h.Succeed() {
+			g.opts.Log.Info().Str("upstream", u.ID).Msg("upstream recovered")
+		}
+	case failure.Reason == upstreamcall.Cancelled:
+	case failure.Reason == upstreamcall.Busy:
+		h.Busy(model, now.Add(busyHold))
+		h.Succeed()
+	case failure.Reason == upstreamcall.Failed, failure.Reason == upstreamcall.Impossible,
+		failure.Reason == upstreamcall.OldVersion:
+		h.Succeed()
+	default:
+		if ctx.Err() != nil && failure.Reason != upstreamcall.Silent {
+			return // the send was ended from here
+		}
+		if h.Fail(now) {
+			g.opts.Log.Warn().Str("upstream", u.ID).Str("reason", string(failure.Reason)).AnErr("error", failure.Err).
+				Msg("upstream suspect")
+		}
+	}
+}
+
+// busyHold is how long a refusal for lack of room counts; a load of weights refuses for about a second.
+const busyHold = 200 * time.Millisecond
--- /dev/null
+++ b/gateway/save.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/radishshelf/radishshelf/batch"
+	"github.com/radishshelf/radishshelf/hosting"
+)
+
+const (
+	// saveInterval is how often texts in progress are saved, so that a successor does not start them again.
+	saveInterval = 700 * time.Millisecond
+	// minSaved is the number of new events from which a text is worth saving.
+	minSaved = 8
+	// maxSaved bounds the texts of one transaction; it takes 100 rows.
+	maxSaved = 90
+)
+
+// saveLoop saves texts in progress until the ownership ends.
+func (o *ownedJob) saveLoop() {
+	for {
+		sleep(o.ctx, saveInterval)
+		if o.ctx.Err() != nil {
+			return
+		}
+		o.save(minSaved)
+	}
+}
+
+// save stores the texts that grew by at least minEvents since they were saved.
+func (o *ownedJob) save(minEvents int) {
+	rows, saved := o.unsaved(minEvents)
+	if len(rows) == 0 {
+		return
+	}
+	if _, err := o.g.opts.Rows.Commit(o.g.work, hosting.RowTxn{Puts: rows}); err != nil {
+		o.g.opts.Log.Warn().Str("job", o.entry.id).Int("texts", len(rows)).Err(err).Msg("texts in progress not saved")
+		return
+	}
+	o.g.mu.Lock()
+	defer o.g.mu.Unlock()
+	for id, events := range saved {
+		o.saved[id] = events
+	}
+}
+
+func (o *ownedJob) unsaved(minEvents int) ([]hosting.StoredRow, map[string]int) {
+	o.g.mu.Lock()
+	defer o.g.mu.Unlock()
+	var rows []hosting.StoredRow
+	saved := map[string]int{}
+	size := 0
+	for _, p := range o.job.Items() {
+		if p.Phase >= batch.Finished || p.Text.Last() < o.saved[p.Item.ID]+minEvents {
+			continue
+		}
+		value, err := json.Marshal(p.Text)
+		if err != nil || len(value) > o.g.opts.RowBytes-chunkReserve {
+			continue // a text that does not fit into a row starts again at a successor
+		}
+		if size += len(value); size > maxTxnBytes || len(rows) >= maxSaved {
+			break
+		}
+		rows = append(rows, hosting.StoredRow{RowKey: progressKey(o.entry.id, p.Item.ID), Value: value})
+		saved[p.Item.ID] = p.Text.Last()
+	}
+	return rows, saved
+}
--- /dev/null
+++ b/gateway/schedule.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/radishshelf/radishshelf/batch"
+	"github.com/radishshelf/radishshelf/serving"
+	"github.com/radishshelf/radishshelf/upstreams"
+)
+
+const (
+	// scheduleInterval is how often waiting items are looked at when nothing else wakes the scheduler.
+	scheduleInterval = 50 * time.Millisecond
+	// tokensPerEvent converts events into tokens where only an order of magnitude is needed.
+	tokensPerEvent = 50
+)
+
+// scheduleLoop sends waiting items to upstreams until ctx ends.
+func (g *Gateway) scheduleLoop(ctx context.Context) {
+	ticker := time.NewTicker(scheduleInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.kick:
+		case <-ticker.C:
+		}
+		g.schedule(time.Now())
+	}
+}
+
+// schedule starts every waiting item for which there is room.
+func (g *Gateway) schedule(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.leaving || g.config == nil {
+		return
+	}
+	candidates := g.waiting(now)
+	if len(candidates) == 0 {
+		return
+	}
+	batch.Order(candidates, tokensPerEvent)
+	full := map[roomKey]bool{}
+	for _, c := range candidates {
+		g.startItem(c, full, now)
+	}
+}
+
+// roomKey names upstreams that are equal for the purpose of room.
+type roomKey struct {
+	service, model string
+	minVersion     int64
+}
+
+// waiting returns the items that may start. The caller holds the lock.
+func (g *Gateway) waiting(now time.Time) []batch.Candidate {
+	var list []batch.Candidate
+	for _, e := range g.jobs {
+		if e.owned == nil || e.record.Ended {
+			continue
+		}
+		for _, p := range e.owned.job.Waiting(now) {
+			list = append(list, batch.Candidate{Job: e.owned.job, Item: p})
+		}
+	}
+	return list
+}
+
+// startItem sends one item to the best upstream with room. The caller holds the lock.
+func (g *Gateway) startItem(c batch.Candidate, full map[roomKey]bool, now time.Time) {
+	e := g.jobs[c.Job.Spec.ID]
+	route, ok := g.config.Route(e.record.Host, e.record.PathPrefix)
+	if !ok || route.Kind != serving.Rollout {
+		return // the configuration dropped the route; the items wait for it to come back
+	}
+	service, ok := chooseService(route)
+	key := roomKey{service: service, model: c.Job.Spec.Model, minVersion: c.Job.Spec.MinVersion}
+	if !ok || full[key] {
+		return
+	}
+	if lifetime := e.record.Lifetime; lifetime > 0 && g.storeClock() > e.record.AcceptedAt+lifetime {
+		c.Job.Abandon(c.Item)
+		e.owned.signal()
+		return
+	}
+	u, ok := g.chooseEngine(key, c.Item.Avoid, now)
+	if !ok {
+		full[key] = true
+		return
+	}
+	c.Job.Start(c.Item)
+	g.inFlight[u.ID]++
+	o := e.owned
+	g.ownedWG.Go(func() { o.runItem(c.Item, u) })
+}
+
+// chooseEngine picks the upstream for an item. The caller holds the lock.
+func (g *Gateway) chooseEngine(key roomKey, avoid string, now time.Time) (upstreams.Entry, bool) {
+	var best upstreams.Entry
+	bestScore, found := 0.0, false
+	for _, e := range g.upstreams.Ready(key.service) {
+		version, serves := e.Versions[key.model]
+		h := g.healthOf(e.ID)
+		if key.model != "" && (!serves || version < key.minVersion) || h.IsBusy(key.model, now) ||
+			!h.Allowed(now, g.inFlight[e.ID]) || g.inFlight[e.ID] >= g.room(e) {
+			continue
+		}
+		score := g.score(e, now)
+		if e.ID == avoid {
+			score += suspectCost
+		}
+		if !found || score < bestScore {
+			best, bestScore, found = e, score, true
+		}
+	}
+	return best, found
+}
+
+// minRoom is the number of items that a process may send to an upstream however full the others report it to be: their
+// reports are up to a second old.
+const minRoom = 2
+
+// room is how many requests this process may have in flight at an upstream. The caller holds the lock.
+func (g *Gateway) room(e upstreams.Entry) int {
+	return max(e.Slots-g.othersLoad[e.ID], min(minRoom, e.Slots))
+}
--- /dev/null
+++ b/gateway/stream.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/radishshelf/radishshelf/call"
+	"github.com/radishshelf/radishshelf/outcome"
+	"github.com/radishshelf/radishshelf/upstreamcall"
+	"github.com/radishshelf/radishshelf/upstreams"
+)
+
+// stream passes the events of a stream on as they arrive. A stream that may be resumed goes on at another upstream after
+// the first one broke off.
+func (g *Gateway) stream(ctx context.Context, r *call.Request, t *target) (*call.Answer, error) {
+	f := newForwarding(g, r, t)
+	s := &streaming{forwarding: f, last: r.ResumeAfter}
+	ctx, cancel := context.WithDeadline(ctx, f.deadline)
+	first, err := s.open(ctx)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return &call.Answer{Status: first.Status, Header: first.Header, Stream: func(w io.Writer, flush func()) error {
+		defer cancel()
+		return s.copy(ctx, first, w, flush)
+	}}, nil
+}
+
+// streaming is one stream on its way to its caller.
+type streaming struct {
+	*forwarding
+	// last is the id of the last event that the caller has.
+	last    int
+	current upstreams.Entry
+}
+
+// open sends the request until an upstream begins to answer.
+func (s *streaming) open(ctx context.Context) (*upstreamcall.Answer, error) {
+	var ok bool
+	if s.service, ok = chooseService(s.target.route); !ok {
+		return nil, refuseFor(outcome.KindNoUpstream, "the route has no service", retryStore)
+	}
+	for range maxTries {
+		answer, err := s.next(ctx)
+		if err == nil {
+			return answer, nil
+		}
+		var failure *upstreamcall.Failure
+		if !errors.As(err, &failure) {
+			return nil, err // no upstream is left
+		}
+		s.failure = failure
+		if failure.Outcome != outcome.NotRun && !s.repeatable() || ctx.Err() != nil {
+			break
+		}
+	}
+	if ctx.Err() != nil {
+		return nil, s.timedOut(ctx)
+	}
+	_, err := s.giveUp()
+	return nil, err
+}
+
+// next sends the request to one upstream, after the last event that the caller has.
+func (s *streaming) next(ctx context.Context) (*upstreamcall.Answer, error) {
+	s.g.mu.Lock()
+	u, ok := s.g.choosePlain(s.service, s.tried, true, time.Now())
+	if ok {
+		s.g.inFlight[u.ID]++
+	}
+	s.g.mu.Unlock()
+	if !ok {
+		return nil, refuseFor(outcome.KindNoUpstream, "no upstream of the service takes the request", retryBusy)
+	}
+	s.current = u
+	answer, err := s.g.opts.Upstreams.Send(ctx, &upstreamcall.Request{
+		ID: s.request.ID, Host: s.request.Host, Method: s.request.Method, Target: s.request.Target,
+		Header: s.request.Header, Body: s.request.Body, Workspace: s.target.workspaceName(),
+		TimeLeft: time.Until(s.deadline), Priority: min(s.target.priority(), 9), ResumeAfter: s.last, Upstream: u,
+	})
+	if err != nil {
+		failure := upstreamcall.AsFailure(err)
+		s.g.learn(u, "", failure, ctx)
+		if failure.Outcome != outcome.NotRun {
+			s.tried[u.ID] = true
+			s.countUsage()
+		}
+		return nil, failure
+	}
+	s.tried[u.ID] = true
+	s.countUsage()
+	return answer, nil
+}
+
+// copy writes the events to the caller.
+func (s *streaming) copy(ctx context.Context, answer *upstreamcall.Answer, w io.Writer, flush func()) error {
+	for {
+		err := s.copyOne(answer, w, flush)
+		answer.Body.Close()
+		var failure *upstreamcall.Failure
+		if err != nil {
+			failure = upstreamcall.AsFailure(err)
+		}
+		s.g.learn(s.current, "", failure, ctx)
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil || !s.target.route.Resumable || !s.repeatable() {
+			return err
+		}
+		if answer, err = s.open(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *streaming) copyOne(answer *upstreamcall.Answer, w io.Writer, flush func()) error {
+	if answer.Status != http.StatusOK {
+		_, err := io.Copy(w, answer.Body)
+		return err
+	}
+	events := s.g.opts.Codec.Events(answer.Body, answer.Version)
+	for {
+		event, err := events.Next()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if event.ID >= 0 && event.ID <= s.last {
+			continue // the caller has it
+		}
+		if _, err := w.Write(event.Raw); err != nil {
+			return err
+		}
+		flush()
+		s.last = max(s.last, event.ID)
+	}
+}
--- /dev/null
+++ b/gateway/submit.go
@@ -0,0 +1,191 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/radishshelf/radishshelf/batch"
+	"github.com/radishshelf/radishshelf/call"
+	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/outcome"
+)
+
+// Bounds of an acceptance.
+const (
+	// acceptPatience is how long a job that surely was not stored waits for the store before it is refused.
+	acceptPatience = 600 * time.Millisecond
+	// settlePatience is how long the fate of a transaction without an answer is looked up.
+	settlePatience = 3 * time.Second
+	// acceptPause separates two tries.
+	acceptPause = 60 * time.Millisecond
+	// maxJobID bounds the ID of a job, which is part of the keys of its rows.
+	maxJobID = 80
+	// maxTxnBytes is what one transaction carries; the store takes 1 MB of encoded rows.
+	maxTxnBytes = 600 << 10
+	// chunkReserve is left in a row for its encoding.
+	chunkReserve = 4 << 10
+)
+
+// submit accepts a batch job once it is stored.
+func (g *Gateway) submit(ctx context.Context, r *call.Request, t *target) (*call.Answer, error) {
+	if r.ID == "" || len(r.ID) > maxJobID {
+		return nil, refusal(outcome.KindInvalid, http.StatusBadRequest, "the job has no usable ID", "send an ID of 1 to 80 bytes")
+	}
+	spec, err := g.opts.Codec.DecodeBatch(r.Body)
+	if err != nil {
+		return nil, refusal(outcome.KindInvalid, http.StatusBadRequest, err.Error(), "correct the body")
+	}
+	spec.ID = r.ID
+	g.mu.Lock()
+	known := g.jobs[r.ID]
+	leaving := g.leaving
+	record := batch.Record{
+		Host: r.Host, PathPrefix: t.route.PathPrefix, Workspace: t.workspaceName(), Model: spec.Model,
+		MinVersion: spec.MinVersion, Owner: g.opts.Host, OwnerIncarnation: g.opts.Incarnation, AcceptedAt: g.storeClock(),
+		Due: t.route.Due, Lifetime: t.route.ItemLifetime, Total: len(spec.Items),
+	}
+	if known != nil && known.record.Workspace == record.Workspace {
+		g.mu.Unlock()
+		return accepted(), nil
+	}
+	g.mu.Unlock()
+	if leaving {
+		return nil, refuseFor(outcome.KindLeaving, "this process is about to stop", retryStart)
+	}
+	content, err := json.Marshal(spec)
+	if err != nil {
+		return nil, refusal(outcome.KindInvalid, http.StatusBadRequest, err.Error(), "correct the body")
+	}
+	a := &acceptance{g: g, spec: spec, record: record, chunks: chunks(spec.ID, content, g.opts.RowBytes-chunkReserve)}
+	a.record.Chunks = len(a.chunks)
+	return a.run(ctx)
+}
+
+func accepted() *call.Answer {
+	return &call.Answer{
+		Status: http.StatusAccepted, Header: http.Header{"Content-Type": {"application/json"}}, Body: []byte("{}"),
+	}
+}
+
+// chunks splits the content of a job into rows.
+func chunks(id string, content []byte, size int) []hosting.StoredRow {
+	var rows []hosting.StoredRow
+	for len(content) > 0 {
+		n := min(size, len(content))
+		rows = append(rows, hosting.StoredRow{RowKey: chunkKey(id, len(rows)), Value: content[:n]})
+		content = content[n:]
+	}
+	return rows
+}
+
+// acceptance stores a job under the condition that it is not there yet.
+type acceptance struct {
+	g      *Gateway
+	spec   batch.Spec
+	record batch.Record
+	chunks []hosting.StoredRow
+	// unsure is set once a transaction was sent whose fate is not known.
+	unsure bool
+}
+
+func (a *acceptance) run(ctx context.Context) (*call.Answer, error) {
+	started := time.Now()
+	value, err := json.Marshal(a.record)
+	if err != nil {
+		return nil, refusal(outcome.KindInvalid, http.StatusBadRequest, err.Error(), "correct the body")
+	}
+	for {
+		result, err := a.commit(ctx, value)
+		switch {
+		case err == nil && result.Committed:
+			a.g.accept(a.spec, a.record, result.Version)
+			return accepted(), nil
+		case err == nil:
+			return a.exists(result)
+		case hosting.IsKind(err, hosting.KindUnknown):
+			a.unsure = true
+		case hosting.IsKind(err, hosting.KindInvalid):
+			return nil, refusal(outcome.KindPayloadTooLarge, http.StatusRequestEntityTooLarge, err.Error(), "hand in less")
+		}
+		if done := a.patienceOver(ctx, started, err); done != nil {
+			return nil, done
+		}
+		sleep(ctx, acceptPause)
+	}
+}
+
+// patienceOver returns the final answer once no further try is due. A refusal may promise that nothing runs only if no
+// transaction is on its way.
+func (a *acceptance) patienceOver(ctx context.Context, started time.Time, err error) error {
+	waited := time.Since(started)
+	if !a.unsure && (waited > acceptPatience || ctx.Err() != nil) {
+		return refuseFor(outcome.KindStoreDown, "the store does not take the job now", retryStore)
+	}
+	if a.unsure && (waited > settlePatience || ctx.Err() != nil) {
+		return undecided(outcome.KindStoreDown, http.StatusGatewayTimeout, "it is not known whether the job was stored", err)
+	}
+	return nil
+}
+
+// commit stores the content and the record. Content over the size of one transaction goes ahead of the record, which
+// alone makes the job exist.
+func (a *acceptance) commit(ctx context.Context, value []byte) (hosting.RowTxnResult, error) {
+	rest := a.chunks
+	size := 0
+	for _, c := range rest {
+		size += len(c.Value)
+	}
+	for size > maxTxnBytes {
+		n, part := 0, 0
+		for part+len(rest[n].Value) <= maxTxnBytes {
+			part += len(rest[n].Value)
+			n++
+		}
+		if _, err := a.g.opts.Rows.Commit(ctx, hosting.RowTxn{Puts: rest[:n]}); err != nil {
+			return hosting.RowTxnResult{}, err
+		}
+		rest, size = rest[n:], size-part
+	}
+	key := jobKey(jobTable, a.spec.ID)
+	return a.g.opts.Rows.Commit(ctx, hosting.RowTxn{
+		Conditions: []hosting.StoredRow{{RowKey: key}},
+		Puts:       append([]hosting.StoredRow{{RowKey: key, Value: value}}, rest...),
+	})
+}
+
+// exists answers for a job that is in the store already: stored by another process, or by a try of this one whose answer
+// was lost.
+func (a *acceptance) exists(result hosting.RowTxnResult) (*call.Answer, error) {
+	a.g.mu.Lock()
+	defer a.g.mu.Unlock()
+	for _, row := range result.Current {
+		e := a.g.takeJobRow(row)
+		if e == nil {
+			break
+		}
+		if e.record.Workspace != a.record.Workspace {
+			return nil, refusal(outcome.KindConflict, http.StatusConflict, "the ID belongs to another job", "choose a new ID")
+		}
+		if e.record.OwnedBy(a.g.opts.Host, a.g.opts.Incarnation) && e.owned == nil && e.record.Open() {
+			a.g.own(e, a.spec, nil, nil)
+		}
+		return accepted(), nil
+	}
+	return nil, undecided(outcome.KindStoreDown, http.StatusBadGateway, "the store named no row", nil)
+}
+
+// accept starts to run a job that this process has stored.
+func (g *Gateway) accept(spec batch.Spec, record batch.Record, version int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := g.takeRecord(spec.ID, record, version)
+	g.met.jobsAccepted.Inc()
+	g.opts.Log.Info().Str("job", spec.ID).Str("model", spec.Model).Int64("step", spec.Step).
+		Int64("min_version", spec.MinVersion).Int("items", len(spec.Items)).Int("desired", spec.Desired).
+		Str("workspace", record.Workspace).Msg("job accepted")
+	if e.owned == nil && e.record.OwnedBy(g.opts.Host, g.opts.Incarnation) {
+		g.own(e, spec, nil, nil)
+	}
+}
--- /dev/null
+++ b/gateway/watch.go
@@ -0,0 +1,134 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/radishshelf/radishshelf/hosting"
+)
+
+// Times of a watch.
+const (
+	// watchWait is how long one call waits for changes. It is short so that a connection that went silent is noticed.
+	watchWait = 2 * time.Second
+	// watchPause separates two calls, so that changes arrive in batches and cost fewer wake-ups.
+	watchPause = 60 * time.Millisecond
+	// firstWatchRetry and maxWatchRetry are the waits after failed calls; the wait doubles.
+	firstWatchRetry = 100 * time.Millisecond
+	maxWatchRetry   = 400 * time.Millisecond
+)
+
+// watch follows one table: first its whole content, then its changes.
+type watch struct {
+	table string
+	// partitioned tables are read partition by partition.
+	partitioned bool
+	rows        hosting.Rows
+	// reset takes the whole table, and apply one change; answered and failed take the end of every call.
+	reset    func(rows []hosting.StoredRow)
+	apply    func(c hosting.RowChange)
+	answered func(clock time.Duration)
+	failed   func(err error)
+}
+
+// run follows the table until ctx ends.
+func (w *watch) run(ctx context.Context) {
+	var version int64
+	known := false
+	retry := firstWatchRetry
+	for ctx.Err() == nil {
+		var err error
+		if !known {
+			version, err = w.readAll(ctx)
+			known = err == nil
+		} else {
+			version, err = w.readChanges(ctx, version)
+			if hosting.IsKind(err, hosting.KindExpired) {
+				known = false
+			}
+		}
+		if err == nil {
+			retry = firstWatchRetry
+			sleep(ctx, watchPause)
+			continue
+		}
+		if ctx.Err() == nil {
+			w.failed(err)
+			sleep(ctx, retry)
+			retry = min(2*retry, maxWatchRetry)
+		}
+	}
+}
+
+// readAll reads every partition and returns the oldest version of the readings; changes after it are applied again.
+func (w *watch) readAll(ctx context.Context) (int64, error) {
+	parts := []string{""}
+	if w.partitioned {
+		var err error
+		if parts, err = w.rows.Parts(ctx, w.table); err != nil {
+			return 0, err
+		}
+		if len(parts) == 0 {
+			parts = []string{""} // gives the version from which changes are read
+		}
+	}
+	var all []hosting.StoredRow
+	version := int64(-1)
+	for _, part := range parts {
+		rows, read, err := readPart(ctx, w.rows, hosting.RowRange{Table: w.table, Part: part}, w.answered)
+		if err != nil {
+			return 0, err
+		}
+		all = append(all, rows...)
+		if version < 0 || read < version {
+			version = read
+		}
+	}
+	w.reset(all)
+	return version, nil
+}
+
+// readPart reads a range page by page. The version is that of the first page.
+func readPart(
+	ctx context.Context, rows hosting.Rows, r hosting.RowRange, answered func(time.Duration),
+) ([]hosting.StoredRow, int64, error) {
+	var all []hosting.StoredRow
+	version := int64(-1)
+	for {
+		page, err := rows.Range(ctx, r)
+		if err != nil {
+			return nil, 0, err
+		}
+		answered(page.Clock)
+		all = append(all, page.Rows...)
+		if version < 0 {
+			version = page.Version
+		}
+		if !page.Truncated || len(page.Rows) == 0 {
+			return all, version, nil
+		}
+		r.From = page.Rows[len(page.Rows)-1].Key + "\x00"
+	}
+}
+
+func (w *watch) readChanges(ctx context.Context, after int64) (int64, error) {
+	changes, err := w.rows.Changes(ctx, w.table, after, watchWait)
+	if err != nil {
+		return after, err
+	}
+	w.answered(changes.Clock)
+	for _, c := range changes.Changes {
+		w.apply(c)
+	}
+	return max(changes.Version, after), nil
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/presence/presence.go
@@ -0,0 +1,110 @@
+// Package presence tells which entry processes are alive, from the heartbeats that they write into a watched table. It is
+// pure code.
+//
+// A process counts as dead when its heartbeat did not change for DeadAfter of time in which the watch itself was healthy,
+// so that an outage of the store, which silences all heartbeats alike, makes nobody dead.
+package presence
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Beat is the heartbeat of one process.
+type Beat struct {
+	// Host names the process, and Incarnation its start.
+	Host        string `json:"host"`
+	Incarnation string `json:"incarnation"`
+	// Address is where its peers reach it, host:port.
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	Region     string `json:"region"`
+	// Sequence grows with each beat.
+	Sequence int64 `json:"sequence"`
+	// Leaving processes take no more work.
+	Leaving bool `json:"leaving,omitempty"`
+	// Load holds the requests that the process has in flight at each upstream.
+	Load map[string]int `json:"load,omitempty"`
+	// ConfigVersion is the configuration in force in the process.
+	ConfigVersion int64 `json:"config_version"`
+}
+
+// View holds the last heartbeat of each process.
+type View struct {
+	deadAfter time.Duration
+	peers     map[string]*peer
+	// watched counts the time in which the watch was healthy.
+	watched  time.Duration
+	lastTick time.Time
+}
+
+type peer struct {
+	beat Beat
+	// heardAt is the reading of watched at the last change.
+	heardAt time.Duration
+}
+
+// NewView returns an empty view.
+func NewView(deadAfter time.Duration) *View {
+	return &View{deadAfter: deadAfter, peers: map[string]*peer{}}
+}
+
+// Tick advances the view to now. healthy says that the watch was in touch with the store since the last tick.
+func (v *View) Tick(now time.Time, healthy bool) {
+	if healthy && !v.lastTick.IsZero() {
+		// A process that was frozen itself has heard nobody and learns nothing about the others from that time.
+		v.watched += min(now.Sub(v.lastTick), v.deadAfter/4)
+	}
+	v.lastTick = now
+}
+
+// Hear takes a heartbeat.
+func (v *View) Hear(b Beat) {
+	p, ok := v.peers[b.Host]
+	if !ok {
+		p = &peer{}
+		v.peers[b.Host] = p
+	}
+	if ok && p.beat.Incarnation == b.Incarnation && p.beat.Sequence == b.Sequence {
+		return
+	}
+	p.beat, p.heardAt = b, v.watched
+}
+
+// Forget drops a process that removed its heartbeat.
+func (v *View) Forget(host string) { delete(v.peers, host) }
+
+// Alive reports whether an incarnation of a process runs, and whether that is known at all: a process that was never
+// heard of becomes known to be dead after DeadAfter of watching.
+func (v *View) Alive(host, incarnation string) bool {
+	p, ok := v.peers[host]
+	if !ok {
+		return v.watched < v.deadAfter
+	}
+	return p.beat.Incarnation == incarnation && v.fresh(p)
+}
+
+func (v *View) fresh(p *peer) bool { return v.watched-p.heardAt < v.deadAfter }
+
+// Live returns the beats of the processes that run, ordered by host.
+func (v *View) Live() []Beat {
+	var list []Beat
+	for _, p := range v.peers {
+		if v.fresh(p) {
+			list = append(list, p.beat)
+		}
+	}
+	slices.SortFunc(list, func(a, b Beat) int { return cmp.Compare(a.Host, b.Host) })
+	return list
+}
+
+// All returns the last beat of every process that was ever heard, ordered by host.
+func (v *View) All() []Beat {
+	var list []Beat
+	for _, name := range slices.Sorted(maps.Keys(v.peers)) {
+		list = append(list, v.peers[name].beat)
+	}
+	return list
+}
--- /dev/null
+++ b/rowrelay/peer.go
@@ -0,0 +1,92 @@
+package rowrelay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/rpc/relaypb"
+)
+
+// Peer makes calls of the store through another process. It implements hosting.Rows.
+type Peer struct {
+	client relaypb.StoreRelay
+}
+
+var _ hosting.Rows = (*Peer)(nil)
+
+// NewPeer returns a Peer of the process at address, host:port.
+func NewPeer(address string, client *http.Client) *Peer {
+	return &Peer{client: relaypb.NewStoreRelayProtobufClient("http://"+address, client)}
+}
+
+// Commit implements hosting.Rows.
+func (p *Peer) Commit(ctx context.Context, txn hosting.RowTxn) (hosting.RowTxnResult, error) {
+	req := &relaypb.RelayCommitRequest{Conditions: encodeRows(txn.Conditions), Puts: encodeRows(txn.Puts)}
+	for _, d := range txn.Deletes {
+		req.Deletes = append(req.Deletes, &relaypb.RelayRow{Table: d.Table, Part: d.Part, Key: d.Key})
+	}
+	resp, err := p.client.Commit(ctx, req)
+	if err := decodeError("relayed commit", hosting.KindUnknown, err, resp.GetError()); err != nil {
+		return hosting.RowTxnResult{}, err
+	}
+	return hosting.RowTxnResult{
+		Committed: resp.GetCommitted(), Version: resp.GetVersion(), Current: decodeRows(resp.GetCurrent()),
+		Clock: clock(resp.GetClockMs()),
+	}, nil
+}
+
+// Range implements hosting.Rows.
+func (p *Peer) Range(ctx context.Context, r hosting.RowRange) (hosting.RowPage, error) {
+	resp, err := p.client.Range(ctx, &relaypb.RelayRangeRequest{
+		Table: r.Table, Part: r.Part, From: r.From, To: r.To, Limit: int32(r.Limit),
+	})
+	if err := decodeError("relayed range", hosting.KindUnavailable, err, resp.GetError()); err != nil {
+		return hosting.RowPage{}, err
+	}
+	return hosting.RowPage{
+		Rows: decodeRows(resp.GetRows()), Truncated: resp.GetTruncated(), Version: resp.GetVersion(),
+		Clock: clock(resp.GetClockMs()),
+	}, nil
+}
+
+// Parts implements hosting.Rows.
+func (p *Peer) Parts(ctx context.Context, table string) ([]string, error) {
+	resp, err := p.client.Parts(ctx, &relaypb.RelayPartsRequest{Table: table})
+	if err := decodeError("relayed parts", hosting.KindUnavailable, err, resp.GetError()); err != nil {
+		return nil, err
+	}
+	return resp.GetParts(), nil
+}
+
+// Changes implements hosting.Rows.
+func (p *Peer) Changes(
+	ctx context.Context, table string, after int64, wait time.Duration,
+) (hosting.RowChanges, error) {
+	resp, err := p.client.Changes(ctx, &relaypb.RelayChangesRequest{Table: table, After: after, WaitMs: wait.Milliseconds()})
+	if err := decodeError("relayed changes", hosting.KindUnavailable, err, resp.GetError()); err != nil {
+		return hosting.RowChanges{}, err
+	}
+	changes := hosting.RowChanges{Version: resp.GetVersion(), Clock: clock(resp.GetClockMs())}
+	for _, r := range resp.GetChanges() {
+		changes.Changes = append(changes.Changes, hosting.RowChange{StoredRow: decodeRow(r), Deleted: r.GetDeleted()})
+	}
+	return changes, nil
+}
+
+// decodeError returns the failure of the store that the peer saw, or one of the given kind when the peer itself failed.
+func decodeError(op string, lost hosting.ErrorKind, err error, seen *relaypb.RelayError) error {
+	if err != nil {
+		return &hosting.Error{Kind: lost, Op: op, Err: err, Remedy: "try another peer"}
+	}
+	if seen == nil {
+		return nil
+	}
+	return &hosting.Error{
+		Kind: hosting.ErrorKind(seen.GetKind()), Op: op, Err: errors.New(seen.GetMessage()), Remedy: "see the peer's log",
+	}
+}
+
+func clock(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- /dev/null
+++ b/rpc/relaypb/doc.go
@@ -0,0 +1,2 @@
+// Package relaypb holds the generated messages and the twirp service of the relay between gateways.
+package relaypb
--- /dev/null
+++ b/serving/config.go
@@ -0,0 +1,112 @@
+package serving
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// Config is one version of the configuration.
+type Config struct {
+	Version  int64
+	Limits   Limits
+	Services map[string]*Service
+	// routes holds the routes of a host, the longest prefix first.
+	routes map[string][]*Route
+	// workspaces holds the workspace of each key; keyed is false when the configuration knows no workspaces at all.
+	workspaces map[string]*Workspace
+	keyed      bool
+}
+
+// Builder collects the parts of a Config.
+type Builder struct {
+	Version    int64
+	Limits     Limits
+	Routes     []*Route
+	Services   []*Service
+	Workspaces []WorkspaceKeys
+}
+
+// WorkspaceKeys is a workspace with the keys that its callers present.
+type WorkspaceKeys struct {
+	Workspace Workspace
+	Keys      []string
+}
+
+// Build returns the configuration.
+func (b Builder) Build() *Config {
+	c := &Config{
+		Version: b.Version, Limits: b.Limits, Services: map[string]*Service{}, routes: map[string][]*Route{},
+		workspaces: map[string]*Workspace{}, keyed: len(b.Workspaces) > 0,
+	}
+	for _, s := range b.Services {
+		c.Services[s.Name] = s
+	}
+	for _, r := range b.Routes {
+		host := NormalHost(r.Host)
+		c.routes[host] = append(c.routes[host], r)
+	}
+	for _, routes := range c.routes {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
+	}
+	for i := range b.Workspaces {
+		for _, key := range b.Workspaces[i].Keys {
+			c.workspaces[key] = &b.Workspaces[i].Workspace
+		}
+	}
+	return c
+}
+
+// Route returns the route of a host and path: the longest prefix wins.
+func (c *Config) Route(host, path string) (*Route, bool) {
+	for _, r := range c.routes[NormalHost(host)] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// KnowsHost reports whether any route belongs to the host.
+func (c *Config) KnowsHost(host string) bool { return len(c.routes[NormalHost(host)]) > 0 }
+
+// Workspace returns the workspace that holds a key.
+func (c *Config) Workspace(key string) (*Workspace, bool) {
+	w, ok := c.workspaces[key]
+	return w, ok && key != ""
+}
+
+// NeedsKey reports whether callers of the route have to present a key.
+func (c *Config) NeedsKey(r *Route) bool { return c.keyed && !r.Public }
+
+// Keyed reports whether the configuration has workspaces at all.
+func (c *Config) Keyed() bool { return c.keyed }
+
+// SingleVersion reports whether any rollout route requires texts of one version.
+func (c *Config) SingleVersion() bool {
+	for _, routes := range c.routes {
+		for _, r := range routes {
+			if r.SingleVersion {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// RouteCount returns the number of routes.
+func (c *Config) RouteCount() int {
+	n := 0
+	for _, routes := range c.routes {
+		n += len(routes)
+	}
+	return n
+}
+
+// NormalHost lowers a host name and removes its port.
+func NormalHost(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/upstreamhealth/health.go
@@ -0,0 +1,82 @@
+// Package upstreamhealth judges upstreams by the answers to real requests: which ones get none for a while, and how slow
+// the others are. It is pure code.
+//
+// A failed upstream is left alone for a time that doubles with each failure in a row; then one request at a time tries it
+// until one succeeds.
+package upstreamhealth
+
+import "time"
+
+// Times for which an upstream is left alone.
+const (
+	// firstPause follows the first failure, and maxPause bounds the doubling: crashed upstreams are back within seconds.
+	firstPause = 250 * time.Millisecond
+	maxPause   = 2 * time.Second
+	// burst is the time within which failures of requests that ran together count as one.
+	burst = 100 * time.Millisecond
+	// speedWeight is the weight of the newest observation in the moving average of the pace.
+	speedWeight = 0.2
+)
+
+// Health is the judgement of one upstream.
+type Health struct {
+	failures   int
+	failedAt   time.Time
+	pauseUntil time.Time
+	busyUntil  map[string]time.Time
+	// pace is the moving average of the time for one unit of work; 0 before the first observation.
+	pace time.Duration
+}
+
+// Allowed reports whether a request may be sent while inFlight others of this process run there.
+func (h *Health) Allowed(now time.Time, inFlight int) bool {
+	if h.failures == 0 {
+		return true
+	}
+	return !now.Before(h.pauseUntil) && inFlight == 0
+}
+
+// Suspect reports whether the last requests failed.
+func (h *Health) Suspect() bool { return h.failures > 0 }
+
+// Fail takes a request that failed for a reason that speaks against the upstream. It reports whether the upstream was
+// sound before.
+func (h *Health) Fail(now time.Time) bool {
+	if h.failures > 0 && now.Sub(h.failedAt) < burst {
+		return false
+	}
+	h.failures++
+	h.failedAt = now
+	h.pauseUntil = now.Add(min(firstPause<<min(h.failures-1, 8), maxPause))
+	return h.failures == 1
+}
+
+// Succeed takes a request that was answered. It reports whether the upstream was suspect before.
+func (h *Health) Succeed() bool {
+	recovered := h.failures > 0
+	h.failures = 0
+	return recovered
+}
+
+// Busy takes a refusal for lack of room or because weights of a model are loaded.
+func (h *Health) Busy(model string, until time.Time) {
+	if h.busyUntil == nil {
+		h.busyUntil = map[string]time.Time{}
+	}
+	h.busyUntil[model] = until
+}
+
+// IsBusy reports whether a refusal still counts.
+func (h *Health) IsBusy(model string, now time.Time) bool { return now.Before(h.busyUntil[model]) }
+
+// Observe takes the time that one unit of work took.
+func (h *Health) Observe(pace time.Duration) {
+	if h.pace == 0 {
+		h.pace = pace
+		return
+	}
+	h.pace += time.Duration(speedWeight * float64(pace-h.pace))
+}
+
+// Pace returns the moving average of the time for one unit of work; 0 when nothing was observed.
+func (h *Health) Pace() time.Duration { return h.pace }
--- /dev/null
+++ b/upstreams/view.go
@@ -0,0 +1,128 @@
+package upstreams
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// LapseGrace is how long entries that lapsed in an outage of the store stay usable after its return. Live upstreams are
+// registered again about two seconds after the return.
+const LapseGrace = 2300 * time.Millisecond
+
+// View holds the entries of all upstreams.
+type View struct {
+	entries map[string]Entry
+	// lapsed holds when an entry that was removed in or just after an outage is dropped; zero while the outage lasts.
+	lapsed map[string]time.Time
+	lost   bool
+	backAt time.Time
+}
+
+// NewView returns an empty view.
+func NewView() *View {
+	return &View{entries: map[string]Entry{}, lapsed: map[string]time.Time{}}
+}
+
+// Put takes a new or changed entry.
+func (v *View) Put(e Entry) {
+	v.entries[e.ID] = e
+	delete(v.lapsed, e.ID)
+}
+
+// Remove takes the removal of an entry. In an outage and just after it the removal may only mean that the upstream could
+// not renew its entry, so it is put off.
+func (v *View) Remove(id string, now time.Time) {
+	if _, ok := v.entries[id]; !ok {
+		return
+	}
+	if _, pending := v.lapsed[id]; pending {
+		return
+	}
+	if v.lost {
+		v.lapsed[id] = time.Time{}
+		return
+	}
+	if until := v.backAt.Add(LapseGrace); !v.backAt.IsZero() && now.Before(until) {
+		v.lapsed[id] = until
+		return
+	}
+	delete(v.entries, id)
+}
+
+// Discard drops an entry that became unreadable; it names no upstream any more.
+func (v *View) Discard(id string) {
+	delete(v.entries, id)
+	delete(v.lapsed, id)
+}
+
+// Replace takes the whole table, read at once.
+func (v *View) Replace(list []Entry, now time.Time) {
+	present := make(map[string]bool, len(list))
+	for _, e := range list {
+		present[e.ID] = true
+		v.Put(e)
+	}
+	for id := range v.entries {
+		if !present[id] {
+			v.Remove(id, now)
+		}
+	}
+}
+
+// StoreLost tells that the store does not answer.
+func (v *View) StoreLost() { v.lost = true }
+
+// StoreBack tells that the store answers again.
+func (v *View) StoreBack(now time.Time) {
+	if !v.lost {
+		return
+	}
+	v.lost = false
+	v.backAt = now
+	for id, at := range v.lapsed {
+		if at.IsZero() {
+			v.lapsed[id] = now.Add(LapseGrace)
+		}
+	}
+}
+
+// Expire drops the entries whose grace is over and returns their IDs in order.
+func (v *View) Expire(now time.Time) []string {
+	var gone []string
+	for id, at := range v.lapsed {
+		if !at.IsZero() && !now.Before(at) {
+			gone = append(gone, id)
+			v.Discard(id)
+		}
+	}
+	slices.Sort(gone)
+	return gone
+}
+
+// Get returns the entry of an upstream.
+func (v *View) Get(id string) (Entry, bool) {
+	e, ok := v.entries[id]
+	return e, ok
+}
+
+// All returns every entry, ordered by ID.
+func (v *View) All() []Entry {
+	return slices.SortedFunc(maps.Values(v.entries), func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// Ready returns the upstreams of a service that take work, ordered by ID.
+func (v *View) Ready(service string) []Entry {
+	var list []Entry
+	for _, e := range v.entries {
+		if e.Service == service && e.State == Ready {
+			list = append(list, e)
+		}
+	}
+	slices.SortFunc(list, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// Len returns the number of entries.
+func (v *View) Len() int { return len(v.entries) }
--- /dev/null
+++ b/versionplan/plan.go
@@ -0,0 +1,229 @@
+// Package versionplan decides which upstream loads which weight version of which model, and when. It is pure code.
+//
+// Each model is served by twice its even share of the upstreams. A step accepts texts of the newest version and of the
+// one before, so the upstreams of a model load every other version in two alternating halves, and the loads of a version
+// are those of the even share. One half always serves the newest step while the other one loads.
+package versionplan
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"time"
+)
+
+// Upstream is what is known of an upstream.
+type Upstream struct {
+	ID         string
+	DataCentre string
+	// Usable upstreams take work; the others keep their place for a while but load nothing.
+	Usable bool
+	// Orders is the number of orders that the upstream accepted, as far as it is known.
+	Orders int64
+	// Versions are the versions that it serves.
+	Versions map[string]int64
+}
+
+// Named is the version of a model that its trainer wants served.
+type Named struct {
+	Model   string
+	Version int64
+}
+
+// Demand is what is wanted of a model.
+type Demand struct {
+	Model string
+	// Newest is the version that its trainer named last.
+	Newest int64
+	// Oldest is the highest minimum version of the open jobs; 0 when there is none.
+	Oldest int64
+}
+
+// Load is an order to an upstream to load a version.
+type Load struct {
+	Upstream string
+	Model    string
+	Version  int64
+	// ExpectedOrders is the number of orders that the upstream must have accepted before.
+	ExpectedOrders int64
+}
+
+// Config is the shape of a plan.
+type Config struct {
+	// AtOnce is how many upstreams may load at the same time without slowing each other down.
+	AtOnce int
+	// OrderTimeout is how long an order without an answer blocks its upstream; it may still be carried out.
+	OrderTimeout time.Duration
+	// LoadTime is how long an accepted load takes; after it the load no longer counts towards AtOnce.
+	LoadTime time.Duration
+	// ShowTimeout is how long an accepted order blocks its upstream when the entry does not show the version earlier.
+	ShowTimeout time.Duration
+}
+
+// DefaultConfig returns the values for upstreams that load one version in about a second.
+func DefaultConfig() Config {
+	return Config{
+		AtOnce: 2, OrderTimeout: 2500 * time.Millisecond, LoadTime: time.Second, ShowTimeout: 3500 * time.Millisecond,
+	}
+}
+
+// Planner remembers the orders in flight.
+type Planner struct {
+	cfg     Config
+	pending map[string]pendingLoad
+}
+
+type pendingLoad struct {
+	load Load
+	// until is when the order no longer blocks its upstream, and loadedAt when its load is over.
+	until, loadedAt time.Time
+}
+
+// New returns a planner without orders in flight.
+func New(cfg Config) *Planner {
+	return &Planner{cfg: cfg, pending: map[string]pendingLoad{}}
+}
+
+// Sent tells that an order is on its way.
+func (p *Planner) Sent(l Load, now time.Time) {
+	p.pending[l.Upstream] = pendingLoad{load: l, until: now.Add(p.cfg.OrderTimeout), loadedAt: now.Add(p.cfg.LoadTime)}
+}
+
+// Accepted tells that the upstream carries the order out.
+func (p *Planner) Accepted(l Load, now time.Time) {
+	p.pending[l.Upstream] = pendingLoad{load: l, until: now.Add(p.cfg.ShowTimeout), loadedAt: now.Add(p.cfg.LoadTime)}
+}
+
+// Refused tells that the upstream did not take the order.
+func (p *Planner) Refused(l Load) { delete(p.pending, l.Upstream) }
+
+// Loading returns the number of upstreams that load at now.
+func (p *Planner) Loading(now time.Time) int {
+	n := 0
+	for _, pending := range p.pending {
+		if now.Before(pending.loadedAt) {
+			n++
+		}
+	}
+	return n
+}
+
+// Next returns the orders to send now.
+func (p *Planner) Next(list []Upstream, demands []Demand, now time.Time) []Load {
+	p.settle(list, now)
+	slices.SortFunc(demands, func(a, b Demand) int { return cmp.Compare(a.Model, b.Model) })
+	loading := p.Loading(now)
+	var loads []Load
+	for _, d := range demands {
+		for _, u := range p.wanting(list, d, len(demands)) {
+			if loading+len(loads) >= p.cfg.AtOnce {
+				return loads
+			}
+			if p.busy(u.ID, loads) {
+				continue
+			}
+			loads = append(loads, Load{Upstream: u.ID, Model: d.Model, Version: d.Newest, ExpectedOrders: u.Orders})
+		}
+	}
+	return loads
+}
+
+// settle forgets the orders whose version is served and those that took too long.
+func (p *Planner) settle(list []Upstream, now time.Time) {
+	for id, pending := range p.pending {
+		at := slices.IndexFunc(list, func(u Upstream) bool { return u.ID == id })
+		served := at >= 0 && list[at].Versions[pending.load.Model] >= pending.load.Version
+		if at < 0 || served || !now.Before(pending.until) {
+			delete(p.pending, id)
+		}
+	}
+}
+
+func (p *Planner) busy(id string, loads []Load) bool {
+	if _, ok := p.pending[id]; ok {
+		return true
+	}
+	return slices.ContainsFunc(loads, func(l Load) bool { return l.Upstream == id })
+}
+
+// wanting returns the upstreams that have to load the newest version of a model, the most urgent first.
+func (p *Planner) wanting(list []Upstream, d Demand, models int) []Upstream {
+	if d.Newest <= 1 {
+		return nil
+	}
+	members := Members(list, d.Model, models)
+	floor := max(d.Newest-1, d.Oldest)
+	half := (len(members) + 1) / 2
+	var stale, older []Upstream
+	newest := 0
+	for _, u := range members {
+		version := u.Versions[d.Model]
+		pending, ok := p.pending[u.ID]
+		switch {
+		case version >= d.Newest || ok && pending.load.Model == d.Model && pending.load.Version >= d.Newest:
+			newest++
+		case version < floor:
+			stale = append(stale, u)
+		default:
+			older = append(older, u)
+		}
+	}
+	wanting := stale
+	if missing := half - newest - len(stale); missing > 0 {
+		wanting = append(wanting, older[:min(missing, len(older))]...)
+	}
+	return wanting
+}
+
+// shareOfModel is how many times the even share of the upstreams a model is served by: twice, because each loads only
+// every other version.
+const shareOfModel = 2
+
+// Members returns the usable upstreams that serve a model, out of list, when the upstreams are shared by models models.
+// Every process computes the same members from the same list. An upstream that comes or goes moves few others.
+func Members(list []Upstream, model string, models int) []Upstream {
+	var usable []Upstream
+	for _, u := range list {
+		if _, ok := u.Versions[model]; ok && u.Usable {
+			usable = append(usable, u)
+		}
+	}
+	slices.SortFunc(usable, func(a, b Upstream) int {
+		return cmp.Or(cmp.Compare(weight(model, b.ID), weight(model, a.ID)), cmp.Compare(a.ID, b.ID))
+	})
+	count := min((shareOfModel*len(usable)+models-1)/max(models, 1), len(usable))
+	return spread(usable, count)
+}
+
+// spread takes count upstreams so that the data centres get even shares, in the order of the list.
+func spread(list []Upstream, count int) []Upstream {
+	var members []Upstream
+	taken := make([]bool, len(list))
+	for len(members) < count {
+		seen := map[string]bool{}
+		for i, u := range list {
+			if taken[i] || seen[u.DataCentre] || len(members) == count {
+				continue
+			}
+			seen[u.DataCentre] = true
+			taken[i] = true
+			members = append(members, u)
+		}
+	}
+	return members
+}
+
+// weight ranks upstreams for a model, evenly and independently for each model.
+func weight(model, upstream string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(model))
+	h.Write([]byte{0})
+	h.Write([]byte(upstream))
+	x := h.Sum64()
+	// FNV mixes the last bytes badly into the high bits; the finalizer of MurmurHash3 spreads them.
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
