Ask a silent upstream before its runs are cut

A silent upstream is asked for its report now, and only one that does not answer, or leaves a run alone for 3 s, loses it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,6 +45,8 @@
 	storeLost  bool
 	leaving    bool
 	hedges     *retry.Budget
+	// probes holds the last question to each upstream that went silent.
+	probes map[string]*probe
 	usage      usageCounts
 
 	kick    chan struct{}
@@ -61,7 +63,7 @@
 		opts: opts, named: map[string]int64{}, upstreams: upstreams.NewView(), peers: presence.NewView(deadAfter),
 		jobs: map[string]*jobEntry{}, health: map[string]*upstreamhealth.Health{}, inFlight: map[string]int{},
 		othersLoad: map[string]int{}, hedges: retry.NewBudget(retry.DefaultBudgetConfig(), time.Now()),
-		usage: usageCounts{}, kick: make(chan struct{}, 1),
+		usage: usageCounts{}, probes: map[string]*probe{}, kick: make(chan struct{}, 1),
 	}
 	g.met = newMetricSet(opts.Registry, g)
 	g.work, g.stopWork = context.WithCancel(context.Background())
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -14,6 +14,7 @@
 type metricSet struct {
 	registry      *telemetry.Registry
 	hedges        *metrics.Counter
+	probes        *metrics.Counter
 	watchFailures *metrics.Counter
 	jobsAccepted  *metrics.Counter
 	jobsAdopted   *metrics.Counter
@@ -61,6 +62,7 @@
 	return &metricSet{
 		registry:      r,
 		hedges:        r.NewCounter("radishshelf_gateway_hedges_total"),
+		probes:        r.NewCounter("radishshelf_gateway_probes_total"),
 		watchFailures: r.NewCounter("radishshelf_gateway_watch_failures_total"),
 		jobsAccepted:  r.NewCounter("radishshelf_gateway_jobs_accepted_total"),
 		jobsAdopted:   r.NewCounter("radishshelf_gateway_jobs_adopted_total"),
--- a/gateway/run_item.go
+++ b/gateway/run_item.go
@@ -15,11 +15,14 @@
 
 // Times of a run.
 const (
-	// firstEventTimeout is how long a run may take to its first event: queueing, reading the prompt and a round trip.
-	firstEventTimeout = 1500 * time.Millisecond
-	// eventTimeout is how long a stream may pause before it is resumed elsewhere; a slow upstream makes an event in
-	// about 150 ms.
-	eventTimeout = 800 * time.Millisecond
+	// firstEventTimeout is how long a run may take to its first event before its upstream is asked whether it still
+	// answers: queueing, reading the prompt and a round trip.
+	firstEventTimeout = 800 * time.Millisecond
+	// eventTimeout is the same for a pause between events; a slow upstream makes an event in about 150 ms.
+	eventTimeout = 600 * time.Millisecond
+	// maxSilence is how long an upstream that answers may leave a run without an event; a load of weights pauses it for
+	// one or two seconds.
+	maxSilence = 3 * time.Second
 	// defaultLifetime holds for jobs whose route sets none.
 	defaultLifetime = 30 * time.Second
 	// failurePause precedes the next run of an item that an upstream failed.
@@ -55,8 +58,8 @@
 func (o *ownedJob) generate(
 	ctx context.Context, cancel context.CancelCauseFunc, p *batch.Progress, u upstreams.Entry,
 ) *upstreamcall.Failure {
-	watchdog := time.AfterFunc(firstEventTimeout, func() { cancel(errStalled) })
-	defer watchdog.Stop()
+	w := newWatchdog(ctx, firstEventTimeout, func() bool { return o.g.answers(ctx, u) }, func() { cancel(errStalled) })
+	defer w.stop()
 	answer, err := o.g.opts.Upstreams.Send(ctx, o.request(p, u))
 	if err != nil {
 		return stalled(ctx, upstreamcall.AsFailure(err))
@@ -75,7 +78,7 @@
 		if err != nil {
 			return stalled(ctx, &upstreamcall.Failure{Reason: upstreamcall.Broken, Outcome: outcome.MayHaveRun, Err: err})
 		}
-		watchdog.Reset(eventTimeout)
+		w.heard(eventTimeout)
 		now := time.Now()
 		if failure := o.take(p, u, event, now.Sub(last)); failure != nil {
 			return failure
