--- a/gateway/list.go
+++ b/gateway/list.go
@@ -52,18 +52,18 @@
 	if len(results) == 0 || o.ctx.Err() != nil {
 		return false
 	}
-	n, rows := o.resultRows(results)
+	o.g.mu.Lock()
+	position := o.entry.record.Listed
+	o.g.mu.Unlock()
+	n, rows := o.resultRows(results, position)
 	if n == 0 {
 		return false
 	}
-	return o.commitResults(results[:n], rows)
+	return o.commitResults(results[:n], rows, position)
 }
 
-// resultRows encodes results from the current position on, as many as fit into a transaction.
-func (o *ownedJob) resultRows(results []batch.Result) (int, []hosting.StoredRow) {
-	o.g.mu.Lock()
-	position := o.entry.record.Listed
-	o.g.mu.Unlock()
+// resultRows encodes results from a position on, as many as fit into a transaction.
+func (o *ownedJob) resultRows(results []batch.Result, position int) (int, []hosting.StoredRow) {
 	var rows []hosting.StoredRow
 	size := 0
 	for i, r := range results {
@@ -100,13 +100,18 @@
 // continuation is the suffix of the key of a further part of a value; it sorts before the next position.
 func continuation(part int) string { return "+" + string(rune('a'+part-1)) }
 
-// commitResults writes the rows under the condition that the record is unchanged. A transaction without an answer is
-// repeated as it was; the record then shows which of the two took effect. It reports whether the results were listed.
-func (o *ownedJob) commitResults(results []batch.Result, rows []hosting.StoredRow) bool {
+// commitResults writes the rows of the results from a position on under the condition that the record is unchanged. A
+// transaction without an answer is repeated as it was. Only the owner lists results, so the number of listed ones in the
+// record tells whether an earlier try took effect, also when the watch brings the record first. It reports whether the
+// results were listed.
+func (o *ownedJob) commitResults(results []batch.Result, rows []hosting.StoredRow, position int) bool {
 	for o.ctx.Err() == nil {
 		o.g.mu.Lock()
 		record, version := o.entry.record, o.entry.version
 		o.g.mu.Unlock()
+		if record.Listed != position {
+			return o.noteEarlierTry(results, position)
+		}
 		record.Listed += len(results)
 		value, err := json.Marshal(record)
 		if err != nil {
@@ -123,9 +128,7 @@
 			o.noteListed(results, record, result.Version)
 			return true
 		case err == nil:
-			if listed, decided := o.conflict(result.Current, results, record); decided {
-				return listed
-			}
+			o.conflict(result.Current)
 		default:
 			o.g.opts.Log.Warn().Str("job", o.entry.id).Err(err).Msg("results not listed yet")
 			sleep(o.ctx, listRetry)
@@ -145,28 +148,30 @@
 	o.g.takeRecord(o.entry.id, record, version)
 }
 
-// conflict looks at the record that stood in the way. decided is false when the transaction has to be repeated under the
-// new version of the record.
-func (o *ownedJob) conflict(current []hosting.StoredRow, results []batch.Result, sent batch.Record) (listed, decided bool) {
+// noteEarlierTry takes a record whose number of results has moved: an earlier try of this owner took effect.
+func (o *ownedJob) noteEarlierTry(results []batch.Result, position int) bool {
 	o.g.mu.Lock()
 	defer o.g.mu.Unlock()
-	for _, row := range current {
-		var record batch.Record
-		if err := json.Unmarshal(row.Value, &record); err != nil {
-			o.g.opts.Log.Error().Str("job", o.entry.id).Err(err).Msg("record of an owned job cannot be read")
-			o.end()
-			return false, true
-		}
-		mine := record.OwnedBy(o.g.opts.Host, o.g.opts.Incarnation)
-		if mine && record.Listed == sent.Listed {
-			// An earlier try whose answer was lost took effect.
-			o.job.MarkListed(len(results))
-			o.g.takeRecord(o.entry.id, record, row.Version)
-			return true, true
-		}
-		o.g.takeRecord(o.entry.id, record, row.Version) // ends the ownership where the job was ended or taken over
-		return false, o.entry.owned != o
+	if o.ctx.Err() != nil {
+		return false
+	}
+	if o.entry.record.Listed != position+len(results) {
+		o.g.opts.Log.Error().Str("job", o.entry.id).Int("listed", o.entry.record.Listed).Int("position", position).
+			Int("results", len(results)).Msg("the record of an owned job moved by an unknown write; giving it up")
+		o.end()
+		return false
+	}
+	o.job.MarkListed(len(results))
+	o.g.met.resultsListed.Add(len(results))
+	return true
+}
+
+// conflict takes the record that stood in the way. It ends the ownership where the job was ended, taken over or deleted.
+func (o *ownedJob) conflict(current []hosting.StoredRow) {
+	o.g.mu.Lock()
+	defer o.g.mu.Unlock()
+	if len(current) == 0 || o.g.takeJobRow(current[0]) == nil {
+		o.g.opts.Log.Error().Str("job", o.entry.id).Msg("the record of an owned job is gone or cannot be read")
+		o.end()
 	}
-	o.end() // the job is gone
-	return false, true
 }
