Claim blocks of ports for process tests and reload the platform's settings

standin/fleet: cause of the port in use on 2026-12-04: a port is found free, closed and bound only when its process starts, and a second test process that runs at the same time starts its search at the same port. Ruled out: outgoing connections (the kernel's range starts at 32768) and other users of the range in this tree.

--- a/cmd/radishshelf-gateway/process.go
+++ b/cmd/radishshelf-gateway/process.go
@@ -47,14 +47,18 @@
 
 // process is the gateway with its listeners.
 type process struct {
+	path     string
 	settings platform.Settings
 	log      zerolog.Logger
 	gateway  *gateway.Gateway
-	servers  []*http.Server
-	front    *http.Server
+	// stores are the clients of the store, for the process itself and for its peers.
+	stores []*platform.Store
+	duties *platform.DutyClient
+	front  *http.Server
 }
 
 func run(path, level, metricsPort string) error {
+	signal.Ignore(syscall.SIGHUP) // until the settings are followed; the default would end the process
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
@@ -71,14 +75,31 @@
 	log = log.With().Str("host", settings.Name).Logger()
 	registry := telemetry.NewRegistry()
 	registry.NewGauge("radishshelf_gateway_log_lines_dropped", func() float64 { return float64(out.Dropped()) })
-	p := &process{settings: settings, log: log}
-	p.gateway = newGateway(settings, log, registry)
+	p := &process{path: path, settings: settings, log: log}
+	p.gateway = p.newGateway(registry)
 	return p.serve(registry, metricsPort)
 }
 
+// newStore returns a client of the store that follows changes of the settings.
+func (p *process) newStore() *platform.Store {
+	store := platform.NewStore(p.settings.StoreAddress, platform.Dialer(storeDialTimeout))
+	p.stores = append(p.stores, store)
+	return store
+}
+
+// timing returns the bounds that the gateway works with.
+func timing(b platform.Bounds) gateway.Timing {
+	return gateway.Timing{
+		Lease: b.Lease, Grace: b.Grace, UsageWindow: b.UsageWindow, UsageLate: b.UsageLate, BatchLifetime: b.BatchLifetime,
+		Settle: b.Settle,
+	}
+}
+
 // newGateway wires the gateway to the platform.
-func newGateway(s platform.Settings, log zerolog.Logger, registry *telemetry.Registry) *gateway.Gateway {
-	store := platform.NewStore(s.StoreAddress, platform.Dialer(storeDialTimeout))
+func (p *process) newGateway(registry *telemetry.Registry) *gateway.Gateway {
+	s := p.settings
+	store := p.newStore()
+	p.duties = platform.NewDutyClient(s.DutyAddress, platform.Dialer(storeDialTimeout))
 	peerClient := &http.Client{Transport: &http.Transport{DialContext: platform.Dialer(peerDialTimeout)}}
 	var g *gateway.Gateway
 	peers := func() []hosting.Rows {
@@ -92,13 +113,8 @@
 		Host: s.Name, Incarnation: uuid.NewString(), DataCentre: s.DataCentre, RegionOf: s.RegionOf,
 		PeerAddress: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), RowBytes: s.StoreRowBytes,
 		UsageDuty: s.HasUsageDuty(), ScaleDuty: s.HasScaleDuty(),
-		Timing: gateway.Timing{
-			Lease: s.Bounds.Lease, Grace: s.Bounds.Grace, UsageWindow: s.Bounds.UsageWindow, UsageLate: s.Bounds.UsageLate,
-			BatchLifetime: s.Bounds.BatchLifetime, Settle: s.Bounds.Settle,
-		},
-		Rows: rowrelay.New(store, peers), Codec: platform.Codec{}, Log: log, Registry: registry,
-		Upstreams: platform.NewUpstreamClient(platform.UpstreamDialer()),
-		Duties:    platform.NewDutyClient(s.DutyAddress, platform.Dialer(storeDialTimeout)),
+		Timing: timing(s.Bounds), Rows: rowrelay.New(store, peers), Codec: platform.Codec{}, Log: p.log, Registry: registry,
+		Upstreams: platform.NewUpstreamClient(platform.UpstreamDialer()), Duties: p.duties,
 	})
 	return g
 }
@@ -116,6 +132,7 @@
 	loops, stopLoops := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { p.gateway.Run(loops) })
+	running.Go(func() { p.followSettings(loops) })
 	var err error
 	select {
 	case <-ctx.Done():
@@ -131,9 +148,6 @@
 
 // listen opens every address of the process.
 func (p *process) listen(registry *telemetry.Registry, metricsPort string, failed chan<- error) error {
-	store := platform.NewStore(p.settings.StoreAddress, platform.Dialer(storeDialTimeout))
-	mux := http.NewServeMux()
-	mux.Handle("/", rowrelay.NewHandler(store))
 	p.front = &http.Server{
 		Handler: platform.NewIngress(p.gateway), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
@@ -150,14 +164,13 @@
 	}{
 		{p.settings.FrontAddress, p.front},
 		{p.settings.ReadyAddress, plain(platform.NewReadyHandler(p.gateway))},
-		{net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.FirstPort)), plain(mux)},
+		{net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.FirstPort)), plain(rowrelay.NewHandler(p.newStore()))},
 		{net.JoinHostPort(p.settings.IP, metricsPort), status},
 	} {
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
 			return err
 		}
-		p.servers = append(p.servers, l.server)
 		go func() {
 			if err := l.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				failed <- err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,7 +47,7 @@
 	hedges     *retry.Budget
 	// probes holds the last question to each upstream that went silent.
 	probes map[string]*probe
-	usage      usageCounts
+	usage  usageCounts
 
 	kick    chan struct{}
 	ownedWG sync.WaitGroup
@@ -82,6 +82,15 @@
 	wg.Wait()
 }
 
+// SetTiming takes bounds that changed while the process runs. The lease keeps its timing until the next start, because
+// all candidates of a lease must use the same.
+func (g *Gateway) SetTiming(t Timing) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t.Lease, t.UsageWindow = g.opts.Timing.Lease, g.opts.Timing.UsageWindow
+	g.opts.Timing = t
+}
+
 // wake makes the scheduler look for work.
 func (g *Gateway) wake() {
 	select {
--- a/standin/fleet/ports.go
+++ b/standin/fleet/ports.go
@@ -7,32 +7,72 @@
 	"testing"
 )
 
-// Ports of the processes, which keep their addresses when they are replaced.
+// Ports of the processes, which keep their addresses when they are replaced. A port that was found free is not bound until
+// its process starts, so that another test process could be given the same one. Each test process therefore claims a block
+// of ports by holding the first port of the block until it ends.
 const (
 	firstPort = 18000
 	lastPort  = 18999
+	blockSize = 200
 )
 
-var ports = struct {
+// block is a range of ports that belongs to one holder of its first port.
+type block struct {
+	guard      net.Listener
+	next, last int
+}
+
+// claimBlock claims the first block that nobody holds.
+func claimBlock() (*block, bool) {
+	for first := firstPort; first+blockSize-1 <= lastPort; first += blockSize {
+		guard, err := net.Listen("tcp", loopback(first))
+		if err != nil {
+			continue // held by another test process
+		}
+		return &block{guard: guard, next: first + 1, last: first + blockSize - 1}, true
+	}
+	return nil, false
+}
+
+func loopback(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
+
+// address returns a loopback address whose port is free now and was not handed out before.
+func (b *block) address() (string, bool) {
+	for b.next <= b.last {
+		candidate := loopback(b.next)
+		b.next++
+		listener, err := net.Listen("tcp", candidate)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		return candidate, true
+	}
+	return "", false
+}
+
+// ports is the block of this test process.
+var ports struct {
 	sync.Mutex
-	next int
-}{next: firstPort}
+	block *block
+}
 
-// address returns a loopback address whose port is free now and was not handed out before in this test process.
+// address returns a loopback address that no other test process hands out.
 func address(t testing.TB) string {
 	t.Helper()
 	ports.Lock()
 	defer ports.Unlock()
-	for ports.next <= lastPort {
-		candidate := net.JoinHostPort("127.0.0.1", strconv.Itoa(ports.next))
-		ports.next++
-		listener, err := net.Listen("tcp", candidate)
-		if err != nil {
-			continue
+	for {
+		if ports.block == nil {
+			claimed, ok := claimBlock()
+			if !ok {
+				t.Fatalf("no free block of ports from %d to %d", firstPort, lastPort)
+			}
+			ports.block = claimed
 		}
-		_ = listener.Close()
-		return candidate
+		if free, ok := ports.block.address(); ok {
+			return free
+		}
+		ports.block = nil // its guard stays bound until the process ends
 	}
-	t.Fatalf("no free port from %d to %d", firstPort, lastPort)
-	return ""
 }
