--- a/versionplan/plan.go
+++ b/versionplan/plan.go
@@ -50,11 +50,12 @@
 
 // Config is the shape of a plan.
 type Config struct {
-	// AtOnce is how many upstreams may load at the same time without slowing each other down.
-	AtOnce int
+	// MinAtOnce is how many upstreams may load at the same time in the smallest service, and UpstreamsPerLoad how many
+	// upstreams a service has for each further load; above that the weight store slows every load down.
+	MinAtOnce, UpstreamsPerLoad int
 	// OrderTimeout is how long an order without an answer blocks its upstream; it may still be carried out.
 	OrderTimeout time.Duration
-	// LoadTime is how long an accepted load takes; after it the load no longer counts towards AtOnce.
+	// LoadTime is how long an accepted load takes; after it the load no longer counts as one at the same time.
 	LoadTime time.Duration
 	// ShowTimeout is how long an accepted order blocks its upstream when the entry does not show the version earlier.
 	ShowTimeout time.Duration
@@ -63,7 +64,7 @@
 // DefaultConfig returns the values for upstreams that load one version in about a second.
 func DefaultConfig() Config {
 	return Config{
-		AtOnce: 2, OrderTimeout: 2500 * time.Millisecond, LoadTime: time.Second, ShowTimeout: 3500 * time.Millisecond,
+		MinAtOnce: 2, UpstreamsPerLoad: 5, OrderTimeout: 2500 * time.Millisecond, LoadTime: time.Second, ShowTimeout: 3500 * time.Millisecond,
 	}
 }
 
@@ -113,10 +114,11 @@
 	p.settle(list, now)
 	slices.SortFunc(demands, func(a, b Demand) int { return cmp.Compare(a.Model, b.Model) })
 	loading := p.Loading(now)
+	atOnce := max(p.cfg.MinAtOnce, len(list)/p.cfg.UpstreamsPerLoad)
 	var loads []Load
 	for _, d := range demands {
 		for _, u := range p.wanting(list, d, len(demands)) {
-			if loading+len(loads) >= p.cfg.AtOnce {
+			if loading+len(loads) >= atOnce {
 				return loads
 			}
 			if p.busy(u.ID, loads) {
