--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -15,6 +15,8 @@
 	otherDataCentreCost = 0.15
 	// otherRegionCost is for an upstream in another region, where bytes are paid for and a round trip takes 40 ms.
 	otherRegionCost = 0.3
+	// tieBreak spreads requests over equal upstreams.
+	tieBreak = 0.01
 	// suspectCost puts an upstream whose last request failed behind all sound ones.
 	suspectCost = 4
 )
@@ -64,7 +66,7 @@
 func (g *Gateway) score(e upstreams.Entry, now time.Time) float64 {
 	h := g.healthOf(e.ID)
 	utilisation := float64(g.inFlight[e.ID]+g.othersLoad[e.ID]+1) / float64(max(e.Slots, 1))
-	score := utilisation*g.slowness(e) + g.distance(e) + rand.Float64()*0.01 // breaks ties
+	score := utilisation*g.slowness(e, now) + g.distance(e) + rand.Float64()*tieBreak
 	if !h.Allowed(now, g.inFlight[e.ID]) {
 		score += suspectCost
 	}
@@ -83,14 +85,14 @@
 }
 
 // slowness compares the pace of an upstream with the fastest of its service. The caller holds the lock.
-func (g *Gateway) slowness(e upstreams.Entry) float64 {
-	pace := g.healthOf(e.ID).Pace()
+func (g *Gateway) slowness(e upstreams.Entry, now time.Time) float64 {
+	pace := g.healthOf(e.ID).Pace(now)
 	if pace == 0 {
 		return 1
 	}
 	fastest := pace
 	for _, other := range g.upstreams.Ready(e.Service) {
-		if p := g.healthOf(other.ID).Pace(); p > 0 {
+		if p := g.healthOf(other.ID).Pace(now); p > 0 {
 			fastest = min(fastest, p)
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,7 +75,7 @@
 	var wg sync.WaitGroup
 	for _, loop := range []func(context.Context){
 		g.operatorWatch().run, g.upstreamWatch().run, g.beatWatch().run, g.jobWatch().run,
-		g.beatLoop, g.scheduleLoop, g.superviseLoop, g.dutyLoop, g.usageFlushLoop,
+		g.beatLoop, g.scheduleLoop, g.moveLoop, g.superviseLoop, g.dutyLoop, g.usageFlushLoop,
 	} {
 		wg.Go(func() { loop(ctx) })
 	}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -306,7 +306,7 @@
 		if h.Succeed() {
 			g.opts.Log.Info().Str("upstream", u.ID).Msg("upstream recovered")
 		}
-	case failure.Reason == upstreamcall.Cancelled:
+	case failure.Reason == upstreamcall.Cancelled, failure.Reason == upstreamcall.Moved:
 	case failure.Reason == upstreamcall.Busy:
 		h.Busy(model, now.Add(busyHold))
 		h.Succeed()
--- a/gateway/run_item.go
+++ b/gateway/run_item.go
@@ -23,6 +23,8 @@
 	// maxSilence is how long an upstream that answers may leave a run without an event; a load of weights pauses it for
 	// one or two seconds.
 	maxSilence = 3 * time.Second
+	// loadPause is the gap between events from which it says nothing about the pace: a load of weights or a preemption.
+	loadPause = 500 * time.Millisecond
 	// defaultLifetime holds for jobs whose route sets none.
 	defaultLifetime = 30 * time.Second
 	// failurePause precedes the next run of an item that an upstream failed.
@@ -38,7 +40,9 @@
 	defer cancel(nil)
 	started := time.Now()
 	before := p.Text.Last()
+	o.setRun(p, &itemRun{upstream: u, started: started, move: func() { cancel(errMoved) }})
 	failure := o.generate(ctx, cancel, p, u)
+	o.setRun(p, nil)
 	o.g.learn(u, o.job.Spec.Model, failure, ctx)
 	if failure == nil {
 		o.g.met.itemTime.UpdateDuration(started)
@@ -87,10 +91,13 @@
 	}
 }
 
-// stalled names the reason of a run that the watchdog ended.
+// stalled names the reason of a run that was ended from here.
 func stalled(ctx context.Context, failure *upstreamcall.Failure) *upstreamcall.Failure {
-	if errors.Is(context.Cause(ctx), errStalled) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errStalled):
 		failure.Reason = upstreamcall.Silent
+	case errors.Is(cause, errMoved):
+		failure.Reason = upstreamcall.Moved
 	}
 	return failure
 }
@@ -156,8 +163,8 @@
 			Reason: upstreamcall.Crossed, Outcome: outcome.Ran, Err: errors.New("an event is missing or comes twice"),
 		}
 	}
-	if p.Text.Last() > 1 {
-		o.g.healthOf(u.ID).Observe(pause)
+	if p.Text.Last() > 1 && pause < loadPause {
+		o.g.healthOf(u.ID).Observe(pause, time.Now())
 	}
 	return nil
 }
@@ -184,7 +191,7 @@
 		o.job.Abandon(p)
 	case upstreamcall.Failed:
 		o.job.RunFailed(p, now.Add(failurePause), u.ID)
-	case upstreamcall.Busy:
+	case upstreamcall.Busy, upstreamcall.Moved:
 		o.job.Requeue(p, now, u.ID)
 	case upstreamcall.Misdirected:
 		g.upstreams.Discard(u.ID)
--- a/gateway/schedule.go
+++ b/gateway/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/radishshelf/radishshelf/batch"
@@ -97,6 +98,30 @@
 	g.ownedWG.Go(func() { o.runItem(c.Item, u) })
 }
 
+// Costs of an engine, in units of the time that a text takes on the fastest one.
+const (
+	// crowdCost is how much slower an engine is with all slots in use: a step takes about 24 % longer.
+	crowdCost = 0.3
+	// farCost and remoteCost are for engines in another data centre and in another region. They are small, because only
+	// the volume of the text counts, not the round trip.
+	farCost    = 0.04
+	remoteCost = 0.08
+)
+
+// engineScore is the expected time of a text at an engine. The caller holds the lock.
+func (g *Gateway) engineScore(e upstreams.Entry, now time.Time) float64 {
+	utilisation := float64(g.inFlight[e.ID]+g.othersLoad[e.ID]+1) / float64(max(e.Slots, 1))
+	score := g.slowness(e, now) + crowdCost*utilisation + rand.Float64()*tieBreak
+	switch {
+	case e.DataCentre == g.opts.DataCentre:
+		return score
+	case g.region(e.DataCentre) == g.region(g.opts.DataCentre):
+		return score + farCost
+	default:
+		return score + remoteCost
+	}
+}
+
 // chooseEngine picks the upstream for an item. The caller holds the lock.
 func (g *Gateway) chooseEngine(key roomKey, avoid string, now time.Time) (upstreams.Entry, bool) {
 	var best upstreams.Entry
@@ -108,7 +133,7 @@
 			!h.Allowed(now, g.inFlight[e.ID]) || g.inFlight[e.ID] >= g.room(e) {
 			continue
 		}
-		score := g.score(e, now)
+		score := g.engineScore(e, now)
 		if e.ID == avoid {
 			score += suspectCost
 		}
--- a/upstreamcall/failure.go
+++ b/upstreamcall/failure.go
@@ -26,6 +26,8 @@
 	Silent Reason = "silent"
 	// Cancelled means that the sender gave up.
 	Cancelled Reason = "cancelled"
+	// Moved means that the sender ended the call to go on at a faster upstream.
+	Moved Reason = "moved"
 	// OldVersion means that the upstream serves weights that are too old.
 	OldVersion Reason = "old_version"
 	// Failed means that the upstream ran the request and answered that it failed.
--- a/upstreamhealth/health.go
+++ b/upstreamhealth/health.go
@@ -16,6 +16,11 @@
 	burst = 100 * time.Millisecond
 	// speedWeight is the weight of the newest observation in the moving average of the pace.
 	speedWeight = 0.2
+	// paceValid is how long a pace counts without a new observation. A slow upstream that got no work for so long is
+	// tried again, because it may have recovered.
+	paceValid = 2500 * time.Millisecond
+	// minObserved is the number of observations from which a pace counts.
+	minObserved = 3
 )
 
 // Health is the judgement of one upstream.
@@ -25,7 +30,9 @@
 	pauseUntil time.Time
 	busyUntil  map[string]time.Time
 	// pace is the moving average of the time for one unit of work; 0 before the first observation.
-	pace time.Duration
+	pace     time.Duration
+	pacedAt  time.Time
+	observed int
 }
 
 // Allowed reports whether a request may be sent while inFlight others of this process run there.
@@ -70,13 +77,19 @@
 func (h *Health) IsBusy(model string, now time.Time) bool { return now.Before(h.busyUntil[model]) }
 
 // Observe takes the time that one unit of work took.
-func (h *Health) Observe(pace time.Duration) {
-	if h.pace == 0 {
-		h.pace = pace
-		return
+func (h *Health) Observe(pace time.Duration, now time.Time) {
+	if now.Sub(h.pacedAt) > paceValid {
+		h.pace, h.observed = pace, 0
 	}
 	h.pace += time.Duration(speedWeight * float64(pace-h.pace))
+	h.pacedAt = now
+	h.observed++
 }
 
-// Pace returns the moving average of the time for one unit of work; 0 when nothing was observed.
-func (h *Health) Pace() time.Duration { return h.pace }
+// Pace returns the moving average of the time for one unit of work; 0 when nothing was observed lately.
+func (h *Health) Pace(now time.Time) time.Duration {
+	if h.observed < minObserved || now.Sub(h.pacedAt) > paceValid {
+		return 0
+	}
+	return h.pace
+}
--- /dev/null
+++ b/upstreamhealth/health_test.go
@@ -0,0 +1,58 @@
+package upstreamhealth
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against requests that pile up at an upstream that fails, and against one that is never tried again.
+func TestPausesAndTrial(t *testing.T) {
+	var h Health
+	now := time.Unix(100, 0)
+	if !h.Fail(now) || h.Fail(now.Add(burst/2)) {
+		t.Error("failures of requests that ran together count more than once")
+	}
+	if h.Allowed(now.Add(firstPause/2), 0) {
+		t.Error("allowed within the pause")
+	}
+	after := now.Add(firstPause)
+	if !h.Allowed(after, 0) || h.Allowed(after, 1) {
+		t.Error("after the pause exactly one request may try")
+	}
+	h.Fail(after)
+	if h.Allowed(after.Add(firstPause), 0) {
+		t.Error("the pause did not double")
+	}
+	if !h.Succeed() || !h.Allowed(after, 9) {
+		t.Error("not sound after an answer")
+	}
+}
+
+// Guards against a pause that grows so long that a recovered upstream stays unused.
+func TestPauseIsBounded(t *testing.T) {
+	var h Health
+	now := time.Unix(100, 0)
+	for range 40 {
+		now = now.Add(time.Minute)
+		h.Fail(now)
+	}
+	if !h.Allowed(now.Add(maxPause), 0) {
+		t.Errorf("not allowed %s after the last failure", maxPause)
+	}
+}
+
+// Guards against a slow upstream that gets no work for ever because nothing new is learned of it.
+func TestPaceExpires(t *testing.T) {
+	var h Health
+	now := time.Unix(100, 0)
+	for range 10 {
+		now = now.Add(time.Millisecond)
+		h.Observe(100*time.Millisecond, now)
+	}
+	if got := h.Pace(now); got != 100*time.Millisecond {
+		t.Errorf("pace %s, want 100ms", got)
+	}
+	if got := h.Pace(now.Add(2 * paceValid)); got != 0 {
+		t.Errorf("pace %s after a long silence, want none", got)
+	}
+}
--- /dev/null
+++ b/upstreams/view_test.go
@@ -0,0 +1,71 @@
+package upstreams
+
+import (
+	"testing"
+	"time"
+)
+
+func ready(id string) Entry { return Entry{ID: id, Service: "desk", State: Ready} }
+
+// Guards against new work for an upstream whose entry was removed while the store was in reach.
+func TestRemovalCountsAtOnce(t *testing.T) {
+	v := NewView()
+	now := time.Unix(100, 0)
+	v.Put(ready("a"))
+	v.Remove("a", now)
+	if len(v.Ready("desk")) != 0 {
+		t.Error("the upstream is still used")
+	}
+}
+
+// Guards against the loss of every upstream when all entries lapse in an outage of the store, and against an upstream that
+// stays in use although it did not come back.
+func TestLapsedEntriesHaveGrace(t *testing.T) {
+	v := NewView()
+	now := time.Unix(100, 0)
+	for _, id := range []string{"back", "gone"} {
+		v.Put(ready(id))
+	}
+	v.StoreLost()
+	v.Remove("gone", now)
+	now = now.Add(5 * time.Second)
+	v.StoreBack(now)
+	v.Remove("back", now.Add(100*time.Millisecond))
+	if got := len(v.Ready("desk")); got != 2 {
+		t.Fatalf("%d upstreams right after the outage, want 2", got)
+	}
+	v.Put(ready("back"))
+	if gone := v.Expire(now.Add(LapseGrace)); len(gone) != 1 || gone[0] != "gone" {
+		t.Errorf("expired %v, want [gone]", gone)
+	}
+	if list := v.Ready("desk"); len(list) != 1 || list[0].ID != "back" {
+		t.Errorf("left %v, want back", list)
+	}
+	v.Remove("back", now.Add(2*LapseGrace))
+	if v.Len() != 0 {
+		t.Error("a removal long after the outage is put off")
+	}
+}
+
+// Guards against an entry that became unreadable and still names an upstream.
+func TestUnreadableEntryNamesNobody(t *testing.T) {
+	v := NewView()
+	v.Put(ready("a"))
+	v.StoreLost()
+	v.Discard("a")
+	if v.Len() != 0 {
+		t.Error("the upstream is still there")
+	}
+}
+
+// Guards against upstreams that a full read no longer shows and that stay in the view.
+func TestReplaceDropsMissing(t *testing.T) {
+	v := NewView()
+	v.Put(ready("a"))
+	v.Put(ready("b"))
+	v.Replace([]Entry{ready("b"), ready("c")}, time.Unix(100, 0))
+	list := v.All()
+	if len(list) != 2 || list[0].ID != "b" || list[1].ID != "c" {
+		t.Errorf("left %v, want b and c", list)
+	}
+}
--- /dev/null
+++ b/versionplan/plan_test.go
@@ -0,0 +1,145 @@
+package versionplan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// fleet is a service whose upstreams load at once what they are ordered.
+type fleet struct {
+	list    []Upstream
+	loads   int
+	planner *Planner
+	now     time.Time
+}
+
+func newFleet(upstreams int, models ...string) *fleet {
+	f := &fleet{planner: New(DefaultConfig()), now: time.Unix(1000, 0)}
+	for i := range upstreams {
+		u := Upstream{ID: fmt.Sprintf("u%02d", i), DataCentre: fmt.Sprintf("dc%d", i%3), Usable: true, Versions: map[string]int64{}}
+		for _, m := range models {
+			u.Versions[m] = 1
+		}
+		f.list = append(f.list, u)
+	}
+	return f
+}
+
+// settle runs rounds of a second until no order is wanted, and returns how many rounds had orders.
+func (f *fleet) settle(t testing.TB, demands []Demand) int {
+	for round := range 100 {
+		loads := f.planner.Next(f.list, demands, f.now)
+		if len(loads) == 0 {
+			return round
+		}
+		for _, l := range loads {
+			f.planner.Sent(l, f.now)
+			f.planner.Accepted(l, f.now)
+			f.serve(l)
+		}
+		f.now = f.now.Add(time.Second)
+	}
+	t.Fatal("the planner never rests")
+	return 0
+}
+
+func (f *fleet) serve(l Load) {
+	f.loads++
+	for i := range f.list {
+		if f.list[i].ID == l.Upstream {
+			f.list[i].Versions[l.Model] = l.Version
+			f.list[i].Orders++
+		}
+	}
+}
+
+// at returns how many usable upstreams serve a model at a version or a newer one.
+func (f *fleet) at(model string, version int64) int {
+	n := 0
+	for _, u := range f.list {
+		if u.Usable && u.Versions[model] >= version {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a step that finds no upstream of its version, and against more loads than one for each upstream of the
+// even share, over a series of named versions.
+func TestVersionsAlternate(t *testing.T) {
+	models := []string{"fares", "routes", "disputes"}
+	f := newFleet(9, models...)
+	for version := int64(2); version <= 12; version++ {
+		var demands []Demand
+		for _, m := range models {
+			if got := f.at(m, version-1); got < 3 {
+				t.Errorf("version %d of %s is named and %d upstreams serve the one before", version, m, got)
+			}
+			demands = append(demands, Demand{Model: m, Newest: version, Oldest: version - 1})
+		}
+		before := f.loads
+		f.settle(t, demands)
+		if got := f.loads - before; got > 9 {
+			t.Errorf("version %d took %d loads; 9 are free", version, got)
+		}
+		f.now = f.now.Add(4 * time.Second)
+	}
+}
+
+// Guards against more loads at a time than the weight store bears.
+func TestLoadsAtOnce(t *testing.T) {
+	for _, c := range []struct{ upstreams, want int }{{3, 2}, {9, 2}, {45, 9}} {
+		f := newFleet(c.upstreams, "fares")
+		loads := f.planner.Next(f.list, []Demand{{Model: "fares", Newest: 3}}, f.now)
+		if len(loads) != c.want {
+			t.Errorf("%d upstreams: %d loads at once, want %d", c.upstreams, len(loads), c.want)
+		}
+	}
+}
+
+// Guards against a second order to an upstream whose first one got no answer: it may still be carried out.
+func TestUnansweredOrderBlocks(t *testing.T) {
+	f := newFleet(1, "fares")
+	demands := []Demand{{Model: "fares", Newest: 2}}
+	loads := f.planner.Next(f.list, demands, f.now)
+	if len(loads) != 1 {
+		t.Fatalf("%d orders, want 1", len(loads))
+	}
+	f.planner.Sent(loads[0], f.now)
+	if again := f.planner.Next(f.list, demands, f.now.Add(time.Second)); len(again) != 0 {
+		t.Errorf("ordered again after 1 s: %v", again)
+	}
+	if again := f.planner.Next(f.list, demands, f.now.Add(DefaultConfig().OrderTimeout)); len(again) != 1 {
+		t.Errorf("not ordered again after the timeout: %v", again)
+	}
+}
+
+// Guards against processes that disagree on the members, and against a loss that leaves a model without any.
+func TestMembersSurviveLosses(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFleet(rapid.IntRange(3, 30).Draw(rt, "upstreams"), "a", "b", "c")
+		for i := range f.list {
+			f.list[i].Usable = rapid.IntRange(0, 3).Draw(rt, "alive") > 0
+		}
+		usable := 0
+		for _, u := range f.list {
+			if u.Usable {
+				usable++
+			}
+		}
+		for _, m := range []string{"a", "b", "c"} {
+			members := Members(f.list, m, 3)
+			if want := min((2*usable+2)/3, usable); len(members) != want {
+				rt.Fatalf("%d members of %d usable upstreams, want %d", len(members), usable, want)
+			}
+			for _, u := range members {
+				if !u.Usable {
+					rt.Fatalf("%s is a member and not usable", u.ID)
+				}
+			}
+		}
+	})
+}
