--- a/versionplan/plan.go
+++ b/versionplan/plan.go
@@ -112,24 +112,57 @@
 // Next returns the orders to send now.
 func (p *Planner) Next(list []Upstream, demands []Demand, now time.Time) []Load {
 	p.settle(list, now)
-	slices.SortFunc(demands, func(a, b Demand) int { return cmp.Compare(a.Model, b.Model) })
 	loading := p.Loading(now)
 	atOnce := max(p.cfg.MinAtOnce, len(list)/p.cfg.UpstreamsPerLoad)
-	var loads []Load
+	queues := make([]*queue, 0, len(demands))
 	for _, d := range demands {
-		for _, u := range p.wanting(list, d, len(demands)) {
-			if loading+len(loads) >= atOnce {
-				return loads
-			}
-			if p.busy(u.ID, loads) {
-				continue
-			}
-			loads = append(loads, Load{Upstream: u.ID, Model: d.Model, Version: d.Newest, ExpectedOrders: u.Orders})
+		queues = append(queues, p.queue(list, d, len(demands)))
+	}
+	var loads []Load
+	for loading+len(loads) < atOnce {
+		q := neediest(queues)
+		if q == nil {
+			break
 		}
+		u := q.wanting[0]
+		q.wanting = q.wanting[1:]
+		if p.busy(u.ID, loads) {
+			continue
+		}
+		q.serving++
+		loads = append(loads, Load{
+			Upstream: u.ID, Model: q.demand.Model, Version: q.demand.Newest, ExpectedOrders: u.Orders,
+		})
 	}
 	return loads
 }
 
+// queue holds the upstreams that have to load the newest version of a model.
+type queue struct {
+	demand  Demand
+	wanting []Upstream
+	// serving is the number of members that serve the newest step or will do so, out of members.
+	serving, members int
+}
+
+// coverage is the part of the members that serve the newest step.
+func (q *queue) coverage() float64 { return float64(q.serving) / float64(max(q.members, 1)) }
+
+// neediest returns the queue of the model with the least coverage, so that no model waits for the loads of the others.
+func neediest(queues []*queue) *queue {
+	var first *queue
+	for _, q := range queues {
+		if len(q.wanting) == 0 {
+			continue
+		}
+		if first == nil || q.coverage() < first.coverage() ||
+			q.coverage() == first.coverage() && q.demand.Model < first.demand.Model {
+			first = q
+		}
+	}
+	return first
+}
+
 // settle forgets the orders whose version is served and those that took too long.
 func (p *Planner) settle(list []Upstream, now time.Time) {
 	for id, pending := range p.pending {
@@ -148,10 +181,11 @@
 	return slices.ContainsFunc(loads, func(l Load) bool { return l.Upstream == id })
 }
 
-// wanting returns the upstreams that have to load the newest version of a model, the most urgent first.
-func (p *Planner) wanting(list []Upstream, d Demand, models int) []Upstream {
+// queue returns the upstreams that have to load the newest version of a model, the most urgent first.
+func (p *Planner) queue(list []Upstream, d Demand, models int) *queue {
+	q := &queue{demand: d}
 	if d.Newest <= 1 {
-		return nil
+		return q
 	}
 	members := Members(list, d.Model, models)
 	floor := max(d.Newest-1, d.Oldest)
@@ -170,11 +204,12 @@
 			older = append(older, u)
 		}
 	}
-	wanting := stale
+	q.members, q.serving = len(members), newest+len(older)
+	q.wanting = stale
 	if missing := half - newest - len(stale); missing > 0 {
-		wanting = append(wanting, older[:min(missing, len(older))]...)
+		q.wanting = append(q.wanting, older[:min(missing, len(older))]...)
 	}
-	return wanting
+	return q
 }
 
 // shareOfModel is how many times the even share of the upstreams a model is served by: twice, because each loads only
--- a/versionplan/plan_test.go
+++ b/versionplan/plan_test.go
@@ -143,3 +143,23 @@
 		}
 	})
 }
+
+// Guards against a model that gets no loads because the loads of others, earlier in the alphabet, take all places.
+func TestNoModelStarves(t *testing.T) {
+	models := []string{"a", "b", "c"}
+	f := newFleet(45, models...)
+	var demands []Demand
+	for _, m := range models {
+		demands = append(demands, Demand{Model: m, Newest: 3, Oldest: 2})
+	}
+	loads := f.planner.Next(f.list, demands, f.now)
+	count := map[string]int{}
+	for _, l := range loads {
+		count[l.Model]++
+	}
+	for _, m := range models {
+		if count[m] != len(loads)/len(models) {
+			t.Errorf("model %s got %d of %d loads", m, count[m], len(loads))
+		}
+	}
+}
