Tell a request's story from logs, and show and check the product's tables from the store alone

Log lines carry milliseconds in a fixed width; they had whole seconds, so that lines of several processes could not be ordered.

--- a/cmd/radishshelfctl/root.go
+++ b/cmd/radishshelfctl/root.go
@@ -37,6 +37,6 @@
 		root.AddCommand(newObjects(o, group))
 	}
 	root.AddCommand(newDefaults(o), newExceptions(o), newKeys(o), newEntries(o), newHosts(o), newRoles(o),
-		newUsageWindows(o), newVersions(o), newExplain(o), newVersion(o))
+		newUsageWindows(o), newVersions(o), newExplain(o), newVersion(o), newStory(), newStore(o))
 	return root
 }
--- /dev/null
+++ b/cmd/radishshelfctl/store.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/radishshelf/radishshelf/gateway"
+	"github.com/radishshelf/radishshelf/platform"
+)
+
+// storeDialTimeout bounds the opening of a connection to the store.
+const storeDialTimeout = 3 * time.Second
+
+// newStore returns the commands that look at the platform's store alone, without any process of the system.
+func newStore(o *options) *cobra.Command {
+	var address string
+	cmd := &cobra.Command{Use: "store", Short: "Look at the product's tables in the platform's store"}
+	cmd.PersistentFlags().StringVar(&address, "store", "", "address of the store, host:port")
+	read := func(cmd *cobra.Command) (*gateway.Snapshot, error) {
+		if address == "" {
+			return nil, fmt.Errorf("no store; set --store to its host:port, as in provider.address of the settings")
+		}
+		return gateway.ReadSnapshot(cmd.Context(), platform.NewStore(address, platform.Dialer(storeDialTimeout)))
+	}
+	cmd.AddCommand(
+		&cobra.Command{
+			Use: "status", Short: "Show who holds the duties, the processes and the open jobs", Args: cobra.NoArgs,
+			RunE: func(cmd *cobra.Command, _ []string) error {
+				snapshot, err := read(cmd)
+				if err != nil {
+					return err
+				}
+				return printStoreStatus(cmd, o, snapshot)
+			},
+		},
+		&cobra.Command{
+			Use: "snapshot FILE", Short: "Write the product's tables to a file and check them", Args: cobra.ExactArgs(1),
+			RunE: func(cmd *cobra.Command, args []string) error {
+				snapshot, err := read(cmd)
+				if err != nil {
+					return err
+				}
+				f, err := os.Create(args[0])
+				if err != nil {
+					return err
+				}
+				if err := snapshot.Write(f); err != nil {
+					f.Close()
+					return err
+				}
+				if err := f.Close(); err != nil {
+					return err
+				}
+				return printFaults(cmd, snapshot)
+			},
+		},
+		&cobra.Command{
+			Use: "check FILE", Short: "Check a snapshot against the invariants of the tables", Args: cobra.ExactArgs(1),
+			RunE: func(cmd *cobra.Command, args []string) error {
+				f, err := os.Open(args[0])
+				if err != nil {
+					return err
+				}
+				defer f.Close()
+				snapshot, err := gateway.LoadSnapshot(f)
+				if err != nil {
+					return err
+				}
+				return printFaults(cmd, snapshot)
+			},
+		},
+	)
+	return cmd
+}
+
+// printFaults prints what breaks an invariant; any fault is a failure of the command.
+func printFaults(cmd *cobra.Command, snapshot *gateway.Snapshot) error {
+	faults := snapshot.Check()
+	for _, fault := range faults {
+		if _, err := fmt.Fprintln(cmd.OutOrStdout(), fault); err != nil {
+			return err
+		}
+	}
+	if len(faults) > 0 {
+		return fmt.Errorf("%d rows break an invariant", len(faults))
+	}
+	_, err := fmt.Fprintf(cmd.OutOrStdout(), "%d rows, no fault\n", len(snapshot.Rows))
+	return err
+}
+
+func printStoreStatus(cmd *cobra.Command, o *options, snapshot *gateway.Snapshot) error {
+	duties, held := snapshot.Duties()
+	holder := "nobody"
+	if held && duties.Holder != "" {
+		holder = fmt.Sprintf("%s under term %d", duties.Holder, duties.Term)
+	}
+	if _, err := fmt.Fprintf(cmd.OutOrStdout(), "duties: %s\n", holder); err != nil {
+		return err
+	}
+	entries := &table{header: []string{"PROCESS", "DATA CENTRE", "CONFIGURATION", "LEAVING", "BEAT"}}
+	for _, b := range snapshot.Entries() {
+		entries.rows = append(entries.rows, []string{
+			b.Host, b.DataCentre, fmt.Sprint(b.ConfigVersion), fmt.Sprint(b.Leaving), fmt.Sprint(b.Sequence),
+		})
+	}
+	if err := o.print(cmd, snapshot.Entries(), func() *table { return entries }); err != nil {
+		return err
+	}
+	jobs := &table{header: []string{"JOB", "MODEL", "OWNER", "LISTED", "TOTAL", "ACCEPTED AT", "ENDED"}}
+	for _, j := range snapshot.Jobs() {
+		jobs.rows = append(jobs.rows, []string{
+			j.ID, j.Model, j.Owner, fmt.Sprint(j.Listed), fmt.Sprint(j.Total), j.AcceptedAt.Truncate(time.Millisecond).String(),
+			fmt.Sprint(j.Ended),
+		})
+	}
+	return o.print(cmd, snapshot.Jobs(), func() *table { return jobs })
+}
--- /dev/null
+++ b/cmd/radishshelfctl/story.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/radishshelf/radishshelf/logstory"
+)
+
+// newStory returns the command that tells what happened to one request, batch job or item, out of log files.
+func newStory() *cobra.Command {
+	return &cobra.Command{
+		Use: "story ID FILE...", Short: "Print the story of a request, batch job or item from the logs of all processes",
+		Args: cobra.MinimumNArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			story := logstory.New(args[0])
+			for _, path := range args[1:] {
+				if err := readLog(story, path); err != nil {
+					return err
+				}
+			}
+			lines := story.Lines()
+			if len(lines) == 0 {
+				return fmt.Errorf("no line names %s; check the ID, and give the logs of all processes", args[0])
+			}
+			for _, line := range lines {
+				if _, err := fmt.Fprintln(cmd.OutOrStdout(), line); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
+
+func readLog(story *logstory.Story, path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return story.Read(path, f)
+}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -15,6 +15,8 @@
 	otherDataCentreCost = 0.15
 	// otherRegionCost is for an upstream in another region, where bytes are paid for and a round trip takes 40 ms.
 	otherRegionCost = 0.3
+	// connectionCost is for a send that needs a new connection; connections are paid for.
+	connectionCost = 0.2
 	// tieBreak spreads requests over equal upstreams.
 	tieBreak = 0.01
 	// suspectCost puts an upstream whose last request failed behind all sound ones.
@@ -67,6 +69,9 @@
 	h := g.healthOf(e.ID)
 	utilisation := float64(g.inFlight[e.ID]+g.othersLoad[e.ID]+1) / float64(max(e.Slots, 1))
 	score := utilisation*g.slowness(e, now) + g.distance(e) + rand.Float64()*tieBreak
+	if !g.isWarm(e.ID, now) {
+		score += connectionCost
+	}
 	if !h.Allowed(now, g.inFlight[e.ID]) {
 		score += suspectCost
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,6 +35,8 @@
 	health       map[string]*upstreamhealth.Health
 	// inFlight counts the requests of this process at each upstream.
 	inFlight map[string]int
+	// connections holds how many connections to each upstream are kept.
+	connections map[string]kept
 	// othersLoad holds what the other processes reported to have in flight at each upstream.
 	othersLoad map[string]int
 	// clock is the store's clock as of clockAt.
@@ -44,7 +46,9 @@
 	answeredAt time.Time
 	storeLost  bool
 	leaving    bool
-	hedges     *retry.Budget
+	// meanItem is the moving average of the time of a whole run.
+	meanItem time.Duration
+	hedges   *retry.Budget
 	// probes holds the last question to each upstream that went silent.
 	probes map[string]*probe
 	usage  usageCounts
@@ -62,6 +66,7 @@
 	g := &Gateway{
 		opts: opts, named: map[string]int64{}, upstreams: upstreams.NewView(), peers: presence.NewView(deadAfter),
 		jobs: map[string]*jobEntry{}, health: map[string]*upstreamhealth.Health{}, inFlight: map[string]int{},
+		connections: map[string]kept{}, meanItem: firstMeanItem,
 		othersLoad: map[string]int{}, hedges: retry.NewBudget(retry.DefaultBudgetConfig(), time.Now()),
 		usage: usageCounts{}, probes: map[string]*probe{}, kick: make(chan struct{}, 1),
 	}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -63,7 +63,7 @@
 			continue
 		}
 		for p, run := range e.owned.runs {
-			if moved < maxMoves && g.worthMoving(e, p, run, now) {
+			if moved < maxMoves && run.move != nil && g.worthMoving(e, p, run, now) {
 				run.move()
 				moved++
 			}
--- a/gateway/own.go
+++ b/gateway/own.go
@@ -22,6 +22,8 @@
 	ready chan struct{}
 	// saved holds for each item how many events of its text the store knows.
 	saved map[string]int
+	// concurrency bounds the items that run at the same time.
+	concurrency int
 	// runs holds the runs at upstreams.
 	runs map[*batch.Progress]*itemRun
 	// listing is held while results are written, so that no two writers list the same results.
@@ -40,6 +42,7 @@
 	o := &ownedJob{
 		g: g, entry: e, job: batch.NewJob(spec, e.record, limits, listed), ready: make(chan struct{}, 1),
 		saved: map[string]int{}, runs: map[*batch.Progress]*itemRun{},
+		concurrency: batch.Concurrency(len(spec.Items), g.meanItem),
 	}
 	for id, text := range texts {
 		if p, ok := o.job.Get(id); ok && p.Phase == batch.Waiting && text.Fits(spec.MinVersion, limits.SingleVersion) {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -146,7 +146,7 @@
 	}
 	u, ok := f.g.choosePlain(f.service, exclude, false, now)
 	if ok {
-		f.g.inFlight[u.ID]++
+		f.g.acquire(u.ID, now)
 	}
 	if f.sends == 0 {
 		f.g.hedges.FirstTry(now)
@@ -296,17 +296,15 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.inFlight[u.ID]--
-	if g.inFlight[u.ID] <= 0 {
-		delete(g.inFlight, u.ID)
-	}
+	g.release(u.ID, now)
 	h := g.healthOf(u.ID)
 	switch {
 	case failure == nil:
 		if h.Succeed() {
 			g.opts.Log.Info().Str("upstream", u.ID).Msg("upstream recovered")
 		}
-	case failure.Reason == upstreamcall.Cancelled, failure.Reason == upstreamcall.Moved:
+	case failure.Reason == upstreamcall.Cancelled, failure.Reason == upstreamcall.Moved,
+		failure.Reason == upstreamcall.Stale:
 	case failure.Reason == upstreamcall.Busy:
 		h.Busy(model, now.Add(busyHold))
 		h.Succeed()
--- a/gateway/run_item.go
+++ b/gateway/run_item.go
@@ -180,6 +180,9 @@
 	log := g.opts.Log.Info().Str("job", o.entry.id).Str("item", p.Item.ID).Str("upstream", u.ID).
 		Int("from_event", before).Int("events", p.Text.Last()).Dur("took_ms", now.Sub(started))
 	if failure == nil {
+		if before == 0 {
+			g.meanItem += time.Duration(meanItemWeight * float64(now.Sub(started)-g.meanItem))
+		}
 		o.job.TextComplete(p, now)
 		log.Ints64("versions", p.Text.Versions).Bool("fits", p.Phase == batch.Scoring || p.Phase == batch.Finished).
 			Msg("text complete")
--- a/gateway/schedule.go
+++ b/gateway/schedule.go
@@ -13,6 +13,9 @@
 const (
 	// scheduleInterval is how often waiting items are looked at when nothing else wakes the scheduler.
 	scheduleInterval = 50 * time.Millisecond
+	// firstMeanItem is taken for the time of a run until runs were seen, and meanItemWeight is the weight of the newest.
+	firstMeanItem  = 900 * time.Millisecond
+	meanItemWeight = 0.02
 	// tokensPerEvent converts events into tokens where only an order of magnitude is needed.
 	tokensPerEvent = 50
 )
@@ -79,7 +82,7 @@
 	}
 	service, ok := chooseService(route)
 	key := roomKey{service: service, model: c.Job.Spec.Model, minVersion: c.Job.Spec.MinVersion}
-	if !ok || full[key] {
+	if !ok || full[key] || len(e.owned.runs) >= e.owned.concurrency {
 		return
 	}
 	if lifetime := e.record.Lifetime; lifetime > 0 && g.storeClock() > e.record.AcceptedAt+lifetime {
@@ -93,7 +96,8 @@
 		return
 	}
 	c.Job.Start(c.Item)
-	g.inFlight[u.ID]++
+	e.owned.runs[c.Item] = &itemRun{upstream: u, started: now}
+	g.acquire(u.ID, now)
 	o := e.owned
 	g.ownedWG.Go(func() { o.runItem(c.Item, u) })
 }
@@ -102,6 +106,8 @@
 const (
 	// crowdCost is how much slower an engine is with all slots in use: a step takes about 24 % longer.
 	crowdCost = 0.3
+	// engineConnectionCost is for a send that needs a new connection.
+	engineConnectionCost = 0.06
 	// farCost and remoteCost are for engines in another data centre and in another region. They are small, because only
 	// the volume of the text counts, not the round trip.
 	farCost    = 0.04
@@ -112,6 +118,9 @@
 func (g *Gateway) engineScore(e upstreams.Entry, now time.Time) float64 {
 	utilisation := float64(g.inFlight[e.ID]+g.othersLoad[e.ID]+1) / float64(max(e.Slots, 1))
 	score := g.slowness(e, now) + crowdCost*utilisation + rand.Float64()*tieBreak
+	if !g.isWarm(e.ID, now) {
+		score += engineConnectionCost
+	}
 	switch {
 	case e.DataCentre == g.opts.DataCentre:
 		return score
--- a/gateway/score_item.go
+++ b/gateway/score_item.go
@@ -47,7 +47,7 @@
 	service, _ := chooseService(route)
 	u, ok := o.g.choosePlain(service, tried, true, now)
 	if ok {
-		o.g.inFlight[u.ID]++
+		o.g.acquire(u.ID, now)
 	}
 	o.g.mu.Unlock()
 	if !ok {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -70,7 +70,7 @@
 	s.g.mu.Lock()
 	u, ok := s.g.choosePlain(s.service, s.tried, true, time.Now())
 	if ok {
-		s.g.inFlight[u.ID]++
+		s.g.acquire(u.ID, time.Now())
 	}
 	s.g.mu.Unlock()
 	if !ok {
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -22,7 +22,7 @@
 		return zerolog.Nop(), eris.Wrapf(err, "log level %q is unknown; use debug, info, warn or error", level)
 	}
 	out := zerolog.ConsoleWriter{
-		Out: w, NoColor: true, TimeFormat: time.RFC3339Nano,
+		Out: w, NoColor: true,
 		FormatTimestamp:     func(v any) string { return "time=" + quote(v) },
 		FormatLevel:         func(v any) string { return "level=" + quote(v) },
 		FormatMessage:       func(v any) string { return "event=" + quote(v) },
@@ -32,7 +32,18 @@
 		FormatErrFieldName:  func(v any) string { return fmt.Sprint(v) + "=" },
 		FormatErrFieldValue: quote,
 	}
-	return zerolog.New(out).Level(parsed).With().Timestamp().Str("program", program).Logger(), nil
+	return zerolog.New(out).Level(parsed).Hook(timestamp{}).With().Str("program", program).Logger(), nil
+}
+
+// timeFormat has a fixed width, so that lines of several processes sort as text.
+const timeFormat = "2006-01-02T15:04:05.000Z"
+
+// timestamp adds the time to each event.
+type timestamp struct{}
+
+// Run implements zerolog.Hook.
+func (timestamp) Run(e *zerolog.Event, _ zerolog.Level, _ string) {
+	e.Str(zerolog.TimestampFieldName, time.Now().UTC().Format(timeFormat))
 }
 
 // formatCaller prints the field "caller", which the console writer takes for a place in the source, like any other.
--- a/upstreamcall/failure.go
+++ b/upstreamcall/failure.go
@@ -20,6 +20,8 @@
 	Unreachable Reason = "unreachable"
 	// Broken means that the connection ended without a whole answer.
 	Broken Reason = "broken"
+	// Stale means that a kept connection was closed before any answer; it says nothing about the upstream.
+	Stale Reason = "stale"
 	// Crossed means that the answer belongs to another request or is no answer at all.
 	Crossed Reason = "crossed"
 	// Silent means that nothing arrived in time.
