Refuse readings that are behind, and judge others only while the own heartbeats return

Readings older than what the process has seen count as failed, and the number of results is compared with the record.

--- a/gateway/adopt.go
+++ b/gateway/adopt.go
@@ -28,7 +28,7 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		g.mu.Lock()
-		g.peers.Tick(now, g.storeFresh(storeLostAfter))
+		g.peers.Tick(now, g.hearsOthers(now))
 		for _, id := range g.upstreams.Expire(now) {
 			g.opts.Log.Info().Str("upstream", id).Msg("upstream gone after its entry lapsed")
 		}
@@ -47,7 +47,7 @@
 // orphans returns the jobs that this process has to take over now. The caller holds the lock.
 func (g *Gateway) orphans(now time.Time, since map[string]time.Time) []*jobEntry {
 	var due []*jobEntry
-	if g.leaving || !g.storeFresh(storeLostAfter) {
+	if g.leaving || !g.hearsOthers(now) {
 		return nil
 	}
 	live := g.peers.Live()
@@ -160,6 +160,14 @@
 		g.opts.Log.Warn().Str("job", e.id).Err(err).Msg("results of an adopted job not read")
 		return // the job is still open and owned here, so the next round tries again
 	}
+	g.mu.Lock()
+	want := e.record.Listed
+	g.mu.Unlock()
+	if len(results) != want {
+		g.opts.Log.Warn().Str("job", e.id).Int("results", len(results)).Int("listed", want).
+			Msg("results of an adopted job are incomplete")
+		return
+	}
 	texts, err := g.readTexts(ctx, e.id)
 	if err != nil {
 		g.opts.Log.Warn().Str("job", e.id).Err(err).Msg("texts of an adopted job not read, its items start again")
--- /dev/null
+++ b/gateway/adopt_test.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/radishshelf/radishshelf/standin/rows"
+	"github.com/radishshelf/radishshelf/upstreamcall"
+
+	"github.com/radishshelf/radishshelf/hosting"
+)
+
+// slowly makes every answer of an upstream take d.
+func slowly(d time.Duration) func(*upstreamcall.Request) (*upstreamcall.Answer, error) {
+	return func(*upstreamcall.Request) (*upstreamcall.Answer, error) {
+		time.Sleep(d)
+		return nil, nil
+	}
+}
+
+// Guards against a job that is lost with the process that accepted it, and against items that are listed twice by its
+// successor.
+func TestJobOutlivesItsOwner(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.start("a"), w.start("b")
+	w.engine.script(slowly(150 * time.Millisecond))
+	items := testItems(40)
+	w.mustSubmit(a, "job-1", items...)
+	w.eventually("some results are listed", func() bool { return len(w.store.Table(resultTable)) > 0 })
+	w.kill("a")
+	w.checkOnce(w.readAll(b, "job-1"), items)
+}
+
+// Guards against a job that is lost when every process ends right after the acknowledgement.
+func TestJobOutlivesAllProcesses(t *testing.T) {
+	w := newWorld(t)
+	w.engine.script(slowly(time.Second))
+	items := testItems(8)
+	w.mustSubmit(w.start("a"), "job-1", items...)
+	w.kill("a")
+	w.engine.script(nil)
+	w.checkOnce(w.readAll(w.start("a"), "job-1"), items)
+}
+
+// Guards against jobs that are taken from their owners because the store was away for everybody.
+func TestOutageMovesNoJob(t *testing.T) {
+	w := newWorld(t)
+	a := w.start("a")
+	w.start("b")
+	w.engine.script(slowly(300 * time.Millisecond))
+	items := testItems(40)
+	w.mustSubmit(a, "job-1", items...)
+	w.store.SetFaults(func(rows.Call, *hosting.RowTxn) rows.Fault { return rows.Refuse })
+	time.Sleep(deadAfter + time.Second)
+	w.store.SetFaults(nil)
+	w.checkOnce(w.readAll(a, "job-1"), items)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if owner := a.jobs["job-1"].record.Owner; owner != "a" {
+		t.Errorf("the job moved to %q", owner)
+	}
+}
+
+// Guards against a stop that leaves its jobs without an owner until it is found dead, and against texts that start again.
+func TestLeavingHandsJobsOver(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.start("a"), w.start("b")
+	w.engine.script(slowly(100 * time.Millisecond))
+	items := testItems(40)
+	w.mustSubmit(a, "job-1", items...)
+	w.eventually("items run", func() bool { return w.engine.requests(func(upstreamcall.Request) bool { return true }) > 2 })
+	a.Leave()
+	left := time.Now()
+	w.eventually("b owns the job", func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		e, ok := b.jobs["job-1"]
+		return ok && e.record.Owner == "b"
+	})
+	if took := time.Since(left); took > deadAfter/2 {
+		t.Errorf("the job changed hands %s after the stop", took)
+	}
+	w.checkOnce(w.readAll(b, "job-1"), items)
+}
--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -40,9 +40,21 @@
 	}
 	key := hosting.RowKey{Table: beatTable, Key: g.opts.Host}
 	_, err = g.opts.Rows.Commit(ctx, hosting.RowTxn{Puts: []hosting.StoredRow{{RowKey: key, Value: value}}})
-	if err != nil && ctx.Err() == nil {
-		g.opts.Log.Debug().Err(err).Msg("heartbeat not written")
+	if err != nil {
+		if ctx.Err() == nil {
+			g.opts.Log.Debug().Err(err).Msg("heartbeat not written")
+		}
+		return
 	}
+	g.mu.Lock()
+	g.beatStored, g.beatStoredAt = sequence, time.Now()
+	g.mu.Unlock()
+}
+
+// hearsOthers reports whether the heartbeats of others can be judged: only while the own ones make the round trip through
+// the store and the watch. The caller holds the lock.
+func (g *Gateway) hearsOthers(now time.Time) bool {
+	return now.Sub(g.beatStoredAt) < 2*beatInterval && g.beatSeen >= g.beatStored-1
 }
 
 // PeerAddresses returns where the other live processes are reached.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,9 +30,13 @@
 	// registryRead tells that the upstreams' table was read once.
 	registryRead bool
 	peers        *presence.View
-	jobs         map[string]*jobEntry
-	jobsRead     bool
-	health       map[string]*upstreamhealth.Health
+	// beatStored is the sequence of the last heartbeat that the store took, at beatStoredAt, and beatSeen the one that the
+	// watch brought back.
+	beatStored, beatSeen int64
+	beatStoredAt         time.Time
+	jobs                 map[string]*jobEntry
+	jobsRead             bool
+	health               map[string]*upstreamhealth.Health
 	// inFlight counts the requests of this process at each upstream.
 	inFlight map[string]int
 	// connections holds how many connections to each upstream are kept.
@@ -63,6 +67,7 @@
 
 // New returns a gateway that has read nothing yet.
 func New(opts Options) *Gateway {
+	opts.Rows = &freshRows{Rows: opts.Rows}
 	g := &Gateway{
 		opts: opts, named: map[string]int64{}, upstreams: upstreams.NewView(), peers: presence.NewView(deadAfter),
 		jobs: map[string]*jobEntry{}, health: map[string]*upstreamhealth.Health{}, inFlight: map[string]int{},
--- a/gateway/list_test.go
+++ b/gateway/list_test.go
@@ -68,3 +68,18 @@
 	}
 	return false
 }
+
+// Guards against an adopted job whose listed items run and are listed again because the results were read from a store
+// that is seconds behind.
+func TestStaleReadIsRefused(t *testing.T) {
+	store := rows.New()
+	fresh := &freshRows{Rows: store}
+	store.Put("t", "a", nil)
+	if _, err := fresh.Range(t.Context(), hosting.RowRange{Table: "t"}); err != nil {
+		t.Fatal(err)
+	}
+	fresh.saw(1000)
+	if _, err := fresh.Range(t.Context(), hosting.RowRange{Table: "t"}); !hosting.IsKind(err, hosting.KindUnavailable) {
+		t.Errorf("a reading that is behind: %v", err)
+	}
+}
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -163,6 +163,9 @@
 		return
 	}
 	g.peers.Hear(b)
+	if b.Host == g.opts.Host && b.Incarnation == g.opts.Incarnation {
+		g.beatSeen = max(g.beatSeen, b.Sequence)
+	}
 	clear(g.othersLoad)
 	for _, peer := range g.peers.Live() {
 		if peer.Host == g.opts.Host {
