--- a/batch/job.go
+++ b/batch/job.go
@@ -45,9 +45,11 @@
 	result Result
 }
 
-// Remaining estimates the output tokens that are still to be generated, given the tokens in one event.
+// Remaining estimates the output tokens that are still to be generated, given the tokens in one event. A text that has
+// outgrown its estimate is probably one of the few long ones, so that the longer it is the more is to come.
 func (p *Progress) Remaining(tokensPerEvent int) int {
-	return max(p.Item.ExpectedTokens()-p.Text.Last()*tokensPerEvent, 1)
+	done := p.Text.Last() * tokensPerEvent
+	return max(p.Item.ExpectedTokens()-done, done/2, 1)
 }
 
 // Job is a job in the hands of its owner.
--- /dev/null
+++ b/gateway/duty_test.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/radishshelf/radishshelf/upstreamcall"
+)
+
+// Guards against two figures for one usage window, and against a successor that acts under a term that is not higher.
+func TestUsageIsReportedOnce(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.start("a"), w.start("b")
+	for range 5 {
+		for _, g := range []*Gateway{a, b} {
+			if _, err := w.request(g, t.Context(), "/quote/1"); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	window := a.windowOf(time.Now())
+	reported := func() *usageReport {
+		w.duties.mu.Lock()
+		defer w.duties.mu.Unlock()
+		for i := range w.duties.reports {
+			if w.duties.reports[i].window >= window && len(w.duties.reports[i].counts) > 0 {
+				return &w.duties.reports[i]
+			}
+		}
+		return nil
+	}
+	w.eventually("the window is reported", func() bool { return reported() != nil })
+	first := *reported()
+	if first.counts["north"] != 10 {
+		t.Errorf("reported %v, want 10 requests", first.counts)
+	}
+	w.kill(first.holder)
+	w.eventually("the successor reports", func() bool {
+		w.duties.mu.Lock()
+		defer w.duties.mu.Unlock()
+		last := w.duties.reports[len(w.duties.reports)-1]
+		return last.holder != first.holder
+	})
+	w.duties.mu.Lock()
+	defer w.duties.mu.Unlock()
+	term := int64(0)
+	for _, r := range w.duties.reports {
+		if r.term < term {
+			t.Errorf("term %d after term %d", r.term, term)
+		}
+		term = r.term
+		if r.window == first.window && !maps.Equal(r.counts, first.counts) {
+			t.Errorf("window %d was reported as %v and %v", r.window, first.counts, r.counts)
+		}
+	}
+}
+
+// Guards against a named version that nobody loads, and against an order under another term or by another holder.
+func TestVersionsAreOrdered(t *testing.T) {
+	w := newWorld(t)
+	w.start("a")
+	w.store.Put("operators", "version/"+testModel, []byte(`{"Model":"fares","Version":3}`))
+	w.eventually("the version is ordered", func() bool {
+		w.engine.mu.Lock()
+		defer w.engine.mu.Unlock()
+		return len(w.engine.orders) > 0
+	})
+	w.engine.mu.Lock()
+	defer w.engine.mu.Unlock()
+	o := w.engine.orders[0]
+	if o.Version != 3 || o.Holder != "a" || o.Term < 1 || o.ExpectedOrders != 0 || o.Strategy != upstreamcall.Retain {
+		t.Errorf("ordered %+v", o)
+	}
+}
--- /dev/null
+++ b/gateway/item_test.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/radishshelf/radishshelf/batch"
+	"github.com/radishshelf/radishshelf/upstreamcall"
+)
+
+// Guards against a text with an event that is missing or doubled after its upstream broke off, and against a text that
+// starts again although it could go on.
+func TestBrokenTextGoesOn(t *testing.T) {
+	w := newWorld(t)
+	w.addUpstream("e2", engineName, 4, map[string]int64{testModel: 1})
+	g := w.start("a")
+	var mu sync.Mutex
+	var resumed []int
+	w.engine.script(func(r *upstreamcall.Request) (*upstreamcall.Answer, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		resumed = append(resumed, r.ResumeAfter)
+		if len(resumed) == 1 {
+			return stream(1, 2, false), nil
+		}
+		return nil, nil
+	})
+	w.mustSubmit(g, "job-1", testItems(1)...)
+	results := w.readAll(g, "job-1")
+	if results[0].Output != "event 1\nevent 2\nevent 3" || results[0].State != batch.Succeeded {
+		t.Errorf("result %+v", results[0])
+	}
+	if len(resumed) != 2 || resumed[1] != 2 {
+		t.Errorf("runs resumed after %v, want [0 2]", resumed)
+	}
+}
+
+// Guards against an item that is abandoned too early or tried for ever.
+func TestAbandonedItems(t *testing.T) {
+	for _, c := range []struct {
+		status, runs int
+		state        batch.ResultState
+	}{
+		{http.StatusUnprocessableEntity, 1, batch.Abandoned}, {http.StatusInternalServerError, 3, batch.Abandoned},
+	} {
+		w := newWorld(t)
+		g := w.start("a")
+		w.engine.script(func(*upstreamcall.Request) (*upstreamcall.Answer, error) { return signed(c.status, ""), nil })
+		w.mustSubmit(g, "job-1", testItems(1)...)
+		results := w.readAll(g, "job-1")
+		if runs := w.engine.requests(func(upstreamcall.Request) bool { return true }); runs != c.runs || results[0].State != c.state {
+			t.Errorf("status %d: %d runs, %s; want %d, %s", c.status, runs, results[0].State, c.runs, c.state)
+		}
+	}
+}
+
+// Guards against an item that is listed without its score, or abandoned before its score call failed as often as the
+// route of that call allows.
+func TestScores(t *testing.T) {
+	w := newWorld(t)
+	g := w.start("a")
+	failing := func(r *upstreamcall.Request) (*upstreamcall.Answer, error) {
+		if r.ID == "bad" {
+			return signed(http.StatusInternalServerError, ""), nil
+		}
+		return nil, nil
+	}
+	w.engine.script(failing)
+	items := testItems(2)
+	for i, id := range []string{"good", "bad"} {
+		items[i].Score = &batch.ScoreCall{ID: id, Host: testHost, Path: "/score/x"}
+	}
+	w.mustSubmit(g, "job-1", items...)
+	for _, r := range w.readAll(g, "job-1") {
+		want, score := batch.Succeeded, "signature"
+		if r.ID == items[1].ID {
+			want, score = batch.Abandoned, ""
+		}
+		if r.State != want || r.Score != score {
+			t.Errorf("item %s: %s with score %q", r.ID, r.State, r.Score)
+		}
+	}
+	if n := w.engine.requests(func(r upstreamcall.Request) bool { return r.ID == "bad" }); n != 4 {
+		t.Errorf("%d score calls, the route allows 4", n)
+	}
+}
+
+// Guards against a text that is labelled with weights that did not make it, or made by weights that are too old.
+func TestOldWeightsAreNotUsed(t *testing.T) {
+	w := newWorld(t)
+	g := w.start("a")
+	calls := 0
+	w.engine.script(func(*upstreamcall.Request) (*upstreamcall.Answer, error) {
+		a := stream(1, 3, true)
+		if calls++; calls == 1 {
+			a.Version = 0
+			a = stream(1, 3, true)
+			a.Version = -1
+		}
+		return a, nil
+	})
+	w.mustSubmit(g, "job-1", testItems(1)...)
+	if r := w.readAll(g, "job-1")[0]; len(r.Versions) != 1 || r.Versions[0] != 1 {
+		t.Errorf("labelled %v, want [1]", r.Versions)
+	}
+	if calls != 2 {
+		t.Errorf("%d runs, want a second one after the old weights", calls)
+	}
+}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -14,10 +14,14 @@
 const (
 	// moveInterval is how often slow runs are looked for.
 	moveInterval = 200 * time.Millisecond
-	// moveGain is how much faster the other upstream must be.
-	moveGain = 1.6
-	// minRunTime protects a run from being moved right after it began.
-	minRunTime = 400 * time.Millisecond
+	// moveGain is how much faster the other upstream must be, and longMoveGain the same for a text of which longTokens or
+	// more remain: the longest texts decide when a step is over.
+	moveGain     = 1.6
+	longMoveGain = 1.2
+	longTokens   = 600
+	// minRunTime protects a run from being moved right after it began, and minLongRunTime a long one from going to and fro.
+	minRunTime     = 400 * time.Millisecond
+	minLongRunTime = 800 * time.Millisecond
 	// minMoveTokens is the length that must remain for a move to pay.
 	minMoveTokens = 150
 	// maxMoves bounds the runs that are moved in one round, so that they do not crowd the faster upstreams.
@@ -74,14 +78,19 @@
 // worthMoving reports whether the rest of a text is better made elsewhere. The caller holds the lock.
 func (g *Gateway) worthMoving(e *jobEntry, p *batch.Progress, run *itemRun, now time.Time) bool {
 	pace := g.healthOf(run.upstream.ID).Pace(now)
-	if pace == 0 || now.Sub(run.started) < minRunTime || p.Remaining(tokensPerEvent) < minMoveTokens {
+	remaining := p.Remaining(tokensPerEvent)
+	if pace == 0 || now.Sub(run.started) < minRunTime || remaining < minMoveTokens {
 		return false
 	}
+	gain := moveGain
+	if remaining >= longTokens && now.Sub(run.started) >= minLongRunTime {
+		gain = longMoveGain
+	}
 	key := roomKey{service: run.upstream.Service, model: e.owned.job.Spec.Model, minVersion: e.owned.job.Spec.MinVersion}
 	better, ok := g.chooseEngine(key, run.upstream.ID, now)
 	if !ok || better.ID == run.upstream.ID {
 		return false
 	}
 	other := g.healthOf(better.ID).Pace(now)
-	return other > 0 && float64(pace) > moveGain*float64(other)
+	return other > 0 && float64(pace) > gain*float64(other)
 }
--- /dev/null
+++ b/gateway/submit_test.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/radishshelf/radishshelf/call"
+	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/outcome"
+	"github.com/radishshelf/radishshelf/standin/rows"
+	"github.com/radishshelf/radishshelf/upstreamcall"
+)
+
+// onJobs injects a fault into the transactions that write a job's record.
+func onJobs(fault rows.Fault, times int) rows.Inject {
+	return func(_ rows.Call, txn *hosting.RowTxn) rows.Fault {
+		if txn == nil || !writes(txn, contentTable) || times == 0 {
+			return rows.None
+		}
+		times--
+		return fault
+	}
+}
+
+// Guards against a "not run" for a job that the store has taken or may still take, and against a job that is accepted
+// twice.
+func TestAcceptanceUnderFaults(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		fault  rows.Fault
+		times  int
+		status int
+	}{
+		{"lost answer", rows.LoseAnswer, 1, http.StatusAccepted}, {"lost call", rows.LoseCall, 1, http.StatusAccepted},
+		{"refused once", rows.Refuse, 1, http.StatusAccepted}, {"refused always", rows.Refuse, 1000, http.StatusServiceUnavailable},
+		{"never answered", rows.Late, 1000, http.StatusGatewayTimeout},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t)
+			g := w.start("a")
+			w.store.SetFaults(onJobs(c.fault, c.times))
+			items := testItems(3)
+			answer, err := w.submit(g, "job-1", items...)
+			if c.status == http.StatusAccepted {
+				if err != nil || answer.Status != c.status {
+					t.Fatalf("%+v, %v", answer, err)
+				}
+				w.checkOnce(w.readAll(g, "job-1"), items)
+				return
+			}
+			r := refusedAs(t, err)
+			if r.Status != c.status || (r.Outcome == outcome.NotRun) != (c.status == http.StatusServiceUnavailable) {
+				t.Errorf("answered %d %s, want %d", r.Status, r.Outcome, c.status)
+			}
+			w.store.SetFaults(nil)
+			w.store.Flush()
+			if c.fault == rows.Late {
+				w.checkOnce(w.readAll(g, "job-1"), items) // the store took it in the end
+				return
+			}
+			time.Sleep(300 * time.Millisecond)
+			if n := w.engine.requests(func(upstreamcall.Request) bool { return true }); n != 0 {
+				t.Errorf("%d items of a refused job ran", n)
+			}
+		})
+	}
+}
+
+// Guards against a job handed in again at another process that runs twice or is refused.
+func TestRepeatedSubmission(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.start("a"), w.start("b")
+	items := testItems(5)
+	w.mustSubmit(a, "job-1", items...)
+	w.mustSubmit(b, "job-1", items...)
+	w.checkOnce(w.readAll(b, "job-1"), items)
+	if n := w.engine.requests(func(upstreamcall.Request) bool { return true }); n != len(items) {
+		t.Errorf("%d runs of %d items", n, len(items))
+	}
+}
+
+// Guards against items that start after the end of their job was acknowledged, at any process.
+func TestEndStopsItems(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.start("a"), w.start("b")
+	w.engine.script(slowly(100 * time.Millisecond))
+	w.mustSubmit(a, "job-1", testItems(60)...)
+	ask := call.BatchRequest{ID: "job-1", Host: testHost, Key: testKey}
+	if err := b.EndBatch(t.Context(), ask); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Second)
+	before := w.engine.requests(func(upstreamcall.Request) bool { return true })
+	time.Sleep(500 * time.Millisecond)
+	if after := w.engine.requests(func(upstreamcall.Request) bool { return true }); after != before {
+		t.Errorf("%d items started after the end", after-before)
+	}
+	if err := a.EndBatch(t.Context(), ask); err != nil {
+		t.Errorf("a repeated end: %v", err)
+	}
+}
+
+// Guards against a 404 from a process that cannot ask the store, and against results of another workspace's job.
+func TestUnsureIsNotMissing(t *testing.T) {
+	w := newWorld(t)
+	g := w.start("a")
+	w.mustSubmit(g, "job-1", testItems(2)...)
+	if _, err := g.Results(t.Context(), call.BatchRequest{ID: "none", Host: testHost, Key: testKey}); refusedAs(t, err).Status != http.StatusNotFound {
+		t.Errorf("a job that does not exist: %v", err)
+	}
+	if _, err := g.Results(t.Context(), call.BatchRequest{ID: "job-1", Host: testHost, Key: "other"}); refusedAs(t, err).Status != http.StatusUnauthorized {
+		t.Errorf("an unknown key: %v", err)
+	}
+	w.store.SetFaults(func(rows.Call, *hosting.RowTxn) rows.Fault { return rows.Refuse })
+	_, err := g.Results(t.Context(), call.BatchRequest{ID: "none", Host: testHost, Key: testKey})
+	if r := refusedAs(t, err); r.Status != http.StatusServiceUnavailable {
+		t.Errorf("without the store: %d, want 503", r.Status)
+	}
+}
--- /dev/null
+++ b/rowrelay/relay_test.go
@@ -0,0 +1,98 @@
+package rowrelay
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/standin/rows"
+)
+
+func key(name string) hosting.RowKey { return hosting.RowKey{Table: "t", Key: name} }
+
+// refusingStore is the store as a host sees it that the store turns away.
+type refusingStore struct {
+	hosting.Rows
+	kind  hosting.ErrorKind
+	calls int
+}
+
+func (s *refusingStore) Commit(ctx context.Context, txn hosting.RowTxn) (hosting.RowTxnResult, error) {
+	s.calls++
+	if s.kind != "" {
+		return hosting.RowTxnResult{}, &hosting.Error{Kind: s.kind, Op: "commit"}
+	}
+	return s.Rows.Commit(ctx, txn)
+}
+
+func (s *refusingStore) Changes(ctx context.Context, table string, after int64, wait time.Duration) (hosting.RowChanges, error) {
+	if s.kind != "" {
+		return hosting.RowChanges{}, &hosting.Error{Kind: s.kind, Op: "changes"}
+	}
+	return s.Rows.Changes(ctx, table, after, wait)
+}
+
+func newRelay(t *testing.T) (*rows.Store, *refusingStore, *Client) {
+	store := rows.New()
+	server := httptest.NewServer(NewHandler(store))
+	t.Cleanup(server.Close)
+	direct := &refusingStore{Rows: store}
+	peer := NewPeer(strings.TrimPrefix(server.URL, "http://"), http.DefaultClient)
+	return store, direct, New(direct, func() []hosting.Rows { return []hosting.Rows{peer} })
+}
+
+// Guards against a host that loses the store, and with it withdrawn keys, because the store turns it away alone.
+func TestCallsGoThroughPeers(t *testing.T) {
+	store, direct, client := newRelay(t)
+	direct.kind = hosting.KindUnavailable
+	txn := hosting.RowTxn{
+		Conditions: []hosting.StoredRow{{RowKey: key("a")}}, Puts: []hosting.StoredRow{{RowKey: key("a"), Value: []byte{1, 0}}},
+	}
+	if result, err := client.Commit(t.Context(), txn); err != nil || !result.Committed {
+		t.Fatalf("%+v, %v", result, err)
+	}
+	if result, err := client.Commit(t.Context(), txn); err != nil || result.Committed || len(result.Current) != 1 {
+		t.Errorf("a condition that fails: %+v, %v", result, err)
+	}
+	store.Delete("t", "a")
+	changes, err := client.Changes(t.Context(), "t", 1, time.Second)
+	if err != nil || len(changes.Changes) != 2 || !changes.Changes[1].Deleted || string(changes.Changes[0].Value) != "\x01\x00" {
+		t.Errorf("changes %+v, %v", changes, err)
+	}
+	if parts, err := client.Parts(t.Context(), "t"); err != nil || len(parts) != 0 {
+		t.Errorf("parts %v, %v", parts, err)
+	}
+	store.Forget()
+	if _, err := client.Changes(t.Context(), "t", 1, time.Second); !hosting.IsKind(err, hosting.KindExpired) {
+		t.Errorf("a forgotten history through a peer: %v", err)
+	}
+}
+
+// Guards against a transaction that is carried out twice because its answer was lost and a peer repeated it.
+func TestUnknownIsNotRepeated(t *testing.T) {
+	_, direct, client := newRelay(t)
+	direct.kind = hosting.KindUnknown
+	_, err := client.Commit(t.Context(), hosting.RowTxn{Puts: []hosting.StoredRow{{RowKey: key("a")}}})
+	if !hosting.IsKind(err, hosting.KindUnknown) || direct.calls != 1 {
+		t.Errorf("%v after %d calls", err, direct.calls)
+	}
+}
+
+// Guards against a host that never returns to the store after it was turned away.
+func TestDirectWayIsTriedAgain(t *testing.T) {
+	_, direct, client := newRelay(t)
+	direct.kind = hosting.KindLimited
+	if _, err := client.Commit(t.Context(), hosting.RowTxn{}); err != nil || !client.Relaying() {
+		t.Fatalf("relaying %v, %v", client.Relaying(), err)
+	}
+	direct.kind = ""
+	time.Sleep(firstAvoid + 50*time.Millisecond)
+	before := direct.calls
+	if _, err := client.Commit(t.Context(), hosting.RowTxn{}); err != nil || direct.calls != before+1 {
+		t.Errorf("%d direct calls, %v", direct.calls-before, err)
+	}
+}
