--- a/versionplan/plan.go
+++ b/versionplan/plan.go
@@ -1,13 +1,13 @@
 // Package versionplan decides which upstream loads which weight version of which model, and when. It is pure code.
 //
-// Each model is served by twice its even share of the upstreams. A step accepts texts of the newest version and of the
-// one before, so the upstreams of a model load every other version in two alternating halves, and the loads of a version
-// are those of the even share. One half always serves the newest step while the other one loads.
+// Each model is served by one and a half times its even share of the upstreams. A step accepts texts of the newest version and of the
+// one before, so the upstreams of a model load every other version in two alternating halves. One half always serves the newest step while the other one loads.
 package versionplan
 
 import (
 	"cmp"
 	"hash/fnv"
+	"math"
 	"slices"
 	"time"
 )
@@ -212,9 +212,9 @@
 	return q
 }
 
-// shareOfModel is how many times the even share of the upstreams a model is served by: twice, because each loads only
-// every other version.
-const shareOfModel = 2
+// shareOfModel is how many times the even share of the upstreams a model is served by. Each loads every other version, so
+// that up to twice the even share costs no paid load; above one and a half the loads take longer than a step.
+const shareOfModel = 1.5
 
 // Members returns the usable upstreams that serve a model, out of list, when the upstreams are shared by models models.
 // Every process computes the same members from the same list. An upstream that comes or goes moves few others.
@@ -228,7 +228,7 @@
 	slices.SortFunc(usable, func(a, b Upstream) int {
 		return cmp.Or(cmp.Compare(weight(model, b.ID), weight(model, a.ID)), cmp.Compare(a.ID, b.ID))
 	})
-	count := min((shareOfModel*len(usable)+models-1)/max(models, 1), len(usable))
+	count := min(int(math.Ceil(shareOfModel*float64(len(usable))/float64(max(models, 1)))), len(usable))
 	return spread(usable, count)
 }
 
