Use the texts of an earlier job for groups that come again

Pattern: groups that were not complete when a trainer ended its job come again and hold the longest texts. The owner of the next job reads the results and saved texts of the job before it; whole texts with fitting versions only want a score, begun ones go on. The owner of an ended job saves what it has; long and optional texts prefer the newest weights, so that they fit.

--- a/batch/job.go
+++ b/batch/job.go
@@ -174,6 +174,35 @@
 	p.Phase = Scoring
 }
 
+// Reuse takes a text that was made for the same item in an earlier job, if its versions fit and it is further than what
+// there is. It reports whether the text is whole and wants a score now. Only waiting items take one.
+func (j *Job) Reuse(p *Progress, text Text) (scoring bool) {
+	if p.Phase != Waiting || !text.Fits(j.Spec.MinVersion, j.Limits.SingleVersion) || len(text.Versions) == 0 {
+		return false
+	}
+	if !text.Whole {
+		if text.Last() > p.Text.Last() {
+			p.Text = text
+		}
+		return false
+	}
+	p.Text = text
+	if p.Item.Score == nil {
+		j.succeed(p, "")
+		return false
+	}
+	p.Phase = Scoring
+	return true
+}
+
+// TextOf returns what there is of the text of an item, also when it is finished.
+func (j *Job) TextOf(p *Progress) Text {
+	if p.Phase == Finished && p.result.State == Succeeded {
+		return p.result.Text()
+	}
+	return p.Text
+}
+
 // Scored takes the score of a complete text.
 func (j *Job) Scored(p *Progress, score string) {
 	if p.Phase == Scoring {
--- a/batch/result.go
+++ b/batch/result.go
@@ -19,3 +19,8 @@
 	Versions []int64 `json:"versions,omitempty"`
 	Score    string  `json:"score,omitempty"`
 }
+
+// Text returns the text of a succeeded result, to be used again in a later job.
+func (r Result) Text() Text {
+	return Text{Events: []string{r.Output}, Versions: r.Versions, Whole: true}
+}
--- a/batch/text.go
+++ b/batch/text.go
@@ -11,6 +11,8 @@
 	Events []string `json:"events,omitempty"`
 	// Versions are the weight versions that generated them, ascending.
 	Versions []int64 `json:"versions,omitempty"`
+	// Whole tells that nothing follows. The events of a whole text may be joined into one.
+	Whole bool `json:"whole,omitempty"`
 }
 
 // Append adds the next event. It returns false, and changes nothing, unless id is the next one.
--- a/gateway/own.go
+++ b/gateway/own.go
@@ -24,6 +24,8 @@
 	saved map[string]int
 	// concurrency bounds the items that run at the same time.
 	concurrency int
+	// held is set until texts of an earlier job were looked for; no item starts meanwhile.
+	held bool
 	// runs holds the runs at upstreams.
 	runs map[*batch.Progress]*itemRun
 	// listing is held while results are written, so that no two writers list the same results.
@@ -67,6 +69,8 @@
 	} else if e.record.Ended {
 		g.opts.Log.Info().Str("job", e.id).Int("listed", e.record.Listed).Int("total", e.record.Total).Msg("job ended")
 		o.end()
+		// Groups that are not complete may come again in a later job.
+		g.ownedWG.Go(func() { o.save(1) })
 	}
 }
 
--- /dev/null
+++ b/gateway/reuse.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/radishshelf/radishshelf/batch"
+)
+
+// Looking for texts of an earlier job. Groups that were not complete when a trainer ended its job come again in the next
+// one, and they hold the longest texts.
+const (
+	// reuseTimeout is how long the items of a new job wait for the texts of the earlier one.
+	reuseTimeout = 300 * time.Millisecond
+	// reuseAge is the age up to which an earlier job is looked at.
+	reuseAge = 40 * time.Second
+)
+
+// reuseTexts holds the items of an owned job until the texts of the job before it were read. The caller holds the lock.
+func (g *Gateway) reuseTexts(e *jobEntry) {
+	earlier := g.earlierJob(e)
+	o := e.owned
+	if earlier == nil {
+		return
+	}
+	o.held = true
+	g.ownedWG.Go(func() {
+		texts := g.earlierTexts(o.ctx, earlier)
+		g.mu.Lock()
+		o.held = false
+		scoring := o.takeTexts(texts)
+		g.mu.Unlock()
+		for _, p := range scoring {
+			g.ownedWG.Go(func() {
+				o.score(p)
+				o.signal()
+			})
+		}
+		o.signal()
+		g.wake()
+	})
+}
+
+// earlierJob returns the last job of the same trainer that ended with items unlisted. The caller holds the lock.
+func (g *Gateway) earlierJob(e *jobEntry) *jobEntry {
+	var last *jobEntry
+	for _, other := range g.jobs {
+		r := &other.record
+		if other == e || r.Model != e.record.Model || r.Workspace != e.record.Workspace || r.PathPrefix != e.record.PathPrefix ||
+			!r.Ended || r.Listed == r.Total || r.AcceptedAt > e.record.AcceptedAt || e.record.AcceptedAt-r.AcceptedAt > reuseAge {
+			continue
+		}
+		if last == nil || r.AcceptedAt > last.record.AcceptedAt {
+			last = other
+		}
+	}
+	return last
+}
+
+// earlierTexts reads the texts of an earlier job, whole ones and those in progress, by item.
+func (g *Gateway) earlierTexts(ctx context.Context, earlier *jobEntry) map[string]batch.Text {
+	ctx, cancel := context.WithTimeout(ctx, reuseTimeout)
+	defer cancel()
+	texts, err := g.readTexts(ctx, earlier.id)
+	if err != nil {
+		g.opts.Log.Info().Str("job", earlier.id).Err(err).Msg("texts of an earlier job not read")
+		return nil
+	}
+	results, err := g.readResultRows(ctx, earlier.id, 0)
+	if err != nil {
+		g.opts.Log.Info().Str("job", earlier.id).Err(err).Msg("results of an earlier job not read")
+	}
+	for _, r := range results {
+		if r.State == batch.Succeeded {
+			texts[r.ID] = r.Text()
+		}
+	}
+	return texts
+}
+
+// takeTexts gives the items of the job the texts that fit, and returns the items whose text is whole. The caller holds
+// the lock.
+func (o *ownedJob) takeTexts(texts map[string]batch.Text) []*batch.Progress {
+	var scoring []*batch.Progress
+	offered, whole, begun := 0, 0, 0
+	for _, p := range o.job.Items() {
+		text, ok := texts[p.Item.ID]
+		if !ok {
+			continue
+		}
+		offered++
+		switch {
+		case o.job.Reuse(p, text):
+			whole++
+			scoring = append(scoring, p)
+		case p.Phase == batch.Finished:
+			whole++
+		case p.Text.Last() > 0:
+			begun++
+		}
+	}
+	if offered > 0 {
+		o.g.opts.Log.Info().Str("job", o.entry.id).Int("offered", offered).Int("whole", whole).Int("begun", begun).
+			Msg("texts of an earlier job used")
+	}
+	return scoring
+}
--- a/gateway/save.go
+++ b/gateway/save.go
@@ -52,10 +52,14 @@
 	saved := map[string]int{}
 	size := 0
 	for _, p := range o.job.Items() {
-		if p.Phase >= batch.Finished || p.Text.Last() < o.saved[p.Item.ID]+minEvents {
+		text := o.job.TextOf(p)
+		if p.Phase == batch.Listed || !text.Whole && text.Last() < o.saved[p.Item.ID]+minEvents {
 			continue
 		}
-		value, err := json.Marshal(p.Text)
+		if p.Phase == batch.Finished && minEvents > 1 {
+			continue // about to be listed
+		}
+		value, err := json.Marshal(text)
 		if err != nil || len(value) > o.g.opts.RowBytes-chunkReserve {
 			continue // a text that does not fit into a row starts again at a successor
 		}
@@ -63,7 +67,7 @@
 			break
 		}
 		rows = append(rows, hosting.StoredRow{RowKey: progressKey(o.entry.id, p.Item.ID), Value: value})
-		saved[p.Item.ID] = p.Text.Last()
+		saved[p.Item.ID] = text.Last()
 	}
 	return rows, saved
 }
--- a/gateway/schedule.go
+++ b/gateway/schedule.go
@@ -57,13 +57,15 @@
 type roomKey struct {
 	service, model string
 	minVersion     int64
+	// newest asks for the newest weights where there is a choice: the text may come again in a later job, which needs them.
+	newest bool
 }
 
 // waiting returns the items that may start. The caller holds the lock.
 func (g *Gateway) waiting(now time.Time) []batch.Candidate {
 	var list []batch.Candidate
 	for _, e := range g.jobs {
-		if e.owned == nil || e.record.Ended {
+		if e.owned == nil || e.owned.held || e.record.Ended {
 			continue
 		}
 		for _, p := range e.owned.job.Waiting(now) {
@@ -90,7 +92,9 @@
 		e.owned.signal()
 		return
 	}
+	key.newest = c.Job.Optional(c.Item) || c.Item.Remaining(tokensPerEvent) >= longTokens
 	u, ok := g.chooseEngine(key, c.Item.Avoid, now)
+	key.newest = false
 	if !ok {
 		full[key] = true
 		return
@@ -108,6 +112,8 @@
 	crowdCost = 0.3
 	// engineConnectionCost is for a send that needs a new connection.
 	engineConnectionCost = 0.06
+	// oldVersionCost is for a text that should be made by the newest weights.
+	oldVersionCost = 0.12
 	// farCost and remoteCost are for engines in another data centre and in another region. They are small, because only
 	// the volume of the text counts, not the round trip.
 	farCost    = 0.04
@@ -146,6 +152,9 @@
 		if e.ID == avoid {
 			score += suspectCost
 		}
+		if key.newest && version < g.named[key.model] {
+			score += oldVersionCost
+		}
 		if !found || score < bestScore {
 			best, bestScore, found = e, score, true
 		}
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -187,5 +187,6 @@
 		Str("workspace", record.Workspace).Msg("job accepted")
 	if e.owned == nil && e.record.OwnedBy(g.opts.Host, g.opts.Incarnation) {
 		g.own(e, spec, nil, nil)
+		g.reuseTexts(e)
 	}
 }
--- a/versionplan/plan.go
+++ b/versionplan/plan.go
@@ -1,7 +1,8 @@
 // Package versionplan decides which upstream loads which weight version of which model, and when. It is pure code.
 //
-// Each model is served by one and a half times its even share of the upstreams. A step accepts texts of the newest version and of the
-// one before, so the upstreams of a model load every other version in two alternating halves. One half always serves the newest step while the other one loads.
+// Each model is served by one and a half times its even share of the upstreams. A step accepts texts of the newest version
+// and of the one before, so the upstreams of a model load every other version in two alternating halves. One half always
+// serves the newest step while the other one loads.
 package versionplan
 
 import (
