Soak real gateway processes under overlapping faults

Also: old jobs are deleted by the holder of the duties, a flood of one log event is counted instead of written, and a failed send has a line of its own.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEED ?= 1
 BINARIES = ./cmd/... ./standin/cmd/...
 
-.PHONY: all build test lint format quickstart measure slopes generate clean
+.PHONY: all build test lint format quickstart soak measure slopes generate clean
 
 all: lint test
 
@@ -27,6 +27,12 @@
 quickstart: build
 	scripts/quickstart.sh
 
+# SEED=0 draws a seed; logs of a run that fails are kept.
+SECONDS ?= 20
+RUNS ?= 1
+soak: build
+	bin/soak -seed $(SEED) -seconds $(SECONDS) -runs $(RUNS)
+
 measure:
 	$(GO) run ./measure/cmd/measure --seed $(SEED)
 
--- a/cmd/radishshelf-gateway/process.go
+++ b/cmd/radishshelf-gateway/process.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	log = log.With().Str("host", settings.Name).Logger()
+	log = log.Hook(logging.NewLimiter()).With().Str("host", settings.Name).Logger()
 	registry := telemetry.NewRegistry()
 	registry.NewGauge("radishshelf_gateway_log_lines_dropped", func() float64 { return float64(out.Dropped()) })
 	p := &process{path: path, settings: settings, log: log}
--- a/gateway/duty_work.go
+++ b/gateway/duty_work.go
@@ -19,6 +19,7 @@
 	orders  map[incarnation]int64
 	usage   *usageReporter
 	scaling *scaleOrders
+	collect *collector
 	mu      sync.Mutex
 	calls   sync.WaitGroup
 }
@@ -34,7 +35,7 @@
 func newDutyWork(g *Gateway) *dutyWork {
 	return &dutyWork{
 		g: g, planner: versionplan.New(versionplan.DefaultConfig()), orders: map[incarnation]int64{},
-		usage: newUsageReporter(g), scaling: newScaleOrders(g),
+		usage: newUsageReporter(g), scaling: newScaleOrders(g), collect: &collector{g: g},
 	}
 }
 
@@ -57,6 +58,9 @@
 	if w.g.opts.UsageDuty && w.usage.begin(now) {
 		w.calls.Go(func() { w.usage.run(ctx) })
 	}
+	if w.collect.begin(now) {
+		w.calls.Go(func() { w.collect.run(ctx) })
+	}
 	if w.g.opts.ScaleDuty && w.scaling.begin(now) {
 		w.calls.Go(func() { w.scaling.run(ctx) })
 	}
--- a/gateway/log_answer.go
+++ b/gateway/log_answer.go
@@ -18,11 +18,11 @@
 		version = g.config.Version
 	}
 	g.mu.Unlock()
-	line := g.opts.Log.Info().Str("request", r.ID).Str("host", r.Host).Str("path", r.Path).
+	line := g.opts.Log.Info().Str("request", r.ID).Str("domain", r.Host).Str("path", r.Path).
 		Int64("config_version", version).Dur("took_ms", took)
 	if err == nil {
 		g.met.requests("answered").Inc()
-		line.Int("status", a.Status).Msg("request answered")
+		line.Int("status", a.Status).Str("upstream", a.Upstream).Int("sends", a.Sends).Msg("request answered")
 		return
 	}
 	var refused *outcome.Refusal
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -169,7 +169,11 @@
 
 // take decides on the end of one send.
 func (f *forwarding) take(ctx context.Context, r sendResult) (*call.Answer, error, bool) {
+	if r.failure != nil {
+		f.logFailure(r)
+	}
 	if r.failure == nil {
+		r.answer.Upstream, r.answer.Sends = r.upstream.ID, f.sends
 		f.countUsage()
 		if r.answer.Status < http.StatusInternalServerError {
 			return r.answer, nil, true
@@ -200,6 +204,12 @@
 	return answer, err, true
 }
 
+// logFailure writes a line for a send that brought no answer.
+func (f *forwarding) logFailure(r sendResult) {
+	f.g.opts.Log.Info().Str("request", f.request.ID).Str("upstream", r.upstream.ID).Str("reason", string(r.failure.Reason)).
+		Str("ran", r.failure.Outcome.String()).Dur("took_ms", r.took).AnErr("error", r.failure.Err).Msg("send failed")
+}
+
 // mayRepeat reports whether one more send is allowed after a result.
 func (f *forwarding) mayRepeat(r sendResult) bool {
 	if r.failure != nil && r.failure.Outcome == outcome.NotRun {
@@ -235,6 +245,10 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return undecided(outcome.KindDeadline, http.StatusBadGateway, "the caller left", ctx.Err())
 	}
+	for id := range f.tried {
+		f.g.opts.Log.Info().Str("request", f.request.ID).Str("upstream", id).Int("sends", f.sends).
+			Msg("no answer from this upstream in time")
+	}
 	if f.pending == 0 && len(f.tried) == 0 {
 		return refuseFor(outcome.KindDeadline, "no upstream took the request in time", retryBusy)
 	}
--- /dev/null
+++ b/standin/soak/proxy.go
@@ -0,0 +1,136 @@
+package soak
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// Link is what a proxy does to the bytes that pass.
+type Link struct {
+	// Delay is added to each piece.
+	Delay time.Duration
+	// CutTo and CutFrom drop the bytes to and from the target; the connections stay open and are silent.
+	CutTo, CutFrom bool
+	// Refuse closes new connections at once.
+	Refuse bool
+}
+
+// Proxy passes connections on to a target and disturbs them.
+type Proxy struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	link  Link
+	conns map[net.Conn]bool
+}
+
+// newProxy listens on a loopback port for connections to target.
+func newProxy(target string) (*Proxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{listener: listener, target: target, conns: map[net.Conn]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+// Address is where the proxy listens.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Set changes what the proxy does, also to open connections.
+func (p *Proxy) Set(l Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.link = l
+}
+
+// Reset breaks every open connection off.
+func (p *Proxy) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // sends a reset; a connection that is gone needs none
+		}
+		c.Close()
+	}
+}
+
+// Close ends the proxy.
+func (p *Proxy) Close() {
+	p.listener.Close()
+	p.Reset()
+}
+
+func (p *Proxy) state() Link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.link
+}
+
+func (p *Proxy) accept() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		if p.state().Refuse {
+			conn.Close()
+			continue
+		}
+		go p.serve(conn)
+	}
+}
+
+func (p *Proxy) serve(conn net.Conn) {
+	target, err := net.Dial("tcp", p.target)
+	if err != nil {
+		conn.Close()
+		return
+	}
+	p.track(conn, target, true)
+	defer p.track(conn, target, false)
+	var done sync.WaitGroup
+	done.Go(func() { p.pass(target, conn, func(l Link) bool { return l.CutTo }) })
+	done.Go(func() { p.pass(conn, target, func(l Link) bool { return l.CutFrom }) })
+	done.Wait()
+}
+
+func (p *Proxy) track(a, b net.Conn, open bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range []net.Conn{a, b} {
+		if open {
+			p.conns[c] = true
+		} else {
+			delete(p.conns, c)
+		}
+	}
+}
+
+// pass copies until one side ends, and then ends both.
+func (p *Proxy) pass(to, from net.Conn, cut func(Link) bool) {
+	defer to.Close()
+	defer from.Close()
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			link := p.state()
+			if link.Delay > 0 {
+				time.Sleep(link.Delay)
+			}
+			if !cut(link) {
+				if _, err := to.Write(buffer[:n]); err != nil {
+					return
+				}
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/standin/soak/soak.go
@@ -0,0 +1,193 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/radishshelf/radishshelf/platform/platformtest"
+	"github.com/radishshelf/radishshelf/standin/rows"
+)
+
+// Options are the parts of a run.
+type Options struct {
+	// Binary is the gateway program, and Dir takes settings and logs.
+	Binary, Dir string
+	Seed        uint64
+	// Duration is the time with faults; the recovery follows it.
+	Duration time.Duration
+	// Gateways and Engines are the sizes of the run.
+	Gateways, Engines int
+}
+
+// Soak is one run.
+type Soak struct {
+	opts       Options
+	h          *history
+	check      *checker
+	store      *rows.Store
+	processes  []*process
+	upstreams  []*platformtest.Upstream
+	version    atomic.Int64
+	served     atomic.Int64
+	background sync.WaitGroup
+	servers    []*http.Server
+}
+
+// ErrViolation means that a promise was broken; the text names the first one with its history.
+var ErrViolation = errors.New("a promise was broken")
+
+// Run runs a soak and returns a line of figures.
+func Run(opts Options) (string, error) {
+	h := newHistory()
+	s := &Soak{opts: opts, h: h, check: newChecker(h), store: rows.New()}
+	s.version.Store(1)
+	defer s.close()
+	if err := s.prepare(); err != nil {
+		return "", err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), opts.Duration)
+	defer cancel()
+	load, stopLoad := context.WithCancel(context.Background())
+	defer stopLoad()
+	var callers sync.WaitGroup
+	for i := range plainCallers {
+		callers.Go(func() { s.callPlain(load, rand.New(rand.NewPCG(opts.Seed, uint64(100+i)))) })
+	}
+	for i := range trainers {
+		callers.Go(func() { s.train(load, rand.New(rand.NewPCG(opts.Seed, uint64(200+i))), i) })
+	}
+	s.disturb(ctx, rand.New(rand.NewPCG(opts.Seed, 0)))
+	s.background.Wait()
+	stopLoad()
+	callers.Wait()
+	s.recover()
+	figures := fmt.Sprintf("seed %d: %d plain answers, %d jobs, %d results, %d usage windows",
+		opts.Seed, s.served.Load(), len(s.check.jobs), s.results(), len(s.check.reports))
+	if first := h.first(); first != "" {
+		return figures, fmt.Errorf("%w: seed %d: %s", ErrViolation, opts.Seed, first)
+	}
+	return figures, nil
+}
+
+func (s *Soak) results() int {
+	n := 0
+	for id := range s.check.jobs {
+		n += s.check.count(id)
+	}
+	return n
+}
+
+// serve opens a server on a loopback port.
+func (s *Soak) serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: handler}
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(listener) }() // ends with the run
+	return listener.Addr().String(), nil
+}
+
+// startTimeout bounds the start of the processes.
+const startTimeout = 20 * time.Second
+
+// prepare starts the stand-ins and the gateways.
+func (s *Soak) prepare() error {
+	storeAddress, err := s.serve(platformtest.NewStoreHandler(s.store))
+	if err != nil {
+		return err
+	}
+	dutyAddress, err := s.serve(platformtest.NewDutyHandler(s.check.reported))
+	if err != nil {
+		return err
+	}
+	s.store.Put(platformtest.OperatorTable, "config", platformtest.Config(1))
+	for i := range s.opts.Engines {
+		if err := s.addUpstream(fmt.Sprintf("engine-%d", i), platformtest.EngineService, false); err != nil {
+			return err
+		}
+	}
+	for i := range 2 {
+		if err := s.addUpstream(fmt.Sprintf("desk-%d", i), platformtest.PlainService, true); err != nil {
+			return err
+		}
+	}
+	for i := range s.opts.Gateways {
+		p, err := newProcess(s.opts, i, storeAddress, dutyAddress)
+		if err != nil {
+			return err
+		}
+		s.processes = append(s.processes, p)
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	return s.waitReady()
+}
+
+func (s *Soak) waitReady() error {
+	end := time.Now().Add(startTimeout)
+	for _, p := range s.processes {
+		for !p.ready() {
+			if time.Now().After(end) {
+				return fmt.Errorf("%s is not ready within %s; see its log in %s", p.settings.Name, startTimeout, s.opts.Dir)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// ready asks the process whether it takes callers.
+func (p *process) ready() bool {
+	reply := platformtest.Caller{Timeout: time.Second}.Do(http.MethodGet,
+		net.JoinHostPort(p.settings.IP, fmt.Sprint(readyPort)), "/-/readyz", "", nil)
+	return reply.Status == http.StatusOK
+}
+
+// upstreamBeat is how often an upstream writes its entry.
+const upstreamBeat = 400 * time.Millisecond
+
+func (s *Soak) addUpstream(id, service string, plain bool) error {
+	u := &platformtest.Upstream{
+		ID: id, Service: service, Plain: plain, Slots: 8, EventTime: 20 * time.Millisecond, WorkTime: 15 * time.Millisecond,
+		Ran: s.check.ran, Ordered: s.check.ordered,
+	}
+	if !plain {
+		u.SetVersions(map[string]int64{platformtest.Model: 1})
+	}
+	address, err := s.serve(u)
+	if err != nil {
+		return err
+	}
+	s.upstreams = append(s.upstreams, u)
+	dataCentre := fmt.Sprintf("dc-%d", len(s.upstreams)%3)
+	s.store.Put(platformtest.ServersKey, id, u.Entry(address, dataCentre, 1))
+	go func() {
+		for beat := int64(2); ; beat++ {
+			time.Sleep(upstreamBeat)
+			s.store.Put(platformtest.ServersKey, id, u.Entry(address, dataCentre, beat))
+		}
+	}()
+	return nil
+}
+
+// pick draws a process.
+func (s *Soak) pick(r *rand.Rand) *process { return s.processes[r.IntN(len(s.processes))] }
+
+func (s *Soak) close() {
+	for _, p := range s.processes {
+		p.close()
+	}
+	for _, server := range s.servers {
+		server.Close()
+	}
+}
