Give jobs away that a host cannot carry

A job that is more than a host can carry now goes to one that is half as loaded or less, by the number of items for each core in the heartbeats; the new owner starts 0.05 to 0.5 s later. The rank of candidates stands in one package now (rendezvous).

--- a/batch/record.go
+++ b/batch/record.go
@@ -13,6 +13,8 @@
 	// Owner and OwnerIncarnation name the process that runs the items; empty when the owner gave the job up.
 	Owner            string `json:"owner,omitempty"`
 	OwnerIncarnation string `json:"owner_incarnation,omitempty"`
+	// AcceptedBy is the incarnation that stored the job.
+	AcceptedBy string `json:"accepted_by,omitempty"`
 	// AcceptedAt is the store's clock at the acceptance.
 	AcceptedAt time.Duration `json:"accepted_at"`
 	// Due and Lifetime count from AcceptedAt.
--- a/cmd/radishshelf-gateway/process.go
+++ b/cmd/radishshelf-gateway/process.go
@@ -112,6 +112,7 @@
 	g = gateway.New(gateway.Options{
 		Host: s.Name, Incarnation: uuid.NewString(), DataCentre: s.DataCentre, RegionOf: s.RegionOf,
 		PeerAddress: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), RowBytes: s.StoreRowBytes,
+		Processor: s.Processor,
 		UsageDuty: s.HasUsageDuty(), ScaleDuty: s.HasScaleDuty(),
 		Timing: timing(s.Bounds), Rows: rowrelay.New(store, peers), Codec: platform.Codec{}, Log: p.log, Registry: registry,
 		Upstreams: platform.NewUpstreamClient(platform.UpstreamDialer()), Duties: p.duties,
--- a/gateway/adopt.go
+++ b/gateway/adopt.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"hash/fnv"
 	"slices"
 	"strings"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/radishshelf/radishshelf/batch"
 	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/presence"
+	"github.com/radishshelf/radishshelf/rendezvous"
 )
 
 const (
@@ -40,7 +40,11 @@
 		for _, e := range due {
 			go g.adopt(ctx, e)
 		}
-		sleep(ctx, superviseInterval)
+		select {
+		case <-ctx.Done():
+		case <-g.givenJob:
+		case <-time.After(superviseInterval):
+		}
 	}
 }
 
@@ -64,7 +68,10 @@
 		}
 		wait := time.Duration(rank(live, id, g.opts.Host)) * adoptStep
 		if e.record.OwnedBy(g.opts.Host, g.opts.Incarnation) {
-			wait = adoptStep // the acceptance of the job may still be at work
+			wait = 0
+			if e.record.AcceptedBy == g.opts.Incarnation {
+				wait = adoptStep // the acceptance of the job may still be at work
+			}
 		}
 		if now.Sub(since[id]) >= wait {
 			delete(since, id)
@@ -87,20 +94,10 @@
 			hosts = append(hosts, b.Host)
 		}
 	}
-	slices.SortFunc(hosts, func(a, b string) int { return cmp.Compare(mix(job, a), mix(job, b)) })
+	slices.SortFunc(hosts, func(a, b string) int { return cmp.Compare(rendezvous.Weight(job, b), rendezvous.Weight(job, a)) })
 	return max(slices.Index(hosts, host), 0)
 }
 
-func mix(job, host string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(host))
-	h.Write([]byte(job))
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd // spreads the last bytes into the high bits, as the finalizer of MurmurHash3 does
-	return x ^ x>>33
-}
-
 // adopt takes a job over: it becomes the owner in the store and goes on from the stored results and texts.
 func (g *Gateway) adopt(ctx context.Context, e *jobEntry) {
 	defer func() {
@@ -181,6 +178,9 @@
 	g.opts.Log.Info().Str("job", e.id).Str("from", from).Int("listed", len(results)).Int("total", e.record.Total).
 		Int("texts", len(texts)).Msg("job taken over")
 	g.own(e, spec, results, texts)
+	if len(results) == 0 {
+		g.reuseTexts(e)
+	}
 }
 
 // readSpec reads the content of a job.
--- a/gateway/adopt_test.go
+++ b/gateway/adopt_test.go
@@ -82,3 +82,28 @@
 	}
 	w.checkOnce(w.readAll(b, "job-1"), items)
 }
+
+// Guards against a job on a host that cannot carry it while another one has room, and against small jobs that move.
+func TestWeakHostGivesJobsAway(t *testing.T) {
+	w := newWorld(t)
+	weak := w.startWith("weak", 0.1)
+	strong := w.startWith("strong", 0.8)
+	w.eventually("the weak host hears the strong one", func() bool {
+		weak.mu.Lock()
+		defer weak.mu.Unlock()
+		return len(weak.peers.Live()) == 2 && weak.hearsOthers(time.Now())
+	})
+	items := testItems(60)
+	w.mustSubmit(weak, "large", items...)
+	w.checkOnce(w.readAll(strong, "large"), items)
+	w.mustSubmit(weak, "small", testItems(4)...)
+	w.readAll(weak, "small")
+	weak.mu.Lock()
+	defer weak.mu.Unlock()
+	if owner := weak.jobs["large"].record.Owner; owner != "strong" {
+		t.Errorf("the large job is at %s", owner)
+	}
+	if owner := weak.jobs["small"].record.Owner; owner != "weak" {
+		t.Errorf("the small job is at %s", owner)
+	}
+}
--- a/gateway/duty.go
+++ b/gateway/duty.go
@@ -22,6 +22,10 @@
 	dutyTick = 100 * time.Millisecond
 	// maxTakeoverDelay spreads the candidates, so that mostly one of them writes.
 	maxTakeoverDelay = 300 * time.Millisecond
+	// dutyProcessor is the part of a core below which a host leaves the duties to others for weakDelay: following all
+	// upstreams and ordering loads takes a few percent of a core.
+	dutyProcessor = 0.3
+	weakDelay     = 1500 * time.Millisecond
 	// maxDutyCall bounds one call of a holder.
 	maxDutyCall = 700 * time.Millisecond
 )
@@ -30,8 +34,6 @@
 type termHolder struct {
 	mu        sync.Mutex
 	candidate *lease.Candidate
-	// held tells that the last look found the duties held here.
-	held bool
 }
 
 // leaseKey is the row of the lease.
@@ -61,7 +63,11 @@
 		g.opts.Log.Error().Err(err).Msg("no duties here")
 		return
 	}
-	candidate.SetDelay(rand.N(maxTakeoverDelay))
+	delay := rand.N(maxTakeoverDelay)
+	if g.opts.Processor < dutyProcessor {
+		delay += weakDelay
+	}
+	candidate.SetDelay(delay)
 	g.term.mu.Lock()
 	g.term.candidate = candidate
 	g.term.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -57,8 +56,10 @@
 	probes map[string]*probe
 	usage  usageCounts
 
-	kick    chan struct{}
-	ownedWG sync.WaitGroup
+	kick chan struct{}
+	// givenJob wakes the search for jobs without an owner when a job was given to this process.
+	givenJob chan struct{}
+	ownedWG  sync.WaitGroup
 	// work is the context of everything that runs on behalf of jobs; it ends when the process stops.
 	work     context.Context
 	stopWork context.CancelFunc
@@ -73,7 +74,7 @@
 		jobs: map[string]*jobEntry{}, health: map[string]*upstreamhealth.Health{}, inFlight: map[string]int{},
 		connections: map[string]kept{}, meanItem: firstMeanItem,
 		othersLoad: map[string]int{}, hedges: retry.NewBudget(retry.DefaultBudgetConfig(), time.Now()),
-		usage: usageCounts{}, probes: map[string]*probe{}, kick: make(chan struct{}, 1),
+		usage: usageCounts{}, probes: map[string]*probe{}, kick: make(chan struct{}, 1), givenJob: make(chan struct{}, 1),
 	}
 	g.met = newMetricSet(opts.Registry, g)
 	g.work, g.stopWork = context.WithCancel(context.Background())
@@ -129,6 +130,3 @@
 
 // region returns the region of a data centre.
 func (g *Gateway) region(dataCentre string) string { return g.opts.RegionOf[dataCentre] }
-
-// jitter returns a random time between half of d and d, so that processes do not act in step.
-func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
--- a/gateway/job_entry.go
+++ b/gateway/job_entry.go
@@ -108,6 +108,11 @@
 	e.changed = make(chan struct{})
 	if e.owned != nil {
 		g.ownedChanged(e)
+	} else if record.Open() && record.OwnedBy(g.opts.Host, g.opts.Incarnation) && record.AcceptedBy != g.opts.Incarnation {
+		select {
+		case g.givenJob <- struct{}{}:
+		default:
+		}
 	}
 	return e
 }
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -27,6 +27,8 @@
 	// PeerAddress is where peers reach this process, host:port.
 	PeerAddress string
 	Timing      Timing
+	// Processor is what the process gets of the processor, in cores.
+	Processor float64
 	// RowBytes bounds the value of one row.
 	RowBytes int
 	// UsageDuty and ScaleDuty say which reports and orders the platform expects.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -262,79 +261,3 @@
 	f.counted = true
 	f.g.countUsage(f.target.workspace.Name, time.Now())
 }
-
-// maxWholeAnswer bounds an answer that is kept until it is whole.
-const maxWholeAnswer = 32 << 20
-
-// errAnswerTooLarge is the failure of an answer over maxWholeAnswer.
-var errAnswerTooLarge = errors.New("the answer is larger than 32 MiB")
-
-// sendWhole sends a request, reads the whole answer and learns from it about the upstream.
-func (g *Gateway) sendWhole(ctx context.Context, req *upstreamcall.Request) sendResult {
-	started := time.Now()
-	result := sendResult{upstream: req.Upstream}
-	result.answer, result.signature, result.failure = g.readWhole(ctx, req)
-	result.took = time.Since(started)
-	g.learn(req.Upstream, "", result.failure, ctx)
-	if result.failure == nil {
-		g.met.upstreamTime.UpdateDuration(started)
-	}
-	return result
-}
-
-func (g *Gateway) readWhole(
-	ctx context.Context, req *upstreamcall.Request,
-) (*call.Answer, string, *upstreamcall.Failure) {
-	answer, err := g.opts.Upstreams.Send(ctx, req)
-	if err != nil {
-		return nil, "", upstreamcall.AsFailure(err)
-	}
-	defer answer.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWholeAnswer+1))
-	if err == nil && len(body) > maxWholeAnswer {
-		err = errAnswerTooLarge
-	}
-	if err != nil {
-		return nil, "", &upstreamcall.Failure{Reason: upstreamcall.Broken, Outcome: outcome.MayHaveRun, Err: err}
-	}
-	if answer.Status < http.StatusMultipleChoices && !answer.Signed {
-		return nil, "", &upstreamcall.Failure{
-			Reason: upstreamcall.Crossed, Outcome: outcome.MayHaveRun, Err: errors.New("a success without a signature"),
-		}
-	}
-	return &call.Answer{Status: answer.Status, Header: answer.Header, Body: body}, answer.Signature, nil
-}
-
-// learn takes the end of a send into the judgement of its upstream.
-func (g *Gateway) learn(u upstreams.Entry, model string, failure *upstreamcall.Failure, ctx context.Context) {
-	now := time.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.release(u.ID, now)
-	h := g.healthOf(u.ID)
-	switch {
-	case failure == nil:
-		if h.Succeed() {
-			g.opts.Log.Info().Str("upstream", u.ID).Msg("upstream recovered")
-		}
-	case failure.Reason == upstreamcall.Cancelled, failure.Reason == upstreamcall.Moved,
-		failure.Reason == upstreamcall.Stale:
-	case failure.Reason == upstreamcall.Busy:
-		h.Busy(model, now.Add(busyHold))
-		h.Succeed()
-	case failure.Reason == upstreamcall.Failed, failure.Reason == upstreamcall.Impossible,
-		failure.Reason == upstreamcall.OldVersion:
-		h.Succeed()
-	default:
-		if ctx.Err() != nil && failure.Reason != upstreamcall.Silent {
-			return // the send was ended from here
-		}
-		if h.Fail(now) {
-			g.opts.Log.Warn().Str("upstream", u.ID).Str("reason", string(failure.Reason)).AnErr("error", failure.Err).
-				Msg("upstream suspect")
-		}
-	}
-}
-
-// busyHold is how long a refusal for lack of room counts; a load of weights refuses for about a second.
-const busyHold = 200 * time.Millisecond
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -12,6 +12,8 @@
 	probeTimeout = 400 * time.Millisecond
 	// probeValid is how long the answer holds for the other runs at the same upstream.
 	probeValid = 400 * time.Millisecond
+	// minSilent is the number of upstreams from which a common cause is looked for.
+	minSilent = 3
 )
 
 // probe is the question whether an upstream still answers, shared by all runs that wait for it.
@@ -25,6 +27,10 @@
 // silence sound upstreams, too.
 func (g *Gateway) answers(ctx context.Context, u upstreams.Entry) bool {
 	g.mu.Lock()
+	if g.isSlowItself() {
+		g.mu.Unlock()
+		return true
+	}
 	p, ok := g.probes[u.ID]
 	if !ok || !p.finished.IsZero() && time.Since(p.finished) > probeValid {
 		p = &probe{done: make(chan struct{})}
@@ -40,6 +46,18 @@
 	}
 }
 
+// isSlowItself reports whether so many upstreams went silent at once that this process is probably the one that is slow.
+// The caller holds the lock.
+func (g *Gateway) isSlowItself() bool {
+	silent := 0
+	for _, p := range g.probes {
+		if p.finished.IsZero() || !p.alive && time.Since(p.finished) < probeValid {
+			silent++
+		}
+	}
+	return silent >= minSilent && 2*silent >= len(g.inFlight)
+}
+
 func (g *Gateway) runProbe(u upstreams.Entry, p *probe) {
 	ctx, cancel := context.WithTimeout(g.work, probeTimeout)
 	defer cancel()
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -43,9 +43,10 @@
 	leaving := g.leaving
 	record := batch.Record{
 		Host: r.Host, PathPrefix: t.route.PathPrefix, Workspace: t.workspaceName(), Model: spec.Model,
-		MinVersion: spec.MinVersion, Owner: g.opts.Host, OwnerIncarnation: g.opts.Incarnation, AcceptedAt: g.storeClock(),
+		MinVersion: spec.MinVersion, AcceptedBy: g.opts.Incarnation, AcceptedAt: g.storeClock(),
 		Due: t.route.Due, Lifetime: t.route.ItemLifetime, Total: len(spec.Items),
 	}
+	record.Owner, record.OwnerIncarnation = g.chooseOwner(len(spec.Items))
 	if known != nil && known.record.Workspace == record.Workspace {
 		g.mu.Unlock()
 		return accepted(), nil
@@ -160,20 +161,20 @@
 func (a *acceptance) exists(result hosting.RowTxnResult) (*call.Answer, error) {
 	a.g.mu.Lock()
 	defer a.g.mu.Unlock()
-	for _, row := range result.Current {
-		e := a.g.takeJobRow(row)
-		if e == nil {
-			break
-		}
-		if e.record.Workspace != a.record.Workspace {
-			return nil, refusal(outcome.KindConflict, http.StatusConflict, "the ID belongs to another job", "choose a new ID")
-		}
-		if e.record.OwnedBy(a.g.opts.Host, a.g.opts.Incarnation) && e.owned == nil && e.record.Open() {
-			a.g.own(e, a.spec, nil, nil)
-		}
-		return accepted(), nil
+	if len(result.Current) == 0 {
+		return nil, undecided(outcome.KindStoreDown, http.StatusBadGateway, "the store named no row", nil)
+	}
+	e := a.g.takeJobRow(result.Current[0])
+	if e == nil {
+		return nil, undecided(outcome.KindStoreDown, http.StatusBadGateway, "the job's record cannot be read", nil)
+	}
+	if e.record.Workspace != a.record.Workspace {
+		return nil, refusal(outcome.KindConflict, http.StatusConflict, "the ID belongs to another job", "choose a new ID")
+	}
+	if e.record.OwnedBy(a.g.opts.Host, a.g.opts.Incarnation) && e.owned == nil && e.record.Open() {
+		a.g.own(e, a.spec, nil, nil)
 	}
-	return nil, undecided(outcome.KindStoreDown, http.StatusBadGateway, "the store named no row", nil)
+	return accepted(), nil
 }
 
 // accept starts to run a job that this process has stored.
@@ -184,7 +185,7 @@
 	g.met.jobsAccepted.Inc()
 	g.opts.Log.Info().Str("job", spec.ID).Str("model", spec.Model).Int64("step", spec.Step).
 		Int64("min_version", spec.MinVersion).Int("items", len(spec.Items)).Int("desired", spec.Desired).
-		Str("workspace", record.Workspace).Msg("job accepted")
+		Str("workspace", record.Workspace).Str("owner", record.Owner).Msg("job accepted")
 	if e.owned == nil && e.record.OwnedBy(g.opts.Host, g.opts.Incarnation) {
 		g.own(e, spec, nil, nil)
 		g.reuseTexts(e)
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -16,13 +13,9 @@
 
 	"github.com/radishshelf/radishshelf/batch"
 	"github.com/radishshelf/radishshelf/call"
-	"github.com/radishshelf/radishshelf/outcome"
-	"github.com/radishshelf/radishshelf/serving"
 	"github.com/radishshelf/radishshelf/standin/rows"
 	"github.com/radishshelf/radishshelf/telemetry"
-	"github.com/radishshelf/radishshelf/upstreamcall"
 	"github.com/radishshelf/radishshelf/upstreams"
-	"github.com/radishshelf/radishshelf/versionplan"
 )
 
 // Names of the test world.
@@ -70,10 +63,13 @@
 }
 
 // start runs a gateway until kill or the end of the test.
-func (w *world) start(host string) *Gateway {
+func (w *world) start(host string) *Gateway { return w.startWith(host, 0.8) }
+
+// startWith runs a gateway that gets a part of a core.
+func (w *world) startWith(host string, processor float64) *Gateway {
 	g := New(Options{
 		Host: host, Incarnation: fmt.Sprint(time.Now().UnixNano()), DataCentre: "north-1",
-		RegionOf: map[string]string{"north-1": "north"}, PeerAddress: host, RowBytes: 64 << 10, UsageDuty: true,
+		RegionOf: map[string]string{"north-1": "north"}, PeerAddress: host, RowBytes: 64 << 10, UsageDuty: true, Processor: processor,
 		Timing: Timing{
 			Lease: 3 * time.Second, Grace: 8 * time.Second, UsageWindow: 5 * time.Second, UsageLate: 10 * time.Second,
 			BatchLifetime: 2 * time.Minute, Settle: time.Second,
@@ -182,190 +178,3 @@
 	}
 	return len(p), nil
 }
-
-// testCodec reads product types as JSON.
-type testCodec struct{}
-
-func (testCodec) OperatorTable() string          { return "operators" }
-func (testCodec) UpstreamTable() string          { return "upstreams" }
-func (testCodec) IsConfig(key string) bool       { return key == "config" }
-func (testCodec) IsNamedVersion(key string) bool { return strings.HasPrefix(key, "version/") }
-func (testCodec) DecodeBatch(body []byte) (s batch.Spec, err error) {
-	return s, json.Unmarshal(body, &s)
-}
-
-func (testCodec) DecodeConfig(value []byte) (*serving.Config, error) {
-	var version int64
-	if err := json.Unmarshal(value, &version); err != nil {
-		return nil, err
-	}
-	return serving.Builder{
-		Version: version,
-		Routes: []*serving.Route{
-			{
-				Name: "rollout", Host: testHost, PathPrefix: "/rollout/", Kind: serving.Rollout, MaxAttempts: 3,
-				Targets: []serving.Target{{Service: engineName, Weight: 1}}, Due: 5 * time.Second, ItemLifetime: 20 * time.Second,
-			},
-			{
-				Name: "quote", Host: testHost, PathPrefix: "/quote/", Kind: serving.Idempotent, MaxAttempts: 3,
-				Targets: []serving.Target{{Service: plainName, Weight: 1}}, TargetLatency: 200 * time.Millisecond,
-				Timeout: 3 * time.Second,
-			},
-			{
-				Name: "bill", Host: testHost, PathPrefix: "/bill/", Kind: serving.NonIdempotent, MaxAttempts: 3,
-				Targets: []serving.Target{{Service: plainName, Weight: 1}}, TargetLatency: 200 * time.Millisecond,
-				Timeout: 3 * time.Second,
-			},
-			{
-				Name: "score", Host: testHost, PathPrefix: "/score/", Kind: serving.Idempotent, MaxAttempts: 4, Public: true,
-				Targets: []serving.Target{{Service: plainName, Weight: 1}},
-			},
-		},
-		Services:   []*serving.Service{{Name: engineName, Models: []string{testModel}}, {Name: plainName}},
-		Workspaces: []serving.WorkspaceKeys{{Workspace: serving.Workspace{Name: "north"}, Keys: []string{testKey}}},
-	}.Build(), nil
-}
-
-func (testCodec) DecodeNamedVersion(key string, value []byte) (n versionplan.Named, err error) {
-	return n, json.Unmarshal(value, &n)
-}
-
-func (testCodec) DecodeUpstream(id string, value []byte) (e upstreams.Entry, err error) {
-	return e, json.Unmarshal(value, &e)
-}
-
-func (testCodec) ItemHeader(map[string]string) http.Header { return http.Header{} }
-
-// Events reads one event a line: its data, or nothing after the last one.
-func (testCodec) Events(r io.Reader, version int64) EventReader {
-	return &lineReader{decoder: json.NewDecoder(r), version: version}
-}
-
-type lineReader struct {
-	decoder *json.Decoder
-	version int64
-}
-
-func (l *lineReader) Next() (upstreamcall.Event, error) {
-	var e upstreamcall.Event
-	err := l.decoder.Decode(&e)
-	if e.Version == 0 {
-		e.Version = l.version
-	}
-	return e, err
-}
-
-// fakeUpstreams answers requests as a script says.
-type fakeUpstreams struct {
-	mu sync.Mutex
-	// answer decides the answer to a request; nil gives three events, or a signed body.
-	answer func(r *upstreamcall.Request) (*upstreamcall.Answer, error)
-	sent   []upstreamcall.Request
-	orders []upstreamcall.VersionOrder
-}
-
-func newFakeUpstreams() *fakeUpstreams { return &fakeUpstreams{} }
-
-func (f *fakeUpstreams) script(answer func(r *upstreamcall.Request) (*upstreamcall.Answer, error)) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.answer = answer
-}
-
-func (f *fakeUpstreams) requests(match func(upstreamcall.Request) bool) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n := 0
-	for _, r := range f.sent {
-		if match(r) {
-			n++
-		}
-	}
-	return n
-}
-
-func (f *fakeUpstreams) Send(ctx context.Context, r *upstreamcall.Request) (*upstreamcall.Answer, error) {
-	f.mu.Lock()
-	f.sent = append(f.sent, *r)
-	answer := f.answer
-	f.mu.Unlock()
-	if answer != nil {
-		if a, err := answer(r); a != nil || err != nil {
-			return a, err
-		}
-	}
-	if r.Upstream.Service == plainName {
-		return signed(http.StatusOK, "done"), nil
-	}
-	return stream(r.ResumeAfter+1, 3, true), nil
-}
-
-func (f *fakeUpstreams) Order(
-	_ context.Context, _ upstreams.Entry, o upstreamcall.VersionOrder,
-) (upstreamcall.OrderAnswer, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.orders = append(f.orders, o)
-	return upstreamcall.OrderAccepted, nil
-}
-
-func (f *fakeUpstreams) Report(context.Context, upstreams.Entry) (upstreamcall.Report, error) {
-	return upstreamcall.Report{Versions: map[string]int64{}}, nil
-}
-
-func signed(status int, body string) *upstreamcall.Answer {
-	return &upstreamcall.Answer{
-		Status: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body)), Length: int64(len(body)),
-		Signed: true, Signature: "signature", Framed: true,
-	}
-}
-
-// stream answers with the events from..to, and breaks off afterwards unless whole.
-func stream(from, to int, whole bool) *upstreamcall.Answer {
-	var lines strings.Builder
-	for id := from; id <= to; id++ {
-		fmt.Fprintf(&lines, `{"ID":%d,"Data":"event %d"}`+"\n", id, id)
-	}
-	a := signed(http.StatusOK, "")
-	a.Version = 1
-	a.Body = io.NopCloser(strings.NewReader(lines.String()))
-	if !whole {
-		a.Body = io.NopCloser(io.MultiReader(strings.NewReader(lines.String()), brokenReader{}))
-	}
-	return a
-}
-
-type brokenReader struct{}
-
-func (brokenReader) Read([]byte) (int, error) { return 0, errors.New("connection reset") }
-
-func notRun(reason upstreamcall.Reason) error {
-	return &upstreamcall.Failure{Reason: reason, Outcome: outcome.NotRun}
-}
-
-func mayHaveRun(reason upstreamcall.Reason) error {
-	return &upstreamcall.Failure{Reason: reason, Outcome: outcome.MayHaveRun}
-}
-
-// fakeDuties records the calls of duty holders.
-type fakeDuties struct {
-	mu      sync.Mutex
-	reports []usageReport
-}
-
-type usageReport struct {
-	holder       string
-	term, window int64
-	counts       map[string]int64
-}
-
-func (f *fakeDuties) ReportUsage(_ context.Context, holder string, term, window int64, counts map[string]int64) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.reports = append(f.reports, usageReport{holder, term, window, counts})
-	return nil
-}
-
-func (f *fakeDuties) OrderUpstreams(context.Context, string, int64, string, string, int) error {
-	return nil
-}
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -27,6 +27,9 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Load holds the requests that the process has in flight at each upstream.
 	Load map[string]int `json:"load,omitempty"`
+	// Processor is what the process gets of the processor, in cores, and Items the unfinished items of its jobs.
+	Processor float64 `json:"processor"`
+	Items     int     `json:"items"`
 	// ConfigVersion is the configuration in force in the process.
 	ConfigVersion int64 `json:"config_version"`
 }
--- a/standin/soak/process.go
+++ b/standin/soak/process.go
@@ -20,10 +20,9 @@
 	store       *Proxy
 	log         *os.File
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	exited  chan struct{}
-	stopped bool
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
 }
 
 // Ports of the gateways. Each has an address of its own, and so has each seed, so that the ports may be the same.
--- a/versionplan/plan.go
+++ b/versionplan/plan.go
@@ -7,10 +7,11 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"math"
 	"slices"
 	"time"
+
+	"github.com/radishshelf/radishshelf/rendezvous"
 )
 
 // Upstream is what is known of an upstream.
@@ -227,7 +228,7 @@
 		}
 	}
 	slices.SortFunc(usable, func(a, b Upstream) int {
-		return cmp.Or(cmp.Compare(weight(model, b.ID), weight(model, a.ID)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(rendezvous.Weight(model, b.ID), rendezvous.Weight(model, a.ID)), cmp.Compare(a.ID, b.ID))
 	})
 	count := min(int(math.Ceil(shareOfModel*float64(len(usable))/float64(max(models, 1)))), len(usable))
 	return spread(usable, count)
@@ -250,18 +251,3 @@
 	}
 	return members
 }
-
-// weight ranks upstreams for a model, evenly and independently for each model.
-func weight(model, upstream string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(model))
-	h.Write([]byte{0})
-	h.Write([]byte(upstream))
-	x := h.Sum64()
-	// FNV mixes the last bytes badly into the high bits; the finalizer of MurmurHash3 spreads them.
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
