--- a/gateway/job_entry.go
+++ b/gateway/job_entry.go
@@ -18,7 +18,8 @@
 	changed chan struct{}
 	// owned is set while this process runs the items.
 	owned *ownedJob
-	// cache holds listed results that were read, by position.
+	// cache holds listed results of an open job that were read, by position. Those of an ended job are read again from the
+	// store, so that memory does not grow with the jobs of the day.
 	cache map[int]batch.Result
 	// adopting is set while this process takes the job over.
 	adopting bool
@@ -106,6 +107,9 @@
 	e.record, e.version = record, version
 	close(e.changed)
 	e.changed = make(chan struct{})
+	if record.Ended {
+		clear(e.cache)
+	}
 	if e.owned != nil {
 		g.ownedChanged(e)
 	} else if record.Open() && record.OwnedBy(g.opts.Host, g.opts.Incarnation) && record.AcceptedBy != g.opts.Incarnation {
--- a/gateway/results.go
+++ b/gateway/results.go
@@ -137,28 +137,19 @@
 
 // fillPage adds the results from page.Next on, out of memory or the store.
 func (g *Gateway) fillPage(ctx context.Context, e *jobEntry, page call.ResultPage, listed int) (call.ResultPage, error) {
-	g.mu.Lock()
-	_, cached := e.cache[page.Next]
-	g.mu.Unlock()
-	if !cached {
+	results := g.cachedResults(e, page.Next, listed)
+	if len(results) == 0 {
 		ctx, cancel := context.WithTimeout(ctx, readPatience)
 		defer cancel()
-		results, err := g.readResultRows(ctx, e.id, page.Next)
-		if err != nil {
+		var err error
+		if results, err = g.readResultRows(ctx, e.id, page.Next); err != nil {
 			return page, g.unsure(e.id, err)
 		}
-		g.mu.Lock()
-		for i, r := range results {
-			e.cache[page.Next+i] = r
-		}
-		g.mu.Unlock()
+		g.cacheResults(e, page.Next, results)
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	size := 0
-	for page.Next < listed {
-		r, ok := e.cache[page.Next]
-		if size += len(r.Output); !ok || len(page.Results) > 0 && size > maxPageBytes {
+	for _, r := range results {
+		if size += len(r.Output); page.Next == listed || len(page.Results) > 0 && size > maxPageBytes {
 			break
 		}
 		page.Results = append(page.Results, r)
@@ -167,6 +158,33 @@
 	return page, nil
 }
 
+// cachedResults returns the results from a position on that are in memory.
+func (g *Gateway) cachedResults(e *jobEntry, from, listed int) []batch.Result {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var results []batch.Result
+	for position := from; position < listed; position++ {
+		r, ok := e.cache[position]
+		if !ok {
+			break
+		}
+		results = append(results, r)
+	}
+	return results
+}
+
+// cacheResults keeps results that were read of an open job.
+func (g *Gateway) cacheResults(e *jobEntry, from int, results []batch.Result) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if e.record.Ended {
+		return
+	}
+	for i, r := range results {
+		e.cache[from+i] = r
+	}
+}
+
 // readResultRows reads the results of a job from a position on.
 func (g *Gateway) readResultRows(ctx context.Context, id string, from int) ([]batch.Result, error) {
 	r := jobRange(resultTable, id)
