Score a whole text that a leaving owner saved instead of going on after it

Cause, found by reading: a leaving process saves finished texts that it could not list as one joined event; the successor took it for the first event and asked for the second. TestSavedWholeTextIsNotResumed printed 'event 1, event 2, event 3, event 2, event 3' before. Jobs are taken over only once the configuration is known, because the limits of a job come from its route.

--- a/gateway/adopt.go
+++ b/gateway/adopt.go
@@ -51,7 +51,7 @@
 // orphans returns the jobs that this process has to take over now. The caller holds the lock.
 func (g *Gateway) orphans(now time.Time, since map[string]time.Time) []*jobEntry {
 	var due []*jobEntry
-	if g.leaving || !g.hearsOthers(now) {
+	if g.leaving || g.config == nil || !g.hearsOthers(now) {
 		return nil
 	}
 	live := g.peers.Live()
--- a/gateway/adopt_test.go
+++ b/gateway/adopt_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
+	"github.com/radishshelf/radishshelf/batch"
 	"github.com/radishshelf/radishshelf/standin/rows"
 	"github.com/radishshelf/radishshelf/upstreamcall"
 
@@ -107,3 +109,36 @@
 		t.Errorf("the small job is at %s", owner)
 	}
 }
+
+// Guards against a whole text that a leaving owner saved because it could not list it, and that its successor takes for
+// the first event of a text to go on with.
+func TestSavedWholeTextIsNotResumed(t *testing.T) {
+	w := newWorld(t)
+	g := w.start("a")
+	items := testItems(2)
+	record := batch.Record{
+		Host: testHost, PathPrefix: "/rollout/", Workspace: "north", Model: testModel, MinVersion: 1, Total: 2, Chunks: 1,
+		Due: 5 * time.Second, Lifetime: 20 * time.Second,
+	}
+	whole := batch.Result{ID: items[0].ID, Output: "event 1\nevent 2\nevent 3", Versions: []int64{1}}.Text()
+	var txn hosting.RowTxn
+	for key, value := range map[hosting.RowKey]any{
+		chunkKey("job-1", 0):              batch.Spec{ID: "job-1", Model: testModel, MinVersion: 1, Items: items},
+		progressKey("job-1", items[0].ID): whole,
+		jobKey(jobTable, "job-1"):         record,
+	} {
+		data, err := json.Marshal(value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		txn.Puts = append(txn.Puts, hosting.StoredRow{RowKey: key, Value: data})
+	}
+	if _, err := w.store.Commit(t.Context(), txn); err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range w.readAll(g, "job-1") {
+		if r.Output != "event 1\nevent 2\nevent 3" {
+			t.Errorf("the text of %s is %q", r.ID, r.Output)
+		}
+	}
+}
--- a/gateway/own.go
+++ b/gateway/own.go
@@ -47,13 +47,13 @@
 		concurrency: batch.Concurrency(len(spec.Items), g.meanItem),
 	}
 	for id, text := range texts {
-		if p, ok := o.job.Get(id); ok && p.Phase == batch.Waiting && text.Fits(spec.MinVersion, limits.SingleVersion) {
-			p.Text = text
+		if !text.Whole {
 			o.saved[id] = text.Last()
 		}
 	}
 	o.ctx, o.stop = context.WithCancel(g.work)
 	e.owned = o
+	o.scoreAll(o.takeTexts(texts))
 	g.ownedWG.Go(o.listLoop)
 	g.ownedWG.Go(o.saveLoop)
 	g.wake()
--- a/gateway/reuse.go
+++ b/gateway/reuse.go
@@ -30,17 +30,22 @@
 		o.held = false
 		scoring := o.takeTexts(texts)
 		g.mu.Unlock()
-		for _, p := range scoring {
-			g.ownedWG.Go(func() {
-				o.score(p)
-				o.signal()
-			})
-		}
-		o.signal()
+		o.scoreAll(scoring)
 		g.wake()
 	})
 }
 
+// scoreAll obtains the scores of whole texts and has the lister look for items that need none.
+func (o *ownedJob) scoreAll(list []*batch.Progress) {
+	for _, p := range list {
+		o.g.ownedWG.Go(func() {
+			o.score(p)
+			o.signal()
+		})
+	}
+	o.signal()
+}
+
 // earlierJob returns the last job of the same trainer that ended with items unlisted. The caller holds the lock.
 func (g *Gateway) earlierJob(e *jobEntry) *jobEntry {
 	var last *jobEntry
@@ -78,7 +83,7 @@
 	return texts
 }
 
-// takeTexts gives the items of the job the texts that fit, and returns the items whose text is whole. The caller holds
+// takeTexts gives the items of the job the saved texts that fit, and returns the items whose text is whole. The caller holds
 // the lock.
 func (o *ownedJob) takeTexts(texts map[string]batch.Text) []*batch.Progress {
 	var scoring []*batch.Progress
@@ -101,7 +106,7 @@
 	}
 	if offered > 0 {
 		o.g.opts.Log.Info().Str("job", o.entry.id).Int("offered", offered).Int("whole", whole).Int("begun", begun).
-			Msg("texts of an earlier job used")
+			Msg("saved texts used")
 	}
 	return scoring
 }
