Fill the log buffer whatever the writer has joined in TestAsyncWriterNeverBlocks

The test failed once in a fresh clone ('no dropped line was counted'): the writing goroutine may join 32 KiB of lines before its first write blocks, so that 5,096 lines found room.

--- a/logging/limiter_test.go
+++ b/logging/limiter_test.go
@@ -42,12 +42,15 @@
 
 // Guards against an output that stands still and holds up requests, and against lines that vanish without a count.
 func TestAsyncWriterNeverBlocks(t *testing.T) {
+	const line = "line\n"
+	// The buffer takes asyncLines, and the goroutine that writes may have joined maxJoined bytes before it is blocked.
+	const lines = asyncLines + maxJoined/len(line) + 1000
 	out := blockedWriter{release: make(chan struct{})}
 	w := NewAsyncWriter(out)
 	done := make(chan struct{})
 	go func() {
-		for range asyncLines + 1000 {
-			_, _ = w.Write([]byte("line\n"))
+		for range lines {
+			_, _ = w.Write([]byte(line))
 		}
 		close(done)
 	}()
