--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -42,7 +42,7 @@
 	_, err = g.opts.Rows.Commit(ctx, hosting.RowTxn{Puts: []hosting.StoredRow{{RowKey: key, Value: value}}})
 	if err != nil {
 		if ctx.Err() == nil {
-			g.opts.Log.Debug().Err(err).Msg("heartbeat not written")
+			g.opts.Log.Info().Err(err).Msg("heartbeat not written")
 		}
 		return
 	}
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -87,7 +87,7 @@
 		return
 	}
 	if _, err := g.opts.Rows.Commit(ctx, hosting.RowTxn{Puts: rows}); err != nil {
-		g.opts.Log.Debug().Err(err).Msg("usage not stored yet")
+		g.opts.Log.Info().Err(err).Msg("usage not stored yet")
 		g.mu.Lock()
 		for _, w := range flushed {
 			w.dirty = true
