Ask entries for a change without waiting for those that hang

Cause of configsync:TestPendingIsReported: AwaitInForce asked all pending entries and waited for every answer, and the push before it did too, so an entry that hung held each round for the whole call timeout of 1 s. Within the 2 s of the test there was one round; its answers come before the entries have pulled, so entry-7 was only counted as applied when its own tick happened to bring the news. Ruled out: a lost answer (the log of a failing run shows entry-7 answering the first round).

Each entry now has its own question, at most one open at a time, and the push is not waited for.

--- a/configsync/in_force.go
+++ b/configsync/in_force.go
@@ -24,17 +24,18 @@
 }
 
 // AwaitInForce publishes a committed change and waits until every entry has applied it or has lost its freshness. When
-// ctx ends first, the result names the entries where it is not yet in force.
+// ctx ends first, the result names the entries where it is not yet in force. An entry that does not answer delays
+// neither the questions to the others nor the result.
 func (s *Syncer) AwaitInForce(ctx context.Context, revision int64) InForce {
 	start := time.Now()
-	answered := make(map[string]time.Time)
+	asked := newQuestions()
 	for {
 		s.catchUp(ctx, revision)
-		result := s.inForce(revision, start, answered)
+		result := s.inForce(revision, start, asked)
 		if result.Everywhere || ctx.Err() != nil {
 			return result
 		}
-		s.askPending(ctx, revision, answered)
+		s.askPending(ctx, revision, asked)
 		select {
 		case <-ctx.Done():
 		case <-time.After(inForcePause):
@@ -52,12 +53,12 @@
 		s.opts.Logger.Warn().Err(err).Int64("revision", revision).Msg("committed change not read back")
 		return
 	}
-	s.push(ctx, changed, true)
+	go s.push(ctx, changed, true)
 }
 
 // inForce sorts the known entries. An entry that has not answered since the change for as long as a confirmation and
 // the answers of its peers last has either applied the change or refuses keyed work.
-func (s *Syncer) inForce(revision int64, start time.Time, answered map[string]time.Time) InForce {
+func (s *Syncer) inForce(revision int64, start time.Time, asked *questions) InForce {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -71,7 +72,7 @@
 			continue
 		}
 		heardAt := start
-		if at, ok := answered[p.address]; ok {
+		if at, ok := asked.answeredAt(p.address); ok {
 			heardAt = at
 		}
 		if now.Sub(heardAt) > limit {
@@ -84,25 +85,14 @@
 	return result
 }
 
-// askPending asks the entries that have not applied the change; the question makes them pull it.
-func (s *Syncer) askPending(ctx context.Context, revision int64, answered map[string]time.Time) {
+// askPending asks the entries that have not applied the change and have no question open; the question makes them pull
+// it. It does not wait for the answers.
+func (s *Syncer) askPending(ctx context.Context, revision int64, asked *questions) {
 	s.mu.Lock()
-	var pending []*peer
+	defer s.mu.Unlock()
 	for _, p := range s.peers.all() {
-		if p.behind(revision) {
-			pending = append(pending, p)
-		}
-	}
-	s.mu.Unlock()
-	heard := make(chan string, len(pending))
-	s.each(pending, func(p *peer) {
-		if s.probe(ctx, p) == nil {
-			heard <- p.address
+		if p.behind(revision) && asked.open(p.address) {
+			go func() { asked.close(p.address, s.probe(ctx, p) == nil, time.Now()) }()
 		}
-	})
-	close(heard)
-	now := time.Now()
-	for address := range heard {
-		answered[address] = now
 	}
 }
--- a/configsync/syncer_test.go
+++ b/configsync/syncer_test.go
@@ -51,6 +51,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		f(ctx, t, newNetwork())
 		cancel()
+		time.Sleep(defaultCallTimeout) // a push passed on outlives the call that brought it
 		synctest.Wait()
 	})
 }
@@ -162,3 +163,24 @@
 		}
 	})
 }
+
+// Guards against an entry that hangs and delays the questions to the entries beside it, which then count as pending
+// although they answer.
+func TestHangingEntryDelaysNoOther(t *testing.T) {
+	for range 20 {
+		run(t, func(ctx context.Context, t *testing.T, w *network) {
+			entries := fleet(ctx, t, w)
+			w.cut(1, 8)
+			revision, err := w.write(ctx, "p")
+			if err != nil {
+				t.Fatal(err)
+			}
+			short, cancel := context.WithTimeout(ctx, 700*time.Millisecond) // below the timeout of a call
+			defer cancel()
+			result := entries[0].AwaitInForce(short, revision)
+			if len(result.Pending) != 1 || result.Pending[0] != "entry-8" {
+				t.Errorf("%+v; want entry-8 pending", result)
+			}
+		})
+	}
+}
