Keep score calls as long as their route allows, and overtake silent ones

Ruled out: the plain services (others answered within 0.2 s), the cut of the holder (another host owned the job).

A call now lasts as long as its route's timeout; after the target latency another upstream is asked beside it, up to three, and upstreams that are overtaken count as suspect. gateway:TestLongScoreCallIsWaitedFor and TestSilentScoreCallIsOvertaken fail before (no score within 20 s).

--- a/gateway/item_test.go
+++ b/gateway/item_test.go
@@ -4,8 +4,10 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/radishshelf/radishshelf/batch"
+	"github.com/radishshelf/radishshelf/outcome"
 	"github.com/radishshelf/radishshelf/upstreamcall"
 )
 
@@ -86,6 +88,53 @@
 	}
 }
 
+// Pattern: a score call with far more work than the others, wherever it runs. Guards against calls that are given up and
+// begun again for ever, so that the item's group is never complete.
+func TestLongScoreCallIsWaitedFor(t *testing.T) {
+	w := newWorld(t)
+	g := w.start("a")
+	const work = 2 * time.Second
+	w.engine.script(func(r *upstreamcall.Request) (*upstreamcall.Answer, error) {
+		if r.Upstream.Service == plainName && r.TimeLeft < work {
+			time.Sleep(r.TimeLeft)
+			return nil, &upstreamcall.Failure{Reason: upstreamcall.Silent, Outcome: outcome.MayHaveRun}
+		}
+		return nil, nil
+	})
+	items := testItems(1)
+	items[0].Score = &batch.ScoreCall{ID: "s", Host: testHost, Path: "/score/x"}
+	w.mustSubmit(g, "job-1", items...)
+	if r := w.readAll(g, "job-1")[0]; r.Score != "signature" {
+		t.Errorf("score %q", r.Score)
+	}
+}
+
+// Guards against an item that waits for an upstream that has gone silent while another one would answer its score call.
+func TestSilentScoreCallIsOvertaken(t *testing.T) {
+	w := newWorld(t)
+	w.addUpstream("p2", plainName, 4, nil)
+	g := w.start("a")
+	silent, calls := make(chan struct{}), make(chan struct{}, 1)
+	defer close(silent)
+	w.engine.script(func(r *upstreamcall.Request) (*upstreamcall.Answer, error) {
+		if r.Upstream.Service == plainName {
+			select {
+			case calls <- struct{}{}: // the first one
+				<-silent
+			default:
+			}
+		}
+		return nil, nil
+	})
+	items := testItems(1)
+	items[0].Score = &batch.ScoreCall{ID: "s", Host: testHost, Path: "/score/x"}
+	started := time.Now()
+	w.mustSubmit(g, "job-1", items...)
+	if r := w.readAll(g, "job-1")[0]; r.Score != "signature" || time.Since(started) > 2*scorePatience {
+		t.Errorf("score %q after %s, want one soon after %s", r.Score, time.Since(started), scorePatience)
+	}
+}
+
 // Guards against a text that is labelled with weights that did not make it, or made by weights that are too old.
 func TestOldWeightsAreNotUsed(t *testing.T) {
 	w := newWorld(t)
--- a/gateway/score_item.go
+++ b/gateway/score_item.go
@@ -3,63 +3,17 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/radishshelf/radishshelf/batch"
 	"github.com/radishshelf/radishshelf/outcome"
-	"github.com/radishshelf/radishshelf/upstreamcall"
-)
-
-// Times of a score call.
-const (
-	// scoreTimeout bounds one score call; the work takes a few tens of milliseconds at a plain service.
-	scoreTimeout = 1200 * time.Millisecond
-	// scorePause and maxScorePause separate tries; the pause doubles.
-	scorePause    = 15 * time.Millisecond
-	maxScorePause = 400 * time.Millisecond
 )
 
 // score obtains the score of a complete text. It ends with the ownership of the job at the latest.
 func (o *ownedJob) score(p *batch.Progress) {
-	tried := map[string]bool{}
-	pause := scorePause
-	for o.ctx.Err() == nil {
-		result, limit, ok := o.scoreOnce(p, tried)
-		if ok && o.scored(p, result, limit) {
-			return
-		}
-		sleep(o.ctx, pause)
-		pause = min(2*pause, maxScorePause)
-	}
-}
-
-// scoreOnce sends the score call to one upstream and returns the number of failures that its route allows. It returns
-// false when no upstream takes the call.
-func (o *ownedJob) scoreOnce(p *batch.Progress, tried map[string]bool) (sendResult, int, bool) {
-	call := p.Item.Score
-	now := time.Now()
-	o.g.mu.Lock()
-	route, ok := o.g.config.Route(call.Host, call.Path)
-	if !ok {
-		o.g.mu.Unlock()
-		return sendResult{}, 0, false
-	}
-	service, _ := chooseService(route)
-	u, ok := o.g.choosePlain(service, tried, true, now)
-	if ok {
-		o.g.acquire(u.ID, now)
-	}
-	o.g.mu.Unlock()
-	if !ok {
-		return sendResult{}, 0, false
-	}
-	tried[u.ID] = true
-	ctx, cancel := context.WithTimeout(o.ctx, scoreTimeout)
-	defer cancel()
-	return o.g.sendWhole(ctx, &upstreamcall.Request{
-		ID: call.ID, Host: call.Host, Method: http.MethodPost, Target: call.Path, Header: http.Header{}, Body: call.Body,
-		TimeLeft: scoreTimeout, Priority: upstreamcall.NoPriority, Upstream: u,
-	}), route.MaxAttempts, true
+	ctx, cancel := context.WithCancel(o.ctx)
+	defer cancel() // ends the calls that lost
+	s := &scoring{o: o, item: p, tried: map[string]bool{}, results: make(chan sendResult, maxScoreCalls)}
+	s.run(ctx)
 }
 
 // scored takes the end of a score call and reports whether the item is finished.
