Let a restarted host take its own jobs back at once

Ruled out: reading the configuration (in force 0.01 to 0.2 s after the start).

The host of the former owner is now the first in line when it is up again: it knows by itself that its earlier incarnation is gone. gateway:TestRestartedHostTakesItsJobsBack fails before (taken over by b).

--- a/gateway/adopt.go
+++ b/gateway/adopt.go
@@ -66,14 +66,7 @@
 		if _, ok := since[id]; !ok {
 			since[id] = now
 		}
-		wait := time.Duration(rank(live, id, g.opts.Host)) * adoptStep
-		if e.record.OwnedBy(g.opts.Host, g.opts.Incarnation) {
-			wait = 0
-			if e.record.AcceptedBy == g.opts.Incarnation {
-				wait = adoptStep // the acceptance of the job may still be at work
-			}
-		}
-		if now.Sub(since[id]) >= wait {
+		if now.Sub(since[id]) >= g.adoptDelay(e, live) {
 			delete(since, id)
 			due = append(due, e)
 		}
@@ -81,6 +74,26 @@
 	return due
 }
 
+// adoptDelay is how long this process leaves an orphaned job to the processes before it in line. A host that is up again is
+// the first in line for the jobs that it had: it needs nobody's heartbeat to know that their owner is gone. The caller holds
+// the lock.
+func (g *Gateway) adoptDelay(e *jobEntry, live []presence.Beat) time.Duration {
+	owner := e.record.Owner
+	if owner == g.opts.Host {
+		if e.record.AcceptedBy == g.opts.Incarnation {
+			return adoptStep // the acceptance of the job may still be at work
+		}
+		return 0
+	}
+	place := rank(live, e.id, g.opts.Host)
+	for _, b := range live {
+		if b.Host == owner && b.Incarnation != e.record.OwnerIncarnation && !b.Leaving {
+			place++
+		}
+	}
+	return time.Duration(place) * adoptStep
+}
+
 // expired reports whether no item of a job has to be tried any more. The caller holds the lock.
 func (g *Gateway) expired(e *jobEntry) bool {
 	return e.record.Lifetime > 0 && g.storeClock() > e.record.AcceptedAt+2*e.record.Lifetime
--- a/gateway/adopt_test.go
+++ b/gateway/adopt_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/radishshelf/radishshelf/batch"
+	"github.com/radishshelf/radishshelf/presence"
 	"github.com/radishshelf/radishshelf/standin/rows"
 	"github.com/radishshelf/radishshelf/upstreamcall"
 
@@ -142,3 +144,34 @@
 		}
 	}
 }
+
+// Pattern: every process ends and starts again. Guards against jobs that wait for heartbeats although the host that had
+// them is up and knows that it has lost them.
+func TestRestartedHostTakesItsJobsBack(t *testing.T) {
+	w := newWorld(t)
+	w.engine.script(slowly(time.Second))
+	id := "job-"
+	for i := 0; rank([]presence.Beat{{Host: "a"}, {Host: "b"}}, id, "a") == 0; i++ {
+		id = fmt.Sprint("job-", i) // b is the first in line
+	}
+	w.mustSubmit(w.start("a"), id, testItems(8)...)
+	w.start("b")
+	w.kill("a")
+	w.kill("b")
+	w.engine.script(nil)
+	started := time.Now()
+	b := w.start("b")
+	a := w.start("a")
+	owner := func() string {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if e, ok := b.jobs[id]; ok && (e.record.OwnedBy("a", a.opts.Incarnation) || e.record.Owner == "b") {
+			return e.record.Owner
+		}
+		return ""
+	}
+	w.eventually("the job has an owner", func() bool { return owner() != "" })
+	if got := owner(); got != "a" || time.Since(started) > deadAfter {
+		t.Errorf("job taken over by %s after %s, want a before %s", got, time.Since(started), deadAfter)
+	}
+}
