Name the listed items in a job's record, and leave a short row of its incomplete groups

The record now has a bit for each listed item; a listing deletes the saved texts of its items; an ended job leaves one row with the lengths and versions of the texts of its incomplete groups, and results are read only where versions fit.

--- /dev/null
+++ b/batch/bits.go
@@ -0,0 +1,32 @@
+package batch
+
+import "math/bits"
+
+// Bits is a set of small numbers.
+type Bits []byte
+
+// Has reports whether n is in the set.
+func (b Bits) Has(n int) bool { return n/8 < len(b) && b[n/8]&(1<<(n%8)) != 0 }
+
+// With returns a copy of the set that also holds n.
+func (b Bits) With(n ...int) Bits {
+	size := len(b)
+	for _, i := range n {
+		size = max(size, i/8+1)
+	}
+	set := make(Bits, size)
+	copy(set, b)
+	for _, i := range n {
+		set[i/8] |= 1 << (i % 8)
+	}
+	return set
+}
+
+// Count returns how many numbers the set holds.
+func (b Bits) Count() int {
+	n := 0
+	for _, part := range b {
+		n += bits.OnesCount8(part)
+	}
+	return n
+}
--- a/batch/carry_test.go
+++ b/batch/carry_test.go
@@ -2,8 +2,9 @@
 
 import (
 	"fmt"
-	"strings"
+	"maps"
 	"testing"
+	"time"
 )
 
 // Pattern: groups that come again. The groups that a trainer left behind hold the longest texts, which a ranking by length
@@ -18,18 +19,18 @@
 		}
 		spec.Items = append(spec.Items, item)
 	}
-	j := NewJob(spec, Record{}, Limits{}, nil)
+	j := NewJob(spec, Record{}, Limits{})
 	slow, _ := j.Get("i3")
 	if !j.Optional(slow) {
 		t.Fatal("the group with the longest estimate is not the optional one; the test shows nothing")
 	}
-	texts := map[string]Text{"i3": {Events: []string{strings.Repeat("x\n", long-1) + "x"}, Versions: []int64{1}, Whole: true}}
+	left := map[string]Left{"i3": {Events: long, Whole: true, Oldest: 1}}
 	for i := range size {
 		if i != 3 {
-			texts[fmt.Sprint("i", i)] = Text{Events: []string{"x", "x"}, Versions: []int64{1}}
+			left[fmt.Sprint("i", i)] = Left{Events: 2, Oldest: 1}
 		}
 	}
-	j.CarryOver(texts)
+	j.CarryOver(left)
 	if j.Optional(slow) || j.Carried() != 1 {
 		t.Errorf("the carried group is optional; %d groups carried, want 1", j.Carried())
 	}
@@ -55,11 +56,39 @@
 
 // Guards against a text in progress that counts as short because it had not gone far in the earlier job.
 func TestUnfinishedEarlierTextKeepsItsHint(t *testing.T) {
-	j := NewJob(Spec{Items: []Item{{ID: "a", LengthHint: 800}, {ID: "b", LengthHint: 100}}}, Record{}, Limits{}, nil)
-	j.CarryOver(map[string]Text{"a": {Events: []string{"1"}}, "b": {Events: make([]string, 40)}})
+	j := NewJob(Spec{Items: []Item{{ID: "a", LengthHint: 800}, {ID: "b", LengthHint: 100}}}, Record{}, Limits{})
+	j.CarryOver(map[string]Left{"a": {Events: 1}, "b": {Events: 40}})
 	for id, want := range map[string]int{"a": 800, "b": 3000} {
 		if p, _ := j.Get(id); p.Remaining() != want {
 			t.Errorf("%s: %d tokens expected, want %d", id, p.Remaining(), want)
 		}
 	}
 }
+
+// Guards against what an ended job leaves of complete groups, and against lengths that are lost with the text of an item.
+func TestLeftOfIncompleteGroups(t *testing.T) {
+	spec := Spec{Items: []Item{{ID: "a1", Group: "a"}, {ID: "a2", Group: "a"}, {ID: "b1", Group: "b"}, {ID: "b2", Group: "b"}}}
+	j := NewJob(spec, Record{Total: 4}, Limits{})
+	for n, id := range []string{"a1", "a2", "b1"} {
+		p, _ := j.Get(id)
+		j.Start(p)
+		for event := range n + 1 {
+			p.Text.Append(event+1, "x", 7)
+		}
+		j.TextComplete(p, time.Time{})
+	}
+	j.Record.Done, j.Record.Listed = j.DoneWith(3), 3
+	j.MarkListed(3)
+	running, _ := j.Get("b2")
+	j.Start(running)
+	running.Text.Append(1, "x", 6)
+	running.Text.Append(2, "x", 7)
+	want := map[string]Left{"b1": {Events: 3, Whole: true, Oldest: 7}, "b2": {Events: 2, Oldest: 6}}
+	if got := j.Left(); !maps.Equal(got, want) {
+		t.Errorf("left %v, want %v", got, want)
+	}
+	again := NewJob(spec, j.Record, Limits{})
+	if again.Count(Listed) != 3 || again.Complete() || j.Record.Done.Count() != 3 {
+		t.Errorf("%d items listed by the record, want 3", again.Count(Listed))
+	}
+}
--- a/batch/job.go
+++ b/batch/job.go
@@ -42,9 +42,11 @@
 	Avoid     string
 	// group is the index of the item's group in the order of the groups.
 	group int
-	// earlier is what is known of the item's text in an earlier job.
-	earlier earlierText
-	result  Result
+	// index is the item's place in the job's content.
+	index int
+	// earlier is what is known of the item's text in an earlier job, and made what there was of it when it was finished.
+	earlier, made Left
+	result        Result
 }
 
 // tokensPerEvent converts events into tokens where only an order of magnitude is needed.
@@ -59,8 +61,8 @@
 
 // expectedTokens is the best estimate of the whole output.
 func (p *Progress) expectedTokens() int {
-	seen := p.earlier.events * tokensPerEvent
-	if p.earlier.whole {
+	seen := p.earlier.Events * tokensPerEvent
+	if p.earlier.Whole {
 		return seen
 	}
 	return max(p.Item.ExpectedTokens(), seen+seen/2)
@@ -82,21 +84,19 @@
 	listed   int
 }
 
-// NewJob returns a job of which the results in listed stand already.
-func NewJob(spec Spec, record Record, limits Limits, listed []Result) *Job {
+// NewJob returns a job as its record tells it.
+func NewJob(spec Spec, record Record, limits Limits) *Job {
 	j := &Job{Spec: spec, Record: record, Limits: limits, byID: make(map[string]*Progress, len(spec.Items))}
 	for i := range spec.Items {
-		p := &Progress{Item: &spec.Items[i]}
-		j.items = append(j.items, p)
-		j.byID[p.Item.ID] = p
-	}
-	j.rankGroups()
-	for _, r := range listed {
-		if p, ok := j.byID[r.ID]; ok && p.Phase != Listed {
+		p := &Progress{Item: &spec.Items[i], index: i}
+		if record.Done.Has(i) {
 			p.Phase = Listed
 			j.listed++
 		}
+		j.items = append(j.items, p)
+		j.byID[p.Item.ID] = p
 	}
+	j.rankGroups()
 	return j
 }
 
@@ -247,7 +247,8 @@
 	if p.Phase >= Finished {
 		return
 	}
-	p.Phase, p.result = Finished, r
+	p.Phase, p.result, p.made = Finished, r, p.Text.Left()
+	p.made.Whole = r.State == Succeeded
 	p.Text.Events = nil
 	j.finished = append(j.finished, p)
 }
@@ -261,6 +262,15 @@
 	return list
 }
 
+// DoneWith returns the items that are listed once the first n unlisted results stand in the store.
+func (j *Job) DoneWith(n int) Bits {
+	var list []int
+	for _, p := range j.finished[:n] {
+		list = append(list, p.index)
+	}
+	return j.Record.Done.With(list...)
+}
+
 // MarkListed tells that the first n unlisted results stand in the store.
 func (j *Job) MarkListed(n int) {
 	for _, p := range j.finished[:n] {
--- /dev/null
+++ b/batch/left.go
@@ -0,0 +1,42 @@
+package batch
+
+// Left is what an ended job left of an item whose group was not complete.
+type Left struct {
+	// Events is the length of the text, and Whole tells that nothing followed.
+	Events int  `json:"events"`
+	Whole  bool `json:"whole,omitempty"`
+	// Oldest is the oldest weight version that made an event of the text; 0 when there is none.
+	Oldest int64 `json:"oldest,omitempty"`
+}
+
+// Left tells what there is of a text.
+func (t *Text) Left() Left {
+	left := Left{Events: t.Length(), Whole: t.Whole}
+	if len(t.Versions) > 0 {
+		left.Oldest = t.Versions[0]
+	}
+	return left
+}
+
+// Left returns what there is of the items of the groups that are not complete, by item.
+func (j *Job) Left() map[string]Left {
+	open := map[string]bool{}
+	for _, p := range j.items {
+		if p.Phase != Listed {
+			open[p.Item.Group] = true
+		}
+	}
+	list := map[string]Left{}
+	for _, p := range j.items {
+		if !open[p.Item.Group] {
+			continue
+		}
+		left := p.made
+		if p.Phase < Finished {
+			left = p.Text.Left()
+			left.Whole = p.Phase == Scoring
+		}
+		list[p.Item.ID] = left
+	}
+	return list
+}
--- a/batch/record.go
+++ b/batch/record.go
@@ -23,6 +23,9 @@
 	// Total is the number of items and Listed how many of them have a result.
 	Total  int `json:"total"`
 	Listed int `json:"listed"`
+	// Done has a bit for each item, in the order of the job's content, that is set once the item is listed. With it a
+	// successor need not read the results.
+	Done Bits `json:"done,omitempty"`
 	// Chunks is the number of rows that hold the content.
 	Chunks int  `json:"chunks"`
 	Ended  bool `json:"ended,omitempty"`
--- a/gateway/adopt.go
+++ b/gateway/adopt.go
@@ -165,19 +165,6 @@
 
 // startAdopted reads what is stored of a job that this process owns and begins to run it.
 func (g *Gateway) startAdopted(ctx context.Context, e *jobEntry, spec batch.Spec, from string) {
-	results, err := g.readResultRows(ctx, e.id, 0)
-	if err != nil {
-		g.opts.Log.Warn().Str("job", e.id).Err(err).Msg("results of an adopted job not read")
-		return // the job is still open and owned here, so the next round tries again
-	}
-	g.mu.Lock()
-	want := e.record.Listed
-	g.mu.Unlock()
-	if len(results) != want {
-		g.opts.Log.Warn().Str("job", e.id).Int("results", len(results)).Int("listed", want).
-			Msg("results of an adopted job are incomplete")
-		return
-	}
 	texts, err := g.readTexts(ctx, e.id)
 	if err != nil {
 		g.opts.Log.Warn().Str("job", e.id).Err(err).Msg("texts of an adopted job not read, its items start again")
@@ -187,13 +174,17 @@
 	if e.owned != nil || !e.record.Open() || !e.record.OwnedBy(g.opts.Host, g.opts.Incarnation) {
 		return
 	}
+	if e.record.Done.Count() != e.record.Listed || len(spec.Items) != e.record.Total {
+		g.opts.Log.Error().Str("job", e.id).Int("named", e.record.Done.Count()).Int("listed", e.record.Listed).
+			Int("items", len(spec.Items)).Int("total", e.record.Total).
+			Msg("the record of a job contradicts itself or the job's content; its items are not run")
+		return
+	}
 	g.met.jobsAdopted.Inc()
-	g.opts.Log.Info().Str("job", e.id).Str("from", from).Int("listed", len(results)).Int("total", e.record.Total).
+	g.opts.Log.Info().Str("job", e.id).Str("from", from).Int("listed", e.record.Listed).Int("total", e.record.Total).
 		Int("texts", len(texts)).Msg("job taken over")
-	g.own(e, spec, results, texts)
-	if len(results) == 0 {
-		g.reuseTexts(e)
-	}
+	g.own(e, spec, texts)
+	g.reuseTexts(e)
 }
 
 // readSpec reads the content of a job.
--- a/gateway/adopt_test.go
+++ b/gateway/adopt_test.go
@@ -143,6 +143,9 @@
 			t.Errorf("the text of %s is %q", r.ID, r.Output)
 		}
 	}
+	if rows := w.store.Table(progressTable); len(rows) > 0 {
+		t.Errorf("%d saved texts of listed items stay behind", len(rows))
+	}
 }
 
 // Pattern: every process ends and starts again. Guards against jobs that wait for heartbeats although the host that had
--- a/gateway/collect.go
+++ b/gateway/collect.go
@@ -71,7 +71,7 @@
 func (c *collector) delete(ctx context.Context, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
 	defer cancel()
-	for _, table := range []string{progressTable, resultTable, contentTable} {
+	for _, table := range []string{progressTable, leftTable, resultTable, contentTable} {
 		rows, _, err := readPart(ctx, c.g.opts.Rows, jobRange(table, id), c.g.storeAnswered)
 		if err != nil {
 			return err
--- a/gateway/collect_test.go
+++ b/gateway/collect_test.go
@@ -17,7 +17,7 @@
 	}
 	g.SetTiming(Timing{BatchLifetime: -collectReserve - time.Second})
 	c.run(t.Context())
-	for _, table := range []string{jobTable, contentTable, resultTable, progressTable} {
+	for _, table := range []string{jobTable, contentTable, resultTable, progressTable, leftTable} {
 		if rows := w.store.Table(table); len(rows) != 0 {
 			t.Errorf("%d rows are left in %s", len(rows), table)
 		}
--- a/gateway/job_entry.go
+++ b/gateway/job_entry.go
@@ -60,6 +60,9 @@
 // progressKey is the key of the text in progress of an item.
 func progressKey(id, item string) hosting.RowKey { return jobRow(progressTable, id, item) }
 
+// leftKey is the key of what an ended job left of its incomplete groups.
+func leftKey(id string) hosting.RowKey { return jobRow(leftTable, id, "left") }
+
 // jobRange selects the rows of a job in a table with keys that start with the job's ID.
 func jobRange(table, id string) hosting.RowRange {
 	return hosting.RowRange{Table: table, Part: jobPart(id), From: id + "/", To: id + "0"} // "0" follows "/"
--- a/gateway/list.go
+++ b/gateway/list.go
@@ -14,8 +14,8 @@
 	listDelay = 40 * time.Millisecond
 	// listRetry follows a failed transaction.
 	listRetry = 100 * time.Millisecond
-	// maxListed bounds the results of one transaction; it takes 100 rows.
-	maxListed = 60
+	// maxListed bounds the results of one transaction; it takes 100 rows, and a result may replace a saved text.
+	maxListed = 45
 )
 
 // listLoop writes finished results into the store until the job ends or every item is listed.
@@ -108,11 +108,13 @@
 	for o.ctx.Err() == nil {
 		o.g.mu.Lock()
 		record, version := o.entry.record, o.entry.version
+		done, stale := o.job.DoneWith(len(results)), o.savedOf(results)
 		o.g.mu.Unlock()
 		if record.Listed != position {
 			return o.noteEarlierTry(results, position)
 		}
 		record.Listed += len(results)
+		record.Done = done
 		value, err := json.Marshal(record)
 		if err != nil {
 			o.g.opts.Log.Error().Str("job", o.entry.id).Err(err).Msg("record not encoded")
@@ -122,6 +124,7 @@
 		result, err := o.g.opts.Rows.Commit(o.ctx, hosting.RowTxn{
 			Conditions: []hosting.StoredRow{{RowKey: key, Version: version}},
 			Puts:       append([]hosting.StoredRow{{RowKey: key, Value: value}}, rows...),
+			Deletes:    stale,
 		})
 		switch {
 		case err == nil && result.Committed:
@@ -137,6 +140,18 @@
 	return false
 }
 
+// savedOf returns the keys of the saved texts of items that are listed now. A successor need not read them. The caller
+// holds the lock.
+func (o *ownedJob) savedOf(results []batch.Result) []hosting.RowKey {
+	var keys []hosting.RowKey
+	for _, r := range results {
+		if o.saved[r.ID] > 0 {
+			keys = append(keys, progressKey(o.entry.id, r.ID))
+		}
+	}
+	return keys
+}
+
 func (o *ownedJob) noteListed(results []batch.Result, record batch.Record, version int64) {
 	o.g.mu.Lock()
 	defer o.g.mu.Unlock()
--- a/gateway/own.go
+++ b/gateway/own.go
@@ -32,9 +32,8 @@
 	listing sync.Mutex
 }
 
-// own begins to run a job. listed are the results that stand already, and texts the texts in progress of its items. The
-// caller holds the lock.
-func (g *Gateway) own(e *jobEntry, spec batch.Spec, listed []batch.Result, texts map[string]batch.Text) {
+// own begins to run a job. texts are the texts in progress of its items. The caller holds the lock.
+func (g *Gateway) own(e *jobEntry, spec batch.Spec, texts map[string]batch.Text) {
 	limits := batch.Limits{MaxFailures: defaultMaxFailures}
 	if g.config != nil {
 		if route, ok := g.config.Route(e.record.Host, e.record.PathPrefix); ok {
@@ -42,14 +41,12 @@
 		}
 	}
 	o := &ownedJob{
-		g: g, entry: e, job: batch.NewJob(spec, e.record, limits, listed), ready: make(chan struct{}, 1),
+		g: g, entry: e, job: batch.NewJob(spec, e.record, limits), ready: make(chan struct{}, 1),
 		saved: map[string]int{}, runs: map[*batch.Progress]*itemRun{},
 		concurrency: batch.Concurrency(len(spec.Items), g.meanItem),
 	}
 	for id, text := range texts {
-		if !text.Whole {
-			o.saved[id] = text.Last()
-		}
+		o.saved[id] = text.Last()
 	}
 	o.ctx, o.stop = context.WithCancel(g.work)
 	e.owned = o
@@ -70,7 +67,7 @@
 		g.opts.Log.Info().Str("job", e.id).Int("listed", e.record.Listed).Int("total", e.record.Total).Msg("job ended")
 		o.end()
 		// Groups that are not complete may come again in a later job.
-		g.ownedWG.Go(func() { o.save(1) })
+		g.ownedWG.Go(o.leave)
 	}
 }
 
--- a/gateway/reuse.go
+++ b/gateway/reuse.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
 	"time"
 
@@ -17,19 +18,20 @@
 	reuseAge = 40 * time.Second
 )
 
-// reuseTexts holds the items of an owned job until the texts of the jobs before it were read. The caller holds the lock.
+// reuseTexts holds the items of an owned job of which nothing is listed until what the jobs before it left was read. The
+// caller holds the lock.
 func (g *Gateway) reuseTexts(e *jobEntry) {
 	earlier := g.earlierJobs(e)
 	o := e.owned
 	if len(earlier) == 0 {
 		return
 	}
-	o.held = true
+	o.held = e.record.Listed == 0
 	g.ownedWG.Go(func() {
-		texts := g.earlierTexts(o.ctx, earlier)
+		left, texts := g.leftOf(o.ctx, earlier, o.job.Spec.MinVersion)
 		g.mu.Lock()
 		o.held = false
-		o.job.CarryOver(texts)
+		o.job.CarryOver(left)
 		scoring := o.takeTexts(texts)
 		g.mu.Unlock()
 		o.scoreAll(scoring)
@@ -67,28 +69,55 @@
 	return slices.DeleteFunc(ended, func(j *jobEntry) bool { return j.endedAt < lastAccepted })
 }
 
-// earlierTexts reads the texts of earlier jobs, whole ones and those in progress, by item. Of two texts the longer one
-// counts.
-func (g *Gateway) earlierTexts(ctx context.Context, earlier []*jobEntry) map[string]batch.Text {
+// leftOf reads what earlier jobs left of their incomplete groups, by item, and the texts that were made by minVersion or
+// newer weights. Of two entries for an item the longer one counts.
+func (g *Gateway) leftOf(
+	ctx context.Context, earlier []*jobEntry, minVersion int64,
+) (map[string]batch.Left, map[string]batch.Text) {
 	ctx, cancel := context.WithTimeout(ctx, reuseTimeout)
 	defer cancel()
-	texts := map[string]batch.Text{}
+	left, texts := map[string]batch.Left{}, map[string]batch.Text{}
 	for _, e := range earlier {
+		fits := false
+		for id, l := range g.readLeft(ctx, e.id) {
+			if l.Events >= left[id].Events {
+				left[id] = l
+			}
+			fits = fits || l.Oldest >= minVersion
+		}
+		if !fits {
+			continue
+		}
 		for id, text := range g.textsOf(ctx, e) {
 			if known := texts[id]; text.Length() >= known.Length() {
 				texts[id] = text
 			}
 		}
 	}
-	return texts
+	return left, texts
+}
+
+// readLeft reads what an ended job left.
+func (g *Gateway) readLeft(ctx context.Context, id string) map[string]batch.Left {
+	rows, _, err := readPart(ctx, g.opts.Rows, jobRange(leftTable, id), g.storeAnswered)
+	if err != nil {
+		g.opts.Log.Info().Str("job", id).Err(err).Msg("what an earlier job left was not read")
+	}
+	left := map[string]batch.Left{}
+	for _, r := range rows {
+		if err := json.Unmarshal(r.Value, &left); err != nil {
+			g.opts.Log.Warn().Str("key", r.Key).Err(err).Msg("row skipped")
+		}
+	}
+	return left
 }
 
-// textsOf reads the texts of a job that has ended.
+// textsOf reads the texts of a job that has ended, whole ones and those in progress, by item.
 func (g *Gateway) textsOf(ctx context.Context, e *jobEntry) map[string]batch.Text {
 	texts, err := g.readTexts(ctx, e.id)
 	if err != nil {
 		g.opts.Log.Info().Str("job", e.id).Err(err).Msg("texts of an earlier job not read")
-		return nil
+		texts = map[string]batch.Text{}
 	}
 	results, err := g.readResultRows(ctx, e.id, 0)
 	if err != nil {
@@ -123,7 +152,7 @@
 			begun++
 		}
 	}
-	if offered > 0 {
+	if offered > 0 || o.job.Carried() > 0 {
 		o.g.opts.Log.Info().Str("job", o.entry.id).Int("offered", offered).Int("whole", whole).Int("begun", begun).
 			Int("carried_groups", o.job.Carried()).Msg("saved texts used")
 	}
--- a/gateway/save.go
+++ b/gateway/save.go
@@ -71,3 +71,25 @@
 	}
 	return rows, saved
 }
+
+// leave stores what the ended job has of its incomplete groups, which may come again in a later job: a short row for all of
+// them, and the texts.
+func (o *ownedJob) leave() {
+	o.g.mu.Lock()
+	left := o.job.Left()
+	o.g.mu.Unlock()
+	if len(left) == 0 {
+		return
+	}
+	value, err := json.Marshal(left)
+	if err != nil || len(value) > o.g.opts.RowBytes-chunkReserve {
+		o.g.opts.Log.Warn().Str("job", o.entry.id).Int("items", len(left)).Int("bytes", len(value)).AnErr("error", err).
+			Msg("what the job left is not saved; its groups start anew")
+		return
+	}
+	txn := hosting.RowTxn{Puts: []hosting.StoredRow{{RowKey: leftKey(o.entry.id), Value: value}}}
+	if _, err := o.g.opts.Rows.Commit(o.g.work, txn); err != nil {
+		o.g.opts.Log.Warn().Str("job", o.entry.id).Int("items", len(left)).Err(err).Msg("what the job left is not saved")
+	}
+	o.save(1)
+}
--- a/gateway/snapshot.go
+++ b/gateway/snapshot.go
@@ -24,7 +24,7 @@
 	name        string
 	partitioned bool
 }{
-	{beatTable, false}, {jobTable, true}, {contentTable, true}, {resultTable, true}, {progressTable, true},
+	{beatTable, false}, {jobTable, true}, {contentTable, true}, {resultTable, true}, {progressTable, true}, {leftTable, true},
 	{leaseTable, false}, {usageTable, false}, {sealedTable, false},
 }
 
@@ -176,6 +176,9 @@
 	if record.Listed < 0 || record.Listed > record.Total {
 		c.fault(r, "%d of %d items are listed", record.Listed, record.Total)
 	}
+	if n := record.Done.Count(); n != record.Listed {
+		c.fault(r, "names %d listed items and counts %d", n, record.Listed)
+	}
 	chunks := 0
 	for _, row := range s.table(contentTable) {
 		if strings.HasPrefix(row.Key, r.Key+"/") {
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -172,7 +172,7 @@
 		return nil, refusal(outcome.KindConflict, http.StatusConflict, "the ID belongs to another job", "choose a new ID")
 	}
 	if e.record.OwnedBy(a.g.opts.Host, a.g.opts.Incarnation) && e.owned == nil && e.record.Open() {
-		a.g.own(e, a.spec, nil, nil)
+		a.g.own(e, a.spec, nil)
 	}
 	return accepted(), nil
 }
@@ -187,7 +187,7 @@
 		Int64("min_version", spec.MinVersion).Int("items", len(spec.Items)).Int("desired", spec.Desired).
 		Str("workspace", record.Workspace).Str("owner", record.Owner).Msg("job accepted")
 	if e.owned == nil && e.record.OwnedBy(g.opts.Host, g.opts.Incarnation) {
-		g.own(e, spec, nil, nil)
+		g.own(e, spec, nil)
 		g.reuseTexts(e)
 	}
 }
--- a/gateway/submit_test.go
+++ b/gateway/submit_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -118,3 +119,34 @@
 		t.Errorf("without the store: %d, want 503", r.Status)
 	}
 }
+
+// Pattern: groups that come again. Guards against a later job that does not know what the job before it left.
+func TestJobLeavesItsIncompleteGroups(t *testing.T) {
+	w := newWorld(t)
+	g := w.start("a")
+	blocked := make(chan struct{})
+	defer close(blocked)
+	items := testItems(4)
+	for i := range items {
+		items[i].Group = fmt.Sprint("g", i/2)
+	}
+	w.engine.script(func(r *upstreamcall.Request) (*upstreamcall.Answer, error) {
+		if r.ID == items[3].ID {
+			<-blocked
+		}
+		return nil, nil
+	})
+	w.mustSubmit(g, "job-1", items...)
+	w.eventually("three items are listed", func() bool { return len(w.store.Table(resultTable)) == 3 })
+	if err := g.EndBatch(t.Context(), call.BatchRequest{ID: "job-1", Host: testHost, Key: testKey}); err != nil {
+		t.Fatal(err)
+	}
+	w.eventually("the job has left its group", func() bool { return len(w.store.Table(leftTable)) == 1 })
+	w.mustSubmit(g, "job-2", items[2:]...)
+	w.eventually("the later job knows the group", func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		o := g.jobs["job-2"].owned
+		return o != nil && !o.held && o.job.Carried() == 1
+	})
+}
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -17,6 +17,7 @@
 	contentTable  = "job_content"
 	resultTable   = "job_results"
 	progressTable = "job_progress"
+	leftTable     = "job_left"
 	leaseTable    = "leases"
 	usageTable    = "usage_counts"
 	sealedTable   = "usage_sealed"
