--- /dev/null
+++ b/upstreams/session_test.go
@@ -0,0 +1,65 @@
+package upstreams
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/radishshelf/radishshelf/goldentest"
+)
+
+// Guards against a change of how long an upstream whose entry lapsed stays in use that no reader has checked.
+func TestSessions(t *testing.T) {
+	goldentest.Run(t, "testdata/*.golden", func(t *testing.T, _, script string) string {
+		s := &session{t: t, view: NewView(), now: time.Unix(100, 0)}
+		return goldentest.Events(script, s.run)
+	})
+}
+
+type session struct {
+	t    *testing.T
+	view *View
+	now  time.Time
+}
+
+func (s *session) run(words []string) []string {
+	switch words[0] {
+	case "entry":
+		s.view.Put(Entry{ID: words[1], Service: "desk", State: State(words[2])})
+	case "removed":
+		s.view.Remove(words[1], s.now)
+	case "unreadable":
+		s.view.Discard(words[1])
+	case "read": // the whole table
+		var list []Entry
+		for _, id := range words[1:] {
+			list = append(list, ready(id))
+		}
+		s.view.Replace(list, s.now)
+	case "store-lost":
+		s.view.StoreLost()
+	case "store-back":
+		s.view.StoreBack(s.now)
+	case "advance":
+		d, err := time.ParseDuration(words[1])
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.now = s.now.Add(d)
+	default:
+		s.t.Fatalf("no event %s", words[0])
+	}
+	var lines []string
+	if gone := s.view.Expire(s.now); len(gone) > 0 {
+		lines = append(lines, "gone: "+strings.Join(gone, " "))
+	}
+	var usable []string
+	for _, e := range s.view.Ready("desk") {
+		usable = append(usable, e.ID)
+	}
+	if len(usable) == 0 {
+		return append(lines, "none usable")
+	}
+	return append(lines, fmt.Sprintf("usable: %s", strings.Join(usable, " ")))
+}
