--- a/cmd/radishshelf-gateway/process.go
+++ b/cmd/radishshelf-gateway/process.go
@@ -51,6 +51,7 @@
 	settings platform.Settings
 	log      zerolog.Logger
 	gateway  *gateway.Gateway
+	rows     *rowrelay.Client
 	// stores are the clients of the store, for the process itself and for its peers.
 	stores []*platform.Store
 	duties *platform.DutyClient
@@ -109,12 +110,13 @@
 		}
 		return list
 	}
+	p.rows = rowrelay.New(store, peers)
 	g = gateway.New(gateway.Options{
 		Host: s.Name, Incarnation: uuid.NewString(), DataCentre: s.DataCentre, RegionOf: s.RegionOf,
 		PeerAddress: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), RowBytes: s.StoreRowBytes,
 		Processor: s.Processor,
 		UsageDuty: s.HasUsageDuty(), ScaleDuty: s.HasScaleDuty(),
-		Timing: timing(s.Bounds), Rows: rowrelay.New(store, peers), Codec: platform.Codec{}, Log: p.log, Registry: registry,
+		Timing: timing(s.Bounds), Rows: p.rows, Codec: platform.Codec{}, Log: p.log, Registry: registry,
 		Upstreams: platform.NewUpstreamClient(platform.UpstreamDialer()), Duties: p.duties,
 	})
 	return g
@@ -134,6 +136,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { p.gateway.Run(loops) })
 	running.Go(func() { p.followSettings(loops) })
+	running.Go(func() { p.rows.Run(loops, gateway.ProbeRange) })
 	var err error
 	select {
 	case <-ctx.Done():
--- a/gateway/duty.go
+++ b/gateway/duty.go
@@ -39,6 +39,9 @@
 // leaseKey is the row of the lease.
 var leaseKey = hosting.RowKey{Table: leaseTable, Key: "duties"}
 
+// ProbeRange is a small reading that shows whether the store answers.
+var ProbeRange = hosting.RowRange{Table: leaseTable, Limit: 1}
+
 // mayAct returns the term and the time left to act; ok is false unless this process holds the duties. Call it directly
 // before each call.
 func (g *Gateway) mayAct() (term int64, ok bool) {
--- a/rowrelay/client.go
+++ b/rowrelay/client.go
@@ -32,13 +32,17 @@
 	mu         sync.Mutex
 	avoidUntil time.Time
 	avoid      time.Duration
+	// open holds the calls on their way.
+	open map[*attempt]struct{}
+	// probes counts the probes on their way.
+	probes int
 }
 
 var _ hosting.Rows = (*Client)(nil)
 
 // New returns a client. peers is called for each call that cannot go directly.
 func New(direct hosting.Rows, peers func() []hosting.Rows) *Client {
-	return &Client{direct: direct, peers: peers}
+	return &Client{direct: direct, peers: peers, open: map[*attempt]struct{}{}}
 }
 
 // Relaying reports whether calls go through peers now.
@@ -97,9 +101,9 @@
 }
 
 func directly[T any](ctx context.Context, c *Client, wait time.Duration, do operation[T]) (T, error) {
-	ctx, cancel := context.WithTimeout(ctx, directTimeout+wait)
-	defer cancel()
+	ctx, a := c.begin(ctx, directTimeout+wait)
 	result, err := do(ctx, c.direct)
+	c.end(a)
 	c.note(err)
 	return result, err
 }
@@ -118,7 +122,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		result, err = relayed(ctx, peer, wait, do)
+		result, err = relayed(ctx, c, peer, wait, do)
 		if !turnedAway(err) {
 			break
 		}
@@ -126,9 +130,9 @@
 	return result, err
 }
 
-func relayed[T any](ctx context.Context, peer hosting.Rows, wait time.Duration, do operation[T]) (T, error) {
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout+wait)
-	defer cancel()
+func relayed[T any](ctx context.Context, c *Client, peer hosting.Rows, wait time.Duration, do operation[T]) (T, error) {
+	ctx, a := c.begin(ctx, relayTimeout+wait)
+	defer c.end(a)
 	return do(ctx, peer)
 }
 
@@ -143,7 +147,10 @@
 	defer c.mu.Unlock()
 	var failed *hosting.Error
 	if !errors.As(err, &failed) || !turnedAway(err) && failed.Kind != hosting.KindUnknown {
-		c.avoid = 0
+		if c.avoid > 0 {
+			c.endHanging(time.Now())
+		}
+		c.avoid, c.avoidUntil = 0, time.Time{}
 		return
 	}
 	if errors.Is(err, context.Canceled) {
--- a/rowrelay/relay_test.go
+++ b/rowrelay/relay_test.go
@@ -96,3 +96,27 @@
 		t.Errorf("%d direct calls, %v", direct.calls-before, err)
 	}
 }
+
+// Guards against calls that hang on for seconds after a silent store has come back, because they were sent before.
+func TestHangingCallsEndWhenTheStoreIsBack(t *testing.T) {
+	store := rows.New()
+	client := New(store, func() []hosting.Rows { return []hosting.Rows{store} })
+	go client.Run(t.Context(), hosting.RowRange{Table: "t", Limit: 1})
+	store.SetFaults(func(rows.Call, *hosting.RowTxn) rows.Fault { return rows.Silent })
+	if _, err := client.Range(t.Context(), hosting.RowRange{Table: "t"}); err == nil {
+		t.Fatal("a silent store answered")
+	}
+	answered := make(chan error, 1)
+	go func() {
+		_, err := client.Changes(t.Context(), "t", 0, 2*time.Second)
+		answered <- err
+	}()
+	time.Sleep(500 * time.Millisecond)
+	store.SetFaults(nil)
+	store.Put("t", "a", nil)
+	started := time.Now()
+	err := <-answered
+	if took := time.Since(started); err != nil || took > 700*time.Millisecond {
+		t.Errorf("answered %s after the return: %v", took, err)
+	}
+}
--- a/standin/rows/store.go
+++ b/standin/rows/store.go
@@ -141,7 +141,11 @@
 		s.mu.Unlock()
 		<-ctx.Done()
 		s.mu.Lock()
-		return f, failure(call, hosting.KindUnknown)
+		kind := hosting.KindUnknown
+		if txn == nil {
+			kind = hosting.KindUnavailable // a read has no effect
+		}
+		return f, &hosting.Error{Kind: kind, Op: "stand-in " + string(call), Err: ctx.Err()}
 	case f != None && txn == nil:
 		return f, failure(call, hosting.KindUnavailable)
 	}
