Let a restarted holder take its duties back without waiting for the lease

Ruled out: the wait that protects receivers from two holders: the former holder was this host, whose address belongs to one process at a time.

--- a/gateway/duty.go
+++ b/gateway/duty.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -61,6 +62,10 @@
 		Duration:      bound,
 		RenewInterval: time.Duration(renewShare * float64(bound)),
 		ActWindow:     time.Duration(actShare * float64(bound)),
+		// The address of this process belongs to one process at a time, so an earlier one has ended. To the receivers of
+		// calls both are the same holder.
+		Predecessor:     func(holder string) bool { return strings.HasPrefix(holder, g.opts.Host+"#") },
+		PredecessorWait: maxDutyCall,
 	})
 	if err != nil {
 		g.opts.Log.Error().Err(err).Msg("no duties here")
--- a/gateway/duty_test.go
+++ b/gateway/duty_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/standin/rows"
 	"github.com/radishshelf/radishshelf/upstreamcall"
 )
 
@@ -73,3 +75,25 @@
 		t.Errorf("ordered %+v", o)
 	}
 }
+
+// Pattern: every process ends and starts again. Guards against duties that rest for the whole lease although the host that
+// held them is up again.
+func TestRestartedHolderGoesOn(t *testing.T) {
+	w := newWorld(t)
+	holds := func(g *Gateway) func() bool {
+		return func() bool { _, ok := g.mayAct(); return ok }
+	}
+	a := w.start("a")
+	w.eventually("a holds the duties", holds(a))
+	before, _ := a.mayAct()
+	w.store.SetFaults(func(rows.Call, *hosting.RowTxn) rows.Fault { return rows.Refuse }) // nothing is released
+	w.kill("a")
+	w.store.SetFaults(nil)
+	started := time.Now()
+	a = w.start("a")
+	w.eventually("a holds the duties again", holds(a))
+	term, _ := a.mayAct()
+	if took := time.Since(started); term <= before || took > 2*time.Second {
+		t.Errorf("term %d after %d, taken after %s; want a higher one well before the lease of 3 s ends", term, before, took)
+	}
+}
--- a/lease/candidate.go
+++ b/lease/candidate.go
@@ -107,8 +107,11 @@
 
 // takeoverWait is how long the row must stay unchanged before it may be taken over.
 func (c *Candidate) takeoverWait() time.Duration {
-	if c.row.Record.Holder == "" {
+	switch {
+	case c.row.Record.Holder == "":
 		return c.delay
+	case c.cfg.Predecessor != nil && c.cfg.Predecessor(c.row.Record.Holder):
+		return c.cfg.PredecessorWait
 	}
 	return c.cfg.Duration + c.cfg.PauseTolerance + c.delay
 }
