--- a/cmd/radishshelfctl/store.go
+++ b/cmd/radishshelfctl/store.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -19,21 +22,35 @@
 	var address string
 	cmd := &cobra.Command{Use: "store", Short: "Look at the product's tables in the platform's store"}
 	cmd.PersistentFlags().StringVar(&address, "store", "", "address of the store, host:port")
-	read := func(cmd *cobra.Command) (*gateway.Snapshot, error) {
+	open := func() (*platform.Store, error) {
 		if address == "" {
 			return nil, fmt.Errorf("no store; set --store to its host:port, as in provider.address of the settings")
 		}
-		return gateway.ReadSnapshot(cmd.Context(), platform.NewStore(address, platform.Dialer(storeDialTimeout)))
+		return platform.NewStore(address, platform.Dialer(storeDialTimeout)), nil
+	}
+	read := func(cmd *cobra.Command) (*gateway.Snapshot, error) {
+		store, err := open()
+		if err != nil {
+			return nil, err
+		}
+		return gateway.ReadSnapshot(cmd.Context(), store)
 	}
 	cmd.AddCommand(
 		&cobra.Command{
-			Use: "status", Short: "Show who holds the duties, the processes and the open jobs", Args: cobra.NoArgs,
+			Use: "status", Short: "Show who holds the duties, the processes, the jobs and the upstreams with their versions", Args: cobra.NoArgs,
 			RunE: func(cmd *cobra.Command, _ []string) error {
 				snapshot, err := read(cmd)
 				if err != nil {
 					return err
 				}
-				return printStoreStatus(cmd, o, snapshot)
+				if err := printStoreStatus(cmd, o, snapshot); err != nil {
+					return err
+				}
+				store, err := open()
+				if err != nil {
+					return err
+				}
+				return printUpstreams(cmd, o, store)
 			},
 		},
 		&cobra.Command{
@@ -118,3 +135,23 @@
 	}
 	return o.print(cmd, snapshot.Jobs(), func() *table { return jobs })
 }
+
+// printUpstreams prints what the upstreams wrote about themselves.
+func printUpstreams(cmd *cobra.Command, o *options, store *platform.Store) error {
+	list, unreadable, err := gateway.ReadUpstreams(cmd.Context(), store, platform.Codec{})
+	if err != nil {
+		return err
+	}
+	t := &table{header: []string{"UPSTREAM", "SERVICE", "DATA CENTRE", "STATE", "VERSIONS"}}
+	for _, e := range list {
+		var versions []string
+		for _, model := range slices.Sorted(maps.Keys(e.Versions)) {
+			versions = append(versions, fmt.Sprintf("%s %d", model, e.Versions[model]))
+		}
+		t.rows = append(t.rows, []string{e.ID, e.Service, e.DataCentre, string(e.State), strings.Join(versions, ", ")})
+	}
+	for _, key := range unreadable {
+		t.rows = append(t.rows, []string{key, "", "", "cannot be read", ""})
+	}
+	return o.print(cmd, list, func() *table { return t })
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,7 +68,6 @@
 
 // New returns a gateway that has read nothing yet.
 func New(opts Options) *Gateway {
-	opts.Rows = &freshRows{Rows: opts.Rows}
 	g := &Gateway{
 		opts: opts, named: map[string]int64{}, upstreams: upstreams.NewView(), peers: presence.NewView(deadAfter),
 		jobs: map[string]*jobEntry{}, health: map[string]*upstreamhealth.Health{}, inFlight: map[string]int{},
@@ -77,6 +76,7 @@
 		usage: usageCounts{}, probes: map[string]*probe{}, kick: make(chan struct{}, 1), givenJob: make(chan struct{}, 1),
 	}
 	g.met = newMetricSet(opts.Registry, g)
+	g.opts.Rows = &freshRows{Rows: &countedRows{Rows: opts.Rows, met: g.met}}
 	g.work, g.stopWork = context.WithCancel(context.Background())
 	return g
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -24,6 +24,8 @@
 	upstreamTime  *metrics.Histogram
 	itemTime      *metrics.Histogram
 	requestTime   *metrics.Histogram
+	storeTime     *metrics.Histogram
+	itemWait      *metrics.Histogram
 }
 
 func newMetricSet(r *telemetry.Registry, g *Gateway) *metricSet {
@@ -54,6 +56,10 @@
 		}
 		return 0
 	})
+	r.NewGauge("radishshelf_gateway_duties_term", func() float64 {
+		term, _ := g.mayAct()
+		return float64(term)
+	})
 	for phase, name := range map[batch.Phase]string{
 		batch.Waiting: "waiting", batch.Running: "running", batch.Scoring: "scoring", batch.Finished: "finished",
 	} {
@@ -72,6 +78,8 @@
 		upstreamTime:  r.NewHistogram("radishshelf_gateway_upstream_seconds"),
 		itemTime:      r.NewHistogram("radishshelf_gateway_item_seconds"),
 		requestTime:   r.NewHistogram("radishshelf_gateway_request_seconds"),
+		storeTime:     r.NewHistogram("radishshelf_gateway_store_call_seconds"),
+		itemWait:      r.NewHistogram("radishshelf_gateway_item_wait_seconds"),
 	}
 }
 
@@ -93,6 +101,12 @@
 	return m.registry.GetOrCreateCounter(fmt.Sprintf("radishshelf_gateway_item_failures_total{reason=%q}", reason))
 }
 
+// storeCalls counts calls of the store, by call and result.
+func (m *metricSet) storeCalls(call, result string) *metrics.Counter {
+	return m.registry.GetOrCreateCounter(
+		fmt.Sprintf("radishshelf_gateway_store_calls_total{call=%q,result=%q}", call, result))
+}
+
 // orders counts version orders, by answer.
 func (m *metricSet) orders(answer string) *metrics.Counter {
 	return m.registry.GetOrCreateCounter(fmt.Sprintf("radishshelf_gateway_version_orders_total{answer=%q}", answer))
--- a/gateway/own.go
+++ b/gateway/own.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/radishshelf/radishshelf/batch"
 )
@@ -45,6 +46,10 @@
 		saved: map[string]int{}, runs: map[*batch.Progress]*itemRun{},
 		concurrency: batch.Concurrency(len(spec.Items), g.meanItem),
 	}
+	now := time.Now()
+	for _, p := range o.job.Waiting(now) {
+		p.NotBefore = now // its wait counts from here
+	}
 	for id, text := range texts {
 		o.saved[id] = text.Last()
 	}
--- a/gateway/schedule.go
+++ b/gateway/schedule.go
@@ -98,6 +98,7 @@
 		return
 	}
 	c.Job.Start(c.Item)
+	g.met.itemWait.Update(now.Sub(c.Item.NotBefore).Seconds())
 	e.owned.runs[c.Item] = &itemRun{upstream: u, started: now}
 	g.acquire(u.ID, now)
 	o := e.owned
--- a/gateway/snapshot.go
+++ b/gateway/snapshot.go
@@ -12,6 +12,7 @@
 	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/lease"
 	"github.com/radishshelf/radishshelf/presence"
+	"github.com/radishshelf/radishshelf/upstreams"
 )
 
 // Snapshot is the content of the product's tables.
@@ -51,6 +52,24 @@
 	return s, nil
 }
 
+// ReadUpstreams reads the entries that upstreams wrote about themselves. Rows that cannot be read are returned by their keys.
+func ReadUpstreams(ctx context.Context, rows hosting.Rows, codec Codec) (list []upstreams.Entry, unreadable []string, err error) {
+	r := hosting.RowRange{Table: codec.UpstreamTable()}
+	read, _, err := readPart(ctx, rows, r, func(time.Duration) {})
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, row := range read {
+		e, err := codec.DecodeUpstream(row.Key, row.Value)
+		if err != nil {
+			unreadable = append(unreadable, row.Key)
+			continue
+		}
+		list = append(list, e)
+	}
+	return list, unreadable, nil
+}
+
 // LoadSnapshot reads a snapshot that Write has written.
 func LoadSnapshot(r io.Reader) (*Snapshot, error) {
 	var s Snapshot
