--- a/gateway/adopt.go
+++ b/gateway/adopt.go
@@ -56,7 +56,7 @@
 	}
 	live := g.peers.Live()
 	for id, e := range g.jobs {
-		orphan := e.record.Open() && e.owned == nil && !e.adopting && !g.expired(e) &&
+		orphan := e.record.Open() && e.owned == nil && !e.adopting && !e.unsound && !g.expired(e) &&
 			(e.record.Owner == "" || e.record.OwnedBy(g.opts.Host, g.opts.Incarnation) ||
 				!g.peers.Alive(e.record.Owner, e.record.OwnerIncarnation))
 		if !orphan {
@@ -125,7 +125,12 @@
 	}
 	g.mu.Lock()
 	record, version := e.record, e.version
+	e.unsound = !g.isSound(e, spec)
+	unsound := e.unsound
 	g.mu.Unlock()
+	if unsound {
+		return
+	}
 	from := record.Owner
 	record.Owner, record.OwnerIncarnation = g.opts.Host, g.opts.Incarnation
 	if committed, err := g.claim(ctx, e, record, version); err != nil || !committed {
@@ -137,6 +142,18 @@
 	g.startAdopted(ctx, e, spec, from)
 }
 
+// isSound reports whether the record of a job fits itself and the job's content. Running the items of one that does not
+// could list an item twice. The caller holds the lock.
+func (g *Gateway) isSound(e *jobEntry, spec batch.Spec) bool {
+	r := &e.record
+	if r.Done.Count() == r.Listed && len(spec.Items) == r.Total {
+		return true
+	}
+	g.opts.Log.Error().Str("job", e.id).Int("named", r.Done.Count()).Int("listed", r.Listed).Int("items", len(spec.Items)).
+		Int("total", r.Total).Msg("the record of a job contradicts itself or the job's content; its items are not run")
+	return false
+}
+
 // claim writes the record with this process as the owner under the condition that nobody changed it.
 func (g *Gateway) claim(ctx context.Context, e *jobEntry, record batch.Record, version int64) (bool, error) {
 	value, err := json.Marshal(record)
@@ -174,12 +191,6 @@
 	if e.owned != nil || !e.record.Open() || !e.record.OwnedBy(g.opts.Host, g.opts.Incarnation) {
 		return
 	}
-	if e.record.Done.Count() != e.record.Listed || len(spec.Items) != e.record.Total {
-		g.opts.Log.Error().Str("job", e.id).Int("named", e.record.Done.Count()).Int("listed", e.record.Listed).
-			Int("items", len(spec.Items)).Int("total", e.record.Total).
-			Msg("the record of a job contradicts itself or the job's content; its items are not run")
-		return
-	}
 	g.met.jobsAdopted.Inc()
 	g.opts.Log.Info().Str("job", e.id).Str("from", from).Int("listed", e.record.Listed).Int("total", e.record.Total).
 		Int("texts", len(texts)).Msg("job taken over")
--- a/gateway/adopt_test.go
+++ b/gateway/adopt_test.go
@@ -178,3 +178,37 @@
 		t.Errorf("job taken over by %s after %s, want a before %s", got, time.Since(started), deadAfter)
 	}
 }
+
+// Guards against items that are listed twice because a record counts results that it does not name, and against a process
+// that writes such a record again and again.
+func TestUnsoundRecordIsNotRun(t *testing.T) {
+	w := newWorld(t)
+	items := testItems(2)
+	record := batch.Record{
+		Host: testHost, PathPrefix: "/rollout/", Workspace: "north", Model: testModel, Total: 2, Listed: 1, Chunks: 1,
+		Due: 5 * time.Second, Lifetime: 20 * time.Second,
+	}
+	var txn hosting.RowTxn
+	for key, value := range map[hosting.RowKey]any{
+		chunkKey("job-1", 0): batch.Spec{ID: "job-1", Model: testModel, Items: items}, jobKey(jobTable, "job-1"): record,
+	} {
+		data, err := json.Marshal(value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		txn.Puts = append(txn.Puts, hosting.StoredRow{RowKey: key, Value: data})
+	}
+	if _, err := w.store.Commit(t.Context(), txn); err != nil {
+		t.Fatal(err)
+	}
+	g := w.start("a")
+	w.eventually("the record was looked at", func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.jobs["job-1"].unsound
+	})
+	time.Sleep(3 * superviseInterval)
+	if n := w.engine.requests(func(upstreamcall.Request) bool { return true }); n > 0 || g.jobs["job-1"].record.Owner != "" {
+		t.Errorf("%d runs, owner %q", n, g.jobs["job-1"].record.Owner)
+	}
+}
--- a/gateway/job_entry.go
+++ b/gateway/job_entry.go
@@ -26,6 +26,8 @@
 	endedAt time.Duration
 	// adopting is set while this process takes the job over.
 	adopting bool
+	// unsound is set once the record was found to contradict itself; nobody runs such a job.
+	unsound bool
 }
 
 // jobParts is the number of partitions over which jobs are spread; a partition takes about 200 transactions a second.
--- a/lease/config.go
+++ b/lease/config.go
@@ -50,6 +50,8 @@
 		return fmt.Errorf("lease: act window %s is not above the renew interval %s; raise ActWindow", c.ActWindow, c.RenewInterval)
 	case c.Duration <= c.ActWindow:
 		return fmt.Errorf("lease: duration %s is not above the act window %s; raise Duration", c.Duration, c.ActWindow)
+	case c.PredecessorWait < 0:
+		return fmt.Errorf("lease: wait after a predecessor %s is negative; set PredecessorWait", c.PredecessorWait)
 	case c.PauseTolerance < 0:
 		return fmt.Errorf("lease: pause tolerance %s is negative; set PauseTolerance", c.PauseTolerance)
 	}
