Look at the three newest earlier jobs only

Found by reading: a process that has just started counts every job that ended in the last 40 s as not taken over, and may spend its 0.3 s on the oldest. gateway:TestNewestEarlierJobsAreLookedAt fails before (ten jobs in any order).

--- a/gateway/reuse.go
+++ b/gateway/reuse.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -16,6 +17,9 @@
 	reuseTimeout = 300 * time.Millisecond
 	// reuseAge is the age up to which an earlier job is looked at.
 	reuseAge = 40 * time.Second
+	// maxEarlier bounds the jobs that are looked at. A process that has just started does not know when jobs ended, so that
+	// all of the last reuseAge would count; the groups of the older ones have come again since.
+	maxEarlier = 3
 )
 
 // reuseTexts holds the items of an owned job of which nothing is listed until what the jobs before it left was read. The
@@ -51,7 +55,7 @@
 }
 
 // earlierJobs returns the jobs of the same trainer that ended with items unlisted and whose groups no job since has taken
-// over: those that ended after the trainer's last job was handed in. The caller holds the lock.
+// over: those that ended after the trainer's last job was handed in, the newest first. The caller holds the lock.
 func (g *Gateway) earlierJobs(e *jobEntry) []*jobEntry {
 	var ended []*jobEntry
 	var lastAccepted time.Duration
@@ -66,7 +70,9 @@
 			ended = append(ended, other)
 		}
 	}
-	return slices.DeleteFunc(ended, func(j *jobEntry) bool { return j.endedAt < lastAccepted })
+	ended = slices.DeleteFunc(ended, func(j *jobEntry) bool { return j.endedAt < lastAccepted })
+	slices.SortFunc(ended, func(a, b *jobEntry) int { return cmp.Compare(b.record.AcceptedAt, a.record.AcceptedAt) })
+	return ended[:min(len(ended), maxEarlier)]
 }
 
 // leftOf reads what earlier jobs left of their incomplete groups, by item, and the texts that were made by minVersion or
--- a/gateway/submit_test.go
+++ b/gateway/submit_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/radishshelf/radishshelf/batch"
 	"github.com/radishshelf/radishshelf/call"
 	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/outcome"
@@ -150,3 +152,26 @@
 		return o != nil && !o.held && o.job.Carried() == 1
 	})
 }
+
+// Guards against a restarted process that reads what every job of the last time left, and has no time left for the newest.
+func TestNewestEarlierJobsAreLookedAt(t *testing.T) {
+	w := newWorld(t)
+	g := w.start("a")
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i := range 10 {
+		id := fmt.Sprint("job-", i)
+		g.jobs[id] = &jobEntry{id: id, endedAt: time.Hour, record: batch.Record{
+			Model: testModel, Total: 2, Listed: 1, Ended: true, AcceptedAt: time.Duration(i) * time.Second,
+		}}
+	}
+	next := &jobEntry{record: batch.Record{Model: testModel, Total: 2, AcceptedAt: 20 * time.Second}}
+	var ids []string
+	for _, e := range g.earlierJobs(next) {
+		ids = append(ids, e.id)
+	}
+	if want := []string{"job-9", "job-8", "job-7"}; !slices.Equal(ids, want) {
+		t.Errorf("looks at %v, want %v", ids, want)
+	}
+	clear(g.jobs)
+}
