--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -96,6 +96,9 @@
 	mu sync.Mutex
 	// answer decides the answer to a request; nil gives three events, or a signed body.
 	answer func(r *upstreamcall.Request) (*upstreamcall.Answer, error)
+	// hangs makes a request stay without an answer until it is ended from outside, which ended counts.
+	hangs  func(r *upstreamcall.Request) bool
+	ended  int
 	sent   []upstreamcall.Request
 	orders []upstreamcall.VersionOrder
 }
@@ -123,8 +126,15 @@
 func (f *fakeUpstreams) Send(ctx context.Context, r *upstreamcall.Request) (*upstreamcall.Answer, error) {
 	f.mu.Lock()
 	f.sent = append(f.sent, *r)
-	answer := f.answer
+	answer, hangs := f.answer, f.hangs
 	f.mu.Unlock()
+	if hangs != nil && hangs(r) {
+		<-ctx.Done()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.ended++
+		return nil, &upstreamcall.Failure{Reason: upstreamcall.Cancelled, Outcome: outcome.MayHaveRun, Err: ctx.Err()}
+	}
 	if answer != nil {
 		if a, err := answer(r); a != nil || err != nil {
 			return a, err
