--- /dev/null
+++ b/batch/progress.go
@@ -0,0 +1,41 @@
+package batch
+
+import "time"
+
+// Progress is the state of one item.
+type Progress struct {
+	Item  *Item
+	Phase Phase
+	Text  Text
+	// Failures counts answers that count as a failed run, and ScoreFailures those of the score call.
+	Failures, ScoreFailures int
+	// NotBefore is when the item may be tried again, and Avoid the upstream that let it down last.
+	NotBefore time.Time
+	Avoid     string
+	// group is the index of the item's group in the order of the groups.
+	group int
+	// index is the item's place in the job's content.
+	index int
+	// earlier is what is known of the item's text in an earlier job, and made what there was of it when it was finished.
+	earlier, made Left
+	result        Result
+}
+
+// tokensPerEvent converts events into tokens where only an order of magnitude is needed.
+const tokensPerEvent = 50
+
+// Remaining estimates the output tokens that are still to be generated. A text that has outgrown its estimate is probably
+// one of the few long ones, so that the longer it is the more is to come.
+func (p *Progress) Remaining() int {
+	done := p.Text.Last() * tokensPerEvent
+	return max(p.expectedTokens()-done, done/2, 1)
+}
+
+// expectedTokens is the best estimate of the whole output.
+func (p *Progress) expectedTokens() int {
+	seen := p.earlier.Events * tokensPerEvent
+	if p.earlier.Whole {
+		return seen
+	}
+	return max(p.Item.ExpectedTokens(), seen+seen/2)
+}
