Place texts by the memory of engines, and judge paces over time

Ruled out: slots (a step of 120 texts meets 132), the loads of weights (texts go on through them), crowding (7.7 s for the longest text on a full and on an idle engine).

Change: package placement, a board of engines for each pass of the scheduler with a filter, a score and a picker. Unknown paces count as the typical one; an engine that was slow when last seen gets one short text. The pace is averaged over time. An engine is asked once for its memory; a text goes where the expected peak fits. Tokens for each event are learnt from the estimates. The fastest pace is no longer looked for once for each pair of engines.

--- a/batch/carry_test.go
+++ b/batch/carry_test.go
@@ -34,7 +34,7 @@
 	if j.Optional(slow) || j.Carried() != 1 {
 		t.Errorf("the carried group is optional; %d groups carried, want 1", j.Carried())
 	}
-	if got := slow.Remaining(); got != long*tokensPerEvent {
+	if got := slow.Remaining(); got != long*firstTokenRate {
 		t.Errorf("%d tokens expected of a text that had %d events", got, long)
 	}
 	optional := 0
--- a/batch/job.go
+++ b/batch/job.go
@@ -26,7 +26,7 @@
 func NewJob(spec Spec, record Record, limits Limits) *Job {
 	j := &Job{Spec: spec, Record: record, Limits: limits, byID: make(map[string]*Progress, len(spec.Items))}
 	for i := range spec.Items {
-		p := &Progress{Item: &spec.Items[i], index: i}
+		p := &Progress{Item: &spec.Items[i], index: i, rate: limits.Rate}
 		if record.Done.Has(i) {
 			p.Phase = Listed
 			j.listed++
--- a/batch/limits.go
+++ b/batch/limits.go
@@ -6,4 +6,6 @@
 	MaxFailures int
 	// SingleVersion requires texts of one weight version.
 	SingleVersion bool
+	// Rate converts events into tokens; nil takes a usual value.
+	Rate *TokenRate
 }
--- a/batch/progress.go
+++ b/batch/progress.go
@@ -19,21 +19,26 @@
 	// earlier is what is known of the item's text in an earlier job, and made what there was of it when it was finished.
 	earlier, made Left
 	result        Result
+	// rate converts events into tokens.
+	rate *TokenRate
 }
 
-// tokensPerEvent converts events into tokens where only an order of magnitude is needed.
-const tokensPerEvent = 50
-
 // Remaining estimates the output tokens that are still to be generated. A text that has outgrown its estimate is probably
 // one of the few long ones, so that the longer it is the more is to come.
 func (p *Progress) Remaining() int {
-	done := p.Text.Last() * tokensPerEvent
+	done := p.rate.Tokens(p.Text.Last())
 	return max(p.expectedTokens()-done, done/2, 1)
 }
 
+// RemainingEvents estimates the events that are still to be generated.
+func (p *Progress) RemainingEvents() int { return p.rate.Events(p.Remaining()) }
+
+// Held estimates the tokens that the text holds of an engine's memory: its prompt and what was generated.
+func (p *Progress) Held() int { return p.Item.PromptTokens + p.rate.Tokens(p.Text.Last()) }
+
 // expectedTokens is the best estimate of the whole output.
 func (p *Progress) expectedTokens() int {
-	seen := p.earlier.Events * tokensPerEvent
+	seen := p.rate.Tokens(p.earlier.Events)
 	if p.earlier.Whole {
 		return seen
 	}
--- a/batch/spec.go
+++ b/batch/spec.go
@@ -21,6 +21,8 @@
 	Body    []byte            `json:"body"`
 	// Tokens is the sum of prompt tokens and the maximum of output tokens.
 	Tokens int `json:"tokens"`
+	// PromptTokens is the part of them that is the prompt; 0 when it is not known.
+	PromptTokens int `json:"prompt_tokens,omitempty"`
 	// LengthHint is the trainer's estimate of the output tokens; 0 when there is none.
 	LengthHint int    `json:"length_hint,omitempty"`
 	Group      string `json:"group,omitempty"`
--- /dev/null
+++ b/batch/token_rate_test.go
@@ -0,0 +1,43 @@
+package batch
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// Pattern: estimates that are right in the middle and off by a factor of two for single texts.
+func TestTokenRateIsLearnt(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	var r TokenRate
+	for range 400 {
+		events := 5 + random.IntN(100)
+		r.Learn(int(66*float64(events)*math.Exp(0.5*random.NormFloat64())), events)
+	}
+	if got := r.Tokens(100); got < 5900 || got > 7300 {
+		t.Errorf("100 events hold %d tokens by the rate, want about 6600", got)
+	}
+	if got := r.Events(r.Tokens(50)); got < 49 || got > 51 {
+		t.Errorf("50 events become %d and back", got)
+	}
+}
+
+// Guards against a rate that a missing, zero or negative estimate spoils, and against one that rests on a few texts.
+func TestTokenRateIgnoresWhatSaysNothing(t *testing.T) {
+	var r TokenRate
+	for range 1000 {
+		r.Learn(0, 10)
+		r.Learn(-5, 10)
+		r.Learn(100, 0)
+	}
+	for range minRatedTexts - 1 {
+		r.Learn(1_000_000, 1)
+	}
+	if got := r.Tokens(1); got != firstTokenRate {
+		t.Errorf("%d tokens an event, want the usual %d", got, firstTokenRate)
+	}
+	var unknown *TokenRate
+	if got := unknown.Tokens(2); got != 2*firstTokenRate {
+		t.Errorf("no rate gives %d tokens for two events", got)
+	}
+}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
+	"github.com/radishshelf/radishshelf/placement"
 	"github.com/radishshelf/radishshelf/serving"
 	"github.com/radishshelf/radishshelf/upstreams"
 )
@@ -79,27 +81,58 @@
 }
 
 func (g *Gateway) distance(e upstreams.Entry) float64 {
-	switch {
-	case e.DataCentre == g.opts.DataCentre:
+	switch g.distanceTo(e) {
+	case placement.SameDataCentre:
 		return 0
-	case g.region(e.DataCentre) == g.region(g.opts.DataCentre):
+	case placement.SameRegion:
 		return otherDataCentreCost
 	default:
 		return otherRegionCost
 	}
 }
 
+// distanceTo tells how far an upstream is from this process.
+func (g *Gateway) distanceTo(e upstreams.Entry) placement.Distance {
+	switch {
+	case e.DataCentre == g.opts.DataCentre:
+		return placement.SameDataCentre
+	case g.region(e.DataCentre) == g.region(g.opts.DataCentre):
+		return placement.SameRegion
+	default:
+		return placement.OtherRegion
+	}
+}
+
 // slowness compares the pace of an upstream with the fastest of its service. The caller holds the lock.
 func (g *Gateway) slowness(e upstreams.Entry, now time.Time) float64 {
 	pace := g.healthOf(e.ID).Pace(now)
 	if pace == 0 {
 		return 1
 	}
-	fastest := pace
-	for _, other := range g.upstreams.Ready(e.Service) {
-		if p := g.healthOf(other.ID).Pace(now); p > 0 {
-			fastest = min(fastest, p)
+	return float64(pace) / float64(min(pace, g.fastestPace(e.Service, now)))
+}
+
+// fastestValid is how long a search for the fastest upstream holds; paces are averages over several observations.
+const fastestValid = 50 * time.Millisecond
+
+// fastest is the best pace among the upstreams of a service.
+type fastest struct {
+	pace time.Duration
+	at   time.Time
+}
+
+// fastestPace returns the best pace among the upstreams of a service. The caller holds the lock.
+func (g *Gateway) fastestPace(service string, now time.Time) time.Duration {
+	f := g.fastest[service]
+	if f.pace > 0 && now.Sub(f.at) < fastestValid {
+		return f.pace
+	}
+	f = fastest{pace: math.MaxInt64, at: now}
+	for _, e := range g.upstreams.Ready(service) {
+		if p := g.healthOf(e.ID).Pace(now); p > 0 {
+			f.pace = min(f.pace, p)
 		}
 	}
-	return float64(pace) / float64(fastest)
+	g.fastest[service] = f
+	return f.pace
 }
--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -35,8 +35,16 @@
 	g.connections[id] = k
 }
 
+// keptConnections is how many connections to an upstream are open, those in use included. The caller holds the lock.
+func (g *Gateway) keptConnections(id string, now time.Time) int {
+	k := g.connections[id]
+	if now.Sub(k.usedAt) >= keptFor {
+		return g.inFlight[id]
+	}
+	return k.count
+}
+
 // isWarm reports whether one more request probably finds a kept connection. The caller holds the lock.
 func (g *Gateway) isWarm(id string, now time.Time) bool {
-	k := g.connections[id]
-	return g.inFlight[id] < k.count && now.Sub(k.usedAt) < keptFor
+	return g.inFlight[id] < g.keptConnections(id, now)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/radishshelf/radishshelf/batch"
 	"github.com/radishshelf/radishshelf/presence"
 	"github.com/radishshelf/radishshelf/retry"
 	"github.com/radishshelf/radishshelf/serving"
@@ -36,12 +37,17 @@
 	jobs                 map[string]*jobEntry
 	jobsRead             bool
 	health               map[string]*upstreamhealth.Health
+	fastest              map[string]fastest
 	// inFlight counts the requests of this process at each upstream.
 	inFlight map[string]int
+	// memory holds what engines said of their memory, and rates what is known of the texts of models.
+	memory map[string]engineMemory
+	rates  map[string]*batch.TokenRate
 	// connections holds how many connections to each upstream are kept.
 	connections map[string]kept
-	// othersLoad holds what the other processes reported to have in flight at each upstream.
-	othersLoad map[string]int
+	// othersLoad and othersTokens hold what the other processes reported to have in flight at each upstream, in requests and
+	// in tokens that their texts hold.
+	othersLoad, othersTokens map[string]int
 	// clock is the store's clock as of clockAt.
 	clock   time.Duration
 	clockAt time.Time
@@ -70,9 +76,10 @@
 func New(opts Options) *Gateway {
 	g := &Gateway{
 		opts: opts, named: map[string]int64{}, upstreams: upstreams.NewView(), peers: presence.NewView(deadAfter),
-		jobs: map[string]*jobEntry{}, health: map[string]*upstreamhealth.Health{}, inFlight: map[string]int{},
+		jobs: map[string]*jobEntry{}, health: map[string]*upstreamhealth.Health{}, fastest: map[string]fastest{}, inFlight: map[string]int{},
 		connections: map[string]kept{}, meanItem: firstMeanItem,
-		othersLoad: map[string]int{}, hedges: retry.NewBudget(retry.DefaultBudgetConfig(), time.Now()),
+		memory: map[string]engineMemory{}, rates: map[string]*batch.TokenRate{},
+		othersLoad: map[string]int{}, othersTokens: map[string]int{}, hedges: retry.NewBudget(retry.DefaultBudgetConfig(), time.Now()),
 		usage: usageCounts{}, probes: map[string]*probe{}, kick: make(chan struct{}, 1), givenJob: make(chan struct{}, 1),
 	}
 	g.met = newMetricSet(opts.Registry, g)
--- a/gateway/own.go
+++ b/gateway/own.go
@@ -35,10 +35,10 @@
 
 // own begins to run a job. texts are the texts in progress of its items. The caller holds the lock.
 func (g *Gateway) own(e *jobEntry, spec batch.Spec, texts map[string]batch.Text) {
-	limits := batch.Limits{MaxFailures: defaultMaxFailures}
+	limits := batch.Limits{MaxFailures: defaultMaxFailures, Rate: g.rateOf(spec.Model)}
 	if g.config != nil {
 		if route, ok := g.config.Route(e.record.Host, e.record.PathPrefix); ok {
-			limits = batch.Limits{MaxFailures: route.MaxAttempts, SingleVersion: route.SingleVersion}
+			limits.MaxFailures, limits.SingleVersion = route.MaxAttempts, route.SingleVersion
 		}
 	}
 	o := &ownedJob{
--- a/gateway/run_item.go
+++ b/gateway/run_item.go
@@ -178,8 +178,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	log := g.opts.Log.Info().Str("job", o.entry.id).Str("item", p.Item.ID).Str("upstream", u.ID).
+		Str("group", p.Item.Group).Bool("optional", o.job.Optional(p)).Int("estimated_tokens", p.Item.ExpectedTokens()).
 		Int("from_event", before).Int("events", p.Text.Last()).Dur("took_ms", now.Sub(started))
 	if failure == nil {
+		g.rateOf(o.job.Spec.Model).Learn(p.Item.LengthHint, p.Text.Last())
 		if before == 0 {
 			g.meanItem += time.Duration(meanItemWeight * float64(now.Sub(started)-g.meanItem))
 		}
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -168,6 +168,7 @@
 		g.beatSeen = max(g.beatSeen, b.Sequence)
 	}
 	clear(g.othersLoad)
+	clear(g.othersTokens)
 	for _, peer := range g.peers.Live() {
 		if peer.Host == g.opts.Host {
 			continue
@@ -175,5 +176,8 @@
 		for id, n := range peer.Load {
 			g.othersLoad[id] += n
 		}
+		for id, n := range peer.Tokens {
+			g.othersTokens[id] += n
+		}
 	}
 }
--- /dev/null
+++ b/placement/board_test.go
@@ -0,0 +1,158 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// usualPace is the pace of a sound engine in these tests.
+const usualPace = 40 * time.Millisecond
+
+// engines returns sound engines of 12 slots that nothing runs at.
+func engines(n, memory int) []Engine {
+	list := make([]Engine, n)
+	for i := range list {
+		list[i] = Engine{ID: fmt.Sprintf("e%02d", i), Slots: 12, Version: 1, Pace: usualPace, LastPace: usualPace, Memory: memory}
+	}
+	return list
+}
+
+// Pattern: an engine turns slow while others are idle. Nothing was observed of an idle engine lately, which must not keep
+// the texts of the slow one from moving there.
+func TestTextsLeaveSlowEngineForIdleOne(t *testing.T) {
+	list := engines(3, 0)
+	list[0].Pace, list[0].Own = 3*usualPace, 4
+	list[1].Own = 12
+	list[2].Pace, list[2].LastPace = 0, 0
+	pace, ok := NewBoard(list).Better(Want{Avoid: "e00", Long: true})
+	if !ok || pace != usualPace {
+		t.Errorf("a text of the slow engine would move to a pace of %s (%v), want %s", pace, ok, usualPace)
+	}
+}
+
+// Guards against a long text, or many texts, at an engine that was slow when it was last seen, and against one that is never
+// tried again.
+func TestOnceSlowEngineIsTriedWithOneShortText(t *testing.T) {
+	slow := engines(1, 0)[0]
+	slow.Pace, slow.LastPace = 0, 3*usualPace
+	full := engines(2, 0)
+	full[0].Own, full[1].Own = 12, 12
+	b := NewBoard(append(full, Engine{ID: "slow", Slots: 12, Version: 1, LastPace: slow.LastPace}))
+	if id, ok := b.Pick(Want{Long: true}); ok {
+		t.Errorf("a long text went to %s", id)
+	}
+	if id, _ := b.Pick(Want{}); id != "slow" {
+		t.Errorf("a short text went to %q, want the engine that nobody knows to be slow still", id)
+	}
+	if id, ok := b.Pick(Want{}); ok {
+		t.Errorf("a second text went to %s before the first one told its pace", id)
+	}
+}
+
+// Pattern: a step in which long texts come together, on engines that have slots for twelve and memory for three of them. An engine whose memory runs out puts the newest text back, and its step waits for that text.
+func TestLongTextsFitIntoMemory(t *testing.T) {
+	const memory = 44000
+	place := func(known int) (worst float64) {
+		random := rand.New(rand.NewPCG(1, 2))
+		list := engines(11, known)
+		held := map[string][]Run{}
+		b := NewBoard(list)
+		for i := range 132 {
+			r := Run{Held: 270, Remaining: 300 + random.IntN(3000)}
+			if i%2 == 0 {
+				r.Remaining = 12800
+			}
+			if id, ok := b.Pick(Want{Run: r}); ok {
+				held[id] = append(held[id], r)
+			}
+		}
+		for _, runs := range held {
+			worst = max(worst, float64(peakMemory(runs))/memory)
+		}
+		return worst
+	}
+	if worst := place(memory); worst > 1 {
+		t.Errorf("an engine needs %.2f of its memory", worst)
+	}
+	// 66 long texts at 11 engines leave six at one of them at least.
+	if worst := place(0); worst <= 1 {
+		t.Errorf("without memory in view no engine needs more than %.2f of it; the load shows nothing", worst)
+	}
+}
+
+// Guards against a text that finds no engine because it alone is larger than the memory.
+func TestLoneTextRunsWhateverItsSize(t *testing.T) {
+	b := NewBoard(engines(1, 1000))
+	if _, ok := b.Pick(Want{Run: Run{Held: 10, Remaining: 5000}}); !ok {
+		t.Error("the text waits for ever")
+	}
+	if _, ok := b.Pick(Want{Run: Run{Held: 10, Remaining: 10}}); ok {
+		t.Error("another text was put beside it")
+	}
+	if b.Crowded(Want{}) {
+		t.Error("an engine with free slots counts as crowded")
+	}
+}
+
+// Guards against a peak that differs from what happens when all texts grow alike and end one after the other.
+func TestPeakMemoryIsThatOfTheCourse(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		runs := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) Run {
+			return Run{Held: rapid.IntRange(0, 50).Draw(rt, "held"), Remaining: rapid.IntRange(0, 50).Draw(rt, "remaining")}
+		}), 0, 8).Draw(rt, "runs")
+		want := 0
+		for step := 0; step <= 50; step++ {
+			sum := 0
+			for _, r := range runs {
+				if r.Remaining >= step {
+					sum += r.Held + step
+				}
+			}
+			want = max(want, sum)
+		}
+		if got := peakMemory(runs); got != want {
+			rt.Fatalf("peak %d, want %d", got, want)
+		}
+	})
+}
+
+// Pattern: a hundred hosts that see the same reports choose at the same time. Reports that are a second old must not send
+// all of them to the same engine.
+func TestChoosersWithOneViewSpread(t *testing.T) {
+	const choosers, count = 100, 49
+	chosen := map[string]int{}
+	for range choosers {
+		list := engines(count, 0)
+		for i := range list {
+			list[i].Slots, list[i].Others = 6, 3
+		}
+		id, _ := NewBoard(list).Pick(Want{})
+		chosen[id]++
+	}
+	for id, n := range chosen {
+		if limit := int(math.Ceil(5.0 * choosers / count)); n > limit {
+			t.Errorf("%d of %d hosts chose %s, want at most %d", n, choosers, id, limit)
+		}
+	}
+}
+
+// Guards against engines that do not serve the wanted weights, refuse, or are full.
+func TestFilter(t *testing.T) {
+	for name, change := range map[string]func(e *Engine){
+		"old weights": func(e *Engine) { e.Version = 0 },
+		"avoided":     func(e *Engine) { e.Avoided = true },
+		"full":        func(e *Engine) { e.Own = 12 },
+		"full with others, beyond the room for old reports": func(e *Engine) { e.Others, e.Own = 12, reportedRoom },
+	} {
+		list := engines(1, 0)
+		change(&list[0])
+		if _, ok := NewBoard(list).Pick(Want{MinVersion: 1}); ok {
+			t.Errorf("%s: a text was placed", name)
+		}
+	}
+}
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -27,6 +27,8 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Load holds the requests that the process has in flight at each upstream.
 	Load map[string]int `json:"load,omitempty"`
+	// Tokens holds what its texts hold of the memory of each upstream.
+	Tokens map[string]int `json:"tokens,omitempty"`
 	// Processor is what the process gets of the processor, in cores, and Items the unfinished items of its jobs.
 	Processor float64 `json:"processor"`
 	Items     int     `json:"items"`
--- a/upstreamcall/order.go
+++ b/upstreamcall/order.go
@@ -48,4 +48,6 @@
 	// Loading reports whether an order is in progress.
 	Loading         bool
 	Queued, Running int
+	// MemoryTokens is how many tokens the requests that run there may hold together; 0 when it is not known.
+	MemoryTokens int
 }
--- a/upstreamhealth/health.go
+++ b/upstreamhealth/health.go
@@ -5,7 +5,10 @@
 // until one succeeds.
 package upstreamhealth
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Times for which an upstream is left alone.
 const (
@@ -14,13 +17,16 @@
 	maxPause   = 2 * time.Second
 	// burst is the time within which failures of requests that ran together count as one.
 	burst = 100 * time.Millisecond
-	// speedWeight is the weight of the newest observation in the moving average of the pace.
-	speedWeight = 0.2
+	// paceWindow is the time constant of the moving average of the pace. An upstream that works on many requests at once is
+	// observed hundreds of times a second, so that an average over a number of observations would follow every hiccup.
+	paceWindow = 500 * time.Millisecond
 	// paceValid is how long a pace counts without a new observation. A slow upstream that got no work for so long is
 	// tried again, because it may have recovered.
 	paceValid = 2500 * time.Millisecond
 	// minObserved is the number of observations from which a pace counts.
 	minObserved = 3
+	// fullyObserved is the number of observations from which the average moves with time alone.
+	fullyObserved = 10
 )
 
 // Health is the judgement of one upstream.
@@ -78,10 +84,16 @@
 
 // Observe takes the time that one unit of work took.
 func (h *Health) Observe(pace time.Duration, now time.Time) {
-	if now.Sub(h.pacedAt) > paceValid {
+	since := now.Sub(h.pacedAt)
+	if since > paceValid {
 		h.pace, h.observed = pace, 0
 	}
-	h.pace += time.Duration(speedWeight * float64(pace-h.pace))
+	// The first observations count alike, so that the average does not hang on the first one.
+	weight := max(1-math.Exp(-float64(since)/float64(paceWindow)), 1/float64(h.observed+1))
+	if h.observed >= fullyObserved {
+		weight = 1 - math.Exp(-float64(since)/float64(paceWindow))
+	}
+	h.pace += time.Duration(weight * float64(pace-h.pace))
 	h.pacedAt = now
 	h.observed++
 }
@@ -93,3 +105,11 @@
 	}
 	return h.pace
 }
+
+// LastPace returns the moving average as of the last observation, however old; 0 when too little was ever observed.
+func (h *Health) LastPace() time.Duration {
+	if h.observed < minObserved {
+		return 0
+	}
+	return h.pace
+}
--- a/upstreamhealth/health_test.go
+++ b/upstreamhealth/health_test.go
@@ -56,3 +56,31 @@
 		t.Errorf("pace %s after a long silence, want none", got)
 	}
 }
+
+// Pattern: an engine that works on a dozen texts pauses once for 400 ms, which every text shows at the same moment. It must
+// not count as slow for that, and one that turns slow must be known within half a second.
+func TestPaceFollowsTimeAndNotTheNumberOfTexts(t *testing.T) {
+	const usual, texts = 40 * time.Millisecond, 12
+	var h Health
+	now := time.Unix(100, 0)
+	round := func(pace time.Duration) {
+		now = now.Add(pace)
+		for range texts {
+			h.Observe(pace, now)
+		}
+	}
+	for range 50 {
+		round(usual)
+	}
+	single := h
+	single.Observe(10*usual, now.Add(time.Millisecond))
+	if got := single.Pace(now); got > usual+usual/5 {
+		t.Errorf("one late event of one text makes the pace %s", got)
+	}
+	for range 4 {
+		round(3 * usual)
+	}
+	if got := h.Pace(now); got < 2*usual-usual/4 {
+		t.Errorf("pace %s after half a second at %s", got, 3*usual)
+	}
+}
