Give the jobs of a trainer to one host

Ruled out: probes (15), idle timeouts (9 kept connections in 50 s were found closed).

A job that was given away is begun without another write of its record, its content and texts are read at the same time, and what an earlier job left is known to its owner without a read.

--- a/gateway/adopt.go
+++ b/gateway/adopt.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/radishshelf/radishshelf/batch"
@@ -118,28 +119,51 @@
 		e.adopting = false
 		g.mu.Unlock()
 	}()
-	spec, err := g.readSpec(ctx, e)
+	stored, err := g.readStored(ctx, e)
 	if err != nil {
 		g.opts.Log.Warn().Str("job", e.id).Err(err).Msg("job not taken over yet")
 		return
 	}
 	g.mu.Lock()
 	record, version := e.record, e.version
-	e.unsound = !g.isSound(e, spec)
+	e.unsound = !g.isSound(e, stored.spec)
 	unsound := e.unsound
 	g.mu.Unlock()
 	if unsound {
 		return
 	}
 	from := record.Owner
-	record.Owner, record.OwnerIncarnation = g.opts.Host, g.opts.Incarnation
-	if committed, err := g.claim(ctx, e, record, version); err != nil || !committed {
-		if err != nil {
-			g.opts.Log.Warn().Str("job", e.id).Err(err).Msg("job not taken over yet")
+	if !record.OwnedBy(g.opts.Host, g.opts.Incarnation) {
+		record.Owner, record.OwnerIncarnation = g.opts.Host, g.opts.Incarnation
+		if committed, err := g.claim(ctx, e, record, version); err != nil || !committed {
+			if err != nil {
+				g.opts.Log.Warn().Str("job", e.id).Err(err).Msg("job not taken over yet")
+			}
+			return
 		}
-		return
 	}
-	g.startAdopted(ctx, e, spec, from)
+	g.startAdopted(e, stored, from)
+}
+
+// storedJob is what the store has of a job beside its record and results.
+type storedJob struct {
+	spec  batch.Spec
+	texts map[string]batch.Text
+}
+
+// readStored reads the content and the saved texts of a job at the same time. Without its texts a job is run all the same.
+func (g *Gateway) readStored(ctx context.Context, e *jobEntry) (storedJob, error) {
+	var stored storedJob
+	var textsErr error
+	var reading sync.WaitGroup
+	reading.Go(func() { stored.texts, textsErr = g.readTexts(ctx, e.id) })
+	var err error
+	stored.spec, err = g.readSpec(ctx, e)
+	reading.Wait()
+	if textsErr != nil {
+		g.opts.Log.Warn().Str("job", e.id).Err(textsErr).Msg("texts of an adopted job not read, its items start again")
+	}
+	return stored, err
 }
 
 // isSound reports whether the record of a job fits itself and the job's content. Running the items of one that does not
@@ -180,12 +204,8 @@
 	return false, nil
 }
 
-// startAdopted reads what is stored of a job that this process owns and begins to run it.
-func (g *Gateway) startAdopted(ctx context.Context, e *jobEntry, spec batch.Spec, from string) {
-	texts, err := g.readTexts(ctx, e.id)
-	if err != nil {
-		g.opts.Log.Warn().Str("job", e.id).Err(err).Msg("texts of an adopted job not read, its items start again")
-	}
+// startAdopted begins to run a job that this process owns.
+func (g *Gateway) startAdopted(e *jobEntry, stored storedJob, from string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if e.owned != nil || !e.record.Open() || !e.record.OwnedBy(g.opts.Host, g.opts.Incarnation) {
@@ -193,8 +213,8 @@
 	}
 	g.met.jobsAdopted.Inc()
 	g.opts.Log.Info().Str("job", e.id).Str("from", from).Int("listed", e.record.Listed).Int("total", e.record.Total).
-		Int("texts", len(texts)).Msg("job taken over")
-	g.own(e, spec, texts)
+		Int("texts", len(stored.texts)).Msg("job taken over")
+	g.own(e, stored.spec, stored.texts)
 	g.reuseTexts(e)
 }
 
--- a/gateway/job_entry.go
+++ b/gateway/job_entry.go
@@ -24,6 +24,8 @@
 	cache map[int]batch.Result
 	// endedAt is the store's clock when this process learnt that the job has ended.
 	endedAt time.Duration
+	// leftover is what the job left when it ended while this process ran it; nil when that is not known here.
+	leftover *leftover
 	// adopting is set while this process takes the job over.
 	adopting bool
 	// unsound is set once the record was found to contradict itself; nobody runs such a job.
--- a/gateway/own.go
+++ b/gateway/own.go
@@ -72,6 +72,8 @@
 		g.opts.Log.Info().Str("job", e.id).Int("listed", e.record.Listed).Int("total", e.record.Total).Msg("job ended")
 		o.end()
 		// Groups that are not complete may come again in a later job.
+		e.leftover = o.leftover()
+		g.forgetLeftovers(g.storeClock())
 		g.ownedWG.Go(o.leave)
 	}
 }
--- a/gateway/reuse.go
+++ b/gateway/reuse.go
@@ -30,6 +30,11 @@
 	if len(earlier) == 0 {
 		return
 	}
+	if known, ok := knownLeftovers(earlier); ok {
+		o.job.CarryOver(known.left)
+		o.scoreAll(o.takeTexts(known.texts))
+		return
+	}
 	o.held = e.record.Listed == 0
 	g.ownedWG.Go(func() {
 		left, texts := g.leftOf(o.ctx, earlier, o.job.Spec.MinVersion)
@@ -43,6 +48,11 @@
 	})
 }
 
+// trainerOf names the trainer that handed a job in: all its jobs have the workspace, route and model in common.
+func trainerOf(r *batch.Record) string {
+	return r.Workspace + " " + r.Host + r.PathPrefix + " " + r.Model
+}
+
 // scoreAll obtains the scores of whole texts and has the lister look for items that need none.
 func (o *ownedJob) scoreAll(list []*batch.Progress) {
 	for _, p := range list {
@@ -61,7 +71,7 @@
 	var lastAccepted time.Duration
 	for _, other := range g.jobs {
 		r := &other.record
-		if other == e || r.Model != e.record.Model || r.Workspace != e.record.Workspace || r.PathPrefix != e.record.PathPrefix ||
+		if other == e || trainerOf(r) != trainerOf(&e.record) ||
 			r.AcceptedAt > e.record.AcceptedAt || e.record.AcceptedAt-r.AcceptedAt > reuseAge {
 			continue
 		}
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -46,7 +46,7 @@
 		MinVersion: spec.MinVersion, AcceptedBy: g.opts.Incarnation, AcceptedAt: g.storeClock(),
 		Due: t.route.Due, Lifetime: t.route.ItemLifetime, Total: len(spec.Items),
 	}
-	record.Owner, record.OwnerIncarnation = g.chooseOwner(len(spec.Items))
+	record.Owner, record.OwnerIncarnation = g.chooseOwner(trainerOf(&record), len(spec.Items))
 	if known != nil && known.record.Workspace == record.Workspace {
 		g.mu.Unlock()
 		return accepted(), nil
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -94,10 +94,13 @@
 func (v *View) fresh(p *peer) bool { return v.watched-p.heardAt < v.deadAfter }
 
 // Live returns the beats of the processes that run, ordered by host.
-func (v *View) Live() []Beat {
+func (v *View) Live() []Beat { return v.HeardWithin(v.deadAfter) }
+
+// HeardWithin returns the beats of the processes whose last one is younger than d of watched time, ordered by host.
+func (v *View) HeardWithin(d time.Duration) []Beat {
 	var list []Beat
 	for _, p := range v.peers {
-		if v.fresh(p) {
+		if v.watched-p.heardAt < d {
 			list = append(list, p.beat)
 		}
 	}
