Load versions as far as loads are free

Cause: only one half of a model's engines loaded each version.

Change: where texts go on through a load, further engines follow up to the free loads of a version, the least busy first. Where loads wait for running texts the halves stay.

--- a/gateway/duty_work.go
+++ b/gateway/duty_work.go
@@ -109,7 +109,7 @@
 	for _, e := range w.g.upstreams.Ready(service) {
 		list = append(list, versionplan.Upstream{
 			ID: e.ID, DataCentre: e.DataCentre, Usable: !w.g.healthOf(e.ID).Suspect(), Orders: w.orders[incarnationOf(e)],
-			Versions: e.Versions,
+			Versions: e.Versions, Running: w.g.inFlight[e.ID] + w.g.othersLoad[e.ID],
 		})
 	}
 	return list
@@ -119,7 +119,7 @@
 func (g *Gateway) demands(models []string) []versionplan.Demand {
 	var list []versionplan.Demand
 	for _, model := range models {
-		d := versionplan.Demand{Model: model, Newest: g.named[model]}
+		d := versionplan.Demand{Model: model, Newest: g.named[model], Waits: g.config.SingleVersion()}
 		for _, e := range g.jobs {
 			if e.record.Model == model && e.record.Open() && !g.expired(e) {
 				d.Oldest = max(d.Oldest, e.record.MinVersion)
--- a/versionplan/plan.go
+++ b/versionplan/plan.go
@@ -1,8 +1,9 @@
 // Package versionplan decides which upstream loads which weight version of which model, and when. It is pure code.
 //
 // Each model is served by one and a half times its even share of the upstreams. A step accepts texts of the newest version
-// and of the one before, so the upstreams of a model load every other version in two alternating halves. One half always
-// serves the newest step while the other one loads.
+// and of the one before, so at least one half of the upstreams of a model loads each version while the other half serves the
+// step. Where running texts go on through a load, further upstreams follow as far as loads are free: the fewer are left
+// behind, the fewer have to load at the start of the next step, which finds no upstream that is two versions behind.
 package versionplan
 
 import (
@@ -20,6 +21,8 @@
 	DataCentre string
 	// Usable upstreams take work; the others keep their place for a while but load nothing.
 	Usable bool
+	// Running is the number of requests in flight there.
+	Running int
 	// Orders is the number of orders that the upstream accepted, as far as it is known.
 	Orders int64
 	// Versions are the versions that it serves.
@@ -39,6 +42,8 @@
 	Newest int64
 	// Oldest is the highest minimum version of the open jobs; 0 when there is none.
 	Oldest int64
+	// Waits tells that a load waits until the running texts have ended, so that it blocks its upstream for seconds.
+	Waits bool
 }
 
 // Load is an order to an upstream to load a version.
@@ -191,7 +196,6 @@
 	}
 	members := Members(list, d.Model, models)
 	floor := max(d.Newest-1, d.Oldest)
-	half := (len(members) + 1) / 2
 	var stale, older []Upstream
 	newest := 0
 	for _, u := range members {
@@ -208,14 +212,26 @@
 	}
 	q.members, q.serving = len(members), newest+len(older)
 	q.wanting = stale
-	if missing := half - newest - len(stale); missing > 0 {
+	if missing := loadsOf(list, members, d, models) - newest - len(stale); missing > 0 {
+		slices.SortStableFunc(older, func(a, b Upstream) int { return cmp.Compare(a.Running, b.Running) })
 		q.wanting = append(q.wanting, older[:min(missing, len(older))]...)
 	}
 	return q
 }
 
-// shareOfModel is how many times the even share of the upstreams a model is served by. Each loads every other version, so
-// that up to twice the even share costs no paid load; above one and a half the loads take longer than a step.
+// loadsOf is how many members load each version: a half, and as many as there are free loads where that costs no capacity.
+// The free loads of a version are the even share of all upstreams.
+func loadsOf(list, members []Upstream, d Demand, models int) int {
+	half := (len(members) + 1) / 2
+	if d.Waits {
+		return half
+	}
+	return max(half, len(list)/max(models, 1))
+}
+
+// shareOfModel is how many times the even share of the upstreams a model is served by. Each loads at least
+// every other version, so that up to twice the even share costs no paid load; above one and a half the loads take longer than
+// a step.
 const shareOfModel = 1.5
 
 // Members returns the usable upstreams that serve a model, out of list, when the upstreams are shared by models models.
--- a/versionplan/plan_test.go
+++ b/versionplan/plan_test.go
@@ -163,3 +163,40 @@
 		}
 	}
 }
+
+// Pattern: one trainer, all upstreams for one model, a version every four seconds, loads of a second that slow each other down
+// beyond two at a time. An upstream that is two versions behind takes no text of the new step, so the fewer the better.
+func TestFewUpstreamsAreLeftBehind(t *testing.T) {
+	f := newFleet(11, "fares")
+	worst := 0
+	for version := int64(2); version <= 12; version++ {
+		d := Demand{Model: "fares", Newest: version, Oldest: version - 1}
+		if behind := len(f.list) - f.at("fares", version-1); version > 4 {
+			worst = max(worst, behind)
+		}
+		before := f.loads
+		for range 4 {
+			for _, l := range f.planner.Next(f.list, []Demand{d}, f.now) {
+				f.planner.Sent(l, f.now)
+				f.planner.Accepted(l, f.now)
+				f.serve(l)
+			}
+			f.now = f.now.Add(time.Second)
+		}
+		if got := f.loads - before; got > len(f.list) {
+			t.Errorf("version %d took %d loads; %d are free", version, got, len(f.list))
+		}
+	}
+	if worst > 3 {
+		t.Errorf("%d of 11 upstreams are two versions behind when a version is named", worst)
+	}
+}
+
+// Guards against loads that block upstreams for seconds where a load waits for the running texts.
+func TestWaitingLoadsAreKeptFew(t *testing.T) {
+	f := newFleet(11, "fares")
+	f.settle(t, []Demand{{Model: "fares", Newest: 2, Oldest: 1, Waits: true}})
+	if f.loads != 6 {
+		t.Errorf("%d of 11 upstreams loaded the version, want a half", f.loads)
+	}
+}
