Collect results for half of a reader's wait, unless the trainer has enough

It pauses between two reads; answered with the first of several results it learnt of the last one a pause later.

Ruled out: listing (0.05 s from a complete text to its row).

Change: a reader that allows a wait is answered at once when the listed groups are enough for its trainer, else after half of the wait, and never after the time at which the results are due. The record says when there is enough.

--- /dev/null
+++ b/batch/enough_test.go
@@ -0,0 +1,35 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Guards against a reader who is left to wait although all groups that the trainer waits for are whole, and against a job
+// that counts as done while a group that comes again is missing.
+func TestEnoughGroups(t *testing.T) {
+	spec := Spec{Desired: 2}
+	for i := range 6 {
+		spec.Items = append(spec.Items, Item{ID: fmt.Sprint("i", i), Group: fmt.Sprint("g", i/2)})
+	}
+	j := NewJob(spec, Record{}, Limits{})
+	j.CarryOver(map[string]Left{"i0": {Events: 3}})
+	finish := func(id string) {
+		p, _ := j.Get(id)
+		j.Start(p)
+		j.TextComplete(p, time.Time{})
+	}
+	for _, id := range []string{"i2", "i3", "i4", "i5"} {
+		finish(id)
+	}
+	if j.EnoughWith(4) {
+		t.Error("enough without the group that comes again")
+	}
+	j.MarkListed(4)
+	finish("i0")
+	finish("i1")
+	if j.EnoughWith(1) || !j.EnoughWith(2) {
+		t.Error("enough is reached with both items of the group that comes again, not before")
+	}
+}
--- a/batch/job.go
+++ b/batch/job.go
@@ -209,6 +209,28 @@
 	return j.Record.Done.With(list...)
 }
 
+// EnoughWith reports whether the trainer has all groups that it waits for once the first n unlisted results stand in the
+// store: as many as it desires, those that come again from an earlier job among them.
+func (j *Job) EnoughWith(n int) bool {
+	listed := make(map[*Progress]bool, n)
+	for _, p := range j.finished[:n] {
+		listed[p] = true
+	}
+	missing, groups := map[string]bool{}, map[string]bool{}
+	for _, p := range j.items {
+		groups[p.Item.Group] = true
+		if p.Phase != Listed && !listed[p] {
+			missing[p.Item.Group] = true
+		}
+	}
+	for name := range missing {
+		if j.carried[name] {
+			return false
+		}
+	}
+	return len(groups)-len(missing) >= j.needed
+}
+
 // MarkListed tells that the first n unlisted results stand in the store.
 func (j *Job) MarkListed(n int) {
 	for _, p := range j.finished[:n] {
--- a/batch/record.go
+++ b/batch/record.go
@@ -26,6 +26,8 @@
 	// Done has a bit for each item, in the order of the job's content, that is set once the item is listed. With it a
 	// successor need not read the results.
 	Done Bits `json:"done,omitempty"`
+	// Enough is set once the listed items hold all groups that the trainer waits for.
+	Enough bool `json:"enough,omitempty"`
 	// Chunks is the number of rows that hold the content.
 	Chunks int  `json:"chunks"`
 	Ended  bool `json:"ended,omitempty"`
--- a/gateway/list.go
+++ b/gateway/list.go
@@ -109,12 +109,13 @@
 		o.g.mu.Lock()
 		record, version := o.entry.record, o.entry.version
 		done, stale := o.job.DoneWith(len(results)), o.savedOf(results)
+		enough := o.job.EnoughWith(len(results))
 		o.g.mu.Unlock()
 		if record.Listed != position {
 			return o.noteEarlierTry(results, position)
 		}
 		record.Listed += len(results)
-		record.Done = done
+		record.Done, record.Enough = done, enough
 		value, err := json.Marshal(record)
 		if err != nil {
 			o.g.opts.Log.Error().Str("job", o.entry.id).Err(err).Msg("record not encoded")
--- a/gateway/results.go
+++ b/gateway/results.go
@@ -97,28 +97,45 @@
 	return refuseFor(outcome.KindStoreDown, "the store does not answer", retryStart)
 }
 
-// waitListed waits until a result stands at a position.
+// collectShare is the part of a reader's wait for which results are collected before it is answered. Readers pause between
+// two reads, so that one who is answered with the first result learns of the last ones a pause later. The rest of the wait
+// is for a reader for whom there is nothing yet.
+const collectShare = 0.5
+
+// waitListed waits until there is something to tell a reader about the results from a position on.
 func (g *Gateway) waitListed(ctx context.Context, e *jobEntry, after int, wait time.Duration) batch.Record {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	collected := time.NewTimer(g.collectTime(e, wait))
+	defer collected.Stop()
+	waited := wait <= 0
 	for {
 		g.mu.Lock()
 		record, changed := e.record, e.changed
 		g.mu.Unlock()
-		if record.Listed > after || record.Listed == record.Total || record.Ended {
+		if ctx.Err() != nil || record.Ended || record.Listed == record.Total || record.Listed > after && (waited || record.Enough) {
 			return record
 		}
 		select {
 		case <-ctx.Done():
-			return record
 		case <-changed:
-			if ctx.Err() != nil {
-				return record
-			}
+		case <-collected.C:
+			waited = true
 		}
 	}
 }
 
+// collectTime is how long results are collected for a reader: not beyond the time at which they are due.
+func (g *Gateway) collectTime(e *jobEntry, wait time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	collect := time.Duration(collectShare * float64(wait))
+	if left := e.record.AcceptedAt + e.record.Due - g.storeClock(); left > 0 {
+		collect = min(collect, left)
+	}
+	return collect
+}
+
 // sureRecord returns a record that is at most viewFresh old.
 func (g *Gateway) sureRecord(ctx context.Context, e *jobEntry) (batch.Record, error) {
 	g.mu.Lock()
--- /dev/null
+++ b/gateway/results_test.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/radishshelf/radishshelf/batch"
+	"github.com/radishshelf/radishshelf/call"
+	"github.com/radishshelf/radishshelf/upstreamcall"
+)
+
+// readOnce reads a job from a position on and returns the results and the time that the answer took.
+func (w *world) readOnce(g *Gateway, id string, after int, wait time.Duration) ([]batch.Result, time.Duration) {
+	w.t.Helper()
+	began := time.Now()
+	page, err := g.Results(w.t.Context(), call.BatchRequest{ID: id, Host: testHost, Key: testKey, After: after, Wait: wait})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return page.Results, time.Since(began)
+}
+
+// staggered makes the items of testItems finish one after the other, a step apart; those from hanging on never do.
+func (w *world) staggered(step time.Duration, hanging int) {
+	number := func(r *upstreamcall.Request) (n int) {
+		_, _ = fmt.Sscanf(r.ID, "item-%d", &n)
+		return n
+	}
+	w.engine.hangs = func(r *upstreamcall.Request) bool { return number(r) >= hanging }
+	w.engine.script(func(r *upstreamcall.Request) (*upstreamcall.Answer, error) {
+		time.Sleep(time.Duration(number(r)) * step)
+		return nil, nil
+	})
+}
+
+// Pattern: the last texts of a step finish a few hundred milliseconds apart, and its trainer pauses between two reads. A
+// reader who is answered with the first of them learns of the last one a pause later.
+func TestReaderIsAnsweredOnceAllIsThere(t *testing.T) {
+	w := newWorld(t)
+	w.addUpstream("e2", engineName, 16, map[string]int64{testModel: 1})
+	g := w.start("a")
+	w.staggered(40*time.Millisecond, 8)
+	w.mustSubmit(g, "job-1", testItems(8)...)
+	results, took := w.readOnce(g, "job-1", 0, 2*time.Second)
+	if len(results) != 8 {
+		t.Errorf("%d of 8 results in the first answer", len(results))
+	}
+	if took > 800*time.Millisecond {
+		t.Errorf("answered after %s, with all results there after 0.4 s", took)
+	}
+}
+
+// Guards against results that are kept from a reader while others are missing.
+func TestReaderGetsWhatIsThereAfterHalfItsWait(t *testing.T) {
+	w := newWorld(t)
+	w.addUpstream("e2", engineName, 16, map[string]int64{testModel: 1})
+	g := w.start("a")
+	w.staggered(20*time.Millisecond, 7)
+	w.mustSubmit(g, "job-1", testItems(8)...)
+	const wait = time.Second
+	results, took := w.readOnce(g, "job-1", 0, wait)
+	if len(results) != 7 || took > time.Duration(collectShare*float64(wait))+200*time.Millisecond {
+		t.Errorf("%d of 7 results after %s", len(results), took)
+	}
+	if again, took := w.readOnce(g, "job-1", 0, 0); len(again) != 7 || took > 200*time.Millisecond {
+		t.Errorf("a reader who does not wait got %d of 7 results after %s", len(again), took)
+	}
+}
+
+// Guards against results that miss the time at which they are due because more of them were collected.
+func TestResultsAreNotHeldBeyondTheTimeTheyAreDue(t *testing.T) {
+	w := newWorld(t)
+	w.addUpstream("e2", engineName, 16, map[string]int64{testModel: 1})
+	g := w.start("a")
+	w.staggered(0, 7)
+	w.mustSubmit(g, "job-1", testItems(8)...)
+	w.eventually("results are listed", func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.jobs["job-1"].record.Listed == 7
+	})
+	g.mu.Lock()
+	e := g.jobs["job-1"]
+	e.record.Due = g.storeClock() - e.record.AcceptedAt + 300*time.Millisecond
+	g.mu.Unlock()
+	if results, took := w.readOnce(g, "job-1", 0, 2*time.Second); len(results) != 7 || took > 600*time.Millisecond {
+		t.Errorf("%d of 7 results after %s; they were due after 0.3 s", len(results), took)
+	}
+}
