--- a/batch/pacing.go
+++ b/batch/pacing.go
@@ -4,9 +4,9 @@
 
 // Values of the pacing of a job.
 const (
-	// paceTarget is the time over which the items of a job are started. The longest text of a job takes several seconds and
-	// starts first, so that short texts may wait for connections and slots that are in use already.
-	paceTarget = 1500 * time.Millisecond
+	// paceTarget is the time over which the items of a job are started. Short texts may wait for connections that are in use
+	// already, but not for long: an estimate may be wrong, and a long text that starts late makes its step late.
+	paceTarget = 700 * time.Millisecond
 	// minConcurrency keeps small jobs from being paced at all.
 	minConcurrency = 24
 )
