Do not send a suspect on after it has failed again

Cause: standin/fleet:TestCrashingRequest failed once beside load; one attempt of a suspect reached two engines within 6 ms. The first crash made the request a suspect at its entry, which let it run alone. When it crashed the second engine, the entry knew of one death still, because the second one counts only once the agent's heartbeat has named it, and the retry policy allows a repeat of an idempotent request while the budget lasts: with budget left the entry sent it to a third engine.

Ruled out: the agents (their lists were right 5 ms after the crash), the quarantine list (it counts two deaths as refused).

Change: an entry refuses a suspect that failed once more while it ran alone, until the agents have reported. The answer then is the failure of the upstream, not the quarantine, whose status promises that the request has not run. TestSuspectThatFailsAgainIsNotSentOn fails without the change.

--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -26,7 +26,7 @@
 	// loads are reports that came with answers and are newer than the last heartbeat.
 	loads map[string]answeredLoad
 	// suspects are requests whose upstream has just failed, and until when they count as suspects.
-	suspects map[string]time.Time
+	suspects map[string]localSuspect
 	// reserved counts the exclusive requests of this entry by upstream.
 	reserved map[string]int
 }
@@ -47,7 +47,7 @@
 	f := &Fleet{
 		members: membership.New(membership.Options{}), prefixes: prefixindex.New(prefixindex.DefaultConfig()),
 		inFlight: routing.NewInFlight(), quarantine: quarantine.New(quarantine.DefaultConfig()),
-		loads: map[string]answeredLoad{}, suspects: map[string]time.Time{}, reserved: map[string]int{},
+		loads: map[string]answeredLoad{}, suspects: map[string]localSuspect{}, reserved: map[string]int{},
 	}
 	f.router = routing.New(config, f.prefixes, f.inFlight, random)
 	return f
--- a/entry/fleetsuspects.go
+++ b/entry/fleetsuspects.go
@@ -13,33 +13,45 @@
 	maxLocalSuspects = 4096
 )
 
-// checkQuarantine says how a request may run. A request whose upstream has just failed counts as a suspect at once:
-// waiting for the agent's heartbeat would let it take the next upstream with it.
+// localSuspect is a request whose upstream failed while it ran, as this entry saw it.
+type localSuspect struct {
+	until time.Time
+	// again is set when it was a suspect already and ran alone.
+	again bool
+}
+
+// checkQuarantine says how a request may run. A request whose upstream has just failed counts as a suspect at once, and one
+// that failed once more as a suspect is refused: waiting for the agent's heartbeat would let it take the next upstream with
+// it.
 func (f *Fleet) checkQuarantine(fingerprint string, now time.Time) quarantine.Verdict {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	verdict := f.quarantine.Check(fingerprint, now)
-	until, suspect := f.suspects[fingerprint]
-	if verdict.Action == quarantine.Run && suspect && now.Before(until) {
-		return quarantine.Verdict{Action: quarantine.RunAlone, Remaining: until.Sub(now)}
+	local, suspect := f.suspects[fingerprint]
+	if verdict.Action == quarantine.Refuse || !suspect || !now.Before(local.until) {
+		return verdict
+	}
+	verdict.Action, verdict.Remaining = quarantine.RunAlone, max(verdict.Remaining, local.until.Sub(now))
+	if local.again {
+		verdict.Action, verdict.Remaining = quarantine.Refuse, local.until.Sub(now)
 	}
 	return verdict
 }
 
-// suspect notes that the upstream of a request failed while it ran.
-func (f *Fleet) suspect(fingerprint string, now time.Time) {
+// suspect notes that the upstream of a request failed while it ran. again tells that the request was a suspect before.
+func (f *Fleet) suspect(fingerprint string, again bool, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(f.suspects) >= maxLocalSuspects {
 		f.dropSuspects(now)
 	}
-	f.suspects[fingerprint] = now.Add(suspectHold)
+	f.suspects[fingerprint] = localSuspect{until: now.Add(suspectHold), again: again}
 }
 
 // dropSuspects forgets those whose time is over, or all when none is; agents name the real ones soon.
 func (f *Fleet) dropSuspects(now time.Time) {
-	for fingerprint, until := range f.suspects {
-		if !now.Before(until) {
+	for fingerprint, local := range f.suspects {
+		if !now.Before(local.until) {
 			delete(f.suspects, fingerprint)
 		}
 	}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -67,7 +67,11 @@
 			return delivery{}, coverAttempts(refusal, worst)
 		}
 		if err := e.checkSuspect(j); err != nil {
-			return delivery{}, coverAttempts(asRefusal(err), worst)
+			if worst != outcome.NotRun {
+				// The status of a quarantined request promises that it has not run.
+				return delivery{}, coverAttempts(refusal, worst)
+			}
+			return delivery{}, asRefusal(err)
 		}
 		excluded = append(excluded, choice.upstream.Name)
 	}
@@ -148,7 +152,7 @@
 		e.fleet.refused(choice.upstream.Name, e.now())
 		return
 	}
-	e.fleet.suspect(j.fingerprint, e.now())
+	e.fleet.suspect(j.fingerprint, j.exclusive, e.now())
 }
 
 // truncated describes an answer that began and did not end.
--- a/entry/suspect_test.go
+++ b/entry/suspect_test.go
@@ -40,6 +40,28 @@
 	}
 }
 
+// Guards against a request that crashes a second upstream and is sent to a third one at once, before the agents have reported
+// what ran there.
+func TestSuspectThatFailsAgainIsNotSentOn(t *testing.T) {
+	r := newRig(t, func(o *Options) { o.Settings.RetryShare = 1 })
+	var crashes atomic.Int32
+	crash := func(http.ResponseWriter, *http.Request) {
+		crashes.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+	for _, name := range []string{"desk-1", "desk-2", "desk-3"} {
+		r.upstream(name, fleetconfig.UpstreamService, "desk", newAgent(t, crash))
+	}
+	r.do("POST", "/fare", testSecret, "poison").wantRefusal(t, outcome.KindUpstreamFailed, outcome.MayHaveRun)
+	if crashes.Load() != 2 {
+		t.Fatalf("one request crashed %d upstreams, want 2", crashes.Load())
+	}
+	r.do("POST", "/fare", testSecret, "poison").wantRefusal(t, outcome.KindQuarantined, outcome.NotRun)
+	if crashes.Load() != 2 {
+		t.Errorf("its repeat reached an upstream, before the agents have reported the crashes")
+	}
+}
+
 // Guards against the quarantine of every request without a body on a route because one of them crashed its upstream.
 func TestSuspectIsOneTarget(t *testing.T) {
 	r := newRig(t, nil)
