Reach the store through peers that reach it

Change: a host remembers the peer through which it reached the store, and puts those through which it did not last for 3 s; a peer that is turned away itself says so at once.

--- a/cmd/radishshelf-gateway/process.go
+++ b/cmd/radishshelf-gateway/process.go
@@ -18,7 +18,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/radishshelf/radishshelf/gateway"
-	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/logging"
 	"github.com/radishshelf/radishshelf/platform"
 	"github.com/radishshelf/radishshelf/rowrelay"
@@ -92,7 +91,7 @@
 func timing(b platform.Bounds) gateway.Timing {
 	return gateway.Timing{
 		Lease: b.Lease, Grace: b.Grace, UsageWindow: b.UsageWindow, UsageLate: b.UsageLate, BatchLifetime: b.BatchLifetime,
-		Settle: b.Settle,
+		Settle: b.Settle, CancelApply: b.CancelApply,
 	}
 }
 
@@ -103,10 +102,10 @@
 	p.duties = platform.NewDutyClient(s.DutyAddress, platform.Dialer(storeDialTimeout))
 	peerClient := &http.Client{Transport: &http.Transport{DialContext: platform.Dialer(peerDialTimeout)}}
 	var g *gateway.Gateway
-	peers := func() []hosting.Rows {
-		var list []hosting.Rows
+	peers := func() []rowrelay.Way {
+		var list []rowrelay.Way
 		for _, address := range g.PeerAddresses() {
-			list = append(list, rowrelay.NewPeer(address, peerClient))
+			list = append(list, rowrelay.Way{Name: address, Rows: rowrelay.NewPeer(address, peerClient)})
 		}
 		return list
 	}
@@ -168,7 +167,7 @@
 	}{
 		{p.settings.FrontAddress, p.front},
 		{p.settings.ReadyAddress, plain(platform.NewReadyHandler(p.gateway))},
-		{net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.FirstPort)), plain(rowrelay.NewHandler(p.newStore()))},
+		{net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.FirstPort)), plain(rowrelay.NewHandler(p.newStore(), p.rows.Relaying))},
 		{net.JoinHostPort(p.settings.IP, metricsPort), status},
 	} {
 		listener, err := net.Listen("tcp", l.address)
--- a/rowrelay/client.go
+++ b/rowrelay/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -20,16 +19,17 @@
 	firstAvoid = 500 * time.Millisecond
 	maxAvoid   = 4 * time.Second
 	// relayTries is how many peers are asked for one call.
-	relayTries = 2
+	relayTries = 3
 )
 
 // Client makes calls directly, or through a peer while the direct way fails. It implements hosting.Rows.
 type Client struct {
 	direct hosting.Rows
 	// peers returns the processes through which calls may go.
-	peers func() []hosting.Rows
+	peers func() []Way
 
 	mu         sync.Mutex
+	ways       wayOrder
 	avoidUntil time.Time
 	avoid      time.Duration
 	// open holds the calls on their way.
@@ -41,8 +41,8 @@
 var _ hosting.Rows = (*Client)(nil)
 
 // New returns a client. peers is called for each call that cannot go directly.
-func New(direct hosting.Rows, peers func() []hosting.Rows) *Client {
-	return &Client{direct: direct, peers: peers, open: map[*attempt]struct{}{}}
+func New(direct hosting.Rows, peers func() []Way) *Client {
+	return &Client{direct: direct, peers: peers, ways: newWayOrder(), open: map[*attempt]struct{}{}}
 }
 
 // Relaying reports whether calls go through peers now.
@@ -114,15 +114,15 @@
 }
 
 func throughPeers[T any](ctx context.Context, c *Client, wait time.Duration, do operation[T]) (T, error) {
-	peers := c.peers()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	peers := c.orderedPeers()
 	var result T
 	var err error = errNoPeer
 	for _, peer := range peers[:min(relayTries, len(peers))] {
 		if ctx.Err() != nil {
 			break
 		}
-		result, err = relayed(ctx, c, peer, wait, do)
+		result, err = relayed(ctx, c, peer.Rows, wait, do)
+		c.noteWay(ctx, peer.Name, err)
 		if !turnedAway(err) {
 			break
 		}
@@ -136,6 +136,26 @@
 	return do(ctx, peer)
 }
 
+func (c *Client) orderedPeers() []Way {
+	peers := c.peers()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ways.order(peers, time.Now())
+}
+
+// noteWay learns from a call through a peer whether that way works.
+func (c *Client) noteWay(ctx context.Context, name string, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if turnedAway(err) || hosting.IsKind(err, hosting.KindUnknown) {
+		if ctx.Err() == nil {
+			c.ways.failed(name, time.Now())
+		}
+		return
+	}
+	c.ways.worked(name)
+}
+
 // turnedAway reports whether another way may serve a call: it failed and surely had no effect.
 func turnedAway(err error) bool {
 	return hosting.IsKind(err, hosting.KindUnavailable) || hosting.IsKind(err, hosting.KindLimited)
--- /dev/null
+++ b/rowrelay/gate.go
@@ -0,0 +1,58 @@
+package rowrelay
+
+import (
+	"context"
+	"time"
+
+	"github.com/radishshelf/radishshelf/hosting"
+)
+
+// gatedRows makes no call while the gate is closed.
+type gatedRows struct {
+	rows   hosting.Rows
+	closed func() bool
+}
+
+var _ hosting.Rows = (*gatedRows)(nil)
+
+// check returns the failure of a call that was not made.
+func (g *gatedRows) check(op string) error {
+	if !g.closed() {
+		return nil
+	}
+	return &hosting.Error{Kind: hosting.KindUnavailable, Op: op, Remedy: "ask another peer; the store turns this one away"}
+}
+
+// Commit implements hosting.Rows.
+func (g *gatedRows) Commit(ctx context.Context, txn hosting.RowTxn) (hosting.RowTxnResult, error) {
+	if err := g.check("commit"); err != nil {
+		return hosting.RowTxnResult{}, err
+	}
+	return g.rows.Commit(ctx, txn)
+}
+
+// Range implements hosting.Rows.
+func (g *gatedRows) Range(ctx context.Context, r hosting.RowRange) (hosting.RowPage, error) {
+	if err := g.check("range"); err != nil {
+		return hosting.RowPage{}, err
+	}
+	return g.rows.Range(ctx, r)
+}
+
+// Parts implements hosting.Rows.
+func (g *gatedRows) Parts(ctx context.Context, table string) ([]string, error) {
+	if err := g.check("parts"); err != nil {
+		return nil, err
+	}
+	return g.rows.Parts(ctx, table)
+}
+
+// Changes implements hosting.Rows.
+func (g *gatedRows) Changes(
+	ctx context.Context, table string, after int64, wait time.Duration,
+) (hosting.RowChanges, error) {
+	if err := g.check("changes"); err != nil {
+		return hosting.RowChanges{}, err
+	}
+	return g.rows.Changes(ctx, table, after, wait)
+}
--- a/rowrelay/server.go
+++ b/rowrelay/server.go
@@ -18,9 +18,10 @@
 	direct hosting.Rows
 }
 
-// NewHandler returns the handler that serves peers with direct calls of the store.
-func NewHandler(direct hosting.Rows) http.Handler {
-	return relaypb.NewStoreRelayServer(&server{direct: direct})
+// NewHandler returns the handler that serves peers with direct calls of the store. While turnedAway reports that this process
+// does not reach the store itself, peers are told so at once.
+func NewHandler(direct hosting.Rows, turnedAway func() bool) http.Handler {
+	return relaypb.NewStoreRelayServer(&server{direct: &gatedRows{rows: direct, closed: turnedAway}})
 }
 
 // Commit implements relaypb.StoreRelay.
