Start no item while the view of the jobs is old

An owner that hears nothing of the store, cut off or behind, went on to start items.

Change: items start only while the watch of the jobs was answered within the platform's bound less a reserve for a slow answer and a new connection; runs go on. One line tells when starts are held and when they go on, and a gauge shows it. A call of that watch waits less than the bound, so that a quiet store does not hold anything.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,8 +36,12 @@
 	beatStoredAt         time.Time
 	jobs                 map[string]*jobEntry
 	jobsRead             bool
-	health               map[string]*upstreamhealth.Health
-	fastest              map[string]fastest
+	// jobsHeardAt is when the watch of the jobs was answered last, and startsHeld tells that no item starts because that is
+	// too long ago.
+	jobsHeardAt time.Time
+	startsHeld  bool
+	health      map[string]*upstreamhealth.Health
+	fastest     map[string]fastest
 	// inFlight counts the requests of this process at each upstream.
 	inFlight map[string]int
 	// memory holds what engines said of their memory, and rates what is known of the texts of models.
--- a/gateway/job_entry.go
+++ b/gateway/job_entry.go
@@ -74,6 +74,10 @@
 
 func (g *Gateway) jobWatch() *watch {
 	w := g.newWatch(jobTable, true)
+	w.answered = g.jobsHeard
+	g.mu.Lock()
+	w.wait = min(watchWait, time.Duration(jobWatchShare*float64(g.jobViewValid())))
+	g.mu.Unlock()
 	w.apply = func(c hosting.RowChange) {
 		g.mu.Lock()
 		defer g.mu.Unlock()
--- /dev/null
+++ b/gateway/job_view.go
@@ -0,0 +1,38 @@
+package gateway
+
+import "time"
+
+const (
+	// sendReserve is left of the time within which the end of a job has to take effect: for an answer of a slow store that
+	// tells what was true before, and for a send that first opens a connection.
+	sendReserve = 800 * time.Millisecond
+	// jobWatchShare is the part of the time for which the view of the jobs holds that one call of their watch may wait, so
+	// that a quiet store does not make the view old.
+	jobWatchShare = 0.6
+)
+
+// jobViewValid is how long this process may start items after it last heard of the jobs: another process may have accepted
+// the end of one of them since. The caller holds the lock.
+func (g *Gateway) jobViewValid() time.Duration { return max(g.opts.Timing.CancelApply-sendReserve, 0) }
+
+// mayStartItems reports whether the view of the jobs is fresh enough to start items. The caller holds the lock.
+func (g *Gateway) mayStartItems(now time.Time) bool {
+	fresh := !g.jobsHeardAt.IsZero() && now.Sub(g.jobsHeardAt) < g.jobViewValid()
+	if fresh == g.startsHeld {
+		g.startsHeld = !fresh
+		g.opts.Log.Info().Bool("held", !fresh).Dur("view_age_ms", now.Sub(g.jobsHeardAt)).
+			Msg("starts of items depend on the age of the view of the jobs")
+	}
+	return fresh
+}
+
+// jobsHeard takes an answer to the watch of the jobs.
+func (g *Gateway) jobsHeard(clock time.Duration) {
+	g.storeAnswered(clock)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.jobsHeardAt = time.Now()
+	if g.startsHeld {
+		g.wake()
+	}
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -60,6 +60,14 @@
 		term, _ := g.mayAct()
 		return float64(term)
 	})
+	r.NewGauge("radishshelf_gateway_starts_held", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.startsHeld {
+			return 1
+		}
+		return 0
+	})
 	for phase, name := range map[batch.Phase]string{
 		batch.Waiting: "waiting", batch.Running: "running", batch.Scoring: "scoring", batch.Finished: "finished",
 	} {
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -55,6 +55,8 @@
 	BatchLifetime time.Duration
 	// Settle is the time after which every host must show what another one has shown.
 	Settle time.Duration
+	// CancelApply is the time after the accepted end of a job from which none of its items may be started.
+	CancelApply time.Duration
 }
 
 // UpstreamCaller sends requests and orders to upstreams. Errors of Send are *upstreamcall.Failure.
--- a/gateway/schedule.go
+++ b/gateway/schedule.go
@@ -38,7 +38,7 @@
 		return
 	}
 	candidates := g.waiting(now)
-	if len(candidates) == 0 {
+	if len(candidates) == 0 || !g.mayStartItems(now) {
 		return
 	}
 	batch.Order(candidates)
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -25,7 +25,7 @@
 
 func (g *Gateway) newWatch(table string, partitioned bool) *watch {
 	return &watch{
-		table: table, partitioned: partitioned, rows: g.opts.Rows, answered: g.storeAnswered,
+		table: table, wait: watchWait, partitioned: partitioned, rows: g.opts.Rows, answered: g.storeAnswered,
 		failed: func(err error) { g.storeFailed(table, err) },
 	}
 }
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -9,7 +9,7 @@
 
 // Times of a watch.
 const (
-	// watchWait is how long one call waits for changes. It is short so that a connection that went silent is noticed.
+	// watchWait is how long one call waits for changes at the most. It is short so that a connection that went silent is noticed.
 	watchWait = 2 * time.Second
 	// watchPause separates two calls, so that changes arrive in batches and cost fewer wake-ups.
 	watchPause = 60 * time.Millisecond
@@ -21,6 +21,8 @@
 // watch follows one table: first its whole content, then its changes.
 type watch struct {
 	table string
+	// wait is how long one call waits for changes.
+	wait time.Duration
 	// partitioned tables are read partition by partition.
 	partitioned bool
 	rows        hosting.Rows
@@ -112,7 +114,7 @@
 }
 
 func (w *watch) readChanges(ctx context.Context, after int64) (int64, error) {
-	changes, err := w.rows.Changes(ctx, w.table, after, watchWait)
+	changes, err := w.rows.Changes(ctx, w.table, after, w.wait)
 	if err != nil {
 		return after, err
 	}
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -13,7 +13,8 @@
 
 	"github.com/radishshelf/radishshelf/batch"
 	"github.com/radishshelf/radishshelf/call"
-	"github.com/radishshelf/radishshelf/standin/rows"
+	"github.com/radishshelf/radishshelf/hosting"
+	storerows "github.com/radishshelf/radishshelf/standin/rows"
 	"github.com/radishshelf/radishshelf/telemetry"
 	"github.com/radishshelf/radishshelf/upstreams"
 )
@@ -30,14 +31,14 @@
 // world is a store, some upstreams and some gateways.
 type world struct {
 	t       *testing.T
-	store   *rows.Store
+	store   *storerows.Store
 	engine  *fakeUpstreams
 	duties  *fakeDuties
 	cancels map[string]func()
 }
 
 func newWorld(t *testing.T) *world {
-	w := &world{t: t, store: rows.New(), engine: newFakeUpstreams(), duties: &fakeDuties{}, cancels: map[string]func(){}}
+	w := &world{t: t, store: storerows.New(), engine: newFakeUpstreams(), duties: &fakeDuties{}, cancels: map[string]func(){}}
 	w.store.Put("operators", "config", testConfig(1))
 	w.addUpstream("e1", engineName, 4, map[string]int64{testModel: 1})
 	w.addUpstream("p1", plainName, 4, nil)
@@ -67,14 +68,19 @@
 
 // startWith runs a gateway that gets a part of a core.
 func (w *world) startWith(host string, processor float64) *Gateway {
+	return w.startRows(host, processor, w.store)
+}
+
+// startRows runs a gateway that reaches the store in a way of its own.
+func (w *world) startRows(host string, processor float64, rows hosting.Rows) *Gateway {
 	g := New(Options{
 		Host: host, Incarnation: fmt.Sprint(time.Now().UnixNano()), DataCentre: "north-1",
 		RegionOf: map[string]string{"north-1": "north"}, PeerAddress: host, RowBytes: 64 << 10, UsageDuty: true, Processor: processor,
 		Timing: Timing{
 			Lease: 3 * time.Second, Grace: 8 * time.Second, UsageWindow: 5 * time.Second, UsageLate: 10 * time.Second,
-			BatchLifetime: 2 * time.Minute, Settle: time.Second,
+			BatchLifetime: 2 * time.Minute, Settle: time.Second, CancelApply: 3 * time.Second,
 		},
-		Rows: w.store, Upstreams: w.engine, Duties: w.duties, Codec: testCodec{}, Log: zerolog.New(logWriter{w.t}),
+		Rows: rows, Upstreams: w.engine, Duties: w.duties, Codec: testCodec{}, Log: zerolog.New(logWriter{w.t}),
 		Registry: telemetry.NewRegistry(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
