Let one host carry the large steps of a trainer

The busiest host used 0.06 of its 0.8 cores.

Change: a host carries 600 items a core, and where none can carry a job all that are near the least load are fit for it.

--- a/gateway/adopt_test.go
+++ b/gateway/adopt_test.go
@@ -105,7 +105,7 @@
 		defer weak.mu.Unlock()
 		return weak.jobs[job].record.Owner
 	}
-	items := testItems(60)
+	items := testItems(100)
 	w.mustSubmit(weak, "large", items...)
 	w.checkOnce(w.readAll(strong, "large"), items)
 	if owner("large") != "strong" {
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -1,54 +1,51 @@
 package placement
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"github.com/radishshelf/radishshelf/rendezvous"
 )
 
-// itemsPerCore is the number of unfinished items for each core that a host carries without falling behind: streaming and
-// scoring an item takes a few milliseconds, and most of the items of a job run in the first two seconds.
-const itemsPerCore = 300
-
-// ownerGain is how much less loaded another host must be when every host is over itemsPerCore. The first items start about
-// 0.1 s later there, because it reads the job from the store.
-const ownerGain = 2
+const (
+	// itemsPerCore is the number of unfinished items for each core that a host carries without falling behind: a host of 0.8
+	// cores that runs 200 items uses a tenth of them on average, and several times as much in the first second of a job.
+	itemsPerCore = 600
+	// crowdedShare is how many times the load of the least loaded host makes a host unfit where no host is below itemsPerCore.
+	crowdedShare = 1.5
+)
 
-// ChooseOwner returns the host that runs a new job of a trainer: of the hosts in the region of self that can carry it, the
-// one that a rendezvous of trainer and host ranks first. So the jobs of a trainer meet the connections of the jobs before
-// them, and hosts that choose at the same time choose alike only for the same trainer. hosts are the live ones beside self.
+// ChooseOwner returns the host that runs a new job of a trainer: of the hosts in the region of self that can carry it, or of
+// the least loaded ones where none can, the one that a rendezvous of trainer and host ranks first. So the jobs of a trainer
+// meet the connections of the jobs before them, and hosts that choose at the same time choose alike only for the same
+// trainer. A job leaves the region only for a host that can carry it. hosts are the live ones beside self.
 func ChooseOwner(trainer string, self Host, hosts []Host, items int) Host {
-	best, found := self, self.load(items) <= itemsPerCore
+	near, far := []Host{self}, []Host(nil)
 	for _, h := range hosts {
-		if h.Region == self.Region && h.load(items) <= itemsPerCore && (!found || precedes(trainer, h, best)) {
-			best, found = h, true
+		if h.Region == self.Region {
+			near = append(near, h)
+		} else {
+			far = append(far, h)
 		}
 	}
-	if found {
-		return best
+	if leastLoad(near, items) > itemsPerCore && leastLoad(far, items) <= itemsPerCore {
+		near = far
 	}
-	return leastLoaded(self, hosts, items)
+	bound := max(itemsPerCore, crowdedShare*leastLoad(near, items))
+	fit := slices.DeleteFunc(near, func(h Host) bool { return h.load(items) > bound })
+	return slices.MaxFunc(fit, func(a, b Host) int {
+		return cmp.Or(cmp.Compare(rank(trainer, a), rank(trainer, b)), cmp.Compare(b.Name, a.Name))
+	})
 }
 
-// leastLoaded returns the host with the least load, and self unless that is much less.
-func leastLoaded(self Host, hosts []Host, items int) Host {
-	best, bound := self, self.load(items)/ownerGain
+// leastLoad returns the least load of hosts with more items on top; infinite for none.
+func leastLoad(hosts []Host, items int) float64 {
+	least := math.Inf(1)
 	for _, h := range hosts {
-		load := h.load(items)
-		if load < bound || best.Name != self.Name && load == bound && h.Region == self.Region && best.Region != self.Region {
-			best, bound = h, load
-		}
-	}
-	return best
-}
-
-// precedes reports whether a ranks before b for a trainer. Ranks are drawn in proportion to the processor of a host.
-func precedes(trainer string, a, b Host) bool {
-	rankA, rankB := rank(trainer, a), rank(trainer, b)
-	if rankA != rankB {
-		return rankA > rankB
+		least = min(least, h.load(items))
 	}
-	return a.Name < b.Name
+	return least
 }
 
 // rank is the weighted rendezvous score of a host.
