Collect results for the whole wait of a reader

Change: results are collected for the whole wait, but not beyond the time at which they are late, and a reader for whom there is a good part of a page is answered at once.

--- a/gateway/results.go
+++ b/gateway/results.go
@@ -97,23 +97,30 @@
 	return refuseFor(outcome.KindStoreDown, "the store does not answer", retryStart)
 }
 
-// collectShare is the part of a reader's wait for which results are collected before it is answered. Readers pause between
-// two reads, so that one who is answered with the first result learns of the last ones a pause later. The rest of the wait
-// is for a reader for whom there is nothing yet.
-const collectShare = 0.5
+// Collecting of results for a reader who allows a wait. Readers pause between two reads, counted from the start of the first
+// one: a reader who is answered with the first of several results learns of the last one a pause later.
+const (
+	// dueSlack is how long after the time at which they are due results still count as in time for a trainer, less the time
+	// of an answer.
+	dueSlack = 500 * time.Millisecond
+	// maxCollected is the number of results from which a reader is answered at once; as many fill a good part of a page.
+	maxCollected = 32
+)
 
-// waitListed waits until there is something to tell a reader about the results from a position on.
+// waitListed waits until there is something to tell a reader about the results from a position on: all that its trainer waits
+// for, or a good part of a page, or what there is when its wait is over.
 func (g *Gateway) waitListed(ctx context.Context, e *jobEntry, after int, wait time.Duration) batch.Record {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	collected := time.NewTimer(g.collectTime(e, wait))
 	defer collected.Stop()
-	waited := wait <= 0
+	waited := false
 	for {
 		g.mu.Lock()
 		record, changed := e.record, e.changed
 		g.mu.Unlock()
-		if ctx.Err() != nil || record.Ended || record.Listed == record.Total || record.Listed > after && (waited || record.Enough) {
+		if ctx.Err() != nil || record.Ended || record.Listed == record.Total || record.Listed-after >= maxCollected ||
+			record.Listed > after && (waited || record.Enough) {
 			return record
 		}
 		select {
@@ -125,15 +132,14 @@
 	}
 }
 
-// collectTime is how long results are collected for a reader: not beyond the time at which they are due.
+// collectTime is how long results are collected for a reader: while they would be in time for its trainer.
 func (g *Gateway) collectTime(e *jobEntry, wait time.Duration) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	collect := time.Duration(collectShare * float64(wait))
-	if left := e.record.AcceptedAt + e.record.Due - g.storeClock(); left > 0 {
-		collect = min(collect, left)
+	if left := e.record.AcceptedAt + e.record.Due + dueSlack - g.storeClock(); left > 0 {
+		return min(wait, left)
 	}
-	return collect
+	return wait
 }
 
 // sureRecord returns a record that is at most viewFresh old.
