Know groups again that their trainer did not see complete

Change: an ended job also leaves the groups of its last 32 results, and a job that was listed whole leaves them too.

--- a/batch/carry_test.go
+++ b/batch/carry_test.go
@@ -65,30 +65,44 @@
 	}
 }
 
-// Guards against what an ended job leaves of complete groups, and against lengths that are lost with the text of an item.
+// Guards against what an ended job leaves of complete groups, against a group that its trainer did not see complete and that
+// comes again unknown, and against lengths that are lost with the text of an item.
 func TestLeftOfIncompleteGroups(t *testing.T) {
 	spec := Spec{Items: []Item{{ID: "a1", Group: "a"}, {ID: "a2", Group: "a"}, {ID: "b1", Group: "b"}, {ID: "b2", Group: "b"}}}
-	j := NewJob(spec, Record{Total: 4}, Limits{})
-	for n, id := range []string{"a1", "a2", "b1"} {
+	for n := range unreadResults - 1 {
+		spec.Items = append(spec.Items, Item{ID: fmt.Sprint("c", n), Group: "c"})
+	}
+	j := NewJob(spec, Record{Total: len(spec.Items)}, Limits{})
+	finish := func(id string, events int) {
 		p, _ := j.Get(id)
 		j.Start(p)
-		for event := range n + 1 {
+		for event := range events {
 			p.Text.Append(event+1, "x", 7)
 		}
 		j.TextComplete(p, time.Time{})
 	}
-	j.Record.Done, j.Record.Listed = j.DoneWith(3), 3
-	j.MarkListed(3)
+	finish("a1", 1)
+	finish("a2", 2)
+	finish("b1", 3)
+	for n := range unreadResults - 1 {
+		finish(fmt.Sprint("c", n), 4)
+	}
+	listed := len(spec.Items) - 1
+	j.Record.Done, j.Record.Listed = j.DoneWith(listed), listed
+	j.MarkListed(listed)
 	running, _ := j.Get("b2")
 	j.Start(running)
 	running.Text.Append(1, "x", 6)
 	running.Text.Append(2, "x", 7)
 	want := map[string]Left{"b1": {Events: 3, Whole: true, Oldest: 7}, "b2": {Events: 2, Oldest: 6}}
+	for n := range unreadResults - 1 { // listed last
+		want[fmt.Sprint("c", n)] = Left{Events: 4, Whole: true, Oldest: 7}
+	}
 	if got := j.Left(); !maps.Equal(got, want) {
 		t.Errorf("left %v, want %v", got, want)
 	}
 	again := NewJob(spec, j.Record, Limits{})
-	if again.Count(Listed) != 3 || again.Complete() || j.Record.Done.Count() != 3 {
-		t.Errorf("%d items listed by the record, want 3", again.Count(Listed))
+	if again.Count(Listed) != listed || again.Complete() || j.Record.Done.Count() != listed {
+		t.Errorf("%d items listed by the record, want %d", again.Count(Listed), listed)
 	}
 }
--- a/batch/job.go
+++ b/batch/job.go
@@ -20,6 +20,8 @@
 	// finished holds the items with a result that is not listed yet, in the order in which they ended.
 	finished []*Progress
 	listed   int
+	// order holds the items that this owner has listed, in the order of their positions.
+	order []*Progress
 }
 
 // NewJob returns a job as its record tells it.
@@ -237,6 +239,7 @@
 		p.Phase = Listed
 		p.result = Result{}
 		j.listed++
+		j.order = append(j.order, p)
 	}
 	j.finished = slices.Delete(j.finished, 0, n)
 }
--- a/batch/left.go
+++ b/batch/left.go
@@ -18,9 +18,17 @@
 	return left
 }
 
-// Left returns what there is of the items of the groups that are not complete, by item.
+// unreadResults is the number of results at the end of the list that the trainer may not have read when it ended its job: it
+// reads about twice a second, and a reader is answered at the latest when there are as many.
+const unreadResults = 32
+
+// Left returns what there is of the items of the groups that were not complete for the trainer, by item. A group whose last
+// result was listed just before the end may come again like one that is not complete.
 func (j *Job) Left() map[string]Left {
 	open := map[string]bool{}
+	for _, p := range j.order[max(len(j.order)-unreadResults, 0):] {
+		open[p.Item.Group] = true
+	}
 	for _, p := range j.items {
 		if p.Phase != Listed {
 			open[p.Item.Group] = true
--- a/gateway/leftover.go
+++ b/gateway/leftover.go
@@ -17,7 +17,7 @@
 	l := &leftover{left: o.job.Left(), texts: map[string]batch.Text{}}
 	for id := range l.left {
 		p, _ := o.job.Get(id)
-		if text := o.job.TextOf(p); len(text.Versions) > 0 {
+		if text := o.job.TextOf(p); text.Last() > 0 {
 			l.texts[id] = text
 		}
 	}
--- a/gateway/list.go
+++ b/gateway/list.go
@@ -33,7 +33,7 @@
 		complete := o.job.Complete()
 		if complete && o.ctx.Err() == nil {
 			o.g.opts.Log.Info().Str("job", o.entry.id).Int("total", o.entry.record.Total).Msg("job complete")
-			o.end()
+			o.finish()
 		}
 		o.g.mu.Unlock()
 		if complete {
--- a/gateway/own.go
+++ b/gateway/own.go
@@ -70,14 +70,19 @@
 		o.end()
 	} else if e.record.Ended {
 		g.opts.Log.Info().Str("job", e.id).Int("listed", e.record.Listed).Int("total", e.record.Total).Msg("job ended")
-		o.end()
-		// Groups that are not complete may come again in a later job.
-		e.leftover = o.leftover()
-		g.forgetLeftovers(g.storeClock())
-		g.ownedWG.Go(o.leave)
+		o.finish()
 	}
 }
 
+// finish ends the ownership of a job of which nothing more is to be run, and keeps what it leaves: groups that were not
+// complete for the trainer may come again in a later job. The caller holds the lock.
+func (o *ownedJob) finish() {
+	o.end()
+	o.entry.leftover = o.leftover()
+	o.g.forgetLeftovers(o.g.storeClock())
+	o.g.ownedWG.Go(o.leave)
+}
+
 // end stops everything that runs for the job. The caller holds the lock.
 func (o *ownedJob) end() {
 	o.stop()
--- a/gateway/reuse.go
+++ b/gateway/reuse.go
@@ -64,8 +64,8 @@
 	o.signal()
 }
 
-// earlierJobs returns the jobs of the same trainer that ended with items unlisted and whose groups no job since has taken
-// over: those that ended after the trainer's last job was handed in, the newest first. The caller holds the lock.
+// earlierJobs returns the jobs of the same trainer that ended and whose groups no job since has taken over: those that ended
+// after the trainer's last job was handed in, the newest first. The caller holds the lock.
 func (g *Gateway) earlierJobs(e *jobEntry) []*jobEntry {
 	var ended []*jobEntry
 	var lastAccepted time.Duration
@@ -76,7 +76,7 @@
 			continue
 		}
 		lastAccepted = max(lastAccepted, r.AcceptedAt)
-		if r.Ended && r.Listed < r.Total {
+		if r.Ended {
 			ended = append(ended, other)
 		}
 	}
