--- a/batch/progress.go
+++ b/batch/progress.go
@@ -33,6 +33,17 @@
 // RemainingEvents estimates the events that are still to be generated.
 func (p *Progress) RemainingEvents() int { return p.rate.Events(p.Remaining()) }
 
+// maxTokenBytes bounds the bytes of a token in a text; a token is a few characters, which the encoding of an event may
+// multiply.
+const maxTokenBytes = 1024
+
+// OverLimit reports whether the text is longer than its item can yield: an event holds one token at least. Such a text does
+// not end.
+func (p *Progress) OverLimit() bool {
+	limit := p.Item.Tokens - p.Item.PromptTokens
+	return limit > 0 && (p.Text.Last() > limit || p.Text.bytes > limit*maxTokenBytes)
+}
+
 // Held estimates the tokens that the text holds of an engine's memory: its prompt and what was generated.
 func (p *Progress) Held() int { return p.Item.PromptTokens + p.rate.Tokens(p.Text.Last()) }
 
--- a/batch/text.go
+++ b/batch/text.go
@@ -13,6 +13,8 @@
 	Versions []int64 `json:"versions,omitempty"`
 	// Whole tells that nothing follows. The events of a whole text may be joined into one.
 	Whole bool `json:"whole,omitempty"`
+	// bytes is the size of the events that were appended here.
+	bytes int
 }
 
 // Append adds the next event. It returns false, and changes nothing, unless id is the next one.
@@ -21,6 +23,7 @@
 		return false
 	}
 	t.Events = append(t.Events, data)
+	t.bytes += len(data)
 	if at, ok := slices.BinarySearch(t.Versions, version); !ok {
 		t.Versions = slices.Insert(t.Versions, at, version)
 	}
--- a/cmd/radishshelf-gateway/process.go
+++ b/cmd/radishshelf-gateway/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	stdlog "log"
 	"net"
 	"net/http"
 	"os"
@@ -19,6 +20,7 @@
 
 	"github.com/radishshelf/radishshelf/gateway"
 	"github.com/radishshelf/radishshelf/logging"
+	"github.com/radishshelf/radishshelf/membudget"
 	"github.com/radishshelf/radishshelf/platform"
 	"github.com/radishshelf/radishshelf/rowrelay"
 	"github.com/radishshelf/radishshelf/telemetry"
@@ -27,6 +29,8 @@
 const (
 	// memoryShare is the part of the host's memory at which the runtime collects garbage harder.
 	memoryShare = 0.6
+	// bufferShare is the part of the host's memory that answers and bodies in the making may take together.
+	bufferShare = 0.25
 	// gcPercent lets the heap grow to several times what is live: memory is cheap next to processor time.
 	gcPercent = 400
 	// storeDialTimeout and peerDialTimeout are several round trips between regions.
@@ -54,6 +58,7 @@
 	// stores are the clients of the store, for the process itself and for its peers.
 	stores []*platform.Store
 	duties *platform.DutyClient
+	memory *membudget.Budget
 	front  *http.Server
 }
 
@@ -73,13 +78,27 @@
 		return err
 	}
 	log = log.Hook(logging.NewLimiter()).With().Str("host", settings.Name).Logger()
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(log) // lines of the HTTP library
 	registry := telemetry.NewRegistry()
 	registry.NewGauge("radishshelf_gateway_log_lines_dropped", func() float64 { return float64(out.Dropped()) })
 	p := &process{path: path, settings: settings, log: log}
+	p.memory = newMemory(registry, log, settings.MemoryBytes)
 	p.gateway = p.newGateway(registry)
 	return p.serve(registry, metricsPort)
 }
 
+// newMemory returns the bound of what answers and bodies in the making take together.
+func newMemory(registry *telemetry.Registry, log zerolog.Logger, bytes int64) *membudget.Budget {
+	given := registry.NewCounter("radishshelf_gateway_memory_shed_total")
+	memory := membudget.New(int64(bufferShare*float64(bytes)), func(bytes int64) {
+		given.Inc()
+		log.Warn().Int64("bytes", bytes).Msg("largest answer or body given up, memory for them is short")
+	})
+	registry.NewGauge("radishshelf_gateway_memory_held_bytes", func() float64 { return float64(memory.Used()) })
+	return memory
+}
+
 // newStore returns a client of the store that follows changes of the settings.
 func (p *process) newStore() *platform.Store {
 	store := platform.NewStore(p.settings.StoreAddress, platform.Dialer(storeDialTimeout))
@@ -115,7 +134,8 @@
 		PeerAddress: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), RowBytes: s.StoreRowBytes,
 		Processor: s.Processor,
 		UsageDuty: s.HasUsageDuty(), ScaleDuty: s.HasScaleDuty(),
-		Timing: timing(s.Bounds), Rows: p.rows, Codec: platform.Codec{}, Log: p.log, Registry: registry,
+		Timing: timing(s.Bounds), Rows: p.rows, Codec: platform.Codec{}, Memory: p.memory, Log: p.log,
+		Registry: registry,
 		Upstreams: platform.NewUpstreamClient(platform.UpstreamDialer()), Duties: p.duties,
 	})
 	return g
@@ -152,7 +172,7 @@
 // listen opens every address of the process.
 func (p *process) listen(registry *telemetry.Registry, metricsPort string, failed chan<- error) error {
 	p.front = &http.Server{
-		Handler: platform.NewIngress(p.gateway), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+		Handler: platform.NewIngress(p.gateway, p.memory), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
 	}
 	status := telemetry.NewStatusServer(registry, p.gateway.Ready)
--- /dev/null
+++ b/gateway/endless_test.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/radishshelf/radishshelf/batch"
+	"github.com/radishshelf/radishshelf/membudget"
+	"github.com/radishshelf/radishshelf/upstreamcall"
+)
+
+// endlessReader repeats a piece for ever.
+type endlessReader struct{ piece []byte }
+
+func (e endlessReader) Read(p []byte) (int, error) {
+	return copy(p, bytes.Repeat(e.piece, len(p)/len(e.piece)+1)), nil
+}
+
+// eventsWithoutEnd is a valid stream that goes on for ever.
+type eventsWithoutEnd struct {
+	next int
+	rest []byte
+}
+
+func (e *eventsWithoutEnd) Read(p []byte) (int, error) {
+	if len(e.rest) == 0 {
+		e.next++
+		e.rest = fmt.Appendf(nil, `{"ID":%d,"Data":"on and on"}`+"\n", e.next)
+	}
+	n := copy(p, e.rest)
+	e.rest = e.rest[n:]
+	return n, nil
+}
+
+// Guards against an upstream whose answer has no end: the request goes to another one, and the host keeps its memory.
+func TestEndlessAnswerIsGivenUp(t *testing.T) {
+	w := newWorld(t)
+	w.addUpstream("p2", plainName, 4, nil)
+	g := w.start("a")
+	g.opts.Memory = membudget.New(1<<20, func(int64) {})
+	w.engine.script(func(r *upstreamcall.Request) (*upstreamcall.Answer, error) {
+		if r.Upstream.ID != "p1" {
+			return nil, nil
+		}
+		a := signed(200, "")
+		a.Body = io.NopCloser(endlessReader{piece: []byte("no end ")})
+		return a, nil
+	})
+	var callers sync.WaitGroup
+	for i := range 20 {
+		callers.Go(func() {
+			answer, err := w.request(g, t.Context(), fmt.Sprint("/quote/", i))
+			if err != nil || string(answer.Body) != "done" {
+				t.Errorf("request %d: %+v, %v", i, answer, err)
+			}
+		})
+	}
+	callers.Wait()
+	endless := w.engine.requests(func(r upstreamcall.Request) bool { return r.Upstream.ID == "p1" })
+	g.mu.Lock()
+	suspect := g.healthOf("p1").Suspect()
+	g.mu.Unlock()
+	if endless == 0 || !suspect {
+		t.Errorf("the upstream got %d requests and is suspect: %v", endless, suspect)
+	}
+	if used := g.opts.Memory.Used(); used != 0 {
+		t.Errorf("%d bytes are still held", used)
+	}
+}
+
+// Guards against a text of valid events that goes on beyond what its item allows, and keeps its step waiting.
+func TestEndlessTextIsMadeElsewhere(t *testing.T) {
+	w := newWorld(t)
+	w.addUpstream("e2", engineName, 4, map[string]int64{testModel: 1})
+	g := w.start("a")
+	w.engine.script(func(r *upstreamcall.Request) (*upstreamcall.Answer, error) {
+		if r.Upstream.ID != "e1" {
+			return nil, nil
+		}
+		a := signed(200, "")
+		a.Version = 1
+		a.Body = io.NopCloser(&eventsWithoutEnd{next: r.ResumeAfter})
+		return a, nil
+	})
+	var items []batch.Item
+	for _, i := range testItems(6) {
+		i.Tokens, i.PromptTokens = 90, 50
+		items = append(items, i)
+	}
+	started := time.Now()
+	w.mustSubmit(g, "job-1", items...)
+	results := w.readAll(g, "job-1")
+	w.checkOnce(results, items)
+	for _, r := range results {
+		if r.State != batch.Succeeded || r.Output != "event 1\nevent 2\nevent 3" {
+			t.Errorf("%s: %s with a text of %d bytes", r.ID, r.State, len(r.Output))
+		}
+	}
+	if took := time.Since(started); took > 10*time.Second {
+		t.Errorf("the job took %s", took)
+	}
+}
--- a/gateway/frontend.go
+++ b/gateway/frontend.go
@@ -26,6 +26,13 @@
 	return nil
 }
 
+// Leaving reports whether the process is about to stop.
+func (g *Gateway) Leaving() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leaving
+}
+
 // Limits returns what a caller may send.
 func (g *Gateway) Limits() serving.Limits {
 	g.mu.Lock()
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -10,6 +10,7 @@
 
 	"github.com/radishshelf/radishshelf/batch"
 	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/membudget"
 	"github.com/radishshelf/radishshelf/serving"
 	"github.com/radishshelf/radishshelf/telemetry"
 	"github.com/radishshelf/radishshelf/upstreamcall"
@@ -39,8 +40,10 @@
 	Upstreams UpstreamCaller
 	Duties    DutyCaller
 	Codec     Codec
-	Log       zerolog.Logger
-	Registry  *telemetry.Registry
+	// Memory bounds what answers in the making take together; nil sets no bound.
+	Memory   *membudget.Budget
+	Log      zerolog.Logger
+	Registry *telemetry.Registry
 }
 
 // Timing holds the bounds that the platform gives.
--- a/gateway/run_item.go
+++ b/gateway/run_item.go
@@ -72,6 +72,8 @@
 	if failure := judge(answer, o.job.Spec.MinVersion); failure != nil {
 		return failure
 	}
+	held := o.g.opts.Memory.Hold(func() { cancel(errAnswerTooLarge) })
+	defer held.Release()
 	events := o.g.opts.Codec.Events(answer.Body, answer.Version)
 	last := time.Now()
 	for {
@@ -82,6 +84,7 @@
 		if err != nil {
 			return stalled(ctx, &upstreamcall.Failure{Reason: upstreamcall.Broken, Outcome: outcome.MayHaveRun, Err: err})
 		}
+		held.Add(len(event.Data))
 		w.heard(eventTimeout)
 		now := time.Now()
 		if failure := o.take(p, u, event, now.Sub(last)); failure != nil {
@@ -98,6 +101,8 @@
 		failure.Reason = upstreamcall.Silent
 	case errors.Is(cause, errMoved):
 		failure.Reason = upstreamcall.Moved
+	case errors.Is(cause, errAnswerTooLarge):
+		failure.Reason, failure.Err = upstreamcall.Endless, errAnswerTooLarge
 	}
 	return failure
 }
@@ -163,6 +168,11 @@
 			Reason: upstreamcall.Crossed, Outcome: outcome.Ran, Err: errors.New("an event is missing or comes twice"),
 		}
 	}
+	if p.OverLimit() {
+		return &upstreamcall.Failure{
+			Reason: upstreamcall.Endless, Outcome: outcome.Ran, Err: errors.New("the text is longer than its item allows"),
+		}
+	}
 	if p.Text.Last() > 1 && pause < loadPause {
 		o.g.healthOf(u.ID).Observe(pause, time.Now())
 	}
@@ -204,7 +214,7 @@
 	case upstreamcall.OldVersion:
 		g.healthOf(u.ID).Busy(o.job.Spec.Model, now.Add(time.Second))
 		o.job.Requeue(p, now, u.ID)
-	case upstreamcall.Crossed:
+	case upstreamcall.Crossed, upstreamcall.Endless:
 		p.Text.Reset()
 		o.job.Requeue(p, now.Add(failurePause), u.ID)
 	default:
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -16,8 +16,8 @@
 // maxWholeAnswer bounds an answer that is kept until it is whole.
 const maxWholeAnswer = 32 << 20
 
-// errAnswerTooLarge is the failure of an answer over maxWholeAnswer.
-var errAnswerTooLarge = errors.New("the answer is larger than 32 MiB")
+// errAnswerTooLarge is the failure of an answer over maxWholeAnswer, or of the largest one when memory is short.
+var errAnswerTooLarge = errors.New("the answer is larger than 32 MiB or than there is memory for")
 
 // sendWhole sends a request, reads the whole answer and learns from it about the upstream.
 func (g *Gateway) sendWhole(ctx context.Context, req *upstreamcall.Request) sendResult {
@@ -35,14 +35,18 @@
 func (g *Gateway) readWhole(
 	ctx context.Context, req *upstreamcall.Request,
 ) (*call.Answer, string, *upstreamcall.Failure) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	answer, err := g.opts.Upstreams.Send(ctx, req)
 	if err != nil {
 		return nil, "", upstreamcall.AsFailure(err)
 	}
 	defer answer.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWholeAnswer+1))
-	if err == nil && len(body) > maxWholeAnswer {
-		err = errAnswerTooLarge
+	held := g.opts.Memory.Hold(func() { cancel(errAnswerTooLarge) })
+	defer held.Release()
+	body, err := io.ReadAll(held.Reader(io.LimitReader(answer.Body, maxWholeAnswer+1)))
+	if len(body) > maxWholeAnswer || errors.Is(context.Cause(ctx), errAnswerTooLarge) {
+		return nil, "", &upstreamcall.Failure{Reason: upstreamcall.Endless, Outcome: outcome.MayHaveRun, Err: errAnswerTooLarge}
 	}
 	if err != nil {
 		return nil, "", &upstreamcall.Failure{Reason: upstreamcall.Broken, Outcome: outcome.MayHaveRun, Err: err}
--- /dev/null
+++ b/membudget/budget.go
@@ -0,0 +1,126 @@
+// Package membudget bounds the memory that answers and bodies in the making take together. Each of them has a bound of its
+// own, but a handful of the largest would fill a small host. Over the limit the largest one is given up, so that one sender
+// without end does not cost the others anything.
+package membudget
+
+import (
+	"io"
+	"sync"
+)
+
+// Budget is a number of bytes that several holders share. All methods are safe for concurrent use. A nil Budget has no limit.
+type Budget struct {
+	limit   int64
+	onShed  func(bytes int64)
+	mu      sync.Mutex
+	used    int64
+	holders map[*Holder]struct{}
+}
+
+// New returns a budget of limit bytes. onShed is told the size of each holder that is given up.
+func New(limit int64, onShed func(bytes int64)) *Budget {
+	return &Budget{limit: limit, onShed: onShed, holders: map[*Holder]struct{}{}}
+}
+
+// Used returns the bytes that are held.
+func (b *Budget) Used() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
+
+// Holder is an answer or a body in the making.
+type Holder struct {
+	budget *Budget
+	// shed ends what the holder stands for.
+	shed  func()
+	bytes int64
+	gone  bool
+}
+
+// Hold returns a holder without bytes. shed is called at most once, when the holder is given up; it must not block.
+func (b *Budget) Hold(shed func()) *Holder {
+	h := &Holder{budget: b, shed: shed}
+	if b == nil {
+		return h
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.holders[h] = struct{}{}
+	return h
+}
+
+// Add counts n more bytes of the holder. Over the limit the largest holders are given up, this one or others.
+func (h *Holder) Add(n int) {
+	b := h.budget
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	var shed []*Holder
+	if !h.gone {
+		h.bytes += int64(n)
+		b.used += int64(n)
+	}
+	for b.used > b.limit {
+		largest := b.largest()
+		if largest == nil {
+			break
+		}
+		b.drop(largest)
+		shed = append(shed, largest)
+	}
+	b.mu.Unlock()
+	for _, s := range shed {
+		b.onShed(s.bytes)
+		s.shed()
+	}
+}
+
+// Release gives the bytes of the holder back.
+func (h *Holder) Release() {
+	if h.budget == nil {
+		return
+	}
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.budget.drop(h)
+}
+
+// drop takes a holder out. The caller holds the lock.
+func (b *Budget) drop(h *Holder) {
+	if h.gone {
+		return
+	}
+	h.gone = true
+	b.used -= h.bytes
+	delete(b.holders, h)
+}
+
+// largest returns the holder with the most bytes. The caller holds the lock.
+func (b *Budget) largest() *Holder {
+	var largest *Holder
+	for h := range b.holders {
+		if h.bytes > 0 && (largest == nil || h.bytes > largest.bytes) {
+			largest = h
+		}
+	}
+	return largest
+}
+
+// Reader returns r with its bytes counted by the holder.
+func (h *Holder) Reader(r io.Reader) io.Reader { return &countingReader{r: r, holder: h} }
+
+type countingReader struct {
+	r      io.Reader
+	holder *Holder
+}
+
+// Read implements io.Reader.
+func (c *countingReader) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	if n > 0 {
+		c.holder.Add(n)
+	}
+	return n, err
+}
--- /dev/null
+++ b/membudget/budget_test.go
@@ -0,0 +1,86 @@
+package membudget
+
+import (
+	"bytes"
+	"io"
+	"sync/atomic"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Pattern: one upstream sends an answer without end beside many sound ones. Only the endless one is given up.
+func TestLargestIsGivenUp(t *testing.T) {
+	var shed atomic.Int64
+	b := New(1000, func(int64) { shed.Add(1) })
+	var sound []*Holder
+	for range 20 {
+		h := b.Hold(func() { t.Error("a sound answer was given up") })
+		h.Add(20)
+		sound = append(sound, h)
+	}
+	ended := false
+	endless := b.Hold(func() { ended = true })
+	for range 100 {
+		endless.Add(100)
+	}
+	if !ended || shed.Load() != 1 {
+		t.Errorf("the endless answer was given up: %v, %d times in all", ended, shed.Load())
+	}
+	if got := b.Used(); got != 400 {
+		t.Errorf("%d bytes are held, want 400", got)
+	}
+	for _, h := range sound {
+		h.Release()
+		h.Release()
+	}
+	if got := b.Used(); got != 0 {
+		t.Errorf("%d bytes are held after all were released", got)
+	}
+}
+
+// Guards against bytes that are counted twice or never given back, in any order of calls.
+func TestUseStaysWithinTheLimit(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const limit = 100
+		b := New(limit, func(int64) {})
+		var open []*Holder
+		for range rapid.IntRange(0, 60).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 2).Draw(rt, "step") {
+			case 0:
+				open = append(open, b.Hold(func() {}))
+			case 1:
+				if len(open) > 0 {
+					open[rapid.IntRange(0, len(open)-1).Draw(rt, "holder")].Add(rapid.IntRange(0, 80).Draw(rt, "bytes"))
+				}
+			default:
+				if len(open) > 0 {
+					open[len(open)-1].Release()
+					open = open[:len(open)-1]
+				}
+			}
+			if used := b.Used(); used < 0 || used > limit {
+				rt.Fatalf("%d bytes of %d are held", used, limit)
+			}
+		}
+		for _, h := range open {
+			h.Release()
+		}
+		if used := b.Used(); used != 0 {
+			rt.Fatalf("%d bytes are held in the end", used)
+		}
+	})
+}
+
+// Guards against bytes that pass a reader uncounted, and against a nil budget that breaks its holders.
+func TestReaderCounts(t *testing.T) {
+	b := New(100, func(int64) {})
+	h := b.Hold(func() {})
+	if _, err := io.Copy(io.Discard, h.Reader(bytes.NewReader(make([]byte, 60)))); err != nil || b.Used() != 60 {
+		t.Errorf("%d bytes counted, %v", b.Used(), err)
+	}
+	var none *Budget
+	free := none.Hold(func() { t.Error("given up without a limit") })
+	free.Add(1 << 40)
+	free.Release()
+}
--- a/upstreamcall/failure.go
+++ b/upstreamcall/failure.go
@@ -32,6 +32,8 @@
 	Moved Reason = "moved"
 	// OldVersion means that the upstream serves weights that are too old.
 	OldVersion Reason = "old_version"
+	// Endless means that the answer is larger than what its request can yield, or than there is memory for.
+	Endless Reason = "endless"
 	// Failed means that the upstream ran the request and answered that it failed.
 	Failed Reason = "failed"
 	// Impossible means that the upstream answered that the request can never be done.
