Let an unexpected failure cost what was being done, and not the process

Cause: nothing in the gateway caught a panic outside of the HTTP server: one row that its decoder does not survive, in any watched table, ended the process, and again after each restart; one answer that broke its reader did the same.

Change: rows, runs, calls of duties and the loops of jobs and of the process are guarded; each failure has one line with its stack and counts in radishshelf_gateway_unexpected_failures_total. A job whose loop failed is given up and taken over again. TestPoisonousRowsCostThemselvesOnly and TestPoisonousAnswerCostsItsRunOnly end the test process without the guard.

--- a/gateway/adopt.go
+++ b/gateway/adopt.go
@@ -39,7 +39,7 @@
 		}
 		g.mu.Unlock()
 		for _, e := range due {
-			go g.adopt(ctx, e)
+			go g.guarded("adopt", func() { g.adopt(ctx, e) })
 		}
 		select {
 		case <-ctx.Done():
--- a/gateway/duty_work.go
+++ b/gateway/duty_work.go
@@ -50,22 +50,27 @@
 		w.planner.Sent(l.load, now)
 		w.mu.Unlock()
 		if l.known {
-			w.calls.Go(func() { w.order(ctx, l) })
+			w.start("order", func() { w.order(ctx, l) })
 		} else {
-			w.calls.Go(func() { w.look(ctx, l) })
+			w.start("look", func() { w.look(ctx, l) })
 		}
 	}
 	if w.g.opts.UsageDuty && w.usage.begin(now) {
-		w.calls.Go(func() { w.usage.run(ctx) })
+		w.start("usage report", func() { w.usage.run(ctx) })
 	}
 	if w.collect.begin(now) {
-		w.calls.Go(func() { w.collect.run(ctx) })
+		w.start("collect", func() { w.collect.run(ctx) })
 	}
 	if w.g.opts.ScaleDuty && w.scaling.begin(now) {
-		w.calls.Go(func() { w.scaling.run(ctx) })
+		w.start("scale", func() { w.scaling.run(ctx) })
 	}
 }
 
+// start makes a call beside the others.
+func (w *dutyWork) start(what string, call func()) {
+	w.calls.Go(func() { w.g.guarded(what, call) })
+}
+
 type dueLoad struct {
 	load     versionplan.Load
 	entry    upstreams.Entry
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -66,7 +66,13 @@
 	return n, json.Unmarshal(value, &n)
 }
 
+// poisonous is the content of a row or an event that the codec does not survive.
+const poisonous = "poison"
+
 func (testCodec) DecodeUpstream(id string, value []byte) (e upstreams.Entry, err error) {
+	if string(value) == poisonous {
+		panic("the codec does not survive this")
+	}
 	return e, json.Unmarshal(value, &e)
 }
 
@@ -85,6 +91,9 @@
 func (l *lineReader) Next() (upstreamcall.Event, error) {
 	var e upstreamcall.Event
 	err := l.decoder.Decode(&e)
+	if e.Data == poisonous {
+		panic("the codec does not survive this")
+	}
 	if e.Version == 0 {
 		e.Version = l.version
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,11 +95,12 @@
 // Run works until ctx ends. What runs for callers and jobs then is ended by Leave.
 func (g *Gateway) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){
-		g.operatorWatch().run, g.upstreamWatch().run, g.beatWatch().run, g.jobWatch().run,
-		g.beatLoop, g.scheduleLoop, g.moveLoop, g.superviseLoop, g.dutyLoop, g.usageFlushLoop,
+	for what, loop := range map[string]func(context.Context){
+		"operator watch": g.operatorWatch().run, "upstream watch": g.upstreamWatch().run, "beat watch": g.beatWatch().run,
+		"job watch": g.jobWatch().run, "beat": g.beatLoop, "schedule": g.scheduleLoop, "move": g.moveLoop,
+		"supervise": g.superviseLoop, "duty": g.dutyLoop, "usage": g.usageFlushLoop,
 	} {
-		wg.Go(func() { loop(ctx) })
+		wg.Go(func() { g.keepRunning(ctx, what, loop) })
 	}
 	wg.Wait()
 }
--- /dev/null
+++ b/gateway/guard_test.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/radishshelf/radishshelf/upstreamcall"
+)
+
+// Guards against one malformed row that takes the process down, or hides the rows after it: rows that were there before the
+// start, and rows that come while it runs.
+func TestPoisonousRowsCostThemselvesOnly(t *testing.T) {
+	w := newWorld(t)
+	malformed := []string{poisonous, "", "null", "[]", "{", `{"items":-1}`, `"text"`, "\x00\xff", `{"sequence":"x"}`, `{"load":[1]}`}
+	put := func(round string) {
+		for i, value := range malformed {
+			for _, table := range []string{beatTable, jobTable, usageTable, leftTable, "upstreams"} {
+				w.store.Put(table, fmt.Sprint("a-", round, i), []byte(value))
+			}
+		}
+	}
+	put("before")
+	g := w.start("a")
+	put("after")
+	w.addUpstream("z-late", engineName, 4, map[string]int64{testModel: 1})
+	w.eventually("the row after them is known", func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		_, ok := g.upstreams.Get("z-late")
+		return ok
+	})
+	items := testItems(8)
+	w.mustSubmit(g, "job-1", items...)
+	w.checkOnce(w.readAll(g, "job-1"), items)
+}
+
+// Guards against an answer that breaks its reader and takes the process down, or leaves its item where it is for ever.
+func TestPoisonousAnswerCostsItsRunOnly(t *testing.T) {
+	w := newWorld(t)
+	w.addUpstream("e2", engineName, 4, map[string]int64{testModel: 1})
+	g := w.start("a")
+	var poisoned atomic.Int64
+	w.engine.script(func(r *upstreamcall.Request) (*upstreamcall.Answer, error) {
+		if r.Upstream.ID != "e1" {
+			time.Sleep(10 * time.Millisecond)
+			return nil, nil
+		}
+		poisoned.Add(1)
+		a := signed(200, "")
+		a.Version = 1
+		a.Body = io.NopCloser(strings.NewReader(`{"ID":1,"Data":"` + poisonous + `"}`))
+		return a, nil
+	})
+	items := testItems(16)
+	w.mustSubmit(g, "job-1", items...)
+	w.checkOnce(w.readAll(g, "job-1"), items)
+	if poisoned.Load() == 0 {
+		t.Error("no answer was poisonous")
+	}
+}
+
+// Guards against a loop that ends with its first unexpected failure.
+func TestLoopGoesOnAfterAFailure(t *testing.T) {
+	w := newWorld(t)
+	g := w.start("a")
+	rounds := 0
+	go g.keepRunning(t.Context(), "test", func(ctx context.Context) {
+		if rounds++; rounds < 3 {
+			panic("unexpected")
+		}
+		<-ctx.Done()
+	})
+	w.eventually("the loop runs a third time", func() bool {
+		return g.met.panics("test").Get() == 2
+	})
+}
--- a/gateway/job_entry.go
+++ b/gateway/job_entry.go
@@ -91,7 +91,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		for _, r := range rows {
-			g.takeJobRow(r)
+			w.guarded("row of "+w.table, func() { g.takeJobRow(r) })
 		}
 		g.jobsRead = true
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -109,6 +109,11 @@
 	return m.registry.GetOrCreateCounter(fmt.Sprintf("radishshelf_gateway_item_failures_total{reason=%q}", reason))
 }
 
+// panics counts unexpected failures, by what was being done.
+func (m *metricSet) panics(what string) *metrics.Counter {
+	return m.registry.GetOrCreateCounter(fmt.Sprintf("radishshelf_gateway_unexpected_failures_total{in=%q}", what))
+}
+
 // storeCalls counts calls of the store, by call and result.
 func (m *metricSet) storeCalls(call, result string) *metrics.Counter {
 	return m.registry.GetOrCreateCounter(
--- a/gateway/own.go
+++ b/gateway/own.go
@@ -56,8 +56,8 @@
 	o.ctx, o.stop = context.WithCancel(g.work)
 	e.owned = o
 	o.scoreAll(o.takeTexts(texts))
-	g.ownedWG.Go(o.listLoop)
-	g.ownedWG.Go(o.saveLoop)
+	g.ownedWG.Go(func() { o.guarded("list", o.listLoop) })
+	g.ownedWG.Go(func() { o.guarded("save", o.saveLoop) })
 	g.wake()
 }
 
@@ -74,6 +74,16 @@
 	}
 }
 
+// guarded runs a loop of the job. A job whose loop failed is given up, and taken over again like any job without an owner.
+func (o *ownedJob) guarded(what string, loop func()) {
+	if !o.g.guarded(what, loop) {
+		return
+	}
+	o.g.mu.Lock()
+	defer o.g.mu.Unlock()
+	o.end()
+}
+
 // finish ends the ownership of a job of which nothing more is to be run, and keeps what it leaves: groups that were not
 // complete for the trainer may come again in a later job. The caller holds the lock.
 func (o *ownedJob) finish() {
--- a/gateway/reuse.go
+++ b/gateway/reuse.go
@@ -57,7 +57,7 @@
 func (o *ownedJob) scoreAll(list []*batch.Progress) {
 	for _, p := range list {
 		o.g.ownedWG.Go(func() {
-			o.score(p)
+			o.guarded("score", func() { o.score(p) })
 			o.signal()
 		})
 	}
--- a/gateway/run_item.go
+++ b/gateway/run_item.go
@@ -41,7 +41,8 @@
 	started := time.Now()
 	before := p.Text.Last()
 	o.setRun(p, &itemRun{upstream: u, started: started, move: func() { cancel(errMoved) }})
-	failure := o.generate(ctx, cancel, p, u)
+	failure := errUnexpected()
+	o.g.guarded("run", func() { failure = o.generate(ctx, cancel, p, u) })
 	o.setRun(p, nil)
 	o.g.learn(u, o.job.Spec.Model, failure, ctx)
 	if failure == nil {
@@ -53,7 +54,7 @@
 	scoring := o.finishRun(p, u, failure, started, before)
 	o.g.wake()
 	if scoring {
-		o.score(p)
+		o.guarded("score", func() { o.score(p) })
 	}
 	o.signal()
 }
--- a/gateway/schedule_pass.go
+++ b/gateway/schedule_pass.go
@@ -60,7 +60,7 @@
 	e.owned.runs[c.Item] = &itemRun{upstream: u, started: s.now}
 	g.acquire(u.ID, s.now)
 	o := e.owned
-	g.ownedWG.Go(func() { o.runItem(c.Item, u) })
+	g.ownedWG.Go(func() { o.guarded("item", func() { o.runItem(c.Item, u) }) })
 }
 
 // engine picks the engine for an item.
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -26,7 +26,8 @@
 func (g *Gateway) newWatch(table string, partitioned bool) *watch {
 	return &watch{
 		table: table, wait: watchWait, partitioned: partitioned, rows: g.opts.Rows, answered: g.storeAnswered,
-		failed: func(err error) { g.storeFailed(table, err) },
+		guarded: g.guarded,
+		failed:  func(err error) { g.storeFailed(table, err) },
 	}
 }
 
@@ -39,7 +40,7 @@
 	}
 	w.reset = func(rows []hosting.StoredRow) {
 		for _, r := range rows {
-			g.takeOperatorRow(r)
+			w.guarded("row of "+w.table, func() { g.takeOperatorRow(r) })
 		}
 	}
 	return w
@@ -103,11 +104,13 @@
 		defer g.mu.Unlock()
 		var list []upstreams.Entry
 		for _, r := range rows {
-			if e, err := g.opts.Codec.DecodeUpstream(r.Key, r.Value); err == nil {
-				list = append(list, e)
-			} else {
-				g.opts.Log.Warn().Err(err).Msg("row skipped")
-			}
+			w.guarded("row of "+w.table, func() {
+				if e, err := g.opts.Codec.DecodeUpstream(r.Key, r.Value); err == nil {
+					list = append(list, e)
+				} else {
+					g.opts.Log.Warn().Err(err).Msg("row skipped")
+				}
+			})
 		}
 		g.upstreams.Replace(list, time.Now())
 		g.registryRead = true
@@ -150,7 +153,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		for _, r := range rows {
-			g.hear(r)
+			w.guarded("row of "+w.table, func() { g.hear(r) })
 		}
 	}
 	return w
