Count usage by a time of day that does not jump

Cause: the number of a usage window came from the host's clock at each call. When the clock of the holder jumped forward, windows were sealed and reported before they had ended, with figures that can never be corrected; a request on such a host was counted in another window.

Ruled out: due times and lifetimes of jobs (the store's clock, carried on by the steady clock), leases (CLOCK_BOOTTIME).

Change: package wallclock carries the time of day on by a clock that counts suspension, and believes a jump once it has lasted for a minute; one line tells of each jump. TestClockJumpClosesNoWindow fails without it. Tests for the other symptoms that the users tell of found nothing: jumps make no result late, and a platform API without answers holds no result back and repeats none.

--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -206,6 +206,8 @@
 type fakeDuties struct {
 	mu      sync.Mutex
 	reports []usageReport
+	// silent leaves every call without an answer.
+	silent bool
 }
 
 type usageReport struct {
@@ -214,7 +216,14 @@
 	counts       map[string]int64
 }
 
-func (f *fakeDuties) ReportUsage(_ context.Context, holder string, term, window int64, counts map[string]int64) error {
+func (f *fakeDuties) ReportUsage(ctx context.Context, holder string, term, window int64, counts map[string]int64) error {
+	f.mu.Lock()
+	silent := f.silent
+	f.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reports = append(f.reports, usageReport{holder, term, window, counts})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/radishshelf/radishshelf/serving"
 	"github.com/radishshelf/radishshelf/upstreamhealth"
 	"github.com/radishshelf/radishshelf/upstreams"
+	"github.com/radishshelf/radishshelf/wallclock"
 )
 
 // deadAfter is how long a process is silent, in time in which the store answered, before its jobs are taken over.
@@ -65,6 +66,7 @@
 	// probes holds the last question to each upstream that went silent.
 	probes map[string]*probe
 	usage  usageCounts
+	wall   wallclock.Clock
 
 	kick chan struct{}
 	// givenJob wakes the search for jobs without an owner when a job was given to this process.
@@ -86,6 +88,9 @@
 		othersLoad: map[string]int{}, othersTokens: map[string]int{}, hedges: retry.NewBudget(retry.DefaultBudgetConfig(), time.Now()),
 		usage: usageCounts{}, probes: map[string]*probe{}, kick: make(chan struct{}, 1), givenJob: make(chan struct{}, 1),
 	}
+	if g.opts.Wall == nil {
+		g.opts.Wall = time.Now
+	}
 	g.met = newMetricSet(opts.Registry, g)
 	g.opts.Rows = &freshRows{Rows: &countedRows{Rows: opts.Rows, met: g.met}}
 	g.work, g.stopWork = context.WithCancel(context.Background())
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -40,6 +40,8 @@
 	Upstreams UpstreamCaller
 	Duties    DutyCaller
 	Codec     Codec
+	// Wall reads the time of day; nil reads the host's clock.
+	Wall func() time.Time
 	// Memory bounds what answers in the making take together; nil sets no bound.
 	Memory   *membudget.Budget
 	Log      zerolog.Logger
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -259,5 +259,5 @@
 		return
 	}
 	f.counted = true
-	f.g.countUsage(f.target.workspace.Name, time.Now())
+	f.g.countUsage(f.target.workspace.Name)
 }
--- /dev/null
+++ b/gateway/time_of_day_test.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/radishshelf/radishshelf/batch"
+	"github.com/radishshelf/radishshelf/call"
+)
+
+// jumpingClock is a time of day that a test sets.
+type jumpingClock struct{ off atomic.Int64 }
+
+func (c *jumpingClock) now() time.Time { return time.Now().Add(time.Duration(c.off.Load())) }
+
+// Pattern: the time of day of the host that holds the duties jumps forward. Guards against a usage window that is closed and
+// reported before it has ended, and against requests that are counted in another window.
+func TestClockJumpClosesNoWindow(t *testing.T) {
+	w := newWorld(t)
+	clock := &jumpingClock{}
+	w.wall = clock.now
+	g := w.start("a")
+	w.eventually("the host holds the duties", func() bool { _, ok := g.mayAct(); return ok })
+	w.eventually("a window is reported", func() bool {
+		w.duties.mu.Lock()
+		defer w.duties.mu.Unlock()
+		return len(w.duties.reports) > 0
+	})
+	clock.off.Store(int64(20 * time.Second))
+	window := g.windowOf(time.Now())
+	if _, err := w.request(g, t.Context(), "/quote/1"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Second)
+	clock.off.Store(0)
+	w.duties.mu.Lock()
+	for _, r := range w.duties.reports {
+		if r.window >= window {
+			t.Errorf("window %d was reported, and %d has not ended", r.window, window)
+		}
+	}
+	w.duties.mu.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for number, counts := range g.usage {
+		if len(counts.Counts) > 0 && number != window && number != window+1 {
+			t.Errorf("the request was counted in window %d, %d windows away", number, number-window)
+		}
+	}
+}
+
+// Pattern: the time of day jumps on the hosts while results come back. Guards against results that count as late, or a job that
+// is given up, because of a time of day: both rest on the store's clock.
+func TestClockJumpMakesNothingLate(t *testing.T) {
+	w := newWorld(t)
+	clock := &jumpingClock{}
+	w.wall = clock.now
+	g := w.start("a")
+	w.engine.script(slowly(150 * time.Millisecond))
+	items := testItems(12)
+	w.mustSubmit(g, "job-1", items...)
+	for i := range 4 {
+		clock.off.Store(int64(time.Duration(i%2) * 40 * time.Second)) // longer than the lifetime of an item
+		time.Sleep(50 * time.Millisecond)
+	}
+	for _, r := range w.readAll(g, "job-1") {
+		if r.State != batch.Succeeded {
+			t.Errorf("%s is %s", r.ID, r.State)
+		}
+	}
+}
+
+// Pattern: the platform's API leaves every call without an answer while trainers wait for their results. Guards against
+// results that fall silent with it, come twice, or stand at another position afterwards.
+func TestSilentPlatformAPIHoldsNoResult(t *testing.T) {
+	w := newWorld(t)
+	w.duties.silent = true
+	g := w.start("a")
+	w.eventually("the host holds the duties", func() bool { _, ok := g.mayAct(); return ok })
+	w.engine.script(slowly(50 * time.Millisecond))
+	items := testItems(24)
+	started := time.Now()
+	w.mustSubmit(g, "job-1", items...)
+	before := w.readAll(g, "job-1")
+	if took := time.Since(started); took > 5*time.Second {
+		t.Errorf("the job took %s", took)
+	}
+	w.checkOnce(before, items)
+	w.duties.mu.Lock()
+	w.duties.silent = false
+	w.duties.mu.Unlock()
+	w.eventually("usage is reported once the API answers", func() bool {
+		w.duties.mu.Lock()
+		defer w.duties.mu.Unlock()
+		return len(w.duties.reports) > 0
+	})
+	page, err := g.Results(t.Context(), call.BatchRequest{ID: "job-1", Host: testHost, Key: testKey})
+	if err != nil || len(page.Results) != len(before) {
+		t.Fatalf("%d results afterwards, %v", len(page.Results), err)
+	}
+	for i, r := range page.Results {
+		if r.ID != before[i].ID {
+			t.Errorf("position %d held %s and now %s", i, before[i].ID, r.ID)
+		}
+	}
+}
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -30,11 +30,11 @@
 	return t.UnixMilli() / max(g.opts.Timing.UsageWindow.Milliseconds(), 1)
 }
 
-// countUsage counts a request that began to run.
-func (g *Gateway) countUsage(workspace string, at time.Time) {
-	window := g.windowOf(at)
+// countUsage counts a request that began to run now.
+func (g *Gateway) countUsage(workspace string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	window := g.windowOf(g.timeOfDay())
 	w, ok := g.usage[window]
 	if !ok {
 		w = &windowCounts{Counts: map[string]int64{}}
@@ -67,7 +67,7 @@
 	g.mu.Lock()
 	var rows []hosting.StoredRow
 	var flushed []*windowCounts
-	oldest := g.windowOf(time.Now()) - keptWindows
+	oldest := g.windowOf(g.timeOfDay()) - keptWindows
 	for window, w := range g.usage {
 		if w.dirty {
 			value, err := json.Marshal(w)
--- a/gateway/usage_report.go
+++ b/gateway/usage_report.go
@@ -47,7 +47,9 @@
 		u.busy = false
 		u.mu.Unlock()
 	}()
-	last := u.g.windowOf(time.Now().Add(-sealDelay)) - 1
+	u.g.mu.Lock()
+	last := u.g.windowOf(u.g.timeOfDay().Add(-sealDelay)) - 1
+	u.g.mu.Unlock()
 	if u.done == 0 {
 		u.done = last - lookBack
 	}
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -35,6 +35,8 @@
 	engine  *fakeUpstreams
 	duties  *fakeDuties
 	cancels map[string]func()
+	// wall is the time of day of the hosts; nil takes that of the test.
+	wall func() time.Time
 }
 
 func newWorld(t *testing.T) *world {
@@ -80,7 +82,7 @@
 			Lease: 3 * time.Second, Grace: 8 * time.Second, UsageWindow: 5 * time.Second, UsageLate: 10 * time.Second,
 			BatchLifetime: 2 * time.Minute, Settle: time.Second, CancelApply: 3 * time.Second,
 		},
-		Rows: rows, Upstreams: w.engine, Duties: w.duties, Codec: testCodec{}, Log: zerolog.New(logWriter{w.t}),
+		Wall: w.wall, Rows: rows, Upstreams: w.engine, Duties: w.duties, Codec: testCodec{}, Log: zerolog.New(logWriter{w.t}),
 		Registry: telemetry.NewRegistry(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
