End a stop within its time, and give up the duties at its begin

A removal carried out late could hit the heartbeat of the process that came after, and the usage of the last second was never stored.

Change: the duties are given up when the process begins to leave; listing and saving at the hand-over end with its time; the last counts and the removal share what is left of the grace, and the removal names the version of the row.

--- a/cmd/radishshelf-gateway/process.go
+++ b/cmd/radishshelf-gateway/process.go
@@ -44,8 +44,10 @@
 	maxHeaderBytes = 64 << 10
 	// outOfRotation is the time after which the platform sends no new connections to a process that is not ready.
 	outOfRotation = 2500 * time.Millisecond
-	// graceReserve is left of the grace at a stop.
-	graceReserve = 1500 * time.Millisecond
+	// lastRequests is the part of the grace within which requests in flight may end, and lastCalls the part within which the
+	// process has ended. Between them lie the last calls of the store.
+	lastRequests = 0.85
+	lastCalls    = 0.97
 )
 
 // process is the gateway with its listeners.
@@ -135,7 +137,7 @@
 		Processor: s.Processor,
 		UsageDuty: s.HasUsageDuty(), ScaleDuty: s.HasScaleDuty(),
 		Timing: timing(s.Bounds), Rows: p.rows, Codec: platform.Codec{}, Memory: p.memory, Log: p.log,
-		Registry: registry,
+		Registry:  registry,
 		Upstreams: platform.NewUpstreamClient(platform.UpstreamDialer()), Duties: p.duties,
 	})
 	return g
@@ -162,10 +164,21 @@
 	case err = <-failed:
 		p.log.Error().Err(err).Msg("a listener failed")
 	}
-	p.leave()
+	grace := p.settings.Bounds.Grace
+	stopping, cancel := context.WithTimeout(context.Background(), share(grace, lastCalls))
+	defer cancel()
+	p.leave(share(grace, lastRequests))
 	stopLoops()
-	running.Wait()
-	p.gateway.Stop()
+	loopsEnded := make(chan struct{})
+	go func() {
+		running.Wait()
+		close(loopsEnded)
+	}()
+	select {
+	case <-loopsEnded:
+	case <-stopping.Done():
+	}
+	p.gateway.Stop(stopping)
 	return err
 }
 
@@ -203,14 +216,17 @@
 	return nil
 }
 
-// leave hands jobs over, waits until the platform sends no more connections, and lets the requests in flight end.
-func (p *process) leave() {
+// share returns a part of a time.
+func share(d time.Duration, part float64) time.Duration { return time.Duration(part * float64(d)) }
+
+// leave hands jobs over, waits until the platform sends no more connections, and lets the requests in flight end, all within
+// a time.
+func (p *process) leave(within time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
 	started := time.Now()
 	p.gateway.Leave()
 	time.Sleep(outOfRotation - min(time.Since(started), outOfRotation))
-	left := p.settings.Bounds.Grace - graceReserve - time.Since(started)
-	ctx, cancel := context.WithTimeout(context.Background(), max(left, 0))
-	defer cancel()
 	if err := p.front.Shutdown(ctx); err != nil {
 		p.log.Warn().Err(err).Msg("requests were still in flight at the stop")
 	}
--- a/gateway/beat.go
+++ b/gateway/beat.go
@@ -39,7 +39,7 @@
 		return
 	}
 	key := hosting.RowKey{Table: beatTable, Key: g.opts.Host}
-	_, err = g.opts.Rows.Commit(ctx, hosting.RowTxn{Puts: []hosting.StoredRow{{RowKey: key, Value: value}}})
+	result, err := g.opts.Rows.Commit(ctx, hosting.RowTxn{Puts: []hosting.StoredRow{{RowKey: key, Value: value}}})
 	if err != nil {
 		if ctx.Err() == nil {
 			g.opts.Log.Info().Err(err).Msg("heartbeat not written")
@@ -47,7 +47,7 @@
 		return
 	}
 	g.mu.Lock()
-	g.beatStored, g.beatStoredAt = sequence, time.Now()
+	g.beatStored, g.beatStoredAt, g.beatVersion = sequence, time.Now(), result.Version
 	g.mu.Unlock()
 }
 
--- a/gateway/duty.go
+++ b/gateway/duty.go
@@ -54,6 +54,16 @@
 	return g.term.candidate.MayAct(bootclock.Now())
 }
 
+// competeLoop works on the duties until ctx ends or the process begins to leave, so that a successor need not wait until the
+// last caller has its answer.
+func (g *Gateway) competeLoop(ctx context.Context) {
+	competing, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(g.duties, cancel)()
+	g.dutyLoop(competing)
+	<-ctx.Done()
+}
+
 // dutyLoop competes for the duties and works on them while this process holds them.
 func (g *Gateway) dutyLoop(ctx context.Context) {
 	bound := g.opts.Timing.Lease
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,8 +35,10 @@
 	// watch brought back.
 	beatStored, beatSeen int64
 	beatStoredAt         time.Time
-	jobs                 map[string]*jobEntry
-	jobsRead             bool
+	// beatVersion is the version of the row of that heartbeat.
+	beatVersion int64
+	jobs        map[string]*jobEntry
+	jobsRead    bool
 	// jobsHeardAt is when the watch of the jobs was answered last, and startsHeld tells that no item starts because that is
 	// too long ago.
 	jobsHeardAt time.Time
@@ -75,7 +77,10 @@
 	// work is the context of everything that runs on behalf of jobs; it ends when the process stops.
 	work     context.Context
 	stopWork context.CancelFunc
-	term     termHolder
+	// duties is the context of the competition for the duties; it ends when the process begins to leave.
+	duties     context.Context
+	stopDuties context.CancelFunc
+	term       termHolder
 }
 
 // New returns a gateway that has read nothing yet.
@@ -94,6 +99,7 @@
 	g.met = newMetricSet(opts.Registry, g)
 	g.opts.Rows = &freshRows{Rows: &countedRows{Rows: opts.Rows, met: g.met}}
 	g.work, g.stopWork = context.WithCancel(context.Background())
+	g.duties, g.stopDuties = context.WithCancel(context.Background())
 	return g
 }
 
@@ -103,7 +109,7 @@
 	for what, loop := range map[string]func(context.Context){
 		"operator watch": g.operatorWatch().run, "upstream watch": g.upstreamWatch().run, "beat watch": g.beatWatch().run,
 		"job watch": g.jobWatch().run, "beat": g.beatLoop, "schedule": g.scheduleLoop, "move": g.moveLoop,
-		"supervise": g.superviseLoop, "duty": g.dutyLoop, "usage": g.usageFlushLoop,
+		"supervise": g.superviseLoop, "duty": g.competeLoop, "usage": g.usageFlushLoop,
 	} {
 		wg.Go(func() { g.keepRunning(ctx, what, loop) })
 	}
--- a/gateway/leave.go
+++ b/gateway/leave.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/radishshelf/radishshelf/batch"
@@ -24,6 +25,7 @@
 	}
 	g.mu.Unlock()
 	g.opts.Log.Info().Int("jobs", len(owned)).Msg("leaving")
+	g.stopDuties()
 	done := make(chan struct{})
 	for _, o := range owned {
 		go func() {
@@ -40,12 +42,11 @@
 func (o *ownedJob) handOver() {
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
+	defer context.AfterFunc(ctx, o.stop)() // ends a listing that the store does not answer
 	for o.listOnce() {
 	}
-	o.g.mu.Lock()
 	o.stop()
-	o.g.mu.Unlock()
-	o.save(1)
+	o.save(ctx, 1)
 	for ctx.Err() == nil {
 		o.g.mu.Lock()
 		record, version := o.entry.record, o.entry.version
@@ -67,15 +68,40 @@
 	o.g.opts.Log.Warn().Str("job", o.entry.id).Msg("job not handed over; others take it over when this process is silent")
 }
 
-// Stop ends everything that still runs and removes the heartbeat.
-func (g *Gateway) Stop() {
+// Stop ends everything that still runs, stores the last counts and removes the heartbeat. It returns when ctx ends, whatever
+// has not been done by then: others notice the silence.
+func (g *Gateway) Stop(ctx context.Context) {
 	g.stopWork()
-	g.ownedWG.Wait()
-	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
-	defer cancel()
-	key := hosting.RowKey{Table: beatTable, Key: g.opts.Host}
-	if _, err := g.opts.Rows.Commit(ctx, hosting.RowTxn{Deletes: []hosting.RowKey{key}}); err != nil {
-		g.opts.Log.Warn().Err(err).Msg("heartbeat not removed")
+	ended := make(chan struct{})
+	go func() {
+		g.ownedWG.Wait()
+		close(ended)
+	}()
+	var last sync.WaitGroup
+	last.Go(func() { g.flushUsage(ctx) })
+	last.Go(func() { g.removeBeat(ctx) })
+	last.Wait()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+		g.opts.Log.Warn().Msg("work was still running at the stop")
 	}
 	g.opts.Log.Info().Msg("stopped")
 }
+
+// removeBeat removes the heartbeat that this process has written last. A removal that is carried out late leaves the heartbeat
+// of a later process alone.
+func (g *Gateway) removeBeat(ctx context.Context) {
+	g.mu.Lock()
+	own := hosting.StoredRow{RowKey: hosting.RowKey{Table: beatTable, Key: g.opts.Host}, Version: g.beatVersion}
+	g.mu.Unlock()
+	if own.Version == 0 {
+		return
+	}
+	result, err := g.opts.Rows.Commit(ctx, hosting.RowTxn{
+		Conditions: []hosting.StoredRow{own}, Deletes: []hosting.RowKey{own.RowKey},
+	})
+	if err != nil || !result.Committed {
+		g.opts.Log.Warn().AnErr("error", err).Msg("heartbeat not removed")
+	}
+}
--- a/gateway/save.go
+++ b/gateway/save.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"time"
 
@@ -24,17 +25,17 @@
 		if o.ctx.Err() != nil {
 			return
 		}
-		o.save(minSaved)
+		o.save(o.g.work, minSaved)
 	}
 }
 
 // save stores the texts that grew by at least minEvents since they were saved.
-func (o *ownedJob) save(minEvents int) {
+func (o *ownedJob) save(ctx context.Context, minEvents int) {
 	rows, saved := o.unsaved(minEvents)
 	if len(rows) == 0 {
 		return
 	}
-	if _, err := o.g.opts.Rows.Commit(o.g.work, hosting.RowTxn{Puts: rows}); err != nil {
+	if _, err := o.g.opts.Rows.Commit(ctx, hosting.RowTxn{Puts: rows}); err != nil {
 		o.g.opts.Log.Warn().Str("job", o.entry.id).Int("texts", len(rows)).Err(err).Msg("texts in progress not saved")
 		return
 	}
@@ -91,5 +92,5 @@
 	if _, err := o.g.opts.Rows.Commit(o.g.work, txn); err != nil {
 		o.g.opts.Log.Warn().Str("job", o.entry.id).Int("items", len(left)).Err(err).Msg("what the job left is not saved")
 	}
-	o.save(1)
+	o.save(o.g.work, 1)
 }
