Soak: endless bytes, second answers, trickled streams, unreadable rows, half-written settings

The stand-in upstream spoils answers in five ways; a process that ends without being asked to is a violation.

--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"syscall"
 	"time"
@@ -95,11 +96,29 @@
 		time.Sleep(d / 2)
 		u.SetStopped(false)
 	}},
-	{"answers of an upstream lost", func(s *Soak, r *rand.Rand, d time.Duration) {
-		u := s.upstreams[r.IntN(len(s.upstreams))]
-		u.SetLosing(true)
+	{"answers of an upstream lost", misbehave(platformtest.LosesAnswer)},
+	{"heads without end", misbehave(platformtest.EndlessHead)},
+	{"bodies without end", misbehave(platformtest.EndlessBody)},
+	{"second answers", misbehave(platformtest.AnswersTwice)},
+	{"streams that trickle", misbehave(platformtest.Trickles)},
+	{"rows that cannot be read", func(s *Soak, r *rand.Rand, _ time.Duration) {
+		for _, value := range []string{"", "{", "null", `{"sequence":"x"}`, `{"items":-1}`} {
+			for _, table := range []string{platformtest.ServersKey, "jobs", "entries"} {
+				s.store.Put(table, fmt.Sprintf("spoilt-%d", r.IntN(1000)), []byte(value))
+			}
+		}
+	}},
+	{"settings half written", func(s *Soak, r *rand.Rand, d time.Duration) {
+		p := s.pick(r)
+		if err := p.spoilSettings(r.IntN(200)); err != nil {
+			s.h.violate("settings of %s: %v", p.settings.Name, err)
+		}
+		p.signal(syscall.SIGHUP)
 		time.Sleep(d / 4)
-		u.SetLosing(false)
+		if err := p.writeSettings(); err != nil {
+			s.h.violate("settings of %s: %v", p.settings.Name, err)
+		}
+		p.signal(syscall.SIGHUP)
 	}},
 	{"kill the holder of the duties", func(s *Soak, _ *rand.Rand, d time.Duration) {
 		if p := s.holder(); p != nil {
@@ -111,6 +130,16 @@
 	{"version named", func(s *Soak, _ *rand.Rand, _ time.Duration) { s.nameVersion() }},
 }
 
+// misbehave returns a fault in which one upstream, engine or plain service, spoils its answers.
+func misbehave(m platformtest.Misbehaviour) func(s *Soak, r *rand.Rand, d time.Duration) {
+	return func(s *Soak, r *rand.Rand, d time.Duration) {
+		u := s.upstreams[r.IntN(len(s.upstreams))]
+		u.SetMisbehaving(m)
+		time.Sleep(d / 4)
+		u.SetMisbehaving(platformtest.Behaves)
+	}
+}
+
 // disturb starts faults at times that overlap until ctx ends, and waits for the last one.
 func (s *Soak) disturb(ctx context.Context, r *rand.Rand) {
 	for ctx.Err() == nil {
--- a/standin/soak/process.go
+++ b/standin/soak/process.go
@@ -19,10 +19,13 @@
 	settings    platformtest.ProcessSettings
 	store       *Proxy
 	log         *os.File
+	h           *history
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
+	// ending is set once the process was asked to end.
+	ending bool
 }
 
 // Ports of the gateways. Each has an address of its own, and so has each seed, so that the ports may be the same.
@@ -36,7 +39,7 @@
 const seedNetworks = 250
 
 // newProcess prepares the gateway with the given number.
-func newProcess(opts Options, number int, storeAddress, dutyAddress string) (*process, error) {
+func newProcess(opts Options, h *history, number int, storeAddress, dutyAddress string) (*process, error) {
 	proxy, err := newProxy(storeAddress)
 	if err != nil {
 		return nil, err
@@ -47,7 +50,7 @@
 		return nil, err
 	}
 	return &process{
-		binary: opts.Binary, dir: opts.Dir, store: proxy, log: log,
+		binary: opts.Binary, dir: opts.Dir, store: proxy, log: log, h: h,
 		settings: platformtest.ProcessSettings{
 			Name: name, IP: fmt.Sprintf("127.1.%d.%d", opts.Seed%seedNetworks, 10+number), DataCentre: fmt.Sprintf("dc-%d", number%3),
 			Store: proxy.Address(), Duties: dutyAddress, FrontPort: frontPort, ReadyPort: readyPort, FirstPort: firstPort,
@@ -67,7 +70,7 @@
 	if p.cmd != nil {
 		return nil
 	}
-	if err := os.WriteFile(p.path(), []byte(p.settings.Settings()), 0o600); err != nil {
+	if err := p.writeSettings(); err != nil {
 		return err
 	}
 	cmd := exec.Command(p.binary, "run")
@@ -76,23 +79,37 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	p.cmd, p.exited = cmd, make(chan struct{})
+	p.cmd, p.exited, p.ending = cmd, make(chan struct{}), false
 	exited := p.exited
 	go func() {
 		_ = cmd.Wait() // the exit code of a killed process says nothing
 		p.mu.Lock()
 		p.cmd = nil
+		if !p.ending {
+			p.h.violate("%s ended by itself; see its log", p.settings.Name)
+		}
 		p.mu.Unlock()
 		close(exited)
 	}()
 	return nil
 }
 
+func (p *process) writeSettings() error {
+	return os.WriteFile(p.path(), []byte(p.settings.Settings()), 0o600)
+}
+
+// spoilSettings leaves the first bytes of the settings file only.
+func (p *process) spoilSettings(bytes int) error {
+	text := p.settings.Settings()
+	return os.WriteFile(p.path(), []byte(text[:min(bytes, len(text))]), 0o600)
+}
+
 // signal sends a signal if the process runs.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cmd != nil {
+		p.ending = p.ending || s == syscall.SIGTERM || s == syscall.SIGKILL
 		_ = p.cmd.Process.Signal(s) // a process that just ended needs none
 	}
 }
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -121,7 +121,7 @@
 		}
 	}
 	for i := range s.opts.Gateways {
-		p, err := newProcess(s.opts, i, storeAddress, dutyAddress)
+		p, err := newProcess(s.opts, s.h, i, storeAddress, dutyAddress)
 		if err != nil {
 			return err
 		}
