--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -146,6 +146,9 @@
 	}
 	if answer != nil {
 		if a, err := answer(r); a != nil || err != nil {
+			if paced, ok := bodyOf(a).(*pacedReader); ok {
+				context.AfterFunc(ctx, func() { paced.Close() }) // as a connection ends with its request
+			}
 			return a, err
 		}
 	}
@@ -155,6 +158,13 @@
 	return stream(r.ResumeAfter+1, 3, true), nil
 }
 
+func bodyOf(a *upstreamcall.Answer) io.Reader {
+	if a == nil {
+		return nil
+	}
+	return a.Body
+}
+
 func (f *fakeUpstreams) Order(
 	_ context.Context, _ upstreams.Entry, o upstreamcall.VersionOrder,
 ) (upstreamcall.OrderAnswer, error) {
--- /dev/null
+++ b/gateway/stall_test.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/radishshelf/radishshelf/upstreamcall"
+)
+
+// pacedReader gives one piece each pace, and then repeats the last piece until it is closed.
+type pacedReader struct {
+	pace   time.Duration
+	pieces []string
+	closed chan struct{}
+	once   sync.Once
+	// endless readers repeat their last piece, others end.
+	endless bool
+}
+
+func (p *pacedReader) Read(b []byte) (int, error) {
+	if len(p.pieces) == 0 {
+		return 0, io.EOF
+	}
+	select {
+	case <-time.After(p.pace):
+	case <-p.closed:
+		return 0, io.ErrClosedPipe
+	}
+	n := copy(b, p.pieces[0])
+	if !p.endless || len(p.pieces) > 1 {
+		p.pieces = p.pieces[1:]
+	}
+	return n, nil
+}
+
+func (p *pacedReader) Close() error {
+	p.once.Do(func() { close(p.closed) })
+	return nil
+}
+
+func eventLines(n int) []string {
+	var lines []string
+	for id := 1; id <= n; id++ {
+		lines = append(lines, fmt.Sprintf(`{"ID":%d,"Data":"event %d"}`+"\n", id, id))
+	}
+	return lines
+}
+
+// Guards against a stream that is cut although its upstream works on it, slowly: pauses are longer than what is usual, and the
+// upstream answers when asked.
+func TestSlowStreamIsLeftAlone(t *testing.T) {
+	w := newWorld(t)
+	g := w.start("a")
+	w.engine.script(func(r *upstreamcall.Request) (*upstreamcall.Answer, error) {
+		a := signed(200, "")
+		a.Version = 1
+		a.Body = &pacedReader{pace: eventTimeout + 400*time.Millisecond, pieces: eventLines(4), closed: make(chan struct{})}
+		return a, nil
+	})
+	items := testItems(1)
+	w.mustSubmit(g, "job-1", items...)
+	w.checkOnce(w.readAll(g, "job-1"), items)
+	if n := w.engine.requests(func(upstreamcall.Request) bool { return true }); n != 1 {
+		t.Errorf("the text took %d runs, want one", n)
+	}
+}
+
+// Guards against a stream that is kept alive by bytes that are no event, one now and then, and never ends.
+func TestTricklingStreamIsEnded(t *testing.T) {
+	w := newWorld(t)
+	w.addUpstream("e2", engineName, 4, map[string]int64{testModel: 1})
+	g := w.start("a")
+	var trickled atomic.Int64
+	w.engine.script(func(r *upstreamcall.Request) (*upstreamcall.Answer, error) {
+		if r.Upstream.ID != "e1" || trickled.Load() > 0 {
+			return nil, nil
+		}
+		trickled.Add(1)
+		a := signed(200, "")
+		a.Version = 1
+		a.Body = &pacedReader{pace: 50 * time.Millisecond, pieces: append(eventLines(1), "\n"), closed: make(chan struct{}), endless: true}
+		return a, nil
+	})
+	items := testItems(4)
+	started := time.Now()
+	w.mustSubmit(g, "job-1", items...)
+	w.checkOnce(w.readAll(g, "job-1"), items)
+	if took := time.Since(started); trickled.Load() == 0 || took > maxSilence+2*time.Second {
+		t.Errorf("%d streams trickled, and the job took %s", trickled.Load(), took)
+	}
+}
