Add up the load of other hosts when it is asked for, and keep the list of ready upstreams

Cause: each heartbeat of any host had the loads of all hosts added up again, and each choice of an upstream sorted the list of all upstreams: costs that grow with hosts times hosts and with items times upstreams.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -69,7 +69,8 @@
 // score is the cost of sending one more request to an upstream. The caller holds the lock.
 func (g *Gateway) score(e upstreams.Entry, now time.Time) float64 {
 	h := g.healthOf(e.ID)
-	utilisation := float64(g.inFlight[e.ID]+g.othersLoad[e.ID]+1) / float64(max(e.Slots, 1))
+	others, _ := g.loadOfOthers(e.ID)
+	utilisation := float64(g.inFlight[e.ID]+others+1) / float64(max(e.Slots, 1))
 	score := utilisation*g.slowness(e, now) + g.distance(e) + rand.Float64()*tieBreak
 	if !g.isWarm(e.ID, now) {
 		score += connectionCost
--- a/gateway/duty_work.go
+++ b/gateway/duty_work.go
@@ -112,9 +112,10 @@
 func (w *dutyWork) view(service string) []versionplan.Upstream {
 	var list []versionplan.Upstream
 	for _, e := range w.g.upstreams.Ready(service) {
+		others, _ := w.g.loadOfOthers(e.ID)
 		list = append(list, versionplan.Upstream{
 			ID: e.ID, DataCentre: e.DataCentre, Usable: !w.g.healthOf(e.ID).Suspect(), Orders: w.orders[incarnationOf(e)],
-			Versions: e.Versions, Running: w.g.inFlight[e.ID] + w.g.othersLoad[e.ID],
+			Versions: e.Versions, Running: w.g.inFlight[e.ID] + others,
 		})
 	}
 	return list
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,9 +52,7 @@
 	rates  map[string]*batch.TokenRate
 	// connections holds how many connections to each upstream are kept.
 	connections map[string]kept
-	// othersLoad and othersTokens hold what the other processes reported to have in flight at each upstream, in requests and
-	// in tokens that their texts hold.
-	othersLoad, othersTokens map[string]int
+	others      othersLoad
 	// clock is the store's clock as of clockAt.
 	clock   time.Duration
 	clockAt time.Time
@@ -90,7 +88,7 @@
 		jobs: map[string]*jobEntry{}, health: map[string]*upstreamhealth.Health{}, fastest: map[string]fastest{}, inFlight: map[string]int{},
 		connections: map[string]kept{}, meanItem: firstMeanItem,
 		memory: map[string]engineMemory{}, rates: map[string]*batch.TokenRate{},
-		othersLoad: map[string]int{}, othersTokens: map[string]int{}, hedges: retry.NewBudget(retry.DefaultBudgetConfig(), time.Now()),
+		others: othersLoad{requests: map[string]int{}, tokens: map[string]int{}}, hedges: retry.NewBudget(retry.DefaultBudgetConfig(), time.Now()),
 		usage: usageCounts{}, probes: map[string]*probe{}, kick: make(chan struct{}, 1), givenJob: make(chan struct{}, 1),
 	}
 	if g.opts.Wall == nil {
--- a/gateway/scale_orders.go
+++ b/gateway/scale_orders.go
@@ -137,7 +137,8 @@
 		l := loads[e.DataCentre]
 		l.count++
 		l.slots += e.Slots
-		l.inUse += s.g.inFlight[e.ID] + s.g.othersLoad[e.ID]
+		others, _ := s.g.loadOfOthers(e.ID)
+		l.inUse += s.g.inFlight[e.ID] + others
 		loads[e.DataCentre] = l
 	}
 	return loads
--- a/gateway/schedule_pass.go
+++ b/gateway/schedule_pass.go
@@ -112,10 +112,11 @@
 		}
 		h := g.healthOf(e.ID)
 		own := g.inFlight[e.ID]
+		others, othersTokens := g.loadOfOthers(e.ID)
 		engines = append(engines, placement.Engine{
-			ID: e.ID, Slots: e.Slots, Own: own, Others: g.othersLoad[e.ID], Connections: g.keptConnections(e.ID, now),
+			ID: e.ID, Slots: e.Slots, Own: own, Others: others, Connections: g.keptConnections(e.ID, now),
 			Distance: g.distanceTo(e), Version: version, Pace: h.Pace(now), LastPace: h.LastPace(),
-			Memory: g.memoryOf(e, now), Runs: runs[e.ID], OthersTokens: g.othersTokens[e.ID],
+			Memory: g.memoryOf(e, now), Runs: runs[e.ID], OthersTokens: othersTokens,
 			Avoided: h.IsBusy(key.model, now) || !h.Allowed(now, own),
 		})
 	}
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -145,6 +145,7 @@
 		defer g.mu.Unlock()
 		if c.Deleted {
 			g.peers.Forget(c.Key)
+			g.others.known = false
 			return
 		}
 		g.hear(c.StoredRow)
@@ -170,17 +171,5 @@
 	if b.Host == g.opts.Host && b.Incarnation == g.opts.Incarnation {
 		g.beatSeen = max(g.beatSeen, b.Sequence)
 	}
-	clear(g.othersLoad)
-	clear(g.othersTokens)
-	for _, peer := range g.peers.Live() {
-		if peer.Host == g.opts.Host {
-			continue
-		}
-		for id, n := range peer.Load {
-			g.othersLoad[id] += n
-		}
-		for id, n := range peer.Tokens {
-			g.othersTokens[id] += n
-		}
-	}
+	g.others.known = false // added up when it is asked for: heartbeats of many hosts arrive together
 }
--- a/upstreams/view.go
+++ b/upstreams/view.go
@@ -18,17 +18,20 @@
 	lapsed map[string]time.Time
 	lost   bool
 	backAt time.Time
+	// ready holds what Ready has returned since the last change.
+	ready map[string][]Entry
 }
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{entries: map[string]Entry{}, lapsed: map[string]time.Time{}}
+	return &View{entries: map[string]Entry{}, lapsed: map[string]time.Time{}, ready: map[string][]Entry{}}
 }
 
 // Put takes a new or changed entry.
 func (v *View) Put(e Entry) {
 	v.entries[e.ID] = e
 	delete(v.lapsed, e.ID)
+	clear(v.ready)
 }
 
 // Remove takes the removal of an entry. In an outage and just after it the removal may only mean that the upstream could
@@ -49,12 +52,14 @@
 		return
 	}
 	delete(v.entries, id)
+	clear(v.ready)
 }
 
 // Discard drops an entry that became unreadable; it names no upstream any more.
 func (v *View) Discard(id string) {
 	delete(v.entries, id)
 	delete(v.lapsed, id)
+	clear(v.ready)
 }
 
 // Replace takes the whole table, read at once.
@@ -112,15 +117,19 @@
 	return slices.SortedFunc(maps.Values(v.entries), func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
 }
 
-// Ready returns the upstreams of a service that take work, ordered by ID.
+// Ready returns the upstreams of a service that take work, ordered by ID. The caller must not change the list.
 func (v *View) Ready(service string) []Entry {
-	var list []Entry
+	if list, ok := v.ready[service]; ok {
+		return list
+	}
+	list := []Entry{}
 	for _, e := range v.entries {
 		if e.Service == service && e.State == Ready {
 			list = append(list, e)
 		}
 	}
 	slices.SortFunc(list, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
+	v.ready[service] = list
 	return list
 }
 
