--- a/gateway/job_view.go
+++ b/gateway/job_view.go
@@ -20,12 +20,20 @@
 	fresh := !g.jobsHeardAt.IsZero() && now.Sub(g.jobsHeardAt) < g.jobViewValid()
 	if fresh == g.startsHeld {
 		g.startsHeld = !fresh
-		g.opts.Log.Info().Bool("held", !fresh).Dur("view_age_ms", now.Sub(g.jobsHeardAt)).
-			Msg("starts of items depend on the age of the view of the jobs")
+		g.logStartsHeld(now)
 	}
 	return fresh
 }
 
+func (g *Gateway) logStartsHeld(now time.Time) {
+	line := g.opts.Log.Info().Dur("view_age_ms", now.Sub(g.jobsHeardAt))
+	if g.startsHeld {
+		line.Msg("no item starts, the view of the jobs is too old")
+		return
+	}
+	line.Msg("items start again")
+}
+
 // jobsHeard takes an answer to the watch of the jobs.
 func (g *Gateway) jobsHeard(clock time.Duration) {
 	g.storeAnswered(clock)
--- a/placement/board.go
+++ b/placement/board.go
@@ -21,7 +21,7 @@
 	// memoryCost is for an engine whose memory will be full. One that runs out of memory puts the newest text back, which
 	// then waits and is read again.
 	memoryCost = 0.2
-	// avoidCost puts the engine that let a text down behind all others.
+	// avoidCost puts the engine at which the last run of a text failed behind all others.
 	avoidCost = 4
 	// tieBreak spreads texts over equal engines.
 	tieBreak = 0.01
--- a/placement/want.go
+++ b/placement/want.go
@@ -6,7 +6,7 @@
 	MinVersion int64
 	// Newest is the version that should make the text where there is a choice; 0 when any will do.
 	Newest int64
-	// Avoid is the engine that let the text down last, or that it is to be moved away from.
+	// Avoid is the engine at which the last run of the text failed, or from which it is to be moved.
 	Avoid string
 	// Run is what the text holds at its start, and what is expected to come.
 	Run Run
