Wait for what a complete job leaves, and give an endless answer up early, in two tests

In TestEndlessAnswerIsGivenUp the request went to a second upstream for being late before 1 MiB had been read, and its answer ended the endless one; with 64 KiB of memory the answer is given up first. The checks are unchanged.

--- a/gateway/collect_test.go
+++ b/gateway/collect_test.go
@@ -11,6 +11,7 @@
 	g := w.start("a")
 	w.mustSubmit(g, "old", testItems(3)...)
 	w.readAll(g, "old")
+	w.eventually("the job has stored what it leaves", func() bool { return len(w.store.Table(leftTable)) > 0 })
 	c := &collector{g: g}
 	if list := c.old(); len(list) != 0 {
 		t.Errorf("%v is deleted within its lifetime", list)
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -41,7 +41,8 @@
 	w := newWorld(t)
 	w.addUpstream("p2", plainName, 4, nil)
 	g := w.start("a")
-	g.opts.Memory = membudget.New(1<<20, func(int64) {})
+	// Little memory, so that the answer is given up before the request goes to a second upstream for being late.
+	g.opts.Memory = membudget.New(64<<10, func(int64) {})
 	w.engine.script(func(r *upstreamcall.Request) (*upstreamcall.Answer, error) {
 		if r.Upstream.ID != "p1" {
 			return nil, nil
