End the bodies of the stand-in answers with their requests

TestEndlessAnswerIsGivenUp failed again under -race: the stand-in's body could be read on after its request had ended, up to 32 MiB for each of twenty callers, which no connection allows. Scripted bodies now end with their request.

--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -146,10 +146,7 @@
 	}
 	if answer != nil {
 		if a, err := answer(r); a != nil || err != nil {
-			if paced, ok := bodyOf(a).(*pacedReader); ok {
-				context.AfterFunc(ctx, func() { paced.Close() }) // as a connection ends with its request
-			}
-			return a, err
+			return endWith(ctx, a), err
 		}
 	}
 	if r.Upstream.Service == plainName {
@@ -158,13 +155,32 @@
 	return stream(r.ResumeAfter+1, 3, true), nil
 }
 
-func bodyOf(a *upstreamcall.Answer) io.Reader {
+// endWith makes the body of an answer end with its request, as a connection does.
+func endWith(ctx context.Context, a *upstreamcall.Answer) *upstreamcall.Answer {
 	if a == nil {
 		return nil
 	}
-	return a.Body
+	body := &requestBody{ctx: ctx, body: a.Body}
+	context.AfterFunc(ctx, func() { body.body.Close() })
+	a.Body = body
+	return a
+}
+
+// requestBody is a body that cannot be read once its request has ended.
+type requestBody struct {
+	ctx  context.Context
+	body io.ReadCloser
 }
 
+func (b *requestBody) Read(p []byte) (int, error) {
+	if err := b.ctx.Err(); err != nil {
+		return 0, err
+	}
+	return b.body.Read(p)
+}
+
+func (b *requestBody) Close() error { return b.body.Close() }
+
 func (f *fakeUpstreams) Order(
 	_ context.Context, _ upstreams.Entry, o upstreamcall.VersionOrder,
 ) (upstreamcall.OrderAnswer, error) {
