Load first for the model that is worst off now or at its next version

Loads are short when the holder learns late of the versions of four models. A model whose engines all serve the version before the newest counted as fully covered and got no load in 2.5 s, while the others had engines that were further behind; when its next version was named it had no engine for the step that came with it, which waited two seconds for its first text.

Ruled out: the orders (all accepted), the weight store (8 loads at a time throughout).

Change: the coverage of a model is the smaller of its engines for the newest step and twice those of the newest version.

--- a/versionplan/plan.go
+++ b/versionplan/plan.go
@@ -136,7 +136,7 @@
 		if p.busy(u.ID, loads) {
 			continue
 		}
-		q.serving++
+		q.load(u)
 		loads = append(loads, Load{
 			Upstream: u.ID, Model: q.demand.Model, Version: q.demand.Newest, ExpectedOrders: u.Orders,
 		})
@@ -148,12 +148,33 @@
 type queue struct {
 	demand  Demand
 	wanting []Upstream
-	// serving is the number of members that serve the newest step or will do so, out of members.
-	serving, members int
+	// newest and older are the numbers of members that serve the newest version or will do so, and the one before, out of
+	// members.
+	newest, older, members int
+	// floor is the oldest version that the newest step accepts.
+	floor int64
 }
 
-// coverage is the part of the members that serve the newest step.
-func (q *queue) coverage() float64 { return float64(q.serving) / float64(max(q.members, 1)) }
+// newestWeight is what an upstream of the newest version counts for beside the step after the newest one. A half of the members
+// is enough for that step, which the other half then follows.
+const newestWeight = 2
+
+// serving is the number of members that serve the newest step.
+func (q *queue) serving() int { return q.newest + q.older }
+
+// coverage is the part of the members that serve the newest step, or the one after it, whichever is worse off: a model whose
+// members all serve the version before finds no upstream when its next version is named.
+func (q *queue) coverage() float64 {
+	return float64(min(q.serving(), newestWeight*q.newest)) / float64(max(q.members, 1))
+}
+
+// load counts an upstream that loads the newest version.
+func (q *queue) load(u Upstream) {
+	q.newest++
+	if u.Versions[q.demand.Model] >= q.floor {
+		q.older--
+	}
+}
 
 // neediest returns the queue of the model with the least coverage, so that no model waits for the loads of the others.
 func neediest(queues []*queue) *queue {
@@ -162,8 +183,10 @@
 		if len(q.wanting) == 0 {
 			continue
 		}
-		if first == nil || q.coverage() < first.coverage() ||
-			q.coverage() == first.coverage() && q.demand.Model < first.demand.Model {
+		if first == nil || cmp.Or(
+			cmp.Compare(q.coverage(), first.coverage()), cmp.Compare(q.serving(), first.serving()),
+			cmp.Compare(q.demand.Model, first.demand.Model),
+		) < 0 {
 			first = q
 		}
 	}
@@ -210,7 +233,7 @@
 			older = append(older, u)
 		}
 	}
-	q.members, q.serving = len(members), newest+len(older)
+	q.members, q.newest, q.older, q.floor = len(members), newest, len(older), floor
 	q.wanting = stale
 	if missing := loadsOf(list, members, d, models) - newest - len(stale); missing > 0 {
 		slices.SortStableFunc(older, func(a, b Upstream) int { return cmp.Compare(a.Running, b.Running) })
--- a/versionplan/plan_test.go
+++ b/versionplan/plan_test.go
@@ -200,3 +200,36 @@
 		t.Errorf("%d of 11 upstreams loaded the version, want a half", f.loads)
 	}
 }
+
+// Pattern: loads are short, because the holder learnt late of the versions of four models at once. Three of the models have
+// upstreams that are two versions behind; those of the fourth all serve the version before. Guards against a fourth model that
+// gets no load before its next version is named, and then has no upstream for the step that comes with it.
+func TestModelWithoutTheNewestVersionGetsLoads(t *testing.T) {
+	models := []string{"a", "b", "c", "d"}
+	f := newFleet(44, models...)
+	var demands []Demand
+	for _, m := range models {
+		demands = append(demands, Demand{Model: m, Newest: 3, Oldest: 2})
+	}
+	for _, u := range Members(f.list, "d", len(models)) {
+		for i := range f.list {
+			if f.list[i].ID == u.ID {
+				f.list[i].Versions["d"] = 2
+			}
+		}
+	}
+	for range 3 {
+		for _, l := range f.planner.Next(f.list, demands, f.now) {
+			f.planner.Sent(l, f.now)
+			f.planner.Accepted(l, f.now)
+			f.serve(l)
+		}
+		f.now = f.now.Add(time.Second)
+	}
+	// By its weight an upstream of the newest version counts for two, so that the fourth model gets half of what the others
+	// get; a third leaves room for whole numbers.
+	most := max(f.at("a", 3), f.at("b", 3), f.at("c", 3))
+	if got := f.at("d", 3); 3*got < most {
+		t.Errorf("after three seconds of loads %d upstreams serve the newest version of d, and %d that of another model", got, most)
+	}
+}
