Let items start under a short bound for ended jobs

Read in the diff: with a bound of less than 0.8 s for the end of a job the view of the jobs would never have been fresh enough, and no item would have started. TestShortBoundStartsItemsAllTheSame fails without the least time.

--- a/gateway/job_view.go
+++ b/gateway/job_view.go
@@ -6,6 +6,9 @@
 	// sendReserve is left of the time within which the end of a job has to take effect: for an answer of a slow store that
 	// tells what was true before, and for a send that first opens a connection.
 	sendReserve = 800 * time.Millisecond
+	// minJobView is the least time for which the view of the jobs holds, whatever the platform's bound: with less, an answer of
+	// the watch would mostly be too old when it arrives, and nothing would start.
+	minJobView = time.Second
 	// jobWatchShare is the part of the time for which the view of the jobs holds that one call of their watch may wait, so
 	// that a quiet store does not make the view old.
 	jobWatchShare = 0.6
@@ -13,7 +16,7 @@
 
 // jobViewValid is how long this process may start items after it last heard of the jobs: another process may have accepted
 // the end of one of them since. The caller holds the lock.
-func (g *Gateway) jobViewValid() time.Duration { return max(g.opts.Timing.CancelApply-sendReserve, 0) }
+func (g *Gateway) jobViewValid() time.Duration { return max(g.opts.Timing.CancelApply-sendReserve, minJobView) }
 
 // mayStartItems reports whether the view of the jobs is fresh enough to start items. The caller holds the lock.
 func (g *Gateway) mayStartItems(now time.Time) bool {
--- a/gateway/job_view_test.go
+++ b/gateway/job_view_test.go
@@ -85,3 +85,13 @@
 	w.mustSubmit(g, "job-1", items...)
 	w.checkOnce(w.readAll(g, "job-1"), items)
 }
+
+// Guards against a platform whose bound is shorter than an answer of the watch takes, so that nothing ever starts.
+func TestShortBoundStartsItemsAllTheSame(t *testing.T) {
+	w := newWorld(t)
+	g := w.start("a")
+	g.SetTiming(Timing{BatchLifetime: time.Minute, CancelApply: 100 * time.Millisecond})
+	items := testItems(8)
+	w.mustSubmit(g, "job-1", items...)
+	w.checkOnce(w.readAll(g, "job-1"), items)
+}
