--- a/gateway/job_view.go
+++ b/gateway/job_view.go
@@ -16,7 +16,9 @@
 
 // jobViewValid is how long this process may start items after it last heard of the jobs: another process may have accepted
 // the end of one of them since. The caller holds the lock.
-func (g *Gateway) jobViewValid() time.Duration { return max(g.opts.Timing.CancelApply-sendReserve, minJobView) }
+func (g *Gateway) jobViewValid() time.Duration {
+	return max(g.opts.Timing.CancelApply-sendReserve, minJobView)
+}
 
 // mayStartItems reports whether the view of the jobs is fresh enough to start items. The caller holds the lock.
 func (g *Gateway) mayStartItems(now time.Time) bool {
