Find free ports of test processes without listening on them

A port was found free by listening on it and closing the socket again. A process that another test starts at that moment is forked with copies of all open sockets and keeps them until it runs its program, so the port stays taken for a moment after the close; the relay, which listens at once, met it. Ruled out: another holder of the port. Blocks of ports are guarded by their first port, and no other program of the repository has a fixed port in the range. Change: whether a port is free is found by binding without listening, which keeps nobody from the port; the relay, which never gives its address back, takes a port from the system. Conclusion: a fault of the test support, not of the product.

--- a/standin/fleet/ports.go
+++ b/standin/fleet/ports.go
@@ -4,6 +4,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"syscall"
 	"testing"
 )
 
@@ -39,18 +40,29 @@
 // address returns a loopback address whose port is free now and was not handed out before.
 func (b *block) address() (string, bool) {
 	for b.next <= b.last {
-		candidate := loopback(b.next)
+		port := b.next
 		b.next++
-		listener, err := net.Listen("tcp", candidate)
-		if err != nil {
-			continue
+		if isFree(port) {
+			return loopback(port), true
 		}
-		_ = listener.Close()
-		return candidate, true
 	}
 	return "", false
 }
 
+// isFree tells whether a loopback port can be bound. It does not listen: a process that is being started meanwhile holds
+// a copy of the socket until it runs its program, and a copy that listens would keep the port from its owner.
+func isFree(port int) bool {
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		return false
+	}
+	defer syscall.Close(socket)
+	if err := syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return false
+	}
+	return syscall.Bind(socket, &syscall.SockaddrInet4{Port: port, Addr: [4]byte{127, 0, 0, 1}}) == nil
+}
+
 // ports is the block of this test process.
 var ports struct {
 	sync.Mutex
--- a/standin/fleet/ports_test.go
+++ b/standin/fleet/ports_test.go
@@ -1,6 +1,11 @@
 package fleet
 
-import "testing"
+import (
+	"net"
+	"os/exec"
+	"sync"
+	"testing"
+)
 
 // Guards against two test processes that are given the same port: both found it free, and the second process to bind it
 // failed to start. Two claims in one process stand for two processes.
@@ -29,3 +34,40 @@
 		}
 	}
 }
+
+// Guards against a port that looks free and then can't be listened on: a process that another test starts at that moment
+// holds copies of all open sockets until it runs its program, also of one that only looked whether the port was free.
+func TestFoundPortsCanBeListenedOnWhileProcessesStart(t *testing.T) {
+	program, err := exec.LookPath("true")
+	if err != nil {
+		t.Skip(err)
+	}
+	var starters sync.WaitGroup
+	stop := make(chan struct{})
+	for range 4 {
+		starters.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					_ = exec.Command(program).Run()
+				}
+			}
+		})
+	}
+	defer starters.Wait()
+	defer close(stop)
+	for range 2000 {
+		candidate := &block{next: lastPort + 1, last: lastPort + blockSize}
+		found, ok := candidate.address()
+		if !ok {
+			t.Fatal("no port is free")
+		}
+		listener, err := net.Listen("tcp", found)
+		if err != nil {
+			t.Fatalf("listen on a port found free: %v", err)
+		}
+		_ = listener.Close()
+	}
+}
--- a/standin/fleet/relay.go
+++ b/standin/fleet/relay.go
@@ -21,7 +21,7 @@
 // NewRelay starts a relay to target that ends with the test.
 func NewRelay(t testing.TB, target string) *Relay {
 	t.Helper()
-	listener, err := net.Listen("tcp", address(t))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
