Report later usage windows after one that cannot be read or is rejected

Cause, found by reading for faults of the kind 'one malformed message': a row of usage that cannot be decoded made the seal of its window fail for ever, and the reporter looked at no window after one that failed. A report that the platform rejects did the same. Ruled out: the watched tables, whose unreadable rows were skipped already (TestPoisonousRowsCostThemselvesOnly; it puts rows under keys that belong to no window, which is why it did not show this). Conclusion: one bad row costs the counts of one process in one window. Open: an unreadable lease row still stops all duties, as the term that must grow is nowhere else.

--- a/gateway/adopt.go
+++ b/gateway/adopt.go
@@ -251,7 +251,7 @@
 	for _, r := range rows {
 		var text batch.Text
 		if err := json.Unmarshal(r.Value, &text); err != nil {
-			g.opts.Log.Warn().Str("key", r.Key).Err(err).Msg("row skipped")
+			g.skipRow(r.RowKey, err)
 			continue
 		}
 		texts[strings.TrimPrefix(r.Key, id+"/")] = text
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -234,6 +234,8 @@
 	reports []usageReport
 	// silent leaves every call without an answer.
 	silent bool
+	// rejects decides which windows are refused; nil refuses none.
+	rejects func(window int64) error
 }
 
 type usageReport struct {
@@ -252,6 +254,11 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.rejects != nil {
+		if err := f.rejects(window); err != nil {
+			return err
+		}
+	}
 	f.reports = append(f.reports, usageReport{holder, term, window, counts})
 	return nil
 }
--- a/gateway/job_entry.go
+++ b/gateway/job_entry.go
@@ -102,7 +102,7 @@
 func (g *Gateway) takeJobRow(r hosting.StoredRow) *jobEntry {
 	var record batch.Record
 	if err := json.Unmarshal(r.Value, &record); err != nil {
-		g.opts.Log.Warn().Str("job", r.Key).Err(err).Msg("row skipped")
+		g.skipRow(r.RowKey, err)
 		return nil
 	}
 	return g.takeRecord(r.Key, record, r.Version)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -125,6 +125,11 @@
 	return m.registry.GetOrCreateCounter(fmt.Sprintf("radishshelf_gateway_version_orders_total{answer=%q}", answer))
 }
 
+// rowsSkipped counts rows that cannot be read, by table.
+func (m *metricSet) rowsSkipped(table string) *metrics.Counter {
+	return m.registry.GetOrCreateCounter(fmt.Sprintf("radishshelf_gateway_rows_skipped_total{table=%q}", table))
+}
+
 // requests counts answers to callers, by kind.
 func (m *metricSet) requests(kind string) *metrics.Counter {
 	return m.registry.GetOrCreateCounter(fmt.Sprintf("radishshelf_gateway_requests_total{kind=%q}", kind))
--- a/gateway/reuse.go
+++ b/gateway/reuse.go
@@ -122,7 +122,7 @@
 	left := map[string]batch.Left{}
 	for _, r := range rows {
 		if err := json.Unmarshal(r.Value, &left); err != nil {
-			g.opts.Log.Warn().Str("key", r.Key).Err(err).Msg("row skipped")
+			g.skipRow(r.RowKey, err)
 		}
 	}
 	return left
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -54,7 +54,7 @@
 	case g.opts.Codec.IsNamedVersion(r.Key):
 		named, err := g.opts.Codec.DecodeNamedVersion(r.Key, r.Value)
 		if err != nil {
-			g.opts.Log.Warn().Err(err).Msg("row skipped")
+			g.skipRow(r.RowKey, err)
 			return
 		}
 		g.mu.Lock()
@@ -108,7 +108,7 @@
 				if e, err := g.opts.Codec.DecodeUpstream(r.Key, r.Value); err == nil {
 					list = append(list, e)
 				} else {
-					g.opts.Log.Warn().Err(err).Msg("row skipped")
+					g.skipRow(r.RowKey, err)
 				}
 			})
 		}
@@ -123,7 +123,7 @@
 	e, err := g.opts.Codec.DecodeUpstream(r.Key, r.Value)
 	if err != nil {
 		g.upstreams.Discard(r.Key)
-		g.opts.Log.Warn().Err(err).Msg("row skipped")
+		g.skipRow(r.RowKey, err)
 		return
 	}
 	old, known := g.upstreams.Get(e.ID)
@@ -164,7 +164,7 @@
 func (g *Gateway) hear(r hosting.StoredRow) {
 	var b presence.Beat
 	if err := json.Unmarshal(r.Value, &b); err != nil {
-		g.opts.Log.Warn().Str("key", r.Key).Err(err).Msg("row skipped")
+		g.skipRow(r.RowKey, err)
 		return
 	}
 	g.peers.Hear(b)
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -107,7 +107,8 @@
 	for _, r := range rows {
 		var w windowCounts
 		if err := json.Unmarshal(r.Value, &w); err != nil {
-			return nil, fmt.Errorf("usage row %s: %w", r.Key, err)
+			g.skipRow(r.RowKey, err) // the counts of one process are lost, not the window
+			continue
 		}
 		for workspace, n := range w.Counts {
 			sum.Counts[workspace] += n
@@ -130,7 +131,7 @@
 	sealed := windowCounts{}
 	for _, r := range result.Current {
 		if err := json.Unmarshal(r.Value, &sealed); err != nil {
-			return nil, fmt.Errorf("sealed usage %s: %w", r.Key, err)
+			return nil, &hosting.Error{Kind: hosting.KindInvalid, Op: "sealed usage " + r.Key, Err: err}
 		}
 	}
 	return maps.Clone(sealed.Counts), nil
