Ask few engines for their memory

Ruled out: asking over the connections of requests. Change: placement.MemoryBook. Two engines of a service are asked at once, then one every 5 s; the others count as the least that was said. One that does not answer gives its place to another. The number of questions no longer grows with the engines.

--- a/gateway/engine_memory.go
+++ b/gateway/engine_memory.go
@@ -5,52 +5,41 @@
 	"time"
 
 	"github.com/radishshelf/radishshelf/batch"
+	"github.com/radishshelf/radishshelf/placement"
 	"github.com/radishshelf/radishshelf/upstreams"
 )
 
-const (
-	// memoryTimeout bounds the question for the memory of an engine: a round trip between regions and a short queue.
-	memoryTimeout = time.Second
-	// memoryRetry is how long an engine that did not answer is left alone.
-	memoryRetry = 5 * time.Second
-)
-
-// engineMemory is how many tokens an engine may hold, as it said.
-type engineMemory struct {
-	of incarnation
-	// tokens is 0 until the engine has answered; askedAt is when it was asked last.
-	tokens  int
-	askedAt time.Time
-}
+// memoryTimeout bounds the question for the memory of an engine: a round trip between regions and a short queue.
+const memoryTimeout = time.Second
 
-// memoryOf returns the memory of an engine in tokens, and 0 while it is not known. An engine is asked once in its life, and
-// again while it does not answer. The caller holds the lock.
+// memoryOf returns the memory of an engine in tokens as far as it is known, and 0 otherwise. The caller holds the lock.
 func (g *Gateway) memoryOf(e upstreams.Entry, now time.Time) int {
-	m := g.memory[e.ID]
-	if m.of == incarnationOf(e) && (m.tokens > 0 || now.Sub(m.askedAt) < memoryRetry) {
-		return m.tokens
+	book, ok := g.memory[e.Service]
+	if !ok {
+		book = &placement.MemoryBook[incarnation]{}
+		g.memory[e.Service] = book
 	}
-	g.memory[e.ID] = engineMemory{of: incarnationOf(e), askedAt: now}
-	g.ownedWG.Go(func() { g.askMemory(e) })
-	return 0
+	tokens, ask := book.Of(incarnationOf(e), now)
+	if ask {
+		g.ownedWG.Go(func() { g.askMemory(book, e) })
+	}
+	return tokens
 }
 
-func (g *Gateway) askMemory(e upstreams.Entry) {
+func (g *Gateway) askMemory(book *placement.MemoryBook[incarnation], e upstreams.Entry) {
 	ctx, cancel := context.WithTimeout(g.work, memoryTimeout)
 	defer cancel()
 	report, err := g.opts.Upstreams.Report(ctx, e)
 	g.met.probes.Inc()
 	g.opts.Log.Info().Str("upstream", e.ID).Int("memory_tokens", report.MemoryTokens).AnErr("error", err).
 		Msg("upstream asked for its memory")
-	if err != nil {
-		return // asked again after memoryRetry
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if m := g.memory[e.ID]; m.of == incarnationOf(e) {
-		m.tokens = report.MemoryTokens
-		g.memory[e.ID] = m
-	}
+	book.Answered(incarnationOf(e), report.MemoryTokens)
+	book.Keep(func(i incarnation) bool {
+		known, ok := g.upstreams.Get(i.id)
+		return ok && known.Born == i.born
+	})
 }
 
 // heldTokens returns what the texts of this process hold at each upstream. The caller holds the lock.
