--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEED ?= 1
 BINARIES = ./cmd/... ./standin/cmd/...
 
-.PHONY: all build test lint format quickstart soak measure generate clean
+.PHONY: all build test fuzz lint format quickstart soak measure generate clean
 
 all: lint test
 
@@ -12,6 +12,11 @@
 test:
 	scripts/test.sh
 
+# FUZZ names the folders whose decoders are tried.
+FUZZ ?= .
+fuzz:
+	scripts/fuzz.sh $(FUZZ)
+
 format:
 	gofmt -w $$(git ls-files '*.go')
 
--- /dev/null
+++ b/batch/fuzz_test.go
@@ -0,0 +1,53 @@
+package batch
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+)
+
+// Guards against an owner that panics, or counts items that do not exist, on the rows of a job whatever they hold: a row may
+// be cut off, or written by a newer version of the product.
+func FuzzJobRows(f *testing.F) {
+	f.Add([]byte(`{"id":"j","desired":1,"items":[{"id":"a","tokens":9,"group":"g"},{"id":"b","length_hint":-4}]}`),
+		[]byte(`{"total":2,"listed":1,"done":"AQ==","chunks":1}`), []byte(`{"events":["x"],"versions":[3]}`))
+	f.Add([]byte(`{"items":[{"id":"a"},{"id":"a"},{}],"desired":-1}`), []byte(`{"total":-3,"listed":9,"done":"/////w=="}`),
+		[]byte(`{"whole":true}`))
+	f.Fuzz(func(t *testing.T, content, row, saved []byte) {
+		var spec Spec
+		var record Record
+		var text Text
+		if json.Unmarshal(content, &spec) != nil || json.Unmarshal(row, &record) != nil || json.Unmarshal(saved, &text) != nil {
+			return
+		}
+		j := NewJob(spec, record, Limits{MaxFailures: 1, Rate: &TokenRate{}})
+		j.CarryOver(map[string]Left{"a": text.Left()})
+		var candidates []Candidate
+		for _, p := range j.Waiting(time.Time{}) {
+			j.Reuse(p, text)
+			if p.Phase == Waiting {
+				candidates = append(candidates, Candidate{Job: j, Item: p})
+			}
+		}
+		Order(candidates)
+		for _, c := range candidates {
+			j.Start(c.Item)
+			j.TextComplete(c.Item, time.Time{})
+			j.RunFailed(c.Item, time.Time{}, "")
+			j.Abandon(c.Item)
+		}
+		for _, p := range j.Items() {
+			j.Scored(p, "")
+		}
+		n := len(j.Unlisted())
+		j.EnoughWith(n)
+		if done := j.DoneWith(n).Count(); done > len(spec.Items) && record.Done.Count() <= len(spec.Items) {
+			t.Errorf("%d of %d items are done", done, len(spec.Items))
+		}
+		j.MarkListed(n)
+		j.Left()
+		if listed := j.Count(Listed); listed != len(j.Items()) {
+			t.Errorf("%d of %d items have a position after all have ended", listed, len(j.Items()))
+		}
+	})
+}
--- /dev/null
+++ b/gateway/fuzz_test.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/radishshelf/radishshelf/hosting"
+	storerows "github.com/radishshelf/radishshelf/standin/rows"
+	"github.com/radishshelf/radishshelf/telemetry"
+)
+
+// Guards against a row of the watched tables that takes the process down, or breaks what is decided from all rows, whatever it
+// holds.
+func FuzzWatchedRows(f *testing.F) {
+	f.Add(int64(1), []byte(`{"host":"b","incarnation":"1","sequence":3,"load":{"e1":2},"tokens":{"e1":-5},"processor":0.5,"items":-7}`))
+	f.Add(int64(2), []byte(`{"host":"api.example","owner":"a","total":9,"listed":-1,"done":"/w==","chunks":1}`))
+	f.Add(int64(3), []byte(`{"ID":"e1","Service":"engines","Slots":-2,"State":"ready","Versions":{"fares":1}}`))
+	f.Fuzz(func(t *testing.T, version int64, value []byte) {
+		g := New(Options{
+			Host: "a", Incarnation: "1", DataCentre: "north-1", Rows: storerows.New(), Upstreams: newFakeUpstreams(),
+			Duties: &fakeDuties{}, Codec: testCodec{}, Log: zerolog.Nop(), Registry: telemetry.NewRegistry(),
+			Timing: Timing{UsageWindow: time.Second},
+		})
+		now := time.Now()
+		g.takeOperatorRow(hosting.StoredRow{RowKey: hosting.RowKey{Key: "config"}, Value: testConfig(1)})
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		row := func(table, key string) hosting.StoredRow {
+			return hosting.StoredRow{RowKey: hosting.RowKey{Table: table, Key: key}, Value: value, Version: version}
+		}
+		g.hear(row(beatTable, "b"))
+		g.takeJobRow(row(jobTable, "job-1"))
+		g.putUpstream(row("upstreams", "e1"))
+		if host, _ := g.chooseOwner("trainer", 100); host == "" {
+			t.Error("nobody owns a new job")
+		}
+		g.newBoard(boardKey{service: engineName, model: testModel}, now)
+		g.waiting(now)
+		g.ownedItems()
+		g.demands([]string{testModel})
+		g.loadOfOthers("e1")
+	})
+}
