Pace the items of a job by the length of its long texts

All items of a job were started within 0.7 s, so that nearly every one took a connection of its own, though short texts need a tenth of the time that the step lasts. Change: so many items run at once that all are started in half of the time of the job's long texts, by what is left of each; the 95th percentile stands for the long ones, so that one wrong estimate holds nobody back. The moving average of the time of a run is gone. Not taken over: a rank before others for the longest texts, so that an engine without memory puts back short ones first.

--- a/batch/pacing.go
+++ b/batch/pacing.go
@@ -1,18 +1,34 @@
 package batch
 
-import "time"
+import "slices"
 
 // Values of the pacing of a job.
 const (
-	// paceTarget is the time over which the items of a job are started. Short texts may wait for connections that are in use
-	// already, but not for long: an estimate may be wrong, and a long text that starts late makes its step late.
-	paceTarget = 700 * time.Millisecond
+	// startLanes is how many times the work of a job would fit into the time of its long texts, at the number of items that run
+	// at once: all items are started in half of that time. Short texts may wait for connections that are in use already, but
+	// not for long: an estimate may be wrong, and a long text that starts late makes its step late.
+	startLanes = 2
+	// longShare is the part of the items that are shorter than a long text. One estimate that is far too high must not
+	// hold back all others.
+	longShare = 0.95
 	// minConcurrency keeps small jobs from being paced at all.
 	minConcurrency = 24
 )
 
-// Concurrency is how many items of a job of total items run at the same time when one takes mean on average.
-func Concurrency(total int, mean time.Duration) int {
-	need := (time.Duration(total)*mean + paceTarget - 1) / paceTarget
-	return max(int(need), minConcurrency)
+// Concurrency is how many items of the job run at the same time, by the work that is left.
+func (j *Job) Concurrency() int {
+	var left []int
+	sum := 0
+	for _, p := range j.items {
+		if p.Phase < Scoring {
+			left = append(left, p.Remaining())
+			sum += p.Remaining()
+		}
+	}
+	if len(left) <= minConcurrency {
+		return minConcurrency
+	}
+	slices.Sort(left)
+	long := left[int(longShare*float64(len(left)-1))]
+	return max((startLanes*sum+long-1)/long, minConcurrency)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,9 +61,7 @@
 	answeredAt time.Time
 	storeLost  bool
 	leaving    bool
-	// meanItem is the moving average of the time of a whole run.
-	meanItem time.Duration
-	hedges   *retry.Budget
+	hedges     *retry.Budget
 	// probes holds the last question to each upstream that went silent.
 	probes map[string]*probe
 	usage  usageCounts
@@ -87,8 +85,8 @@
 	g := &Gateway{
 		opts: opts, named: map[string]int64{}, upstreams: upstreams.NewView(), peers: presence.NewView(deadAfter),
 		jobs: map[string]*jobEntry{}, health: map[string]*upstreamhealth.Health{}, fastest: map[string]fastest{}, inFlight: map[string]int{},
-		connections: map[string]kept{}, meanItem: firstMeanItem,
-		memory: map[string]*placement.MemoryBook[incarnation]{}, rates: map[string]*batch.TokenRate{},
+		connections: map[string]kept{},
+		memory:      map[string]*placement.MemoryBook[incarnation]{}, rates: map[string]*batch.TokenRate{},
 		others: othersLoad{requests: map[string]int{}, tokens: map[string]int{}}, hedges: retry.NewBudget(retry.DefaultBudgetConfig(), time.Now()),
 		usage: usageCounts{}, probes: map[string]*probe{}, kick: make(chan struct{}, 1), givenJob: make(chan struct{}, 1),
 	}
--- a/gateway/own.go
+++ b/gateway/own.go
@@ -23,8 +23,6 @@
 	ready chan struct{}
 	// saved holds for each item how many events of its text the store knows.
 	saved map[string]int
-	// concurrency bounds the items that run at the same time.
-	concurrency int
 	// held is set until texts of an earlier job were looked for; no item starts meanwhile.
 	held bool
 	// runs holds the runs at upstreams.
@@ -44,7 +42,6 @@
 	o := &ownedJob{
 		g: g, entry: e, job: batch.NewJob(spec, e.record, limits), ready: make(chan struct{}, 1),
 		saved: map[string]int{}, runs: map[*batch.Progress]*itemRun{},
-		concurrency: batch.Concurrency(len(spec.Items), g.meanItem),
 	}
 	now := time.Now()
 	for _, p := range o.job.Waiting(now) {
--- a/gateway/run_item.go
+++ b/gateway/run_item.go
@@ -193,9 +193,6 @@
 		Int("from_event", before).Int("events", p.Text.Last()).Dur("took_ms", now.Sub(started))
 	if failure == nil {
 		g.rateOf(o.job.Spec.Model).Learn(p.Item.LengthHint, p.Text.Last())
-		if before == 0 {
-			g.meanItem += time.Duration(meanItemWeight * float64(now.Sub(started)-g.meanItem))
-		}
 		o.job.TextComplete(p, now)
 		log.Ints64("versions", p.Text.Versions).Bool("fits", p.Phase == batch.Scoring || p.Phase == batch.Finished).
 			Msg("text complete")
--- a/gateway/schedule.go
+++ b/gateway/schedule.go
@@ -10,9 +10,6 @@
 const (
 	// scheduleInterval is how often waiting items are looked at when nothing else wakes the scheduler.
 	scheduleInterval = 50 * time.Millisecond
-	// firstMeanItem is taken for the time of a run until runs were seen, and meanItemWeight is the weight of the newest.
-	firstMeanItem  = 900 * time.Millisecond
-	meanItemWeight = 0.02
 )
 
 // scheduleLoop sends waiting items to upstreams until ctx ends.
--- a/gateway/schedule_pass.go
+++ b/gateway/schedule_pass.go
@@ -14,6 +14,8 @@
 	g      *Gateway
 	now    time.Time
 	boards map[boardKey]*placement.Board
+	// limits bounds the items of a job that run at the same time.
+	limits map[*ownedJob]int
 	// full holds what found no engine in this pass.
 	full map[fullKey]bool
 }
@@ -31,7 +33,7 @@
 }
 
 func newSchedulePass(g *Gateway, now time.Time) *schedulePass {
-	return &schedulePass{g: g, now: now, boards: map[boardKey]*placement.Board{}, full: map[fullKey]bool{}}
+	return &schedulePass{g: g, now: now, boards: map[boardKey]*placement.Board{}, limits: map[*ownedJob]int{}, full: map[fullKey]bool{}}
 }
 
 // start sends one item to the best engine with room.
@@ -43,7 +45,7 @@
 		return // the configuration dropped the route; the items wait for it to come back
 	}
 	service, ok := chooseService(route)
-	if !ok || len(e.owned.runs) >= e.owned.concurrency {
+	if !ok || len(e.owned.runs) >= s.limit(e.owned) {
 		return
 	}
 	if lifetime := e.record.Lifetime; lifetime > 0 && g.storeClock() > e.record.AcceptedAt+lifetime {
@@ -63,6 +65,15 @@
 	g.ownedWG.Go(func() { o.guarded("item", func() { o.runItem(c.Item, u) }) })
 }
 
+func (s *schedulePass) limit(o *ownedJob) int {
+	limit, ok := s.limits[o]
+	if !ok {
+		limit = o.job.Concurrency()
+		s.limits[o] = limit
+	}
+	return limit
+}
+
 // engine picks the engine for an item.
 func (s *schedulePass) engine(service string, c batch.Candidate) (upstreams.Entry, bool) {
 	want := s.g.wantOf(c.Job, c.Item)
