Rank the longest texts of a step before short ones at an engine

All needed texts had one rank, so that it put back long texts, which decide when the step ends, as well as short ones. Change: needed texts with at least half of the longest remaining text of their job have a rank of their own.

--- a/batch/fuzz_test.go
+++ b/batch/fuzz_test.go
@@ -31,6 +31,7 @@
 		}
 		Order(candidates)
 		for _, c := range candidates {
+			j.Decisive(c.Item)
 			j.Start(c.Item)
 			j.TextComplete(c.Item, time.Time{})
 			j.RunFailed(c.Item, time.Time{}, "")
--- a/gateway/item_test.go
+++ b/gateway/item_test.go
@@ -157,3 +157,34 @@
 		t.Errorf("%d runs, want a second one after the old weights", calls)
 	}
 }
+
+// Guards against a long text that an engine puts back for lack of memory, so that its step ends late, while it goes on with
+// short ones: the engine takes the ranks in turn.
+func TestLongTextsRankBeforeShortOnes(t *testing.T) {
+	w := newWorld(t)
+	w.addUpstream("e2", engineName, 8, map[string]int64{testModel: 1})
+	g := w.start("a")
+	items := testItems(6)
+	for i := range items {
+		items[i].LengthHint = 300
+	}
+	items[2].LengthHint = 9000
+	var short sync.WaitGroup
+	short.Add(len(items) - 1)
+	w.engine.script(func(r *upstreamcall.Request) (*upstreamcall.Answer, error) {
+		if r.ID == items[2].ID {
+			short.Wait() // it lasts longer than all others
+		} else {
+			short.Done()
+		}
+		return nil, nil
+	})
+	w.mustSubmit(g, "job-1", items...)
+	w.readAll(g, "job-1")
+	w.engine.requests(func(r upstreamcall.Request) bool {
+		if long := r.ID == items[2].ID; long != (r.Priority == decisivePriority) {
+			t.Errorf("rank %d for item %s, long %t", r.Priority, r.ID, long)
+		}
+		return true
+	})
+}
--- a/gateway/run_item.go
+++ b/gateway/run_item.go
@@ -125,17 +125,23 @@
 	}
 }
 
-// Ranks of items at an engine. Plain requests of callers have no rank and lie between them.
+// Ranks of items at an engine. Plain requests of callers have no rank and lie between them. An engine that runs out of memory
+// puts back the newest of the last rank, which waits for room and is read again.
 const (
+	decisivePriority = 3
 	neededPriority   = 4
 	optionalPriority = 6
 )
 
 func (o *ownedJob) priority(p *batch.Progress) int {
-	if o.job.Optional(p) {
+	switch {
+	case o.job.Optional(p):
 		return optionalPriority
+	case o.job.Decisive(p):
+		return decisivePriority
+	default:
+		return neededPriority
 	}
-	return neededPriority
 }
 
 // judge decides whether an answer begins a usable text.
