--- a/batch/pacing.go
+++ b/batch/pacing.go
@@ -4,9 +4,9 @@
 
 // Values of the pacing of a job.
 const (
-	// startLanes is how many times the work of a job would fit into the time of its long texts, at the number of items that run
-	// at once: all items are started in half of that time. Short texts may wait for connections that are in use already, but
-	// not for long: an estimate may be wrong, and a long text that starts late makes its step late.
+	// startLanes is how many times the items of a job would be done while its long texts last: at 2, all are started in half of
+	// that time. Short texts may wait for connections that are in use already, but not for long: an estimate may be wrong,
+	// and a long text that starts late makes its step late.
 	startLanes = 2
 	// longShare is the part of the items that are shorter than a long text. One estimate that is far too high must not
 	// hold back all others.
