Name requests across attempts, and the ends of upstreams, in the logs of the gateway

Observability for the incident with crashing requests: no line tied the attempts of one request together, and none said that an upstream had ended, so the hypotheses could not be told apart. send failed now has a keyed fingerprint of the request, upstream ended says how the end was seen, and a ledger counts the ends under each request. Nothing is decided by it yet.

The key of the fingerprints is a row of the store, written once. After a run that broke off without an answer one connection is opened to its upstream, shared by all runs that broke off together.

--- /dev/null
+++ b/gateway/broken_run.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/radishshelf/radishshelf/outcome"
+	"github.com/radishshelf/radishshelf/upstreamcall"
+	"github.com/radishshelf/radishshelf/upstreams"
+)
+
+// brokenRun is a run of a request that ended without a whole answer.
+type brokenRun struct {
+	fingerprint string
+	// checked is closed once it is known, or cannot be found out, whether the upstream still listens; nil when nobody asks.
+	checked <-chan struct{}
+}
+
+// noteRun takes the end of a run of a request. Items are no such requests: they are owed whatever happened under them.
+// progress is how far the text had come.
+func (g *Gateway) noteRun(ctx context.Context, req *upstreamcall.Request, failure *upstreamcall.Failure, progress int) brokenRun {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if failure == nil {
+		g.runAnswered(req)
+		return brokenRun{}
+	}
+	if !mayHaveCrashed(ctx, failure) {
+		return brokenRun{}
+	}
+	run := brokenRun{fingerprint: g.fingerprint(req)}
+	if run.fingerprint == "" {
+		g.opts.Log.Warn().Str("request", req.ID).Msg("broken run not remembered, the key of fingerprints was not read yet")
+		return run
+	}
+	if g.suspects.ledger.Broke(run.fingerprint, endOf(req.Upstream), progress, time.Now()) {
+		g.endCounts(run.fingerprint, req.Upstream)
+		return run
+	}
+	if failure.Reason != upstreamcall.Silent {
+		run.checked = g.checkEnd(req.Upstream)
+	}
+	return run
+}
+
+// mayHaveCrashed reports whether a failure may be the end of the upstream.
+func mayHaveCrashed(ctx context.Context, failure *upstreamcall.Failure) bool {
+	if failure.Outcome == outcome.NotRun {
+		return false
+	}
+	switch failure.Reason {
+	case upstreamcall.Broken, upstreamcall.Stale:
+		return ctx.Err() == nil // else the run was ended from here
+	case upstreamcall.Silent:
+		return true
+	default:
+		return false
+	}
+}
+
+// runAnswered clears a request. The caller holds the lock.
+func (g *Gateway) runAnswered(req *upstreamcall.Request) {
+	if g.suspects.ledger.Idle() {
+		return // no need of the fingerprint
+	}
+	fingerprint := g.fingerprint(req)
+	if g.suspects.ledger.Answered(fingerprint) {
+		g.opts.Log.Info().Str("request", req.ID).Str("fingerprint", fingerprint).Str("upstream", req.Upstream.ID).
+			Msg("request cleared by a whole answer")
+	}
+}
+
+// noteGone takes a failed send as evidence about its upstream, whatever the request was. The caller holds the lock.
+func (g *Gateway) noteGone(u upstreams.Entry, failure *upstreamcall.Failure) {
+	switch {
+	case failure == nil:
+	case failure.Reason == upstreamcall.NoListener:
+		g.upstreamEnded(u, "no listener")
+	case failure.Reason == upstreamcall.Misdirected:
+		g.upstreamEnded(u, "address in use by another")
+	}
+}
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -110,9 +110,27 @@
 	ended  int
 	sent   []upstreamcall.Request
 	orders []upstreamcall.VersionOrder
+	// gone holds the upstreams that have ended.
+	gone map[string]bool
 }
 
-func newFakeUpstreams() *fakeUpstreams { return &fakeUpstreams{} }
+func newFakeUpstreams() *fakeUpstreams { return &fakeUpstreams{gone: map[string]bool{}} }
+
+// end ends an upstream.
+func (f *fakeUpstreams) end(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gone[id] = true
+}
+
+func (f *fakeUpstreams) Dial(_ context.Context, u upstreams.Entry) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.gone[u.ID] {
+		return notRun(upstreamcall.NoListener)
+	}
+	return nil
+}
 
 func (f *fakeUpstreams) script(answer func(r *upstreamcall.Request) (*upstreamcall.Answer, error)) {
 	f.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,9 +63,10 @@
 	leaving    bool
 	hedges     *retry.Budget
 	// probes holds the last question to each upstream that went silent.
-	probes map[string]*probe
-	usage  usageCounts
-	wall   wallclock.Clock
+	probes   map[string]*probe
+	suspects *suspects
+	usage    usageCounts
+	wall     wallclock.Clock
 
 	kick chan struct{}
 	// givenJob wakes the search for jobs without an owner when a job was given to this process.
@@ -88,7 +89,7 @@
 		connections: map[string]kept{},
 		memory:      map[string]*placement.MemoryBook[incarnation]{}, rates: map[string]*batch.TokenRate{},
 		others: othersLoad{requests: map[string]int{}, tokens: map[string]int{}}, hedges: retry.NewBudget(retry.DefaultBudgetConfig(), time.Now()),
-		usage: usageCounts{}, probes: map[string]*probe{}, kick: make(chan struct{}, 1), givenJob: make(chan struct{}, 1),
+		suspects: newSuspects(), usage: usageCounts{}, probes: map[string]*probe{}, kick: make(chan struct{}, 1), givenJob: make(chan struct{}, 1),
 	}
 	if g.opts.Wall == nil {
 		g.opts.Wall = time.Now
@@ -106,7 +107,8 @@
 	for what, loop := range map[string]func(context.Context){
 		"operator watch": g.operatorWatch().run, "upstream watch": g.upstreamWatch().run, "beat watch": g.beatWatch().run,
 		"job watch": g.jobWatch().run, "beat": g.beatLoop, "schedule": g.scheduleLoop, "move": g.moveLoop,
-		"supervise": g.superviseLoop, "duty": g.competeLoop, "usage": g.usageFlushLoop,
+		"supervise": g.superviseLoop, "duty": g.competeLoop, "usage": g.usageFlushLoop, "suspect watch": g.suspectWatch().run,
+		"suspects": g.suspectLoop,
 	} {
 		wg.Go(func() { g.keepRunning(ctx, what, loop) })
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -20,6 +20,8 @@
 	jobsAdopted   *metrics.Counter
 	resultsListed *metrics.Counter
 	usageReports  *metrics.Counter
+	endChecks     *metrics.Counter
+	suspectEnds   *metrics.Counter
 	dutiesTaken   *metrics.Counter
 	upstreamTime  *metrics.Histogram
 	itemTime      *metrics.Histogram
@@ -82,6 +84,8 @@
 		jobsAdopted:   r.NewCounter("radishshelf_gateway_jobs_adopted_total"),
 		resultsListed: r.NewCounter("radishshelf_gateway_results_listed_total"),
 		usageReports:  r.NewCounter("radishshelf_gateway_usage_reports_total"),
+		endChecks:     r.NewCounter("radishshelf_gateway_end_checks_total"),
+		suspectEnds:   r.NewCounter("radishshelf_gateway_suspect_ends_total"),
 		dutiesTaken:   r.NewCounter("radishshelf_gateway_duties_taken_total"),
 		upstreamTime:  r.NewHistogram("radishshelf_gateway_upstream_seconds"),
 		itemTime:      r.NewHistogram("radishshelf_gateway_item_seconds"),
@@ -120,6 +124,11 @@
 		fmt.Sprintf("radishshelf_gateway_store_calls_total{call=%q,result=%q}", call, result))
 }
 
+// upstreamsEnded counts incarnations of upstreams that have ended, by how that was seen.
+func (m *metricSet) upstreamsEnded(seen string) *metrics.Counter {
+	return m.registry.GetOrCreateCounter(fmt.Sprintf("radishshelf_gateway_upstreams_ended_total{seen=%q}", seen))
+}
+
 // orders counts version orders, by answer.
 func (m *metricSet) orders(answer string) *metrics.Counter {
 	return m.registry.GetOrCreateCounter(fmt.Sprintf("radishshelf_gateway_version_orders_total{answer=%q}", answer))
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -69,6 +69,8 @@
 	Send(ctx context.Context, r *upstreamcall.Request) (*upstreamcall.Answer, error)
 	Order(ctx context.Context, u upstreams.Entry, o upstreamcall.VersionOrder) (upstreamcall.OrderAnswer, error)
 	Report(ctx context.Context, u upstreams.Entry) (upstreamcall.Report, error)
+	// Dial opens a connection and closes it; the failure of an upstream that has ended is upstreamcall.NoListener.
+	Dial(ctx context.Context, u upstreams.Entry) error
 }
 
 // DutyCaller makes the calls that are the duty of one process at a time.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -63,6 +63,8 @@
 	// signature is the upstream's signature of the answer.
 	signature string
 	took      time.Duration
+	// broken is set where the upstream may have ended under the request.
+	broken brokenRun
 }
 
 func newForwarding(g *Gateway, r *call.Request, t *target) *forwarding {
@@ -206,7 +208,8 @@
 // logFailure writes a line for a send that brought no answer.
 func (f *forwarding) logFailure(r sendResult) {
 	f.g.opts.Log.Info().Str("request", f.request.ID).Str("upstream", r.upstream.ID).Str("reason", string(r.failure.Reason)).
-		Str("ran", r.failure.Outcome.String()).Dur("took_ms", r.took).AnErr("error", r.failure.Err).Msg("send failed")
+		Str("ran", r.failure.Outcome.String()).Str("fingerprint", r.broken.fingerprint).Dur("took_ms", r.took).
+		AnErr("error", r.failure.Err).Msg("send failed")
 }
 
 // mayRepeat reports whether one more send is allowed after a result.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -26,6 +26,7 @@
 	result.answer, result.signature, result.failure = g.readWhole(ctx, req)
 	result.took = time.Since(started)
 	g.learn(req.Upstream, "", result.failure, ctx)
+	result.broken = g.noteRun(ctx, req, result.failure, 0)
 	if result.failure == nil {
 		g.met.upstreamTime.UpdateDuration(started)
 	}
@@ -65,6 +66,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.release(u.ID, now)
+	g.noteGone(u, failure)
 	h := g.healthOf(u.ID)
 	switch {
 	case failure == nil:
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -10,7 +10,6 @@
 	"github.com/radishshelf/radishshelf/call"
 	"github.com/radishshelf/radishshelf/outcome"
 	"github.com/radishshelf/radishshelf/upstreamcall"
-	"github.com/radishshelf/radishshelf/upstreams"
 )
 
 // stream passes the events of a stream on as they arrive. A stream that may be resumed goes on at another upstream after
@@ -34,8 +33,9 @@
 type streaming struct {
 	*forwarding
 	// last is the id of the last event that the caller has.
-	last    int
-	current upstreams.Entry
+	last int
+	// sent is the request as it was sent last.
+	sent *upstreamcall.Request
 }
 
 // open sends the request until an upstream begins to answer.
@@ -76,15 +76,16 @@
 	if !ok {
 		return nil, refuseFor(outcome.KindNoUpstream, "no upstream of the service takes the request", retryBusy)
 	}
-	s.current = u
-	answer, err := s.g.opts.Upstreams.Send(ctx, &upstreamcall.Request{
+	s.sent = &upstreamcall.Request{
 		ID: s.request.ID, Host: s.request.Host, Method: s.request.Method, Target: s.request.Target,
 		Header: s.request.Header, Body: s.request.Body, Workspace: s.target.workspaceName(),
 		TimeLeft: time.Until(s.deadline), Priority: min(s.target.priority(), 9), ResumeAfter: s.last, Upstream: u,
-	})
+	}
+	answer, err := s.g.opts.Upstreams.Send(ctx, s.sent)
 	if err != nil {
 		failure := upstreamcall.AsFailure(err)
 		s.g.learn(u, "", failure, ctx)
+		s.noteRun(ctx, failure)
 		if failure.Outcome != outcome.NotRun {
 			s.tried[u.ID] = true
 			s.countUsage()
@@ -105,7 +106,8 @@
 		if err != nil {
 			failure = upstreamcall.AsFailure(err)
 		}
-		s.g.learn(s.current, "", failure, ctx)
+		s.g.learn(s.sent.Upstream, "", failure, ctx)
+		s.noteRun(ctx, failure)
 		if err == nil {
 			return nil
 		}
@@ -118,6 +120,14 @@
 	}
 }
 
+// noteRun takes the end of a run.
+func (s *streaming) noteRun(ctx context.Context, failure *upstreamcall.Failure) {
+	run := s.g.noteRun(ctx, s.sent, failure, s.last)
+	if failure != nil {
+		s.logFailure(sendResult{upstream: s.sent.Upstream, failure: failure, broken: run})
+	}
+}
+
 func (s *streaming) copyOne(answer *upstreamcall.Answer, w io.Writer, flush func()) error {
 	if answer.Status != http.StatusOK {
 		_, err := io.Copy(w, answer.Body)
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -21,6 +21,7 @@
 	leaseTable    = "leases"
 	usageTable    = "usage_counts"
 	sealedTable   = "usage_sealed"
+	suspectTable  = "suspects"
 )
 
 func (g *Gateway) newWatch(table string, partitioned bool) *watch {
@@ -94,7 +95,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		if c.Deleted {
-			g.upstreams.Remove(c.Key, time.Now())
+			g.removeUpstream(c.Key)
 			return
 		}
 		g.putUpstream(c.StoredRow)
@@ -118,6 +119,16 @@
 	return w
 }
 
+// removeUpstream takes the removal of an entry. One that did not say that it would leave has probably ended. The caller holds
+// the lock.
+func (g *Gateway) removeUpstream(id string) {
+	e, known := g.upstreams.Get(id)
+	g.upstreams.Remove(id, time.Now())
+	if _, still := g.upstreams.Get(id); known && !still && e.State == upstreams.Ready {
+		g.upstreamEnded(e, "entry removed")
+	}
+}
+
 // putUpstream takes an entry; one that cannot be read names no upstream. The caller holds the lock.
 func (g *Gateway) putUpstream(r hosting.StoredRow) {
 	e, err := g.opts.Codec.DecodeUpstream(r.Key, r.Value)
@@ -130,6 +141,7 @@
 	g.upstreams.Put(e)
 	if known && old.Born != e.Born {
 		delete(g.health, e.ID) // a new incarnation starts with a clean record
+		g.upstreamEnded(old, "entry of another incarnation")
 	}
 	if !known || old.State != e.State || old.Born != e.Born || !maps.Equal(old.Versions, e.Versions) {
 		g.opts.Log.Info().Str("upstream", e.ID).Str("service", e.Service).Str("state", string(e.State)).
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"hash"
 )
 
 // fingerprintBytes is the length of a fingerprint before hex encoding; 128 bits make accidental collisions negligible.
@@ -11,9 +12,13 @@
 
 // Fingerprint identifies a request within its workspace. target is the method and the path with query: requests
 // without a body would otherwise all be the same on a route.
-// Each part is preceded by its length, so that no two workspaces can produce the same input to the hash.
 func Fingerprint(workspace, target string, body []byte) string {
-	h := sha256.New()
+	return sum(sha256.New(), workspace, target, body)
+}
+
+// sum hashes the parts of a request. Each part is preceded by its length, so that no two workspaces can produce the same
+// input to the hash.
+func sum(h hash.Hash, workspace, target string, body []byte) string {
 	for _, part := range [][]byte{[]byte(workspace), []byte(target), body} {
 		var length [8]byte
 		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
--- /dev/null
+++ b/quarantine/ledger.go
@@ -0,0 +1,236 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// LedgerConfig bounds a Ledger.
+type LedgerConfig struct {
+	// Confirm is how long a broken run waits for word that its upstream has ended. Later ends have another cause.
+	Confirm time.Duration
+	// EndsKept is how long an end is remembered for runs that have not broken off yet.
+	EndsKept time.Duration
+	// Pauses holds, by the level of a case, how long no run follows the last change. A level without an entry allows no run
+	// while the case is remembered.
+	Pauses []time.Duration
+	// Kept is how long a case is remembered after its last change, in addition to twice its pause.
+	Kept time.Duration
+	// MaxCases bounds the cases, and MaxRuns the broken runs that wait for word.
+	MaxCases, MaxRuns int
+}
+
+// DefaultLedgerConfig returns the values that gateways use.
+func DefaultLedgerConfig() LedgerConfig {
+	return LedgerConfig{
+		Confirm: 6 * time.Second, EndsKept: time.Minute, Kept: 5 * time.Minute, MaxCases: 1024, MaxRuns: 1024,
+		Pauses: []time.Duration{0, 0, 2 * time.Second, 30 * time.Second, 10 * time.Minute, time.Hour},
+	}
+}
+
+// Ledger tells requests that end their upstreams from requests that ran beside them, for one process of several that
+// exchange their cases. It is pure and not safe for concurrent use.
+//
+// A run that broke off counts against its request once its upstream is known to have ended. A whole answer clears the
+// request. Times are readings of the own clock since the last change that this process has heard of.
+type Ledger struct {
+	cfg   LedgerConfig
+	cases map[string]*openCase
+	// runs holds the broken runs at upstreams that are not known to have ended.
+	runs    map[End][]brokenRun
+	waiting int
+	ended   map[End]time.Time
+}
+
+type openCase struct {
+	Case
+	changedAt time.Time
+}
+
+type brokenRun struct {
+	fingerprint string
+	progress    int
+	at          time.Time
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger(cfg LedgerConfig) *Ledger {
+	return &Ledger{cfg: cfg, cases: map[string]*openCase{}, runs: map[End][]brokenRun{}, ended: map[End]time.Time{}}
+}
+
+// Broke takes a run that ended without a whole answer and may have begun. progress is how far the text of the request had
+// come, 0 for a request that is answered at once. It reports whether the upstream is known to have ended and counts.
+func (l *Ledger) Broke(fingerprint string, at End, progress int, now time.Time) bool {
+	run := brokenRun{fingerprint: fingerprint, progress: progress, at: now}
+	if _, ended := l.ended[at]; ended {
+		return l.count(run, at, now)
+	}
+	if l.waiting < l.cfg.MaxRuns {
+		l.runs[at] = append(l.runs[at], run)
+		l.waiting++
+	}
+	return false
+}
+
+// Ended takes the end of an upstream. It returns the fingerprints against which the end counts, in order, and whether
+// the end is news.
+func (l *Ledger) Ended(at End, now time.Time) (counted []string, news bool) {
+	if _, known := l.ended[at]; known {
+		return nil, false
+	}
+	l.ended[at] = now
+	for _, run := range l.runs[at] {
+		if now.Sub(run.at) <= l.cfg.Confirm && l.count(run, at, now) {
+			counted = append(counted, run.fingerprint)
+		}
+	}
+	l.waiting -= len(l.runs[at])
+	delete(l.runs, at)
+	l.bound()
+	slices.Sort(counted)
+	return slices.Compact(counted), true
+}
+
+// count adds an end to the case of a run. A run that came further than all before it did not end its upstream by what the
+// earlier runs had in common with it.
+func (l *Ledger) count(run brokenRun, at End, now time.Time) bool {
+	c := l.open(run.fingerprint, now)
+	further := run.progress > c.Furthest
+	c.Furthest = max(c.Furthest, run.progress)
+	if further || !c.add(at) {
+		return false
+	}
+	c.changedAt = now
+	return true
+}
+
+func (l *Ledger) open(fingerprint string, now time.Time) *openCase {
+	c, ok := l.cases[fingerprint]
+	if !ok {
+		c = &openCase{changedAt: now}
+		l.cases[fingerprint] = c
+	}
+	return c
+}
+
+// Answered takes a whole answer to a request. It reports whether there was a case, which is closed.
+func (l *Ledger) Answered(fingerprint string) bool {
+	for at, runs := range l.runs {
+		left := slices.DeleteFunc(runs, func(r brokenRun) bool { return r.fingerprint == fingerprint })
+		l.waiting -= len(runs) - len(left)
+		if l.runs[at] = left; len(left) == 0 {
+			delete(l.runs, at)
+		}
+	}
+	return l.Drop(fingerprint)
+}
+
+// Possible returns the number of ends that count against a request, and of its broken runs whose upstreams may have ended.
+func (l *Ledger) Possible(fingerprint string) int {
+	n := 0
+	if c, ok := l.cases[fingerprint]; ok {
+		n = len(c.Ends)
+	}
+	for _, runs := range l.runs {
+		if slices.ContainsFunc(runs, func(r brokenRun) bool { return r.fingerprint == fingerprint }) {
+			n++
+		}
+	}
+	return n
+}
+
+// Check says how a request may run now.
+func (l *Ledger) Check(fingerprint string, now time.Time) Verdict {
+	c, ok := l.cases[fingerprint]
+	if !ok || c.level() == 0 || l.lapsed(c, now) {
+		return Verdict{Action: Run}
+	}
+	v := Verdict{Action: Refuse, Deaths: len(c.Ends), Remaining: l.left(c, now)}
+	switch level := c.level(); {
+	case level >= len(l.cfg.Pauses):
+	case l.cfg.Pauses[level] == 0:
+		v.Action = RunAlone
+	default:
+		if v.Remaining = c.changedAt.Add(l.cfg.Pauses[level]).Sub(now); v.Remaining <= 0 {
+			v.Action, v.Remaining = Probe, 0
+		}
+	}
+	return v
+}
+
+// Case returns what is known against a request.
+func (l *Ledger) Case(fingerprint string) (Case, bool) {
+	c, ok := l.cases[fingerprint]
+	if !ok {
+		return Case{}, false
+	}
+	return c.Case.clone(), true
+}
+
+// Take merges what another process knows. It reports whether this process knows more than that.
+func (l *Ledger) Take(fingerprint string, other Case, now time.Time) (more bool) {
+	c := l.open(fingerprint, now)
+	if c.merge(other) {
+		c.changedAt = now
+	}
+	l.bound()
+	return !c.Case.within(other)
+}
+
+// Drop forgets a case that another process has closed. It reports whether there was one.
+func (l *Ledger) Drop(fingerprint string) bool {
+	_, ok := l.cases[fingerprint]
+	delete(l.cases, fingerprint)
+	return ok
+}
+
+// Len returns the number of cases, and Idle reports that no answer can change anything.
+func (l *Ledger) Len() int { return len(l.cases) }
+
+// Idle reports whether nothing is known against any request.
+func (l *Ledger) Idle() bool { return len(l.cases) == 0 && l.waiting == 0 }
+
+// Expire forgets what is too old and returns the fingerprints of forgotten cases, in order.
+func (l *Ledger) Expire(now time.Time) []string {
+	maps.DeleteFunc(l.ended, func(_ End, at time.Time) bool { return now.Sub(at) > l.cfg.EndsKept })
+	maps.DeleteFunc(l.runs, func(_ End, runs []brokenRun) bool {
+		if now.Sub(runs[len(runs)-1].at) <= l.cfg.Confirm {
+			return false
+		}
+		l.waiting -= len(runs)
+		return true
+	})
+	var gone []string
+	for fingerprint, c := range l.cases {
+		if l.lapsed(c, now) {
+			gone = append(gone, fingerprint)
+			delete(l.cases, fingerprint)
+		}
+	}
+	slices.Sort(gone)
+	return gone
+}
+
+func (l *Ledger) lapsed(c *openCase, now time.Time) bool { return l.left(c, now) <= 0 }
+
+// left returns the time until a case is forgotten.
+func (l *Ledger) left(c *openCase, now time.Time) time.Duration {
+	pause := l.cfg.Pauses[min(c.level(), len(l.cfg.Pauses)-1)]
+	return c.changedAt.Add(l.cfg.Kept + 2*pause).Sub(now)
+}
+
+// bound drops the oldest of the least dangerous cases beyond the limit.
+func (l *Ledger) bound() {
+	if len(l.cases) <= l.cfg.MaxCases {
+		return
+	}
+	order := slices.SortedFunc(maps.Keys(l.cases), func(a, b string) int {
+		x, y := l.cases[a], l.cases[b]
+		return cmp.Or(cmp.Compare(x.level(), y.level()), x.changedAt.Compare(y.changedAt), cmp.Compare(a, b))
+	})
+	for _, fingerprint := range order[:len(order)-l.cfg.MaxCases] {
+		delete(l.cases, fingerprint)
+	}
+}
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -22,7 +22,7 @@
 func (l *List) Death(upstream, incarnation string, running []string, now time.Time) []string {
 	var counted []string
 	for _, fp := range running {
-		if l.raise(source{upstream, incarnation}, fp, 1, l.cfg.Hold, now) {
+		if l.raise(End{upstream, incarnation}, fp, 1, l.cfg.Hold, now) {
 			counted = append(counted, fp)
 		}
 	}
@@ -34,7 +34,7 @@
 // different upstreams add up. Suspects that the agent only learned from entries must go to Merge instead.
 func (l *List) Report(upstream, incarnation string, suspects []Suspect, now time.Time) {
 	for _, s := range suspects {
-		l.raise(source{upstream, incarnation}, s.Fingerprint, s.Deaths, s.Remaining, now)
+		l.raise(End{upstream, incarnation}, s.Fingerprint, s.Deaths, s.Remaining, now)
 	}
 	l.bound(now)
 }
@@ -85,7 +85,7 @@
 // Len returns how many fingerprints are held in memory, expired ones included.
 func (l *List) Len() int { return len(l.records) }
 
-func (l *List) raise(s source, fp string, deaths int, remaining time.Duration, now time.Time) bool {
+func (l *List) raise(s End, fp string, deaths int, remaining time.Duration, now time.Time) bool {
 	if deaths <= 0 || remaining <= 0 {
 		return false
 	}
@@ -101,7 +101,7 @@
 func (l *List) record(fp string, now time.Time) *record {
 	r, ok := l.records[fp]
 	if !ok || l.forgotten(r, now) {
-		r = &record{sources: make(map[source]int)}
+		r = &record{sources: make(map[End]int)}
 		l.records[fp] = r
 	}
 	return r
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -5,16 +5,10 @@
 // maxSources bounds the upstream incarnations remembered per fingerprint; the refusal starts long before.
 const maxSources = 8
 
-// source is an incarnation of an upstream that died.
-type source struct {
-	upstream    string
-	incarnation string
-}
-
 // record is what is known about one fingerprint.
 type record struct {
 	// sources counts the deaths that this process learned from each upstream incarnation.
-	sources map[source]int
+	sources map[End]int
 	// peers is the largest total that a peer reported.
 	peers   int
 	expires time.Time
@@ -31,7 +25,7 @@
 }
 
 // count raises the deaths of one source and reports whether it was lower before.
-func (r *record) count(s source, deaths int) bool {
+func (r *record) count(s End, deaths int) bool {
 	known, ok := r.sources[s]
 	if known >= deaths || (!ok && len(r.sources) >= maxSources) {
 		return false
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -13,6 +13,8 @@
 	RunAlone
 	// Refuse rejects the request for Verdict.Remaining.
 	Refuse
+	// Probe allows the request to one process of all, which has to announce the run before it begins.
+	Probe
 )
 
 // String returns the form used in log lines.
@@ -22,6 +24,8 @@
 		return "run-alone"
 	case Refuse:
 		return "refuse"
+	case Probe:
+		return "probe"
 	default:
 		return "run"
 	}
--- a/upstreamcall/failure.go
+++ b/upstreamcall/failure.go
@@ -18,6 +18,8 @@
 	Misdirected Reason = "misdirected"
 	// Unreachable means that no connection could be opened.
 	Unreachable Reason = "unreachable"
+	// NoListener means that the upstream's host refused the connection: no process has the address.
+	NoListener Reason = "no_listener"
 	// Broken means that the connection ended without a whole answer.
 	Broken Reason = "broken"
 	// Stale means that a kept connection was closed before any answer; it says nothing about the upstream.
