--- a/gateway/broken_run.go
+++ b/gateway/broken_run.go
@@ -43,6 +43,16 @@
 	return run
 }
 
+// runAbandoned takes a run whose caller left before any answer. The upstream may have gone silent under it, which its entry
+// shows later.
+func (g *Gateway) runAbandoned(req *upstreamcall.Request, u upstreams.Entry, progress int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if fingerprint := g.fingerprint(req); fingerprint != "" && g.suspects.ledger.Broke(fingerprint, endOf(u), progress, time.Now()) {
+		g.endCounts(fingerprint, u)
+	}
+}
+
 // mayHaveCrashed reports whether a failure may be the end of the upstream.
 func mayHaveCrashed(ctx context.Context, failure *upstreamcall.Failure) bool {
 	if failure.Outcome == outcome.NotRun {
@@ -65,6 +75,8 @@
 	}
 	fingerprint := g.fingerprint(req)
 	if g.suspects.ledger.Answered(fingerprint) {
+		g.met.suspectsCleared.Inc()
+		g.suspects.share(fingerprint)
 		g.opts.Log.Info().Str("request", req.ID).Str("fingerprint", fingerprint).Str("upstream", req.Upstream.ID).
 			Msg("request cleared by a whole answer")
 	}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -21,6 +21,8 @@
 	connectionCost = 0.2
 	// tieBreak spreads requests over equal upstreams.
 	tieBreak = 0.01
+	// apartCost keeps requests away from an upstream at which one runs that may end it, while there are others.
+	apartCost = 1
 	// suspectCost puts an upstream whose last request failed behind all sound ones.
 	suspectCost = 4
 )
@@ -59,6 +61,9 @@
 		if g.healthOf(e.ID).IsBusy("", now) {
 			score += suspectCost
 		}
+		if g.suspects.apart[e.ID] > 0 {
+			score += apartCost
+		}
 		if !found || score < bestScore {
 			best, bestScore, found = e, score, true
 		}
--- a/gateway/frontend.go
+++ b/gateway/frontend.go
@@ -22,6 +22,8 @@
 		return refuseFor(outcome.KindIsolated, "the list of upstreams was not read yet", retryStart)
 	case !g.jobsRead:
 		return refuseFor(outcome.KindIsolated, "the list of batch jobs was not read yet", retryStart)
+	case !g.suspects.read:
+		return refuseFor(outcome.KindIsolated, "the list of suspect requests was not read yet", retryStart)
 	}
 	return nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,7 +89,7 @@
 		connections: map[string]kept{},
 		memory:      map[string]*placement.MemoryBook[incarnation]{}, rates: map[string]*batch.TokenRate{},
 		others: othersLoad{requests: map[string]int{}, tokens: map[string]int{}}, hedges: retry.NewBudget(retry.DefaultBudgetConfig(), time.Now()),
-		suspects: newSuspects(), usage: usageCounts{}, probes: map[string]*probe{}, kick: make(chan struct{}, 1), givenJob: make(chan struct{}, 1),
+		suspects: newSuspects(opts.Suspects), usage: usageCounts{}, probes: map[string]*probe{}, kick: make(chan struct{}, 1), givenJob: make(chan struct{}, 1),
 	}
 	if g.opts.Wall == nil {
 		g.opts.Wall = time.Now
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -22,12 +22,15 @@
 	usageReports  *metrics.Counter
 	endChecks     *metrics.Counter
 	suspectEnds   *metrics.Counter
-	dutiesTaken   *metrics.Counter
-	upstreamTime  *metrics.Histogram
-	itemTime      *metrics.Histogram
-	requestTime   *metrics.Histogram
-	storeTime     *metrics.Histogram
-	itemWait      *metrics.Histogram
+	suspectProbes *metrics.Counter
+	// suspectsRefused counts requests that were held back, and suspectsCleared cases closed by a whole answer.
+	suspectsRefused, suspectsCleared *metrics.Counter
+	dutiesTaken                      *metrics.Counter
+	upstreamTime                     *metrics.Histogram
+	itemTime                         *metrics.Histogram
+	requestTime                      *metrics.Histogram
+	storeTime                        *metrics.Histogram
+	itemWait                         *metrics.Histogram
 }
 
 func newMetricSet(r *telemetry.Registry, g *Gateway) *metricSet {
@@ -70,28 +73,36 @@
 		}
 		return 0
 	})
+	r.NewGauge("radishshelf_gateway_suspects", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(g.suspects.ledger.Len())
+	})
 	for phase, name := range map[batch.Phase]string{
 		batch.Waiting: "waiting", batch.Running: "running", batch.Scoring: "scoring", batch.Finished: "finished",
 	} {
 		r.NewGauge(fmt.Sprintf("radishshelf_gateway_items{phase=%q}", name), func() float64 { return g.countItems(phase) })
 	}
 	return &metricSet{
-		registry:      r,
-		hedges:        r.NewCounter("radishshelf_gateway_hedges_total"),
-		probes:        r.NewCounter("radishshelf_gateway_probes_total"),
-		watchFailures: r.NewCounter("radishshelf_gateway_watch_failures_total"),
-		jobsAccepted:  r.NewCounter("radishshelf_gateway_jobs_accepted_total"),
-		jobsAdopted:   r.NewCounter("radishshelf_gateway_jobs_adopted_total"),
-		resultsListed: r.NewCounter("radishshelf_gateway_results_listed_total"),
-		usageReports:  r.NewCounter("radishshelf_gateway_usage_reports_total"),
-		endChecks:     r.NewCounter("radishshelf_gateway_end_checks_total"),
-		suspectEnds:   r.NewCounter("radishshelf_gateway_suspect_ends_total"),
-		dutiesTaken:   r.NewCounter("radishshelf_gateway_duties_taken_total"),
-		upstreamTime:  r.NewHistogram("radishshelf_gateway_upstream_seconds"),
-		itemTime:      r.NewHistogram("radishshelf_gateway_item_seconds"),
-		requestTime:   r.NewHistogram("radishshelf_gateway_request_seconds"),
-		storeTime:     r.NewHistogram("radishshelf_gateway_store_call_seconds"),
-		itemWait:      r.NewHistogram("radishshelf_gateway_item_wait_seconds"),
+		registry:        r,
+		hedges:          r.NewCounter("radishshelf_gateway_hedges_total"),
+		probes:          r.NewCounter("radishshelf_gateway_probes_total"),
+		watchFailures:   r.NewCounter("radishshelf_gateway_watch_failures_total"),
+		jobsAccepted:    r.NewCounter("radishshelf_gateway_jobs_accepted_total"),
+		jobsAdopted:     r.NewCounter("radishshelf_gateway_jobs_adopted_total"),
+		resultsListed:   r.NewCounter("radishshelf_gateway_results_listed_total"),
+		usageReports:    r.NewCounter("radishshelf_gateway_usage_reports_total"),
+		endChecks:       r.NewCounter("radishshelf_gateway_end_checks_total"),
+		suspectEnds:     r.NewCounter("radishshelf_gateway_suspect_ends_total"),
+		suspectProbes:   r.NewCounter("radishshelf_gateway_suspect_probes_total"),
+		suspectsRefused: r.NewCounter("radishshelf_gateway_suspects_refused_total"),
+		suspectsCleared: r.NewCounter("radishshelf_gateway_suspects_cleared_total"),
+		dutiesTaken:     r.NewCounter("radishshelf_gateway_duties_taken_total"),
+		upstreamTime:    r.NewHistogram("radishshelf_gateway_upstream_seconds"),
+		itemTime:        r.NewHistogram("radishshelf_gateway_item_seconds"),
+		requestTime:     r.NewHistogram("radishshelf_gateway_request_seconds"),
+		storeTime:       r.NewHistogram("radishshelf_gateway_store_call_seconds"),
+		itemWait:        r.NewHistogram("radishshelf_gateway_item_wait_seconds"),
 	}
 }
 
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -11,6 +11,7 @@
 	"github.com/radishshelf/radishshelf/batch"
 	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/membudget"
+	"github.com/radishshelf/radishshelf/quarantine"
 	"github.com/radishshelf/radishshelf/serving"
 	"github.com/radishshelf/radishshelf/telemetry"
 	"github.com/radishshelf/radishshelf/upstreamcall"
@@ -40,6 +41,8 @@
 	Upstreams UpstreamCaller
 	Duties    DutyCaller
 	Codec     Codec
+	// Suspects bounds what is remembered of requests under which upstreams ended; the zero value takes the defaults.
+	Suspects quarantine.LedgerConfig
 	// Wall reads the time of day; nil reads the host's clock.
 	Wall func() time.Time
 	// Memory bounds what answers in the making take together; nil sets no bound.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -8,6 +8,7 @@
 
 	"github.com/radishshelf/radishshelf/call"
 	"github.com/radishshelf/radishshelf/outcome"
+	"github.com/radishshelf/radishshelf/quarantine"
 	"github.com/radishshelf/radishshelf/upstreamcall"
 	"github.com/radishshelf/radishshelf/upstreams"
 )
@@ -38,8 +39,10 @@
 
 // forwarding is one plain request on its way.
 type forwarding struct {
-	g        *Gateway
-	request  *call.Request
+	g       *Gateway
+	request *call.Request
+	// template is the request as it goes to any upstream.
+	template *upstreamcall.Request
 	target   *target
 	service  string
 	deadline time.Time
@@ -47,10 +50,15 @@
 	waitUntil time.Time
 	// tried holds the upstreams that may have begun to run the request, and refused those that surely have not.
 	tried, refused map[string]bool
+	// open holds the sends without a result.
+	open           map[string]upstreams.Entry
 	sends, pending int
 	counted        bool
 	hedged         bool
-	results        chan sendResult
+	// action says how the request may run, and broken holds the runs under which an upstream may have ended.
+	action  quarantine.Action
+	broken  []brokenRun
+	results chan sendResult
 	// last is the failed answer that the caller gets when nothing better comes.
 	last    *call.Answer
 	failure *upstreamcall.Failure
@@ -76,9 +84,13 @@
 		timeout = min(timeout, r.Patience)
 	}
 	return &forwarding{
-		g: g, request: r, target: t, deadline: r.Received.Add(timeout),
+		g: g, request: r, target: t, template: &upstreamcall.Request{
+			ID: r.ID, Host: r.Host, Method: r.Method, Target: r.Target, Header: r.Header, Body: r.Body,
+			Workspace: t.workspaceName(), Priority: upstreamcall.NoPriority,
+		},
+		deadline:  r.Received.Add(timeout),
 		waitUntil: r.Received.Add(time.Duration(waitShare * float64(t.route.TargetLatency))),
-		tried:     map[string]bool{}, refused: map[string]bool{}, results: make(chan sendResult, maxTries),
+		tried:     map[string]bool{}, refused: map[string]bool{}, open: map[string]upstreams.Entry{}, results: make(chan sendResult, maxTries),
 	}
 }
 
@@ -87,6 +99,10 @@
 	if f.service, ok = chooseService(f.target.route); !ok {
 		return nil, refuseFor(outcome.KindNoUpstream, "the route has no service", retryStore)
 	}
+	var err error
+	if f.action, err = f.g.screen(ctx, f.template); err != nil {
+		return nil, err
+	}
 	hedge := time.NewTimer(f.hedgeDelay())
 	defer hedge.Stop()
 	if err := f.send(ctx); err != nil {
@@ -109,7 +125,7 @@
 
 // repeatable reports whether the request may be sent to one more upstream although it may have run.
 func (f *forwarding) repeatable() bool {
-	return f.target.route.Repeatable() && len(f.tried) < f.target.route.MaxAttempts
+	return f.target.route.Repeatable() && len(f.tried) < f.target.route.MaxAttempts && f.action != quarantine.Probe
 }
 
 func (f *forwarding) hedgeDelay() time.Duration {
@@ -117,7 +133,7 @@
 }
 
 func (f *forwarding) hedge(ctx context.Context) {
-	if f.hedged || f.pending == 0 || !f.repeatable() {
+	if f.hedged || f.pending == 0 || !f.repeatable() || f.action != quarantine.Run {
 		return
 	}
 	f.hedged = true
@@ -133,43 +149,35 @@
 
 // send starts one more send.
 func (f *forwarding) send(ctx context.Context) error {
-	now := time.Now()
-	f.g.mu.Lock()
-	exclude := f.tried
-	if len(f.refused) > 0 {
-		exclude = map[string]bool{}
-		for id := range f.tried {
-			exclude[id] = true
-		}
-		for id := range f.refused {
-			exclude[id] = true
-		}
-	}
-	u, ok := f.g.choosePlain(f.service, exclude, false, now)
-	if ok {
-		f.g.acquire(u.ID, now)
-	}
 	if f.sends == 0 {
-		f.g.hedges.FirstTry(now)
+		f.g.mu.Lock()
+		f.g.hedges.FirstTry(time.Now())
+		f.g.mu.Unlock()
 	}
-	f.g.mu.Unlock()
+	u, ok := f.place(ctx)
 	if !ok {
 		return refuseFor(outcome.KindNoUpstream, "no upstream of the service takes the request", retryBusy)
 	}
 	f.sends++
 	f.pending++
 	f.tried[u.ID] = true
-	req := &upstreamcall.Request{
-		ID: f.request.ID, Host: f.request.Host, Method: f.request.Method, Target: f.request.Target,
-		Header: f.request.Header, Body: f.request.Body, Workspace: f.target.workspaceName(),
-		TimeLeft: time.Until(f.deadline), Priority: upstreamcall.NoPriority, Upstream: u,
-	}
-	go func() { f.results <- f.g.sendWhole(ctx, req) }()
+	f.open[u.ID] = u
+	req := *f.template
+	req.TimeLeft, req.Upstream = time.Until(f.deadline), u
+	apart := f.action != quarantine.Run
+	go func() {
+		result := f.g.sendWhole(ctx, &req)
+		if apart {
+			f.g.leaveApart(u.ID)
+		}
+		f.results <- result
+	}()
 	return nil
 }
 
 // take decides on the end of one send.
 func (f *forwarding) take(ctx context.Context, r sendResult) (*call.Answer, error, bool) {
+	delete(f.open, r.upstream.ID)
 	if r.failure != nil {
 		f.logFailure(r)
 	}
@@ -182,6 +190,7 @@
 		f.last = r.answer
 	} else {
 		f.failure = r.failure
+		f.noteBroken(r.broken)
 		if r.failure.Outcome == outcome.NotRun {
 			delete(f.tried, r.upstream.ID)
 			f.refused[r.upstream.ID] = true
@@ -192,7 +201,7 @@
 	if ctx.Err() != nil {
 		return nil, f.timedOut(ctx), true
 	}
-	if f.mayRepeat(r) && f.sends < maxTries && f.send(ctx) == nil {
+	if f.mayRepeat(ctx, r) && f.sends < maxTries && f.send(ctx) == nil {
 		return nil, nil, false
 	}
 	if f.pending > 0 {
@@ -213,11 +222,22 @@
 }
 
 // mayRepeat reports whether one more send is allowed after a result.
-func (f *forwarding) mayRepeat(r sendResult) bool {
+func (f *forwarding) mayRepeat(ctx context.Context, r sendResult) bool {
 	if r.failure != nil && r.failure.Outcome == outcome.NotRun {
 		return len(f.tried) < f.target.route.MaxAttempts
 	}
-	return f.repeatable()
+	return f.repeatable() && f.g.mayRunAgain(ctx, f.broken)
+}
+
+// noteBroken takes a run under which an upstream may have ended. The next one runs apart from others like it.
+func (f *forwarding) noteBroken(run brokenRun) {
+	if run.fingerprint == "" {
+		return
+	}
+	f.broken = append(f.broken, run)
+	if f.action == quarantine.Run {
+		f.action = quarantine.RunAlone
+	}
 }
 
 // waitForRoom tries the busy upstreams once more while the time for waiting lasts.
@@ -245,6 +265,9 @@
 // timedOut is the final answer at the deadline, or for a caller that left.
 func (f *forwarding) timedOut(ctx context.Context) error {
 	if errors.Is(ctx.Err(), context.Canceled) {
+		for _, u := range f.open {
+			f.g.runAbandoned(f.template, u, 0)
+		}
 		return undecided(outcome.KindDeadline, http.StatusBadGateway, "the caller left", ctx.Err())
 	}
 	for id := range f.tried {
--- a/gateway/scoring.go
+++ b/gateway/scoring.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/radishshelf/radishshelf/batch"
+	"github.com/radishshelf/radishshelf/quarantine"
 	"github.com/radishshelf/radishshelf/upstreamcall"
 	"github.com/radishshelf/radishshelf/upstreams"
 )
@@ -71,6 +72,10 @@
 		return
 	}
 	g, score, now := s.o.g, s.item.Item.Score, time.Now()
+	action, err := g.screen(ctx, s.request())
+	if err != nil || action != quarantine.Run && len(s.pending) > 0 {
+		return // the item is owed and waits; a call that may end its upstream runs at one only
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	route, ok := g.config.Route(score.Host, score.Path)
@@ -99,11 +104,18 @@
 func (s *scoring) call(ctx context.Context, u upstreams.Entry, timeout time.Duration) sendResult {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	req := s.request()
+	req.TimeLeft, req.Upstream = timeout, u
+	return s.o.g.sendWhole(ctx, req)
+}
+
+// request is the score call as it goes to any upstream.
+func (s *scoring) request() *upstreamcall.Request {
 	score := s.item.Item.Score
-	return s.o.g.sendWhole(ctx, &upstreamcall.Request{
+	return &upstreamcall.Request{
 		ID: score.ID, Host: score.Host, Method: http.MethodPost, Target: score.Path, Header: http.Header{}, Body: score.Body,
-		TimeLeft: timeout, Priority: upstreamcall.NoPriority, Upstream: u,
-	})
+		Priority: upstreamcall.NoPriority,
+	}
 }
 
 // overtake notes the upstreams that were asked before the one that answered. Their calls end from here, which by itself
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -17,6 +17,10 @@
 func (g *Gateway) stream(ctx context.Context, r *call.Request, t *target) (*call.Answer, error) {
 	f := newForwarding(g, r, t)
 	s := &streaming{forwarding: f, last: r.ResumeAfter}
+	var err error
+	if f.action, err = g.screen(ctx, f.template); err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithDeadline(ctx, f.deadline)
 	first, err := s.open(ctx)
 	if err != nil {
@@ -54,7 +58,7 @@
 			return nil, err // no upstream is left
 		}
 		s.failure = failure
-		if failure.Outcome != outcome.NotRun && !s.repeatable() || ctx.Err() != nil {
+		if failure.Outcome != outcome.NotRun && !s.mayGoOn(ctx) || ctx.Err() != nil {
 			break
 		}
 	}
@@ -76,11 +80,10 @@
 	if !ok {
 		return nil, refuseFor(outcome.KindNoUpstream, "no upstream of the service takes the request", retryBusy)
 	}
-	s.sent = &upstreamcall.Request{
-		ID: s.request.ID, Host: s.request.Host, Method: s.request.Method, Target: s.request.Target,
-		Header: s.request.Header, Body: s.request.Body, Workspace: s.target.workspaceName(),
-		TimeLeft: time.Until(s.deadline), Priority: min(s.target.priority(), 9), ResumeAfter: s.last, Upstream: u,
-	}
+	sent := *s.template
+	sent.TimeLeft, sent.Priority = time.Until(s.deadline), min(s.target.priority(), 9)
+	sent.ResumeAfter, sent.Upstream = s.last, u
+	s.sent = &sent
 	answer, err := s.g.opts.Upstreams.Send(ctx, s.sent)
 	if err != nil {
 		failure := upstreamcall.AsFailure(err)
@@ -97,6 +100,11 @@
 	return answer, nil
 }
 
+// mayGoOn reports whether a stream that broke off may go on at one more upstream.
+func (s *streaming) mayGoOn(ctx context.Context) bool {
+	return s.repeatable() && s.g.mayRunAgain(ctx, s.broken)
+}
+
 // copy writes the events to the caller.
 func (s *streaming) copy(ctx context.Context, answer *upstreamcall.Answer, w io.Writer, flush func()) error {
 	for {
@@ -111,7 +119,7 @@
 		if err == nil {
 			return nil
 		}
-		if ctx.Err() != nil || !s.target.route.Resumable || !s.repeatable() {
+		if ctx.Err() != nil || !s.target.route.Resumable || !s.mayGoOn(ctx) {
 			return err
 		}
 		if answer, err = s.open(ctx); err != nil {
@@ -122,8 +130,13 @@
 
 // noteRun takes the end of a run.
 func (s *streaming) noteRun(ctx context.Context, failure *upstreamcall.Failure) {
+	if failure != nil && errors.Is(ctx.Err(), context.Canceled) {
+		s.g.runAbandoned(s.sent, s.sent.Upstream, s.last)
+		return
+	}
 	run := s.g.noteRun(ctx, s.sent, failure, s.last)
 	if failure != nil {
+		s.noteBroken(run)
 		s.logFailure(sendResult{upstream: s.sent.Upstream, failure: failure, broken: run})
 	}
 }
--- /dev/null
+++ b/gateway/suspect_exchange.go
@@ -0,0 +1,201 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/quarantine"
+	"github.com/radishshelf/radishshelf/upstreamcall"
+)
+
+const (
+	// suspectInterval is how often the exchange looks for work when nothing wakes it.
+	suspectInterval = time.Second
+	// suspectDelay precedes a write: most requests beside a crash are answered elsewhere by then and need no row.
+	suspectDelay = 100 * time.Millisecond
+	// suspectRetry follows a call that the store did not answer.
+	suspectRetry = 200 * time.Millisecond
+	// maxSharedCases bounds the rows of one transaction; the store takes 100 entries, and each row needs two.
+	maxSharedCases = 40
+)
+
+// suspectLoop exchanges what is known of suspect requests with the other processes until ctx ends.
+func (g *Gateway) suspectLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.suspects.kick:
+		case <-time.After(suspectInterval):
+		}
+		err := g.ensureKey(ctx)
+		if err == nil {
+			sleep(ctx, suspectDelay)
+			err = g.exchangeSuspects(ctx)
+		}
+		if err != nil && ctx.Err() == nil {
+			g.opts.Log.Info().Err(err).Msg("suspect requests not exchanged yet")
+			sleep(ctx, suspectRetry)
+			g.suspects.wake()
+		}
+	}
+}
+
+func (g *Gateway) exchangeSuspects(ctx context.Context) error {
+	_, holder := g.mayAct()
+	g.mu.Lock()
+	for _, fingerprint := range g.suspects.ledger.Expire(time.Now()) {
+		if holder {
+			g.suspects.changed[fingerprint] = true // one process removes the rows of forgotten cases
+		} else {
+			delete(g.suspects.versions, fingerprint)
+		}
+	}
+	txn, shared := g.caseTxn()
+	more := len(g.suspects.changed) > 0
+	g.mu.Unlock()
+	if len(shared) == 0 {
+		return nil
+	}
+	result, err := g.opts.Rows.Commit(ctx, txn)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err != nil {
+		for _, fingerprint := range shared {
+			g.suspects.changed[fingerprint] = true
+		}
+		return err
+	}
+	g.casesStored(txn, shared, result)
+	if more || !result.Committed {
+		g.suspects.wake()
+	}
+	return nil
+}
+
+// caseTxn writes the rows of changed cases, and removes those of closed ones. The caller holds the lock.
+func (g *Gateway) caseTxn() (txn hosting.RowTxn, shared []string) {
+	for fingerprint := range g.suspects.changed {
+		if len(shared) >= maxSharedCases {
+			break
+		}
+		delete(g.suspects.changed, fingerprint)
+		row := hosting.StoredRow{RowKey: caseRowKey(fingerprint), Version: g.suspects.versions[fingerprint]}
+		c, open := g.suspects.ledger.Case(fingerprint)
+		switch {
+		case open:
+			value, err := json.Marshal(c)
+			if err != nil {
+				g.opts.Log.Error().Str("fingerprint", fingerprint).Err(err).Msg("suspect request not encoded")
+				continue
+			}
+			txn.Puts = append(txn.Puts, hosting.StoredRow{RowKey: row.RowKey, Value: value})
+		case row.Version > 0:
+			txn.Deletes = append(txn.Deletes, row.RowKey)
+		default:
+			continue // closed before it was written
+		}
+		txn.Conditions = append(txn.Conditions, row)
+		shared = append(shared, fingerprint)
+	}
+	return txn, shared
+}
+
+// casesStored takes the decision of the store. Where another process was faster, its rows are merged and the own ones are
+// written again. The caller holds the lock.
+func (g *Gateway) casesStored(txn hosting.RowTxn, shared []string, result hosting.RowTxnResult) {
+	if result.Committed {
+		for _, r := range txn.Puts {
+			g.suspects.versions[strings.TrimPrefix(r.Key, caseKeyPrefix)] = result.Version
+		}
+		for _, r := range txn.Deletes {
+			fingerprint := strings.TrimPrefix(r.Key, caseKeyPrefix)
+			delete(g.suspects.versions, fingerprint)
+			g.suspects.removed[fingerprint] = result.Version
+		}
+		return
+	}
+	current := map[string]hosting.StoredRow{}
+	for _, r := range result.Current {
+		current[r.Key] = r
+	}
+	for _, fingerprint := range shared {
+		g.suspects.changed[fingerprint] = true
+		if r, ok := current[caseRowKey(fingerprint).Key]; ok {
+			g.takeSuspectRow(r)
+		} else {
+			delete(g.suspects.versions, fingerprint)
+		}
+	}
+}
+
+// claimProbe announces that this process sends a request in spite of its case. Of all processes one succeeds.
+func (g *Gateway) claimProbe(ctx context.Context, req *upstreamcall.Request, fingerprint string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeClaimTimeout)
+	defer cancel()
+	g.mu.Lock()
+	c, _ := g.suspects.ledger.Case(fingerprint)
+	row := hosting.StoredRow{RowKey: caseRowKey(fingerprint), Version: g.suspects.versions[fingerprint]}
+	due := g.suspects.ledger.Check(fingerprint, time.Now()).Action == quarantine.Probe // of the version to be replaced
+	g.mu.Unlock()
+	if !due {
+		return false // another request or process was faster
+	}
+	probed := c.Probed()
+	value, err := json.Marshal(probed)
+	if err != nil {
+		g.opts.Log.Error().Str("fingerprint", fingerprint).Err(err).Msg("suspect request not encoded")
+		return false
+	}
+	result, err := g.opts.Rows.Commit(ctx, hosting.RowTxn{
+		Conditions: []hosting.StoredRow{row}, Puts: []hosting.StoredRow{{RowKey: row.RowKey, Value: value}},
+	})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err == nil && !result.Committed {
+		for _, r := range result.Current {
+			g.takeSuspectRow(r)
+		}
+		return false
+	}
+	g.suspects.ledger.Take(fingerprint, probed, time.Now()) // a write without an answer may count all the same
+	if err != nil {
+		g.opts.Log.Info().Str("request", req.ID).Str("fingerprint", fingerprint).Err(err).Msg("probe not announced")
+		return false
+	}
+	g.suspects.versions[fingerprint] = result.Version
+	g.met.suspectProbes.Inc()
+	g.opts.Log.Info().Str("request", req.ID).Str("fingerprint", fingerprint).Int("level", probed.Level).
+		Msg("suspect request tried once more")
+	return true
+}
+
+// ensureKey writes the key of the fingerprints, unless there is one.
+func (g *Gateway) ensureKey(ctx context.Context) error {
+	g.mu.Lock()
+	wanted := g.suspects.key == nil && g.suspects.read
+	g.mu.Unlock()
+	if !wanted {
+		return nil
+	}
+	row := hosting.StoredRow{RowKey: fingerprintKeyRow, Value: quarantine.NewKey()}
+	result, err := g.opts.Rows.Commit(ctx, hosting.RowTxn{
+		Conditions: []hosting.StoredRow{{RowKey: fingerprintKeyRow}}, Puts: []hosting.StoredRow{row},
+	})
+	if err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if result.Committed {
+		g.takeSuspectRow(row)
+		return nil
+	}
+	for _, r := range result.Current {
+		g.takeSuspectRow(r)
+	}
+	return nil
+}
--- a/gateway/suspect_rows.go
+++ b/gateway/suspect_rows.go
@@ -1,91 +1,95 @@
 package gateway
 
 import (
-	"context"
+	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/quarantine"
 )
 
-const (
-	// suspectInterval is how often the exchange looks for work when nothing wakes it.
-	suspectInterval = time.Second
-	// suspectRetry follows a call that the store did not answer.
-	suspectRetry = 200 * time.Millisecond
-)
+// caseKeyPrefix precedes the fingerprint in the key of the row of a case.
+const caseKeyPrefix = "case/"
 
 // fingerprintKeyRow holds the key of the fingerprints. Whoever starts first writes it, once for all time.
 var fingerprintKeyRow = hosting.RowKey{Table: suspectTable, Key: "key"}
 
+func caseRowKey(fingerprint string) hosting.RowKey {
+	return hosting.RowKey{Table: suspectTable, Key: caseKeyPrefix + fingerprint}
+}
+
 // suspectWatch follows the table of suspect requests.
 func (g *Gateway) suspectWatch() *watch {
 	w := g.newWatch(suspectTable, false)
-	w.apply = func(c hosting.RowChange) { g.takeSuspectRow(c.StoredRow) }
+	w.apply = func(c hosting.RowChange) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if c.Deleted {
+			g.dropCase(c.Key, c.Version)
+			return
+		}
+		g.takeSuspectRow(c.StoredRow)
+	}
 	w.reset = func(rows []hosting.StoredRow) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		present := map[string]bool{}
 		for _, r := range rows {
+			present[r.Key] = true
 			w.guarded("row of "+w.table, func() { g.takeSuspectRow(r) })
 		}
+		for fingerprint, version := range g.suspects.versions {
+			if key := caseRowKey(fingerprint).Key; !present[key] {
+				g.dropCase(key, version+1)
+			}
+		}
+		g.suspects.read = true
 		g.suspects.wake()
 	}
 	return w
 }
 
+// takeSuspectRow takes a row as it was written. The caller holds the lock.
 func (g *Gateway) takeSuspectRow(r hosting.StoredRow) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if r.Key == fingerprintKeyRow.Key && len(r.Value) > 0 {
-		g.suspects.key = quarantine.Key(r.Value)
-	}
-}
-
-// suspectLoop exchanges what is known of suspect requests with the other processes until ctx ends.
-func (g *Gateway) suspectLoop(ctx context.Context) {
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-			return
-		case <-g.suspects.kick:
-		case <-time.After(suspectInterval):
-		}
-		if err := g.exchangeSuspects(ctx); err != nil && ctx.Err() == nil {
-			g.opts.Log.Info().Err(err).Msg("suspect requests not exchanged yet")
-			sleep(ctx, suspectRetry)
+	if r.Key == fingerprintKeyRow.Key {
+		if len(r.Value) > 0 {
+			g.suspects.key = quarantine.Key(r.Value)
 		}
+		return
 	}
-}
-
-func (g *Gateway) exchangeSuspects(ctx context.Context) error {
-	if err := g.ensureKey(ctx); err != nil {
-		return err
+	fingerprint, ok := strings.CutPrefix(r.Key, caseKeyPrefix)
+	if !ok || r.Version <= g.suspects.versions[fingerprint] {
+		return
+	}
+	var c quarantine.Case
+	if err := json.Unmarshal(r.Value, &c); err != nil {
+		g.skipRow(r.RowKey, err)
+		return
+	}
+	g.suspects.versions[fingerprint] = r.Version
+	before := g.suspects.ledger.Check(fingerprint, time.Now()).Action
+	if g.suspects.ledger.Take(fingerprint, c, time.Now()) {
+		g.suspects.share(fingerprint)
+	}
+	if action := g.suspects.ledger.Check(fingerprint, time.Now()).Action; action != before {
+		g.opts.Log.Info().Str("fingerprint", fingerprint).Int("ends", len(c.Ends)).Int("level", c.Level).
+			Int64("row_version", r.Version).Stringer("action", action).Msg("suspect request learnt")
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.suspects.ledger.Expire(time.Now())
-	return nil
 }
 
-// ensureKey writes the key of the fingerprints, unless there is one.
-func (g *Gateway) ensureKey(ctx context.Context) error {
-	g.mu.Lock()
-	known, ready := g.suspects.key != nil, !g.answeredAt.IsZero()
-	g.mu.Unlock()
-	if known || !ready {
-		return nil
-	}
-	row := hosting.StoredRow{RowKey: fingerprintKeyRow, Value: quarantine.NewKey()}
-	result, err := g.opts.Rows.Commit(ctx, hosting.RowTxn{
-		Conditions: []hosting.StoredRow{{RowKey: fingerprintKeyRow}}, Puts: []hosting.StoredRow{row},
-	})
-	if err != nil {
-		return err
+// dropCase takes the removal of the row of a case: the request was answered, or is forgotten. The caller holds the lock.
+func (g *Gateway) dropCase(key string, version int64) {
+	fingerprint, ok := strings.CutPrefix(key, caseKeyPrefix)
+	if !ok {
+		return
 	}
-	if result.Committed {
-		g.takeSuspectRow(row)
-		return nil
+	if g.suspects.removed[fingerprint] == version {
+		delete(g.suspects.removed, fingerprint) // the own removal; what has been counted since then is newer
+		return
 	}
-	for _, r := range result.Current {
-		g.takeSuspectRow(r)
+	if version > g.suspects.versions[fingerprint] {
+		delete(g.suspects.versions, fingerprint)
+		g.suspects.ledger.Drop(fingerprint)
 	}
-	return nil
 }
--- a/gateway/suspect_test.go
+++ b/gateway/suspect_test.go
@@ -1,118 +1,19 @@
 package gateway
 
 import (
-	"context"
 	"fmt"
-	"net/http"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/radishshelf/radishshelf/batch"
 	"github.com/radishshelf/radishshelf/call"
+	"github.com/radishshelf/radishshelf/outcome"
+	"github.com/radishshelf/radishshelf/quarantine"
 	"github.com/radishshelf/radishshelf/upstreamcall"
 )
 
-// Times and numbers of a request that crashes its upstreams.
-const (
-	// crashContact is the time after the third crash from which sends are counted, and crashSends how many of them are
-	// allowed; both come from the platform's rules.
-	crashContact = 4 * time.Second
-	crashSends   = 3
-	// crashRestart is how long a crashed upstream is away.
-	crashRestart = 500 * time.Millisecond
-)
-
-// crashes is a set of plain upstreams that end when they run a certain body.
-type crashes struct {
-	w      *world
-	body   string
-	mu     sync.Mutex
-	ended  map[string]bool
-	starts int
-	// sends holds when the body reached an upstream.
-	sends []time.Time
-}
-
-// newCrashes makes n upstreams the plain service of a world, and waits until the hosts know them.
-func newCrashes(w *world, body string, n int, hosts ...*Gateway) *crashes {
-	c := &crashes{w: w, body: body, ended: map[string]bool{}}
-	for range n {
-		c.startUpstream()
-	}
-	w.store.Delete("upstreams", "p1")
-	w.engine.script(c.answer)
-	w.eventually("every host knows the upstreams", func() bool {
-		return !slices.ContainsFunc(hosts, func(g *Gateway) bool {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			_, old := g.upstreams.Get("p1")
-			return old || len(g.upstreams.Ready(plainName)) != n
-		})
-	})
-	return c
-}
-
-func (c *crashes) startUpstream() {
-	c.mu.Lock()
-	c.starts++
-	id := fmt.Sprint("desk-", c.starts)
-	c.mu.Unlock()
-	c.w.addUpstream(id, plainName, 4, nil)
-}
-
-// answer ends the upstream that begins to run the body. Its row is removed, and another incarnation follows.
-func (c *crashes) answer(r *upstreamcall.Request) (*upstreamcall.Answer, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case c.ended[r.Upstream.ID]:
-		return nil, notRun(upstreamcall.NoListener)
-	case string(r.Body) != c.body:
-		return nil, nil
-	}
-	c.sends = append(c.sends, time.Now())
-	c.ended[r.Upstream.ID] = true
-	c.w.engine.end(r.Upstream.ID)
-	c.w.store.Delete("upstreams", r.Upstream.ID)
-	time.AfterFunc(crashRestart, c.startUpstream)
-	return nil, mayHaveRun(upstreamcall.Broken)
-}
-
-func (c *crashes) count() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.sends)
-}
-
-// late returns how many sends followed the third one by more than crashContact.
-func (c *crashes) late() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.sends) < 3 {
-		return 0
-	}
-	from := c.sends[2].Add(crashContact)
-	return len(c.sends) - slices.IndexFunc(append(c.sends, from.Add(time.Hour)), from.Before)
-}
-
-var attempts struct {
-	sync.Mutex
-	n int
-}
-
-// ask sends one attempt of a caller with a body.
-func (w *world) ask(ctx context.Context, g *Gateway, path, body string) (*call.Answer, error) {
-	attempts.Lock()
-	attempts.n++
-	id := fmt.Sprint("attempt-", attempts.n)
-	attempts.Unlock()
-	return g.Handle(ctx, &call.Request{
-		ID: id, Host: testHost, Method: http.MethodPost, Path: path, Target: path, Key: testKey, Body: []byte(body),
-		Received: time.Now(), Patience: 2 * time.Second,
-	})
-}
-
 // Guards against a request that ends every upstream that runs it and is sent on at each repeat by its caller, at any host,
 // because no host remembers it.
 func TestCrashingRequestIsHeldBack(t *testing.T) {
@@ -143,3 +44,159 @@
 		})
 	}
 }
+
+// Guards against ends that each host counts for itself, so that a request ends three upstreams for each host, and against
+// a memory that is lost with the hosts.
+func TestEndsAtAllHostsAddUp(t *testing.T) {
+	w := newWorld(t)
+	hosts := []*Gateway{w.start("a"), w.start("b")}
+	c := newCrashes(w, "crash", 8, hosts...)
+	for _, g := range hosts {
+		_, _ = w.ask(t.Context(), g, "/bill/1", "crash")
+	}
+	if c.count() != 2 {
+		t.Fatalf("%d sends by two hosts, want one each", c.count())
+	}
+	late := w.start("c")
+	for _, g := range append(hosts, late) {
+		w.eventually("the host knows both ends", func() bool {
+			_, err := w.ask(t.Context(), g, "/bill/1", "crash")
+			return refusedAs(t, err).Kind == outcome.KindQuarantined
+		})
+	}
+	before := c.count()
+	for _, name := range []string{"a", "b", "c"} {
+		w.kill(name)
+	}
+	_, err := w.ask(t.Context(), w.start("d"), "/bill/1", "crash")
+	if r := refusedAs(t, err); r.Kind != outcome.KindQuarantined || r.Outcome != outcome.NotRun || r.RetryAfter <= 0 {
+		t.Errorf("after the loss of all hosts: %v", r)
+	}
+	if c.count() != before {
+		t.Errorf("%d sends after the loss of all hosts", c.count()-before)
+	}
+}
+
+// Guards against requests that are held back because connections were reset or answers lost while no upstream ended.
+func TestBrokenRunsAtLiveUpstreamsHoldNobodyBack(t *testing.T) {
+	w := newWorld(t)
+	g := w.start("a")
+	w.engine.script(func(*upstreamcall.Request) (*upstreamcall.Answer, error) { return nil, mayHaveRun(upstreamcall.Broken) })
+	for n := range 12 {
+		if _, err := w.ask(t.Context(), g, "/bill/1", "reset"); refusedAs(t, err).Kind != outcome.KindUpstreamFailed {
+			t.Fatalf("attempt %d: %v", n, err)
+		}
+		sleep(t.Context(), 20*time.Millisecond)
+	}
+}
+
+// Guards against sound requests that are refused because they ran beside one that ends its upstreams.
+func TestCompanyOfACrashingRequestIsServed(t *testing.T) {
+	w := newWorld(t)
+	hosts := []*Gateway{w.start("a"), w.start("b")}
+	c := newCrashes(w, "crash", 4, hosts...)
+	c.work = 30 * time.Millisecond
+	var wg sync.WaitGroup
+	for round := range 6 {
+		for i, g := range hosts {
+			for n := range 4 {
+				wg.Go(func() {
+					body := fmt.Sprint("sound ", round, i, n)
+					if _, err := w.ask(t.Context(), g, "/quote/1", body); err != nil {
+						t.Errorf("%s: %v", body, err)
+					}
+				})
+			}
+		}
+		wg.Go(func() {
+			sleep(t.Context(), 5*time.Millisecond)
+			_, _ = w.ask(t.Context(), hosts[round%2], "/quote/1", "crash")
+		})
+		wg.Wait()
+		sleep(t.Context(), crashRestart)
+	}
+	if c.count() > 3 {
+		t.Errorf("%d upstreams ended", c.count())
+	}
+}
+
+// Guards against a request that every host tries once more when its pause is over.
+func TestProbeIsOneSendOfAllHosts(t *testing.T) {
+	w := newWorld(t)
+	w.suspects = quarantine.DefaultLedgerConfig()
+	w.suspects.Pauses = []time.Duration{0, 0, 0, time.Second, time.Hour}
+	hosts := []*Gateway{w.start("a"), w.start("b"), w.start("c")}
+	c := newCrashes(w, "crash", 8, hosts...)
+	for _, g := range hosts {
+		_, _ = w.ask(t.Context(), g, "/bill/1", "crash")
+	}
+	w.eventually("every host knows three ends", func() bool {
+		return !slices.ContainsFunc(hosts, func(g *Gateway) bool { return suspectEnds(g) != 3 })
+	})
+	before := c.count()
+	sleep(t.Context(), 1500*time.Millisecond)
+	var wg sync.WaitGroup
+	for _, g := range slices.Concat(hosts, hosts, hosts) {
+		wg.Go(func() { _, _ = w.ask(t.Context(), g, "/bill/1", "crash") })
+	}
+	wg.Wait()
+	if n := c.count() - before; n != 1 {
+		t.Errorf("%d sends after the pause, want 1", n)
+	}
+}
+
+// Guards against a case that outlives the proof that its request is sound.
+func TestWholeAnswerClearsARequest(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.start("a"), w.start("b")
+	c := newCrashes(w, "crash", 4, a, b)
+	_, _ = w.ask(t.Context(), a, "/bill/1", "crash")
+	w.eventually("both hosts know the end", func() bool { return suspectCount(a) == 1 && suspectCount(b) == 1 })
+	c.mu.Lock()
+	c.body = "another" // the request was ended by something else
+	c.mu.Unlock()
+	if _, err := w.ask(t.Context(), b, "/bill/1", "crash"); err != nil {
+		t.Fatal(err)
+	}
+	w.eventually("both hosts forget it", func() bool { return suspectCount(a) == 0 && suspectCount(b) == 0 })
+}
+
+func suspectCount(g *Gateway) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.suspects.ledger.Len()
+}
+
+// suspectEnds returns the ends that a host counts against all requests.
+func suspectEnds(g *Gateway) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for fingerprint := range g.suspects.versions {
+		c, _ := g.suspects.ledger.Case(fingerprint)
+		n += len(c.Ends)
+	}
+	return n
+}
+
+// Guards against score calls that are repeated for as long as their item is owed although they end every upstream, and
+// against an item that is lost because its score call does.
+func TestCrashingScoreCallIsHeldBack(t *testing.T) {
+	w := newWorld(t)
+	g := w.start("a")
+	c := newCrashes(w, "crash", 6, g)
+	items := testItems(4)
+	for i := range items {
+		items[i].Score = &batch.ScoreCall{ID: fmt.Sprint("score-", i), Host: testHost, Path: "/score/1", Body: []byte(fmt.Sprint(i))}
+	}
+	items[0].Score.Body = []byte("crash")
+	w.mustSubmit(g, "job", items...)
+	w.eventually("the other items are scored", func() bool {
+		page, err := g.Results(t.Context(), call.BatchRequest{ID: "job", Host: testHost, Key: testKey})
+		return err == nil && len(page.Results) == 3
+	})
+	sleep(t.Context(), 6*time.Second)
+	if c.count() > 3 {
+		t.Errorf("%d upstreams ended under one score call", c.count())
+	}
+}
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -16,17 +16,36 @@
 	key quarantine.Key
 	// asked holds the last question to each upstream of a broken run.
 	asked map[quarantine.End]*endCheck
+	// versions holds the versions of the rows of cases, by fingerprint, and removed those of own removals that the watch has
+	// not shown yet.
+	versions, removed map[string]int64
+	// changed holds the fingerprints whose rows are to be written or removed.
+	changed map[string]bool
+	// read tells that the table was read once.
+	read bool
+	// apart counts the requests of this process at each upstream that run apart from each other.
+	apart map[string]int
 	// kick wakes the loop that exchanges the table with the others.
 	kick chan struct{}
 }
 
-func newSuspects() *suspects {
+func newSuspects(cfg quarantine.LedgerConfig) *suspects {
+	if cfg.Pauses == nil {
+		cfg = quarantine.DefaultLedgerConfig()
+	}
 	return &suspects{
-		ledger: quarantine.NewLedger(quarantine.DefaultLedgerConfig()), asked: map[quarantine.End]*endCheck{},
+		ledger: quarantine.NewLedger(cfg), asked: map[quarantine.End]*endCheck{},
+		versions: map[string]int64{}, removed: map[string]int64{}, changed: map[string]bool{}, apart: map[string]int{},
 		kick: make(chan struct{}, 1),
 	}
 }
 
+// share has the row of a case written or removed.
+func (s *suspects) share(fingerprint string) {
+	s.changed[fingerprint] = true
+	s.wake()
+}
+
 func (s *suspects) wake() {
 	select {
 	case s.kick <- struct{}{}:
@@ -67,4 +86,5 @@
 	c, _ := g.suspects.ledger.Case(fingerprint)
 	g.opts.Log.Warn().Str("fingerprint", fingerprint).Str("upstream", u.ID).Int("ends", len(c.Ends)).
 		Msg("upstream ended under a request")
+	g.suspects.share(fingerprint)
 }
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -14,6 +14,7 @@
 	"github.com/radishshelf/radishshelf/batch"
 	"github.com/radishshelf/radishshelf/call"
 	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/quarantine"
 	storerows "github.com/radishshelf/radishshelf/standin/rows"
 	"github.com/radishshelf/radishshelf/telemetry"
 	"github.com/radishshelf/radishshelf/upstreams"
@@ -37,6 +38,8 @@
 	cancels map[string]func()
 	// wall is the time of day of the hosts; nil takes that of the test.
 	wall func() time.Time
+	// suspects bounds the memory of requests under which upstreams ended.
+	suspects quarantine.LedgerConfig
 }
 
 func newWorld(t *testing.T) *world {
@@ -82,7 +85,7 @@
 			Lease: 3 * time.Second, Grace: 8 * time.Second, UsageWindow: 5 * time.Second, UsageLate: 10 * time.Second,
 			BatchLifetime: 2 * time.Minute, Settle: time.Second, CancelApply: 3 * time.Second,
 		},
-		Wall: w.wall, Rows: rows, Upstreams: w.engine, Duties: w.duties, Codec: testCodec{}, Log: zerolog.New(logWriter{w.t}),
+		Wall: w.wall, Suspects: w.suspects, Rows: rows, Upstreams: w.engine, Duties: w.duties, Codec: testCodec{}, Log: zerolog.New(logWriter{w.t}),
 		Registry: telemetry.NewRegistry(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -127,18 +127,18 @@
 	return l.Drop(fingerprint)
 }
 
-// Possible returns the number of ends that count against a request, and of its broken runs whose upstreams may have ended.
-func (l *Ledger) Possible(fingerprint string) int {
-	n := 0
+// MayBeHeld reports whether a request would have to pause if all upstreams of its broken runs had ended.
+func (l *Ledger) MayBeHeld(fingerprint string) bool {
+	level := 0
 	if c, ok := l.cases[fingerprint]; ok {
-		n = len(c.Ends)
+		level = c.level()
 	}
 	for _, runs := range l.runs {
 		if slices.ContainsFunc(runs, func(r brokenRun) bool { return r.fingerprint == fingerprint }) {
-			n++
+			level++
 		}
 	}
-	return n
+	return level >= len(l.cfg.Pauses) || l.cfg.Pauses[level] > 0
 }
 
 // Check says how a request may run now.
--- /dev/null
+++ b/quarantine/ledger_test.go
@@ -0,0 +1,182 @@
+package quarantine
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/radishshelf/radishshelf/goldentest"
+)
+
+// Guards against changes of what counts as an end under a request, of how cases are merged, and of how often a request is
+// tried in spite of its case, that no reader has checked.
+func TestLedgerSessions(t *testing.T) {
+	goldentest.Run(t, "testdata/ledger/*.golden", func(t *testing.T, _, script string) string {
+		s := ledgerSession{t: t, now: start, ledgers: map[string]*Ledger{}}
+		return goldentest.Events(script, s.run)
+	})
+}
+
+// ledgerSession replays events of several processes; the first word names the process.
+type ledgerSession struct {
+	t       *testing.T
+	now     time.Time
+	ledgers map[string]*Ledger
+}
+
+func (s *ledgerSession) ledger(name string) *Ledger {
+	if s.ledgers[name] == nil {
+		s.ledgers[name] = NewLedger(DefaultLedgerConfig())
+	}
+	return s.ledgers[name]
+}
+
+func (s *ledgerSession) run(words []string) []string {
+	l, event, args := s.ledger(words[0]), words[1], words[2:]
+	switch event {
+	case "at":
+		d, err := time.ParseDuration(args[0])
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.now = start.Add(d)
+	case "broke":
+		progress, err := strconv.Atoi(args[2])
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		return []string{fmt.Sprint("counted ", l.Broke(args[0], End{args[1], "1"}, progress, s.now))}
+	case "ended":
+		counted, news := l.Ended(End{args[0], "1"}, s.now)
+		return []string{fmt.Sprint("counted ", counted, " news ", news)}
+	case "answered":
+		return []string{fmt.Sprint("cleared ", l.Answered(args[0]))}
+	case "drop":
+		return []string{fmt.Sprint("dropped ", l.Drop(args[0]))}
+	case "probe":
+		c, _ := l.Case(args[0])
+		l.Take(args[0], c.Probed(), s.now)
+	case "send":
+		c, _ := l.Case(args[0])
+		return []string{fmt.Sprint("knows more ", s.ledger(args[1]).Take(args[0], c, s.now))}
+	case "expire":
+		return []string{fmt.Sprint("forgotten ", l.Expire(s.now))}
+	case "check":
+		v := l.Check(args[0], s.now)
+		return []string{fmt.Sprintf("%s ends=%d remaining=%s", v.Action, v.Deaths, v.Remaining)}
+	default:
+		s.t.Fatalf("no event %s", event)
+	}
+	return nil
+}
+
+// Guards against more sends of a request that always ends its upstream than the platform allows after the third end: three,
+// from any number of processes that exchange their cases late.
+func TestLedgerBoundsLateSends(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const exchange = 3 * time.Second // within the four seconds after which sends count
+		processes := make([]*Ledger, rapid.IntRange(1, 5).Draw(rt, "processes"))
+		for i := range processes {
+			processes[i] = NewLedger(DefaultLedgerConfig())
+		}
+		now, sends, late := start, 0, 0
+		var third, exchanged time.Time
+		row := Case{}
+		for range 400 {
+			now = now.Add(time.Duration(rapid.IntRange(1, 60_000).Draw(rt, "pause")) * time.Millisecond)
+			if now.Sub(exchanged) > exchange {
+				exchanged = now
+				for _, l := range append(processes, processes...) {
+					l.Take("bad", row, now)
+					if c, ok := l.Case("bad"); ok {
+						row = c
+					}
+				}
+			}
+			l := processes[rapid.IntRange(0, len(processes)-1).Draw(rt, "process")]
+			switch l.Check("bad", now).Action {
+			case Refuse:
+				continue
+			case Probe:
+				c, _ := l.Case("bad")
+				if c.level() != row.level() {
+					continue // the announcement failed: another process was faster
+				}
+				row = c.Probed()
+				l.Take("bad", row, now)
+			}
+			sends++
+			if sends == 3 {
+				third = now
+			}
+			if sends > 3 && now.Sub(third) > 4*time.Second {
+				late++
+			}
+			end := End{"u", strconv.Itoa(sends)}
+			l.Broke("bad", end, 0, now)
+			l.Ended(end, now)
+		}
+		if late > 3 {
+			rt.Fatalf("%d sends later than 4 s after the third end", late)
+		}
+	})
+}
+
+// Guards against a ledger that grows with the requests, the ends and the broken runs that it has seen.
+func TestLedgerIsBounded(t *testing.T) {
+	cfg := DefaultLedgerConfig()
+	cfg.MaxCases, cfg.MaxRuns = 16, 16
+	l := NewLedger(cfg)
+	now := start
+	for i := range 1000 {
+		now = now.Add(time.Millisecond)
+		end := End{"u", strconv.Itoa(i)}
+		l.Broke(fmt.Sprint("f", i), end, 0, now)
+		if i%2 == 0 {
+			l.Ended(end, now)
+		}
+		l.Take(fmt.Sprint("g", i), Case{Ends: []End{end}}, now)
+	}
+	if l.Len() > cfg.MaxCases || l.waiting > cfg.MaxRuns {
+		t.Errorf("%d cases and %d runs", l.Len(), l.waiting)
+	}
+	l.Expire(now.Add(time.Hour))
+	if !l.Idle() || len(l.ended) != 0 || len(l.runs) != 0 {
+		t.Errorf("after an hour: %d cases, %d runs, %d ends", l.Len(), l.waiting, len(l.ended))
+	}
+}
+
+// Guards against fingerprints that differ between hosts, or that can be found without the key.
+func TestKeyedFingerprints(t *testing.T) {
+	key := NewKey()
+	a := key.Fingerprint("north", "POST /x", []byte("body"))
+	if b := Key(append([]byte{}, key...)).Fingerprint("north", "POST /x", []byte("body")); a != b {
+		t.Error("the same key gives another fingerprint")
+	}
+	for _, other := range []string{
+		NewKey().Fingerprint("north", "POST /x", []byte("body")), Fingerprint("north", "POST /x", []byte("body")),
+		key.Fingerprint("south", "POST /x", []byte("body")), key.Fingerprint("north", "POST /y", []byte("body")),
+		key.Fingerprint("north", "POST /x", []byte("bodies")),
+	} {
+		if other == a {
+			t.Errorf("another key, workspace, path or body gives the same fingerprint %s", a)
+		}
+	}
+}
+
+// Shows what a fingerprint costs. It is made while some request is suspect, and after a broken run.
+func BenchmarkKeyedFingerprint(b *testing.B) {
+	key := NewKey()
+	for _, size := range []int{600, 1 << 20, 8 << 20} {
+		body := make([]byte, size)
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			b.SetBytes(int64(size))
+			for b.Loop() {
+				key.Fingerprint("north", "POST /x", body)
+			}
+		})
+	}
+}
