Place a long text at a once slow engine when no other serves its version

What callers would see: a step whose last long text is never placed though engines have room. Cause: an engine that was slow when it was last seen takes short texts only, judged against the usual pace of all engines of the model, also of those whose weights are too old for the text. Where only long texts are left nothing ever proves the engine sound again. The new test fails on the code before (the text went to "").

--- a/placement/board.go
+++ b/placement/board.go
@@ -28,7 +28,7 @@
 )
 
 // slowRatio is how many times the typical pace makes an engine slow. One that was slow when it was last observed gets one
-// short text at a time until that is known to have changed.
+// short text at a time until that is known to have changed, or a long one that no other engine serves.
 const slowRatio = 1.5
 
 // Board holds the engines of one service and model for one pass of a scheduler. A choice counts at once, so that the next
@@ -105,7 +105,12 @@
 	if e.Avoided || e.Version < w.MinVersion || e.Own >= e.room() {
 		return false
 	}
-	return !b.isSuspectedSlow(e) || e.Own == 0 && !w.Long
+	return !b.isSuspectedSlow(e) || e.Own == 0 && (!w.Long || !b.hasSound(w))
+}
+
+// hasSound reports whether an engine that serves a text, if it has no room now, is not suspected to be slow.
+func (b *Board) hasSound(w Want) bool {
+	return slices.ContainsFunc(b.engines, func(e Engine) bool { return e.Version >= w.MinVersion && !b.isSuspectedSlow(&e) })
 }
 
 // isSuspectedSlow reports whether an engine was slow when it was last observed, and has not been observed since.
--- a/placement/board_test.go
+++ b/placement/board_test.go
@@ -54,6 +54,21 @@
 	}
 }
 
+// Guards against a long text that is never placed: the only engines whose weights are new enough were slow when they were last
+// seen, while others, whose weights are too old, keep telling what the usual pace is.
+func TestLongTextTakesOnceSlowEngineWhereNoOtherWillServeIt(t *testing.T) {
+	list := engines(3, 0)
+	list[2].Version, list[2].Pace, list[2].LastPace = 2, 0, 3*usualPace
+	want := Want{Long: true, MinVersion: 2}
+	if id, _ := NewBoard(list).Pick(want); id != "e02" {
+		t.Errorf("the text went to %q, want the only engine that serves its version", id)
+	}
+	list[1].Version, list[1].Own = 2, 12
+	if id, ok := NewBoard(list).Pick(want); ok {
+		t.Errorf("the text went to %s, want it to wait for the sound engine that serves its version", id)
+	}
+}
+
 // Pattern: a step in which long texts come together, on engines that have slots for twelve and memory for three of them. An engine whose memory runs out puts the newest text back, and its step waits for that text.
 func TestLongTextsFitIntoMemory(t *testing.T) {
 	const memory = 44000
