--- /dev/null
+++ b/gateway/owed_item_test.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/radishshelf/radishshelf/batch"
+	"github.com/radishshelf/radishshelf/upstreamcall"
+)
+
+// Guards against an item that is held back once all is calm because several engines ended under it: it is owed, and what
+// ended them was something else. The engines come back under other names, or under their own as another incarnation.
+func TestItemIsOwedAfterFiveCrashes(t *testing.T) {
+	const crashes, restart = 5, 200 * time.Millisecond
+	for _, c := range []struct {
+		name    string
+		renamed bool
+		events  int
+	}{{"before the first event", true, 0}, {"in the middle of the text", true, 1}, {"under the same name", false, 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t)
+			for i := range 2 {
+				w.addUpstream(fmt.Sprint("e", i+2), engineName, 4, map[string]int64{testModel: 1})
+			}
+			g := w.start("a")
+			items := testItems(8)
+			var mu sync.Mutex
+			ended := map[string]bool{}
+			var calm time.Time
+			w.engine.script(func(r *upstreamcall.Request) (*upstreamcall.Answer, error) {
+				mu.Lock()
+				defer mu.Unlock()
+				id := r.Upstream.ID
+				if r.Upstream.Service == engineName && ended[id] {
+					return nil, notRun(upstreamcall.NoListener)
+				}
+				if r.ID != items[0].ID || !calm.IsZero() {
+					return nil, nil
+				}
+				ended[id] = true
+				w.engine.end(id)
+				w.store.Delete("upstreams", id)
+				next := id
+				if c.renamed {
+					next = fmt.Sprint("e", 10+len(ended))
+				}
+				if len(ended) == crashes || !c.renamed && w.engine.requests(func(o upstreamcall.Request) bool { return o.ID == r.ID }) == crashes {
+					calm = time.Now()
+				}
+				time.AfterFunc(restart, func() {
+					mu.Lock()
+					delete(ended, next)
+					mu.Unlock()
+					w.addUpstream(next, engineName, 4, map[string]int64{testModel: 1})
+				})
+				if c.events > 0 {
+					return stream(r.ResumeAfter+1, r.ResumeAfter+c.events, false), nil
+				}
+				return nil, mayHaveRun(upstreamcall.Broken)
+			})
+			w.mustSubmit(g, "job", items...)
+			results := w.readAll(g, "job")
+			w.checkOnce(results, items)
+			for _, r := range results {
+				if r.State != batch.Succeeded {
+					t.Errorf("item %s is %s", r.ID, r.State)
+				}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			// A step out of time is lost when one of its items has not been at an engine for 5 s of calm.
+			if waited := time.Since(calm); waited > 5*time.Second {
+				t.Errorf("the last item was listed %s after the last crash", waited)
+			}
+		})
+	}
+}
