Guard streams of callers against ends under them, both ways

A stream that ends each engine which begins it is held back after two ends; a long one that comes further each time goes on through four.

--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -52,6 +52,11 @@
 				Targets: []serving.Target{{Service: plainName, Weight: 1}}, TargetLatency: 200 * time.Millisecond,
 				Timeout: 3 * time.Second,
 			},
+			{
+				Name: "chat", Host: testHost, PathPrefix: "/chat/", Kind: serving.NonIdempotent, MaxAttempts: 5, Streaming: true,
+				Resumable: true, Targets: []serving.Target{{Service: engineName, Weight: 1}},
+				TargetLatency: 200 * time.Millisecond, Timeout: 10 * time.Second,
+			},
 			{
 				Name: "score", Host: testHost, PathPrefix: "/score/", Kind: serving.Idempotent, MaxAttempts: 4, Public: true,
 				Targets: []serving.Target{{Service: plainName, Weight: 1}},
--- /dev/null
+++ b/gateway/stream_suspect_test.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"bytes"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/radishshelf/radishshelf/call"
+	"github.com/radishshelf/radishshelf/outcome"
+	"github.com/radishshelf/radishshelf/upstreamcall"
+)
+
+// readStream reads the answer to a stream until it ends.
+func readStream(a *call.Answer, err error) (string, error) {
+	if err != nil {
+		return "", err
+	}
+	var body bytes.Buffer
+	err = a.Stream(&body, func() {})
+	return body.String(), err
+}
+
+// endingEngines are engines that end under a stream after a number of its events.
+type endingEngines struct {
+	w      *world
+	mu     sync.Mutex
+	starts int
+	ended  map[string]bool
+}
+
+// startEngines runs a host that knows n engines and the key of the fingerprints.
+func startEngines(w *world, n int) (*Gateway, *endingEngines) {
+	e := &endingEngines{w: w, ended: map[string]bool{}}
+	for range n {
+		e.startEngine()
+	}
+	g := w.start("a")
+	w.eventually("the host knows engines and key", func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return len(g.upstreams.Ready(engineName)) == n+1 && g.suspects.key != nil
+	})
+	return g, e
+}
+
+func (e *endingEngines) startEngine() {
+	e.starts++
+	e.w.addUpstream(fmt.Sprint("engine-", e.starts), engineName, 4, map[string]int64{testModel: 1})
+}
+
+// answer ends the engine after events more events; nil leaves it alone.
+func (e *endingEngines) answer(r *upstreamcall.Request, events *int) (*upstreamcall.Answer, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ended[r.Upstream.ID] {
+		return nil, notRun(upstreamcall.NoListener)
+	}
+	if events == nil {
+		return nil, nil
+	}
+	e.startEngine()
+	e.ended[r.Upstream.ID] = true
+	e.w.engine.end(r.Upstream.ID)
+	e.w.store.Delete("upstreams", r.Upstream.ID)
+	if *events == 0 {
+		return nil, mayHaveRun(upstreamcall.Broken)
+	}
+	return stream(r.ResumeAfter+1, r.ResumeAfter+*events, false), nil
+}
+
+// Guards against a stream that ends every engine which begins it and is sent on, within an attempt and at each repeat by its
+// caller.
+func TestCrashingStreamIsHeldBack(t *testing.T) {
+	w := newWorld(t)
+	g, e := startEngines(w, 5)
+	none := 0
+	w.engine.script(func(r *upstreamcall.Request) (*upstreamcall.Answer, error) { return e.answer(r, &none) })
+	var err error
+	for range 10 {
+		_, err = readStream(w.ask(t.Context(), g, "/chat/1", "crash"))
+	}
+	if r := refusedAs(t, err); r.Kind != outcome.KindQuarantined || r.Outcome != outcome.NotRun {
+		t.Errorf("the last repeat ended with %v", r)
+	}
+	if len(e.ended) > 3 {
+		t.Errorf("%d engines ended", len(e.ended))
+	}
+}
+
+// Guards against a long stream that is given up because engines ended under it by themselves: it comes further each time.
+func TestStreamOutlivesCrashesThatItDidNotCause(t *testing.T) {
+	w := newWorld(t)
+	g, e := startEngines(w, 5)
+	two := 2
+	w.engine.script(func(r *upstreamcall.Request) (*upstreamcall.Answer, error) {
+		if len(e.ended) < 4 {
+			return e.answer(r, &two)
+		}
+		return e.answer(r, nil)
+	})
+	if _, err := readStream(w.ask(t.Context(), g, "/chat/1", "sound")); err != nil {
+		t.Errorf("given up after %d ends: %v", len(e.ended), err)
+	}
+}
