Send nothing new to an upstream that says in an answer that it leaves

The view keeps it for that incarnation, whatever its entry says, when it lapses and comes back and when the table is read again. An upstream that leaves does not count as ended under a request.

With the guard taken out (trial) TestNothingNewGoesToAnUpstreamThatSaysThatItLeaves and the golden session leaving fail.

--- a/cmd/radishshelf-gateway/process.go
+++ b/cmd/radishshelf-gateway/process.go
@@ -24,6 +24,7 @@
 	"github.com/radishshelf/radishshelf/platform"
 	"github.com/radishshelf/radishshelf/rowrelay"
 	"github.com/radishshelf/radishshelf/telemetry"
+	"github.com/radishshelf/radishshelf/upstreams"
 )
 
 const (
@@ -138,7 +139,8 @@
 		UsageDuty: s.HasUsageDuty(), ScaleDuty: s.HasScaleDuty(),
 		Timing: timing(s.Bounds), Rows: p.rows, Codec: platform.Codec{}, Memory: p.memory, Log: p.log,
 		Registry:  registry,
-		Upstreams: platform.NewUpstreamClient(platform.UpstreamDialer()), Duties: p.duties,
+		Upstreams: platform.NewUpstreamClient(platform.UpstreamDialer(), func(u upstreams.Entry) { g.UpstreamLeaving(u) }),
+		Duties:    p.duties,
 	})
 	return g
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -21,8 +21,10 @@
 	resultsListed *metrics.Counter
 	usageReports  *metrics.Counter
 	endChecks     *metrics.Counter
-	suspectEnds   *metrics.Counter
-	suspectProbes *metrics.Counter
+	// upstreamsLeaving counts upstreams that said in an answer that they leave.
+	upstreamsLeaving *metrics.Counter
+	suspectEnds      *metrics.Counter
+	suspectProbes    *metrics.Counter
 	// suspectsRefused counts requests that were held back, and suspectsCleared cases closed by a whole answer.
 	suspectsRefused, suspectsCleared *metrics.Counter
 	dutiesTaken                      *metrics.Counter
@@ -84,25 +86,26 @@
 		r.NewGauge(fmt.Sprintf("radishshelf_gateway_items{phase=%q}", name), func() float64 { return g.countItems(phase) })
 	}
 	return &metricSet{
-		registry:        r,
-		hedges:          r.NewCounter("radishshelf_gateway_hedges_total"),
-		probes:          r.NewCounter("radishshelf_gateway_probes_total"),
-		watchFailures:   r.NewCounter("radishshelf_gateway_watch_failures_total"),
-		jobsAccepted:    r.NewCounter("radishshelf_gateway_jobs_accepted_total"),
-		jobsAdopted:     r.NewCounter("radishshelf_gateway_jobs_adopted_total"),
-		resultsListed:   r.NewCounter("radishshelf_gateway_results_listed_total"),
-		usageReports:    r.NewCounter("radishshelf_gateway_usage_reports_total"),
-		endChecks:       r.NewCounter("radishshelf_gateway_end_checks_total"),
-		suspectEnds:     r.NewCounter("radishshelf_gateway_suspect_ends_total"),
-		suspectProbes:   r.NewCounter("radishshelf_gateway_suspect_probes_total"),
-		suspectsRefused: r.NewCounter("radishshelf_gateway_suspects_refused_total"),
-		suspectsCleared: r.NewCounter("radishshelf_gateway_suspects_cleared_total"),
-		dutiesTaken:     r.NewCounter("radishshelf_gateway_duties_taken_total"),
-		upstreamTime:    r.NewHistogram("radishshelf_gateway_upstream_seconds"),
-		itemTime:        r.NewHistogram("radishshelf_gateway_item_seconds"),
-		requestTime:     r.NewHistogram("radishshelf_gateway_request_seconds"),
-		storeTime:       r.NewHistogram("radishshelf_gateway_store_call_seconds"),
-		itemWait:        r.NewHistogram("radishshelf_gateway_item_wait_seconds"),
+		registry:         r,
+		hedges:           r.NewCounter("radishshelf_gateway_hedges_total"),
+		probes:           r.NewCounter("radishshelf_gateway_probes_total"),
+		watchFailures:    r.NewCounter("radishshelf_gateway_watch_failures_total"),
+		jobsAccepted:     r.NewCounter("radishshelf_gateway_jobs_accepted_total"),
+		jobsAdopted:      r.NewCounter("radishshelf_gateway_jobs_adopted_total"),
+		resultsListed:    r.NewCounter("radishshelf_gateway_results_listed_total"),
+		usageReports:     r.NewCounter("radishshelf_gateway_usage_reports_total"),
+		endChecks:        r.NewCounter("radishshelf_gateway_end_checks_total"),
+		suspectEnds:      r.NewCounter("radishshelf_gateway_suspect_ends_total"),
+		upstreamsLeaving: r.NewCounter("radishshelf_gateway_upstreams_leaving_total"),
+		suspectProbes:    r.NewCounter("radishshelf_gateway_suspect_probes_total"),
+		suspectsRefused:  r.NewCounter("radishshelf_gateway_suspects_refused_total"),
+		suspectsCleared:  r.NewCounter("radishshelf_gateway_suspects_cleared_total"),
+		dutiesTaken:      r.NewCounter("radishshelf_gateway_duties_taken_total"),
+		upstreamTime:     r.NewHistogram("radishshelf_gateway_upstream_seconds"),
+		itemTime:         r.NewHistogram("radishshelf_gateway_item_seconds"),
+		requestTime:      r.NewHistogram("radishshelf_gateway_request_seconds"),
+		storeTime:        r.NewHistogram("radishshelf_gateway_store_call_seconds"),
+		itemWait:         r.NewHistogram("radishshelf_gateway_item_wait_seconds"),
 	}
 }
 
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -66,8 +66,11 @@
 	return g.suspects.key.Fingerprint(r.Workspace, r.Method+" "+r.Target, r.Body)
 }
 
-// upstreamEnded takes word that an incarnation has ended. The caller holds the lock.
+// upstreamEnded takes word that an incarnation has ended. One that was leaving did so as planned. The caller holds the lock.
 func (g *Gateway) upstreamEnded(u upstreams.Entry, seen string) {
+	if e, ok := g.upstreams.Get(u.ID); ok && e.Born == u.Born && e.State == upstreams.Draining {
+		return
+	}
 	counted, news := g.suspects.ledger.Ended(endOf(u), time.Now())
 	if !news {
 		return
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -139,6 +139,7 @@
 	}
 	old, known := g.upstreams.Get(e.ID)
 	g.upstreams.Put(e)
+	e, _ = g.upstreams.Get(e.ID) // an upstream that said that it leaves does so whatever its entry says
 	if known && old.Born != e.Born {
 		delete(g.health, e.ID) // a new incarnation starts with a clean record
 		g.upstreamEnded(old, "entry of another incarnation")
--- a/upstreams/ready_test.go
+++ b/upstreams/ready_test.go
@@ -17,7 +17,7 @@
 		for range rapid.IntRange(1, 40).Draw(rt, "changes") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(rt, "pause")) * time.Millisecond)
 			id := fmt.Sprint("u", rapid.IntRange(0, 4).Draw(rt, "id"))
-			switch rapid.IntRange(0, 6).Draw(rt, "change") {
+			switch rapid.IntRange(0, 7).Draw(rt, "change") {
 			case 0:
 				v.Remove(id, now)
 			case 1:
@@ -30,6 +30,8 @@
 				v.Expire(now)
 			case 5:
 				v.Replace([]Entry{{ID: id, Service: "s", State: Ready}}, now)
+			case 6:
+				v.Leave(id, 0)
 			default:
 				v.Put(Entry{ID: id, Service: "s", State: rapid.SampledFrom([]State{Ready, Draining}).Draw(rt, "state")})
 			}
--- a/upstreams/session_test.go
+++ b/upstreams/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -27,6 +28,14 @@
 	switch words[0] {
 	case "entry":
 		s.view.Put(Entry{ID: words[1], Service: "desk", State: State(words[2])})
+	case "incarnation": // an entry of the upstream after another start
+		born, err := strconv.ParseInt(words[2], 10, 64)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.view.Put(Entry{ID: words[1], Service: "desk", State: Ready, Born: born})
+	case "answer-leaving":
+		s.view.Leave(words[1], 0)
 	case "removed":
 		s.view.Remove(words[1], s.now)
 	case "unreadable":
--- a/upstreams/view.go
+++ b/upstreams/view.go
@@ -18,17 +18,45 @@
 	lapsed map[string]time.Time
 	lost   bool
 	backAt time.Time
+	// leaving holds the incarnations that said in an answer that they leave, by ID the newest. What their entries say is older.
+	leaving map[string]int64
 	// ready holds what Ready has returned since the last change.
 	ready map[string][]Entry
 }
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{entries: map[string]Entry{}, lapsed: map[string]time.Time{}, ready: map[string][]Entry{}}
+	return &View{entries: map[string]Entry{}, lapsed: map[string]time.Time{}, leaving: map[string]int64{}, ready: map[string][]Entry{}}
+}
+
+// maxLeaving bounds the incarnations that are remembered to leave; those without an entry go first.
+const maxLeaving = 4096
+
+// Leave takes the word of an upstream that it leaves. It takes nothing new from then on, whatever its entry says, until
+// another incarnation has its ID. It reports whether that is news.
+func (v *View) Leave(id string, born int64) bool {
+	if known, ok := v.leaving[id]; ok && known == born {
+		return false
+	}
+	if len(v.leaving) >= maxLeaving {
+		maps.DeleteFunc(v.leaving, func(id string, _ int64) bool { _, ok := v.entries[id]; return !ok })
+	}
+	v.leaving[id] = born
+	if e, ok := v.entries[id]; ok && e.Born == born {
+		e.State = Draining
+		v.entries[id] = e
+		clear(v.ready)
+	}
+	return true
 }
 
 // Put takes a new or changed entry.
 func (v *View) Put(e Entry) {
+	if born, ok := v.leaving[e.ID]; ok && born == e.Born {
+		e.State = Draining
+	} else if ok && born < e.Born {
+		delete(v.leaving, e.ID)
+	}
 	v.entries[e.ID] = e
 	delete(v.lapsed, e.ID)
 	clear(v.ready)
