Do not run jobs whose record marks items that they do not have

The record of the input marks the items 0 and 9 of a job of two. With as many marks as listed results such a record counted as sound; its successor would have run an item that is listed already, and listed it twice. Now a record fits only if all its marks are items of the job. One that does not is named in one line, its items are not run and its results stay readable, as for other records that contradict themselves.

The input is in the corpus and fails on the code before. The check of the fuzz test holds for every record now, not only for those with few marks.

--- a/batch/bits.go
+++ b/batch/bits.go
@@ -22,6 +22,16 @@
 	return set
 }
 
+// Below returns a copy of the set with the numbers below n.
+func (b Bits) Below(n int) Bits {
+	set := make(Bits, min(len(b), (n+7)/8))
+	copy(set, b)
+	if last := n / 8; last < len(set) {
+		set[last] &= 1<<(n%8) - 1
+	}
+	return set
+}
+
 // Count returns how many numbers the set holds.
 func (b Bits) Count() int {
 	n := 0
--- a/batch/fuzz_test.go
+++ b/batch/fuzz_test.go
@@ -42,7 +42,7 @@
 		}
 		n := len(j.Unlisted())
 		j.EnoughWith(n)
-		if done := j.DoneWith(n).Count(); done > len(spec.Items) && record.Done.Count() <= len(spec.Items) {
+		if done := j.DoneWith(n).Count(); done > len(spec.Items) {
 			t.Errorf("%d of %d items are done", done, len(spec.Items))
 		}
 		j.MarkListed(n)
--- a/batch/job.go
+++ b/batch/job.go
@@ -26,6 +26,7 @@
 
 // NewJob returns a job as its record tells it.
 func NewJob(spec Spec, record Record, limits Limits) *Job {
+	record.Done = record.Done.Below(len(spec.Items))
 	j := &Job{Spec: spec, Record: record, Limits: limits, byID: make(map[string]*Progress, len(spec.Items))}
 	for i := range spec.Items {
 		p := &Progress{Item: &spec.Items[i], index: i, rate: limits.Rate}
--- a/batch/record.go
+++ b/batch/record.go
@@ -36,6 +36,12 @@
 // Open reports whether items of the job may still have to run.
 func (r *Record) Open() bool { return !r.Ended && r.Listed < r.Total }
 
+// Fits reports whether the record agrees with itself and with a job of so many items. The items of a job whose record does not
+// must not be run: one that is listed already could be listed again.
+func (r *Record) Fits(items int) bool {
+	return items == r.Total && r.Done.Count() == r.Listed && r.Done.Below(items).Count() == r.Listed
+}
+
 // OwnedBy reports whether the process is the owner of the job.
 func (r *Record) OwnedBy(host, incarnation string) bool {
 	return r.Owner == host && r.OwnerIncarnation == incarnation
--- /dev/null
+++ b/batch/record_test.go
@@ -0,0 +1,46 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against a successor that runs an item which is listed already, because the record of the job marks an item that the
+// job does not have in its place.
+func TestRecordThatMarksForeignItemsDoesNotFit(t *testing.T) {
+	for _, c := range []struct {
+		done   Bits
+		listed int
+		want   bool
+	}{
+		{Bits{0b101}, 2, true}, {nil, 0, true}, {Bits{0b111}, 3, true}, {Bits{0b101, 0}, 2, true},
+		{Bits{0b1001}, 2, false}, {Bits{0b1, 0b10}, 2, false}, {Bits{0b1}, 2, false}, {Bits{0b11}, 1, false}, {nil, -1, false},
+	} {
+		r := Record{Total: 3, Listed: c.listed, Done: c.done}
+		if got := r.Fits(3); got != c.want {
+			t.Errorf("done %08b, listed %d: fits %v, want %v", c.done, c.listed, got, c.want)
+		}
+		if r.Fits(4) {
+			t.Errorf("done %08b, listed %d: fits a job of another size", c.done, c.listed)
+		}
+	}
+}
+
+// Guards against counts that include items which a job does not have.
+func TestBitsBelow(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		set := Bits(rapid.SliceOfN(rapid.Byte(), 0, 4).Draw(rt, "set"))
+		n := rapid.IntRange(0, 40).Draw(rt, "n")
+		below := set.Below(n)
+		for i := range 40 {
+			if want := set.Has(i) && i < n; below.Has(i) != want {
+				rt.Fatalf("%08b below %d has %d: %v, want %v", set, n, i, below.Has(i), want)
+			}
+		}
+		if fmt.Sprint(set) != fmt.Sprint(Bits(append([]byte{}, set...))) {
+			rt.Fatal("the set was changed")
+		}
+	})
+}
--- a/gateway/adopt.go
+++ b/gateway/adopt.go
@@ -170,7 +170,7 @@
 // could list an item twice. The caller holds the lock.
 func (g *Gateway) isSound(e *jobEntry, spec batch.Spec) bool {
 	r := &e.record
-	if r.Done.Count() == r.Listed && len(spec.Items) == r.Total {
+	if r.Fits(len(spec.Items)) {
 		return true
 	}
 	g.opts.Log.Error().Str("job", e.id).Int("named", r.Done.Count()).Int("listed", r.Listed).Int("items", len(spec.Items)).
