Let the soak play a request that ends its upstreams, and upstreams that leave

One caller sends the same request at any process while the faults go on, and at each of them after the last fault; plain upstreams crash under it and come back under other names. Another fault is an upstream that says in its answers that it leaves while its entry does not.

--- a/standin/soak/checker.go
+++ b/standin/soak/checker.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/radishshelf/radishshelf/platform/platformtest"
 )
@@ -26,6 +27,11 @@
 	// reports holds the figures of each usage window, and terms the highest term of each receiver with its holder.
 	reports map[int64]map[string]int64
 	terms   map[string]termView
+	// fatal counts the runs of the request that ends its upstreams.
+	fatal int
+	// leaving holds from when on no run is expected at upstreams that leave, and late counts those all the same.
+	leaving map[string]time.Time
+	late    map[string]int
 }
 
 // jobView is what callers know of a job.
@@ -45,7 +51,7 @@
 	return &checker{
 		h: h, runs: map[string]int{}, refused: map[string]bool{}, once: map[string]bool{}, sent: map[string]bool{},
 		jobs: map[string]*jobView{}, itemJob: map[string]string{}, reports: map[int64]map[string]int64{},
-		terms: map[string]termView{},
+		terms: map[string]termView{}, leaving: map[string]time.Time{}, late: map[string]int{},
 	}
 }
 
@@ -73,6 +79,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.runs[r.ID]++
+	if r.Path == fatalPath {
+		c.fatal++
+	}
+	if from, ok := c.leaving[r.Upstream]; ok && time.Now().After(from) {
+		if c.late[r.Upstream]++; c.late[r.Upstream] == maxLateRuns {
+			c.h.violate("%d requests reached %s long after it said that it leaves", maxLateRuns, r.Upstream)
+		}
+	}
 	switch {
 	case r.Leaked:
 		c.h.violate("a key reached upstream %s with request %s", r.Upstream, r.ID)
@@ -90,6 +104,20 @@
 	}
 }
 
+// leaves notes that an upstream says that it leaves, and from when on no run is expected there.
+func (c *checker) leaves(id string, from time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving[id] = from
+}
+
+// fatalRuns returns how often the request that ends its upstreams has run.
+func (c *checker) fatalRuns() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fatal
+}
+
 // ordered takes an order that an engine accepted.
 func (c *checker) ordered(o platformtest.Order) { c.term("orders to "+o.Upstream, o.Holder, o.Term) }
 
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -89,9 +89,10 @@
 		s.store.SetFaults(nil)
 		s.store.Flush()
 	}},
+	{"an upstream leaves and says so in its answers", func(s *Soak, r *rand.Rand, d time.Duration) { s.leave(r, d) }},
 	{"history dropped", func(s *Soak, _ *rand.Rand, _ time.Duration) { s.store.Forget() }},
 	{"engine crash", func(s *Soak, r *rand.Rand, d time.Duration) {
-		u := s.upstreams[r.IntN(len(s.upstreams))]
+		u := s.upstreams.pick(r)
 		u.SetStopped(true)
 		time.Sleep(d / 2)
 		u.SetStopped(false)
@@ -133,7 +134,7 @@
 // misbehave returns a fault in which one upstream, engine or plain service, spoils its answers.
 func misbehave(m platformtest.Misbehaviour) func(s *Soak, r *rand.Rand, d time.Duration) {
 	return func(s *Soak, r *rand.Rand, d time.Duration) {
-		u := s.upstreams[r.IntN(len(s.upstreams))]
+		u := s.upstreams.pick(r)
 		u.SetMisbehaving(m)
 		time.Sleep(d / 4)
 		u.SetMisbehaving(platformtest.Behaves)
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -33,7 +33,7 @@
 	check      *checker
 	store      *rows.Store
 	processes  []*process
-	upstreams  []*platformtest.Upstream
+	upstreams  upstreamSet
 	version    atomic.Int64
 	served     atomic.Int64
 	background sync.WaitGroup
@@ -60,6 +60,7 @@
 	for i := range plainCallers {
 		callers.Go(func() { s.callPlain(load, rand.New(rand.NewPCG(opts.Seed, uint64(100+i)))) })
 	}
+	callers.Go(func() { s.callFatal(load, rand.New(rand.NewPCG(opts.Seed, 400))) })
 	for i := range trainers {
 		callers.Go(func() { s.train(load, rand.New(rand.NewPCG(opts.Seed, uint64(200+i))), i) })
 	}
@@ -68,8 +69,9 @@
 	stopLoad()
 	callers.Wait()
 	s.recover()
-	figures := fmt.Sprintf("seed %d: %d plain answers, %d jobs, %d results, %d usage windows",
-		opts.Seed, s.served.Load(), len(s.check.jobs), s.results(), len(s.check.reports))
+	s.checkFatal()
+	figures := fmt.Sprintf("seed %d: %d plain answers, %d jobs, %d results, %d usage windows, %d ends under one request",
+		opts.Seed, s.served.Load(), len(s.check.jobs), s.results(), len(s.check.reports), s.check.fatalRuns())
 	if first := h.first(); first != "" {
 		return figures, fmt.Errorf("%w: seed %d: %s", ErrViolation, opts.Seed, first)
 	}
@@ -111,12 +113,12 @@
 	}
 	s.store.Put(platformtest.OperatorTable, "config", platformtest.Config(1))
 	for i := range s.opts.Engines {
-		if err := s.addUpstream(fmt.Sprintf("engine-%d", i), platformtest.EngineService, false); err != nil {
+		if _, err := s.addUpstream(fmt.Sprintf("engine-%d", i), platformtest.EngineService); err != nil {
 			return err
 		}
 	}
-	for i := range 2 {
-		if err := s.addUpstream(fmt.Sprintf("desk-%d", i), platformtest.PlainService, true); err != nil {
+	for i := range plainUpstreams {
+		if _, err := s.addUpstream(fmt.Sprintf("desk-%d", i), platformtest.PlainService); err != nil {
 			return err
 		}
 	}
@@ -153,33 +155,6 @@
 	return reply.Status == http.StatusOK
 }
 
-// upstreamBeat is how often an upstream writes its entry.
-const upstreamBeat = 400 * time.Millisecond
-
-func (s *Soak) addUpstream(id, service string, plain bool) error {
-	u := &platformtest.Upstream{
-		ID: id, Service: service, Plain: plain, Slots: 8, EventTime: 20 * time.Millisecond, WorkTime: 15 * time.Millisecond,
-		Ran: s.check.ran, Ordered: s.check.ordered,
-	}
-	if !plain {
-		u.SetVersions(map[string]int64{platformtest.Model: 1})
-	}
-	address, err := s.serve(u)
-	if err != nil {
-		return err
-	}
-	s.upstreams = append(s.upstreams, u)
-	dataCentre := fmt.Sprintf("dc-%d", len(s.upstreams)%3)
-	s.store.Put(platformtest.ServersKey, id, u.Entry(address, dataCentre, 1))
-	go func() {
-		for beat := int64(2); ; beat++ {
-			time.Sleep(upstreamBeat)
-			s.store.Put(platformtest.ServersKey, id, u.Entry(address, dataCentre, beat))
-		}
-	}()
-	return nil
-}
-
 // pick draws a process.
 func (s *Soak) pick(r *rand.Rand) *process { return s.processes[r.IntN(len(s.processes))] }
 
@@ -187,6 +162,7 @@
 	for _, p := range s.processes {
 		p.close()
 	}
+	s.upstreams.close()
 	for _, server := range s.servers {
 		server.Close()
 	}
--- /dev/null
+++ b/standin/soak/upstream.go
@@ -0,0 +1,131 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/radishshelf/radishshelf/platform/platformtest"
+)
+
+const (
+	// plainUpstreams is the number of upstreams that are no engines.
+	plainUpstreams = 3
+	// upstreamBeat is how often an upstream writes its entry, which is removed after lapseAfter of silence.
+	upstreamBeat = 400 * time.Millisecond
+	lapseAfter   = 3 * upstreamBeat
+	// restartAfter is how long a crashed upstream is away.
+	restartAfter = 800 * time.Millisecond
+)
+
+// upstream is a stand-in with its listener and its entry.
+type upstream struct {
+	*platformtest.Upstream
+	server *http.Server
+	ended  chan struct{}
+	once   sync.Once
+}
+
+// upstreamSet holds the upstreams that run. All methods are safe for concurrent use.
+type upstreamSet struct {
+	mu     sync.Mutex
+	list   []*upstream
+	starts int
+	closed bool
+}
+
+// pick draws an upstream.
+func (s *upstreamSet) pick(r *rand.Rand) *upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list[r.IntN(len(s.list))]
+}
+
+// plain returns the upstreams that are no engines.
+func (s *upstreamSet) plain() []*upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(s.list), func(u *upstream) bool { return !u.Plain })
+}
+
+func (s *upstreamSet) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for _, u := range s.list {
+		u.end()
+	}
+}
+
+// end closes the listener and all connections.
+func (u *upstream) end() {
+	u.once.Do(func() {
+		close(u.ended)
+		u.server.Close()
+	})
+}
+
+func (s *Soak) addUpstream(id, service string) (*upstream, error) {
+	u := &upstream{ended: make(chan struct{}), Upstream: &platformtest.Upstream{
+		ID: id, Service: service, Plain: service == platformtest.PlainService, Slots: 8, EventTime: 20 * time.Millisecond,
+		WorkTime: 15 * time.Millisecond, Ran: s.check.ran, Ordered: s.check.ordered, FatalPath: fatalPath,
+	}}
+	u.Ended = func() { s.replace(u, lapseAfter, restartAfter) }
+	if !u.Plain {
+		u.SetVersions(map[string]int64{platformtest.Model: 1})
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	u.server = &http.Server{Handler: u.Upstream}
+	go func() { _ = u.server.Serve(listener) }() // until it ends
+	s.upstreams.mu.Lock()
+	defer s.upstreams.mu.Unlock()
+	if s.upstreams.closed {
+		u.end()
+		return u, nil
+	}
+	s.upstreams.list = append(s.upstreams.list, u)
+	s.upstreams.starts++
+	go s.beat(u, listener.Addr().String(), fmt.Sprintf("dc-%d", s.upstreams.starts%3))
+	return u, nil
+}
+
+// beat writes the entry of an upstream until it ends.
+func (s *Soak) beat(u *upstream, address, dataCentre string) {
+	for beat := int64(1); ; beat++ {
+		select {
+		case <-u.ended:
+			return
+		default:
+			s.store.Put(platformtest.ServersKey, u.ID, u.Entry(address, dataCentre, beat))
+		}
+		time.Sleep(upstreamBeat)
+	}
+}
+
+// replace ends an upstream. Its entry is removed after lapse, and another incarnation starts after restart.
+func (s *Soak) replace(u *upstream, lapse, restart time.Duration) {
+	s.upstreams.mu.Lock()
+	i := slices.Index(s.upstreams.list, u)
+	if i < 0 {
+		s.upstreams.mu.Unlock()
+		return // it has ended already
+	}
+	s.upstreams.list = slices.Delete(s.upstreams.list, i, i+1)
+	next := fmt.Sprintf("%s-%d", u.Service, s.upstreams.starts)
+	s.upstreams.mu.Unlock()
+	s.h.add("upstream %s ends", u.ID)
+	u.end()
+	time.AfterFunc(lapse, func() { s.store.Delete(platformtest.ServersKey, u.ID) })
+	time.AfterFunc(restart, func() {
+		if _, err := s.addUpstream(next, u.Service); err != nil {
+			s.h.violate("upstream %s does not start: %v", next, err)
+		}
+	})
+}
