Wait for the end of a silent upstream as long as its entry lives

The time came from the heartbeat interval of the sheets at hand. It now follows from the one in the settings, so that an end without a sign is still counted where upstreams write less often.

--- a/cmd/radishshelf-gateway/process.go
+++ b/cmd/radishshelf-gateway/process.go
@@ -22,6 +22,7 @@
 	"github.com/radishshelf/radishshelf/logging"
 	"github.com/radishshelf/radishshelf/membudget"
 	"github.com/radishshelf/radishshelf/platform"
+	"github.com/radishshelf/radishshelf/quarantine"
 	"github.com/radishshelf/radishshelf/rowrelay"
 	"github.com/radishshelf/radishshelf/telemetry"
 	"github.com/radishshelf/radishshelf/upstreams"
@@ -117,6 +118,21 @@
 	}
 }
 
+const (
+	// lapseBeats is the number of heartbeats without which the platform removes the entry of an upstream.
+	lapseBeats = 3
+	// lapseSlack covers the removal itself, the watch and clocks that differ.
+	lapseSlack = 2400 * time.Millisecond
+)
+
+// suspects returns the bounds of the memory of requests under which upstreams ended. A broken run waits for word of its
+// upstream until the entry of one that went silent would have been removed.
+func suspects(heartbeat time.Duration) quarantine.LedgerConfig {
+	cfg := quarantine.DefaultLedgerConfig()
+	cfg.Confirm = lapseBeats*heartbeat + lapseSlack
+	return cfg
+}
+
 // newGateway wires the gateway to the platform.
 func (p *process) newGateway(registry *telemetry.Registry) *gateway.Gateway {
 	s := p.settings
@@ -138,6 +154,7 @@
 		Processor: s.Processor,
 		UsageDuty: s.HasUsageDuty(), ScaleDuty: s.HasScaleDuty(),
 		Timing: timing(s.Bounds), Rows: p.rows, Codec: platform.Codec{}, Memory: p.memory, Log: p.log,
+		Suspects:  suspects(s.HeartbeatInterval),
 		Registry:  registry,
 		Upstreams: platform.NewUpstreamClient(platform.UpstreamDialer(), func(u upstreams.Entry) { g.UpstreamLeaving(u) }),
 		Duties:    p.duties,
