Add up the deaths that entries learn from different agents

What callers would see: beyond 16 entries an agent reports to a part of them only. Each entry knew the deaths of its own agents, and took the larger of its own and its peers' counts, so that a request could take one upstream for each such part instead of two in all. Suspects now carry the upstreams that died, and lists are merged by them; older entries, which send a count only, are merged as before. The time is extended only when the deaths rise, so that peers still do not prolong each other's entries.

--- a/entry/peer/convert.go
+++ b/entry/peer/convert.go
@@ -43,7 +43,7 @@
 	for _, q := range list {
 		out = append(out, quarantine.Suspect{
 			Fingerprint: q.GetFingerprint(), Deaths: int(q.GetDeaths()),
-			Remaining: time.Duration(q.GetRemainingMs()) * time.Millisecond,
+			Remaining: time.Duration(q.GetRemainingMs()) * time.Millisecond, Sources: sourcesOf(q.GetSources()),
 		})
 	}
 	return out
@@ -54,11 +54,29 @@
 	for _, s := range list {
 		out = append(out, &rpc.Quarantined{
 			Fingerprint: s.Fingerprint, Deaths: int32(s.Deaths), RemainingMs: s.Remaining.Milliseconds(),
+			Sources: deathsOf(s.Sources),
 		})
 	}
 	return out
 }
 
+func sourcesOf(list []*rpc.Death) []quarantine.Source {
+	var out []quarantine.Source
+	for _, d := range list {
+		end := quarantine.End{Upstream: d.GetUpstream(), Incarnation: d.GetIncarnation()}
+		out = append(out, quarantine.Source{End: end, Deaths: int(d.GetDeaths())})
+	}
+	return out
+}
+
+func deathsOf(list []quarantine.Source) []*rpc.Death {
+	var out []*rpc.Death
+	for _, s := range list {
+		out = append(out, &rpc.Death{Upstream: s.Upstream, Incarnation: s.Incarnation, Deaths: int32(s.Deaths)})
+	}
+	return out
+}
+
 func entryOf(e *rpc.EntryInfo) membership.Entry {
 	return membership.Entry{
 		Name: e.GetName(), PeerAddress: e.GetPeerAddress(), DataCentre: e.GetDataCentre(), Region: e.GetRegion(),
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -39,20 +39,25 @@
 	l.bound(now)
 }
 
-// Merge takes the list of a peer: the maximum of the deaths, and the peer's remaining time where the peer knows more
-// deaths. An equal number of deaths extends nothing; otherwise two peers would prolong each other's entries for ever
-// by the transfer time of every exchange.
+// Merge takes the list of a peer: its sources beside the own ones, and the peer's remaining time where that makes more
+// deaths. As many deaths as are known extend nothing; otherwise two peers would prolong each other's entries for ever by the
+// transfer time of every exchange.
 func (l *List) Merge(suspects []Suspect, now time.Time) {
 	for _, s := range suspects {
 		if s.Remaining <= 0 || s.Deaths <= 0 {
 			continue
 		}
 		r := l.record(s.Fingerprint, now)
-		if s.Deaths <= r.deaths() {
-			continue
+		before := r.deaths()
+		for _, source := range s.Sources {
+			if source.Deaths > 0 {
+				r.count(source.End, source.Deaths)
+			}
+		}
+		r.peers = max(r.peers, s.Deaths)
+		if r.deaths() > before {
+			r.extend(now.Add(min(s.Remaining, l.cfg.Hold)))
 		}
-		r.peers = s.Deaths
-		r.extend(now.Add(min(s.Remaining, l.cfg.Hold)))
 	}
 	l.bound(now)
 }
@@ -75,7 +80,7 @@
 	var list []Suspect
 	for fp, r := range l.records {
 		if now.Before(r.expires) {
-			list = append(list, Suspect{Fingerprint: fp, Deaths: r.deaths(), Remaining: r.expires.Sub(now)})
+			list = append(list, Suspect{Fingerprint: fp, Deaths: r.deaths(), Remaining: r.expires.Sub(now), Sources: r.list()})
 		}
 	}
 	slices.SortFunc(list, severity)
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -1,15 +1,19 @@
 package quarantine
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // maxSources bounds the upstream incarnations remembered per fingerprint; the refusal starts long before.
 const maxSources = 8
 
 // record is what is known about one fingerprint.
 type record struct {
-	// sources counts the deaths that this process learned from each upstream incarnation.
+	// sources counts the deaths of each upstream incarnation, whether an agent or a peer told of them.
 	sources map[End]int
-	// peers is the largest total that a peer reported.
+	// peers is the largest total that a peer reported; a peer may not name all sources.
 	peers   int
 	expires time.Time
 }
@@ -33,3 +37,15 @@
 	r.sources[s] = deaths
 	return true
 }
+
+// list returns the sources in a fixed order.
+func (r *record) list() []Source {
+	var list []Source
+	for end, deaths := range r.sources {
+		list = append(list, Source{End: end, Deaths: deaths})
+	}
+	slices.SortFunc(list, func(a, b Source) int {
+		return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return list
+}
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -45,4 +45,12 @@
 	Deaths      int
 	// Remaining is relative, because the clocks of two hosts are not compared.
 	Remaining time.Duration
+	// Sources holds the upstreams that died, as far as the sender knows them.
+	Sources []Source
+}
+
+// Source counts the deaths of one upstream under a request.
+type Source struct {
+	End
+	Deaths int
 }
