--- a/quarantine/example_test.go
+++ b/quarantine/example_test.go
@@ -23,3 +23,31 @@
 	// run-alone
 	// refuse 9m0s
 }
+
+// A run that broke off counts once its upstream is known to have ended. What two processes saw adds up.
+func ExampleLedger() {
+	now := time.Date(2026, 3, 1, 10, 0, 0, 0, time.UTC)
+	here, there := quarantine.NewLedger(quarantine.DefaultLedgerConfig()), quarantine.NewLedger(quarantine.DefaultLedgerConfig())
+	suspect := quarantine.NewKey().Fingerprint("north", "POST /quote", []byte("the same each time"))
+
+	first, second := quarantine.End{Upstream: "desk-1"}, quarantine.End{Upstream: "desk-2"}
+	here.Broke(suspect, first, 0, now)
+	fmt.Println(here.Check(suspect, now).Action)
+	here.Ended(first, now)
+	fmt.Println(here.Check(suspect, now).Action)
+
+	there.Broke(suspect, second, 0, now)
+	there.Ended(second, now)
+	seen, _ := there.Case(suspect)
+	here.Take(suspect, seen, now)
+	verdict := here.Check(suspect, now)
+	fmt.Println(verdict.Action, verdict.Remaining)
+
+	here.Answered(suspect)
+	fmt.Println(here.Check(suspect, now).Action)
+	// Output:
+	// run
+	// run-alone
+	// refuse 2s
+	// run
+}
