--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -17,6 +17,8 @@
 	f.Add(int64(1), []byte(`{"host":"b","incarnation":"1","sequence":3,"load":{"e1":2},"tokens":{"e1":-5},"processor":0.5,"items":-7}`))
 	f.Add(int64(2), []byte(`{"host":"api.example","owner":"a","total":9,"listed":-1,"done":"/w==","chunks":1}`))
 	f.Add(int64(3), []byte(`{"ID":"e1","Service":"engines","Slots":-2,"State":"ready","Versions":{"fares":1}}`))
+	f.Add(int64(4), []byte(`{"ends":[{"upstream":"p1","incarnation":"1"},{"upstream":"p1","incarnation":"1"},{}],"level":-3,"furthest":-9}`))
+	f.Add(int64(5), []byte(`{"ends":null,"level":9000000000000000000}`))
 	f.Fuzz(func(t *testing.T, version int64, value []byte) {
 		g := New(Options{
 			Host: "a", Incarnation: "1", DataCentre: "north-1", Rows: storerows.New(), Upstreams: newFakeUpstreams(),
@@ -33,6 +35,17 @@
 		g.hear(row(beatTable, "b"))
 		g.takeJobRow(row(jobTable, "job-1"))
 		g.putUpstream(row("upstreams", "e1"))
+		g.takeSuspectRow(row(suspectTable, caseKeyPrefix+"f"))
+		if v := g.suspects.ledger.Check("f", now); v.Remaining < 0 || v.Deaths > 8 {
+			t.Errorf("verdict %+v", v)
+		}
+		if txn, shared := g.caseTxn(); len(shared) > 0 {
+			g.casesStored(txn, shared, hosting.RowTxnResult{Committed: true, Version: version})
+		}
+		g.suspects.ledger.Expire(now.Add(24 * time.Hour))
+		if n := g.suspects.ledger.Len(); n != 0 {
+			t.Errorf("%d cases are remembered for ever", n)
+		}
 		if host, _ := g.chooseOwner("trainer", 100); host == "" {
 			t.Error("nobody owns a new job")
 		}
