Keep suspect requests of one host apart under one lock

While tracing it a race within one host was found by reading: the upstreams to leave out were copied under one lock and the choice was made under another, so that two suspects could take the same upstream. How often the race struck was not measured.

--- a/gateway/place_apart.go
+++ b/gateway/place_apart.go
@@ -17,42 +17,44 @@
 // its upstreams does not make the others look like it.
 func (f *forwarding) place(ctx context.Context) (upstreams.Entry, bool) {
 	if f.action == quarantine.Run {
-		return f.choose(nil)
+		u, ok, _ := f.choose(false)
+		return u, ok
 	}
 	until := f.request.Received.Add(time.Duration(apartShare * float64(f.target.route.TargetLatency)))
 	for {
-		f.g.mu.Lock()
-		taken := maps.Clone(f.g.suspects.apart)
-		f.g.mu.Unlock()
-		u, ok := f.choose(taken)
-		if ok || len(taken) == 0 {
+		u, ok, kept := f.choose(true)
+		if ok || !kept {
 			return u, ok
 		}
 		if f.pending > 0 || !time.Now().Before(until) || ctx.Err() != nil {
-			return f.choose(nil)
+			u, ok, _ = f.choose(false)
+			return u, ok
 		}
 		sleep(ctx, busyPause)
 	}
 }
 
-// choose picks an upstream that was not tried yet and is not taken, and counts the request there.
-func (f *forwarding) choose(taken map[string]int) (upstreams.Entry, bool) {
+// choose picks an upstream that was not tried yet and counts the request there. With apart it leaves out those at which a
+// request runs that may end them; kept tells that there are such.
+func (f *forwarding) choose(apart bool) (u upstreams.Entry, ok, kept bool) {
 	now := time.Now()
 	f.g.mu.Lock()
 	defer f.g.mu.Unlock()
 	exclude := maps.Clone(f.tried)
 	maps.Copy(exclude, f.refused)
-	for id := range taken {
-		exclude[id] = true
+	if apart {
+		for id := range f.g.suspects.apart {
+			exclude[id], kept = true, true
+		}
 	}
-	u, ok := f.g.choosePlain(f.service, exclude, false, now)
+	u, ok = f.g.choosePlain(f.service, exclude, false, now)
 	if ok {
 		f.g.acquire(u.ID, now)
 		if f.action != quarantine.Run {
 			f.g.suspects.apart[u.ID]++
 		}
 	}
-	return u, ok
+	return u, ok, kept
 }
 
 // leaveApart takes the end of a run that was kept apart.
--- a/gateway/suspect_test.go
+++ b/gateway/suspect_test.go
@@ -94,9 +94,17 @@
 }
 
 // Guards against sound requests that are refused because they ran beside one that ends its upstreams.
-func TestCompanyOfACrashingRequestIsServed(t *testing.T) {
+func TestCompanyOfACrashingRequestIsServed(t *testing.T) { testCompany(t, "a", "b") }
+
+// Guards against the same where all requests come to one host, which can keep them apart for certain.
+func TestCompanyAtOneHostIsServed(t *testing.T) { testCompany(t, "a") }
+
+func testCompany(t *testing.T, names ...string) {
 	w := newWorld(t)
-	hosts := []*Gateway{w.start("a"), w.start("b")}
+	var hosts []*Gateway
+	for _, name := range names {
+		hosts = append(hosts, w.start(name))
+	}
 	c := newCrashes(w, "crash", 4, hosts...)
 	c.work = 30 * time.Millisecond
 	var wg sync.WaitGroup
@@ -113,7 +121,7 @@
 		}
 		wg.Go(func() {
 			sleep(t.Context(), 5*time.Millisecond)
-			_, _ = w.ask(t.Context(), hosts[round%2], "/quote/1", "crash")
+			_, _ = w.ask(t.Context(), hosts[round%len(hosts)], "/quote/1", "crash")
 		})
 		wg.Wait()
 		sleep(t.Context(), crashRestart)
