Name local values after what they hold

Comments longer than 120 columns in these files are wrapped. defaultMaxFailures applies if the job's route is missing from the configuration; its comment spoke of a route without a limit.

--- a/gateway/duty_work.go
+++ b/gateway/duty_work.go
@@ -14,8 +14,8 @@
 type dutyWork struct {
 	g       *Gateway
 	planner *versionplan.Planner
-	// acceptedOrders holds how many orders each incarnation of an upstream has accepted. An upstream without an entry
-	// is asked before it gets its first order.
+	// acceptedOrders holds how many orders each incarnation of an upstream has accepted. An upstream that is
+	// missing here is asked before it gets an order.
 	acceptedOrders map[incarnation]int64
 	reporter       *usageReporter
 	scaler         *upstreamScaler
@@ -67,8 +67,8 @@
 }
 
 // start runs a call concurrently with the others.
-func (w *dutyWork) start(what string, call func()) {
-	w.calls.Go(func() { w.g.recoverPanic(what, call) })
+func (w *dutyWork) start(operation string, call func()) {
+	w.calls.Go(func() { w.g.recoverPanic(operation, call) })
 }
 
 // dueLoad is a load of weights to order now.
--- a/gateway/list_test.go
+++ b/gateway/list_test.go
@@ -38,10 +38,10 @@
 func TestDelayedCommitListsOnce(t *testing.T) {
 	w := newTestCluster(t)
 	g := w.start("a")
-	held := 0
+	deferred := 0
 	w.store.SetFaults(func(_ rows.Call, txn *hosting.RowTxn) rows.Fault {
-		if txn != nil && putsInto(txn, resultTable) && held < 2 {
-			held++
+		if txn != nil && putsInto(txn, resultTable) && deferred < 2 {
+			deferred++
 			return rows.Defer
 		}
 		return rows.NoFault
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -110,10 +110,10 @@
 	if pace == 0 {
 		return false
 	}
-	want := s.g.requirementsOf(r.job, r.item)
-	want.Avoid = r.run.upstream.ID
+	req := s.g.requirementsOf(r.job, r.item)
+	req.Avoid = r.run.upstream.ID
 	key := selectorKey{service: r.run.upstream.Service, model: r.job.Spec.Model}
-	other, ok := s.selector(key).AlternativePace(want)
+	other, ok := s.selector(key).AlternativePace(req)
 	if !ok || other == 0 || float64(pace) < minMoveSpeedup*float64(other) {
 		return false
 	}
@@ -121,6 +121,6 @@
 	if saved < minMoveSaving {
 		return false
 	}
-	s.selector(key).Pick(want)
+	s.selector(key).Pick(req)
 	return true
 }
--- a/gateway/own.go
+++ b/gateway/own.go
@@ -8,7 +8,8 @@
 	"github.com/radishshelf/radishshelf/batch"
 )
 
-// defaultMaxFailures is the number of failed runs after which an item is abandoned if the route sets none.
+// defaultMaxFailures is the number of failed runs after which an item is abandoned if the configuration has no route
+// for its job.
 const defaultMaxFailures = 3
 
 // ownedJob is a job whose items this process runs.
@@ -73,8 +74,8 @@
 
 // recoverPanic runs a goroutine of the job. If it panics, the job is released and adopted again like any job without
 // an owner.
-func (o *ownedJob) recoverPanic(what string, f func()) {
-	if !o.g.recoverPanic(what, f) {
+func (o *ownedJob) recoverPanic(operation string, f func()) {
+	if !o.g.recoverPanic(operation, f) {
 		return
 	}
 	o.g.mu.Lock()
--- a/gateway/upstream_scaler.go
+++ b/gateway/upstream_scaler.go
@@ -57,26 +57,26 @@
 		s.busy = false
 		s.mu.Unlock()
 	}()
-	for subject, count := range s.desiredCounts(time.Now()) {
-		if s.ordered[subject] == count {
+	for key, count := range s.desiredCounts(time.Now()) {
+		if s.ordered[key] == count {
 			continue
 		}
-		if !s.order(ctx, subject, count) {
+		if !s.order(ctx, key, count) {
 			return
 		}
-		s.ordered[subject] = count
+		s.ordered[key] = count
 	}
 }
 
-func (s *upstreamScaler) order(ctx context.Context, subject scaleKey, count int) bool {
+func (s *upstreamScaler) order(ctx context.Context, key scaleKey, count int) bool {
 	ctx, cancel := context.WithTimeout(ctx, dutyCallTimeout)
 	defer cancel()
 	term, ok := s.g.mayAct()
 	if !ok {
 		return false
 	}
-	err := s.g.opts.Duties.OrderUpstreams(ctx, s.g.opts.Host, term, subject.service, subject.dataCentre, count)
-	s.g.opts.Log.Info().Str("service", subject.service).Str("data_centre", subject.dataCentre).Int("count", count).
+	err := s.g.opts.Duties.OrderUpstreams(ctx, s.g.opts.Host, term, key.service, key.dataCentre, count)
+	s.g.opts.Log.Info().Str("service", key.service).Str("data_centre", key.dataCentre).Int("count", count).
 		Int64("term", term).AnErr("error", err).Msg("upstreams ordered")
 	return err == nil
 }
@@ -94,29 +94,29 @@
 			continue
 		}
 		for dataCentre, load := range s.loads(service.Name) {
-			subject := scaleKey{service.Name, dataCentre}
-			wanted[subject] = s.delayDecrease(subject, load.desiredCount(service.Scaling), now)
+			key := scaleKey{service.Name, dataCentre}
+			wanted[key] = s.delayDecrease(key, load.desiredCount(service.Scaling), now)
 		}
 	}
 	return wanted
 }
 
 // delayDecrease follows an increase at once, and a decrease only after scaleDownDelay.
-func (s *upstreamScaler) delayDecrease(subject scaleKey, want int, now time.Time) int {
-	last, known := s.ordered[subject]
+func (s *upstreamScaler) delayDecrease(key scaleKey, want int, now time.Time) int {
+	last, known := s.ordered[key]
 	if !known || want >= last {
-		delete(s.lowSince, subject)
+		delete(s.lowSince, key)
 		return want
 	}
-	since, ok := s.lowSince[subject]
+	since, ok := s.lowSince[key]
 	if !ok {
-		s.lowSince[subject] = now
+		s.lowSince[key] = now
 		return last
 	}
 	if now.Sub(since) < scaleDownDelay {
 		return last
 	}
-	delete(s.lowSince, subject)
+	delete(s.lowSince, key)
 	return want
 }
 
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -33,7 +33,7 @@
 	onResponse func(clock time.Duration)
 	onFailure  func(err error)
 	// recoverPanic keeps a row that makes apply panic from ending the watch.
-	recoverPanic func(what string, f func()) bool
+	recoverPanic func(operation string, f func()) bool
 }
 
 // run follows the table until ctx ends.
--- a/membudget/budget.go
+++ b/membudget/budget.go
@@ -1,6 +1,6 @@
-// Package membudget limits the total memory of responses and request bodies that are being buffered. Each of them has a size
-// limit of its own, but a few of the largest would fill the memory of a small host. When the total exceeds the limit, the
-// largest buffer is shed, so that one endless stream does not affect the others.
+// Package membudget limits the total memory of responses and request bodies that are being buffered. Each of them has a
+// size limit of its own, but a few of the largest would fill the memory of a small host. When the total exceeds the
+// limit, the largest buffer is shed, so that one endless stream does not affect the others.
 package membudget
 
 import (
@@ -8,8 +8,8 @@
 	"sync"
 )
 
-// Budget is a limit in bytes that several reservations share. All methods are safe for concurrent use. Reservations of a nil
-// Budget have no limit.
+// Budget is a limit in bytes that several reservations share. All methods are safe for concurrent use. Reservations of
+// a nil Budget have no limit.
 type Budget struct {
 	limit        int64
 	onShed       func(bytes int64)
@@ -39,7 +39,8 @@
 	released bool
 }
 
-// NewReservation returns an empty reservation. shed is called at most once, when the reservation is shed; it must not block.
+// NewReservation returns an empty reservation. shed is called at most once, when the reservation is shed; it must not
+// block.
 func (b *Budget) NewReservation(shed func()) *Reservation {
 	r := &Reservation{budget: b, shed: shed}
 	if b == nil {
@@ -51,8 +52,8 @@
 	return r
 }
 
-// Add adds n bytes to the reservation. While the total exceeds the limit, the largest reservation is shed, which may be this
-// one.
+// Add adds n bytes to the reservation. While the total exceeds the limit, the largest reservation is shed, which may be
+// this one.
 func (r *Reservation) Add(n int) {
 	b := r.budget
 	if b == nil {
--- a/membudget/budget_test.go
+++ b/membudget/budget_test.go
@@ -9,16 +9,16 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against shedding small responses because one upstream sends an endless response at the same time: only the endless
-// one may be shed.
+// Guards against shedding small responses because one upstream sends an endless response at the same time: only the
+// endless one may be shed.
 func TestLargestReservationIsShed(t *testing.T) {
 	var shed atomic.Int64
 	b := New(1000, func(int64) { shed.Add(1) })
 	var small []*Reservation
 	for range 20 {
-		h := b.NewReservation(func() { t.Error("a small response was shed") })
-		h.Add(20)
-		small = append(small, h)
+		r := b.NewReservation(func() { t.Error("a small response was shed") })
+		r.Add(20)
+		small = append(small, r)
 	}
 	cancelled := false
 	endless := b.NewReservation(func() { cancelled = true })
@@ -31,9 +31,9 @@
 	if got := b.Used(); got != 400 {
 		t.Errorf("%d bytes are reserved, want 400", got)
 	}
-	for _, h := range small {
-		h.Release()
-		h.Release()
+	for _, r := range small {
+		r.Release()
+		r.Release()
 	}
 	if got := b.Used(); got != 0 {
 		t.Errorf("%d bytes are reserved after all were released", got)
@@ -64,8 +64,8 @@
 				rt.Fatalf("%d bytes are reserved, want 0 to %d", used, limit)
 			}
 		}
-		for _, h := range open {
-			h.Release()
+		for _, r := range open {
+			r.Release()
 		}
 		if used := b.Used(); used != 0 {
 			rt.Fatalf("%d bytes are reserved after all were released", used)
@@ -76,8 +76,8 @@
 // Guards against bytes that a reader does not count, and against reservations that fail without a budget.
 func TestReaderCountsBytes(t *testing.T) {
 	b := New(100, func(int64) {})
-	h := b.NewReservation(func() {})
-	if _, err := io.Copy(io.Discard, h.Reader(bytes.NewReader(make([]byte, 60)))); err != nil || b.Used() != 60 {
+	r := b.NewReservation(func() {})
+	if _, err := io.Copy(io.Discard, r.Reader(bytes.NewReader(make([]byte, 60)))); err != nil || b.Used() != 60 {
 		t.Errorf("%d bytes counted, want 60; error %v", b.Used(), err)
 	}
 	var none *Budget
--- a/placement/selector_test.go
+++ b/placement/selector_test.go
@@ -42,14 +42,14 @@
 	slow.Pace, slow.LastPace = 0, 3*healthyPace
 	full := engines(2, 0)
 	full[0].OwnRequests, full[1].OwnRequests = 12, 12
-	b := NewSelector(append(full, Engine{ID: "slow", Slots: 12, Version: 1, LastPace: slow.LastPace}))
-	if id, ok := b.Pick(Requirements{Long: true}); ok {
+	s := NewSelector(append(full, Engine{ID: "slow", Slots: 12, Version: 1, LastPace: slow.LastPace}))
+	if id, ok := s.Pick(Requirements{Long: true}); ok {
 		t.Errorf("a long text went to %s", id)
 	}
-	if id, _ := b.Pick(Requirements{}); id != "slow" {
+	if id, _ := s.Pick(Requirements{}); id != "slow" {
 		t.Errorf("a short text went to %q, want the engine that may have recovered", id)
 	}
-	if id, ok := b.Pick(Requirements{}); ok {
+	if id, ok := s.Pick(Requirements{}); ok {
 		t.Errorf("a second text went to %s before the first one gave a new pace", id)
 	}
 }
@@ -59,12 +59,12 @@
 func TestLongTextUsesSuspectedSlowEngineWhenNoOtherServesItsVersion(t *testing.T) {
 	list := engines(3, 0)
 	list[2].Version, list[2].Pace, list[2].LastPace = 2, 0, 3*healthyPace
-	want := Requirements{Long: true, MinVersion: 2}
-	if id, _ := NewSelector(list).Pick(want); id != "e02" {
+	req := Requirements{Long: true, MinVersion: 2}
+	if id, _ := NewSelector(list).Pick(req); id != "e02" {
 		t.Errorf("the text went to %q, want the only engine that serves its version", id)
 	}
 	list[1].Version, list[1].OwnRequests = 2, 12
-	if id, ok := NewSelector(list).Pick(want); ok {
+	if id, ok := NewSelector(list).Pick(req); ok {
 		t.Errorf("the text went to %s, want it to wait for the healthy engine that serves its version", id)
 	}
 }
@@ -77,13 +77,13 @@
 		random := rand.New(rand.NewPCG(1, 2))
 		list := engines(11, memoryTokens)
 		held := map[string][]Run{}
-		b := NewSelector(list)
+		s := NewSelector(list)
 		for i := range 132 {
 			r := Run{Held: 270, Remaining: 300 + random.IntN(3000)}
 			if i%2 == 0 {
 				r.Remaining = 12800
 			}
-			if id, ok := b.Pick(Requirements{Run: r}); ok {
+			if id, ok := s.Pick(Requirements{Run: r}); ok {
 				held[id] = append(held[id], r)
 			}
 		}
@@ -103,14 +103,14 @@
 
 // Guards against a text that is never placed because it alone is larger than the memory of an engine.
 func TestOversizedTextRunsAlone(t *testing.T) {
-	b := NewSelector(engines(1, 1000))
-	if _, ok := b.Pick(Requirements{Run: Run{Held: 10, Remaining: 5000}}); !ok {
+	s := NewSelector(engines(1, 1000))
+	if _, ok := s.Pick(Requirements{Run: Run{Held: 10, Remaining: 5000}}); !ok {
 		t.Error("the text was not placed on an idle engine")
 	}
-	if _, ok := b.Pick(Requirements{Run: Run{Held: 10, Remaining: 10}}); ok {
+	if _, ok := s.Pick(Requirements{Run: Run{Held: 10, Remaining: 10}}); ok {
 		t.Error("another text was placed on the same engine")
 	}
-	if b.Full(Requirements{}) {
+	if s.Full(Requirements{}) {
 		t.Error("an engine with free slots counts as full")
 	}
 }
@@ -162,7 +162,7 @@
 func TestFilter(t *testing.T) {
 	for name, change := range map[string]func(e *Engine){
 		"old weights": func(e *Engine) { e.Version = 0 },
-		"avoided":     func(e *Engine) { e.Excluded = true },
+		"excluded":    func(e *Engine) { e.Excluded = true },
 		"full":        func(e *Engine) { e.OwnRequests = 12 },
 		"full with requests of other hosts, beyond minAvailableSlots": func(e *Engine) { e.OtherRequests, e.OwnRequests = 12, minAvailableSlots },
 	} {
