Give the costs and the cached pace of the gateway the names used elsewhere

The gateway and placement named the same costs differently: otherDataCentreCost is now sameRegionCost, and tieBreak is tieBreakCost. Gateway.fastest did not say of what; it is fastestPaces, with the type cachedPace and the constant fastestPaceTTL. The hedging budget has a comment. The fake upstreams call an ended process ended, as the other fakes do, and the body that stops with its request's context is contextBody, since it is the body of a response.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -13,15 +13,15 @@
 // Cost terms for the choice of an upstream, in units of utilization: a cost of 0.3 makes a remote upstream the better
 // choice once a local one is 0.3 fuller.
 const (
-	// otherDataCentreCost applies to an upstream in another data centre of the same region.
-	otherDataCentreCost = 0.15
+	// sameRegionCost applies to an upstream in another data centre of the same region.
+	sameRegionCost = 0.15
 	// otherRegionCost applies to an upstream in another region: traffic between regions is billed, and a round trip takes
 	// 40 ms.
 	otherRegionCost = 0.3
 	// connectionCost applies if the send needs a new connection; connections are billed.
 	connectionCost = 0.2
-	// tieBreak limits the random term that spreads requests over equal upstreams.
-	tieBreak = 0.01
+	// tieBreakCost limits the random term that spreads requests over equal upstreams.
+	tieBreakCost = 0.01
 	// isolationCost keeps other requests away from an upstream that runs a crash suspect, as long as there is an
 	// alternative.
 	isolationCost = 1
@@ -78,7 +78,7 @@
 	h := g.healthOf(e.ID)
 	peerRequests, _ := g.loadOfPeers(e.ID)
 	utilization := float64(g.inFlight[e.ID]+peerRequests+1) / float64(max(e.Slots, 1))
-	cost := utilization*g.slowness(e, now) + g.distanceCost(e) + rand.Float64()*tieBreak
+	cost := utilization*g.slowness(e, now) + g.distanceCost(e) + rand.Float64()*tieBreakCost
 	if !g.hasIdleConnection(e.ID, now) {
 		cost += connectionCost
 	}
@@ -94,7 +94,7 @@
 	case placement.SameDataCentre:
 		return 0
 	case placement.SameRegion:
-		return otherDataCentreCost
+		return sameRegionCost
 	default:
 		return otherRegionCost
 	}
@@ -122,12 +122,12 @@
 	return float64(pace) / float64(min(pace, g.fastestPace(e.Service, now)))
 }
 
-// fastestTTL is how long the fastest pace of a service is cached. Paces are averages over several observations, so they
-// change slowly.
-const fastestTTL = 50 * time.Millisecond
+// fastestPaceTTL is how long the fastest pace of a service is cached. Paces are averages over several observations, so
+// they change slowly.
+const fastestPaceTTL = 50 * time.Millisecond
 
-// fastestEntry is the cached best pace among the upstreams of a service.
-type fastestEntry struct {
+// cachedPace is the lowest pace among the upstreams of a service, and when it was computed.
+type cachedPace struct {
 	pace time.Duration
 	at   time.Time
 }
@@ -135,16 +135,16 @@
 // fastestPace returns the lowest pace among the upstreams of a service; a pace is the mean time for one unit of work.
 // The caller holds g.mu.
 func (g *Gateway) fastestPace(service string, now time.Time) time.Duration {
-	f := g.fastest[service]
-	if f.pace > 0 && now.Sub(f.at) < fastestTTL {
+	f := g.fastestPaces[service]
+	if f.pace > 0 && now.Sub(f.at) < fastestPaceTTL {
 		return f.pace
 	}
-	f = fastestEntry{pace: math.MaxInt64, at: now}
+	f = cachedPace{pace: math.MaxInt64, at: now}
 	for _, e := range g.upstreams.Ready(service) {
 		if p := g.healthOf(e.ID).Pace(now); p > 0 {
 			f.pace = min(f.pace, p)
 		}
 	}
-	g.fastest[service] = f
+	g.fastestPaces[service] = f
 	return f.pace
 }
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -116,23 +116,23 @@
 	cancelled int
 	sent      []upstreamcall.Request
 	orders    []upstreamcall.VersionOrder
-	// gone holds the upstreams that nothing listens for any more.
-	gone map[string]bool
+	// ended holds the upstreams whose process has ended, so that nothing listens at their address.
+	ended map[string]bool
 }
 
-func newFakeUpstreams() *fakeUpstreams { return &fakeUpstreams{gone: map[string]bool{}} }
+func newFakeUpstreams() *fakeUpstreams { return &fakeUpstreams{ended: map[string]bool{}} }
 
 // endUpstream makes Dial of an upstream fail as if its process had ended.
 func (f *fakeUpstreams) endUpstream(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.gone[id] = true
+	f.ended[id] = true
 }
 
 func (f *fakeUpstreams) Dial(_ context.Context, u upstreams.Entry) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.gone[u.ID] {
+	if f.ended[u.ID] {
 		return notRun(upstreamcall.NoListener)
 	}
 	return nil
@@ -184,26 +184,26 @@
 	if a == nil {
 		return nil
 	}
-	body := &requestBody{ctx: ctx, body: a.Body}
+	body := &contextBody{ctx: ctx, body: a.Body}
 	context.AfterFunc(ctx, func() { body.body.Close() })
 	a.Body = body
 	return a
 }
 
-// requestBody is a body that cannot be read after the context of its request has ended.
-type requestBody struct {
+// contextBody is a body that cannot be read after the context of its request has ended.
+type contextBody struct {
 	ctx  context.Context
 	body io.ReadCloser
 }
 
-func (b *requestBody) Read(p []byte) (int, error) {
+func (b *contextBody) Read(p []byte) (int, error) {
 	if err := b.ctx.Err(); err != nil {
 		return 0, err
 	}
 	return b.body.Read(p)
 }
 
-func (b *requestBody) Close() error { return b.body.Close() }
+func (b *contextBody) Close() error { return b.body.Close() }
 
 func (f *fakeUpstreams) Order(
 	_ context.Context, _ upstreams.Entry, o upstreamcall.VersionOrder,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,8 +15,8 @@
 	"github.com/radishshelf/radishshelf/wallclock"
 )
 
-// peerTimeout is how long a process may be silent before its jobs are taken over. Only time in which the store responded
-// counts.
+// peerTimeout is how long a process may be silent before its jobs are taken over. Only time in which the store
+// responded counts.
 const peerTimeout = 2500 * time.Millisecond
 
 // Gateway serves callers and runs batch jobs. All methods are safe for concurrent use.
@@ -41,12 +41,13 @@
 	heartbeatRowVersion int64
 	jobs                map[string]*jobEntry
 	jobsLoaded          bool
-	// lastJobWatchResponse is when the watch of the jobs last got a response. startsPaused is set while that is too long ago
-	// for items to be started.
+	// lastJobWatchResponse is when the watch of the jobs last got a response. startsPaused is set while that is too
+	// long ago for items to be started.
 	lastJobWatchResponse time.Time
 	startsPaused         bool
 	health               map[string]*upstreamhealth.Health
-	fastest              map[string]fastestEntry
+	// fastestPaces caches the lowest pace among the upstreams of each service.
+	fastestPaces map[string]cachedPace
 	// inFlight counts the requests that this process has in flight at each upstream.
 	inFlight map[string]int
 	// engineMemories holds the memory that engines reported, by service, and tokenRates the ratio of tokens to events, by
@@ -63,7 +64,8 @@
 	lastStoreResponse time.Time
 	storeLost         bool
 	leaving           bool
-	hedges            *retry.Budget
+	// hedges is the budget for hedged sends.
+	hedges *retry.Budget
 	// probes holds the last probe of each upstream that went silent.
 	probes   map[string]*probe
 	suspects *suspects
@@ -87,7 +89,7 @@
 func New(opts Options) *Gateway {
 	g := &Gateway{
 		opts: opts, latestVersions: map[string]int64{}, upstreams: upstreams.NewView(), peers: presence.NewView(peerTimeout),
-		jobs: map[string]*jobEntry{}, health: map[string]*upstreamhealth.Health{}, fastest: map[string]fastestEntry{}, inFlight: map[string]int{},
+		jobs: map[string]*jobEntry{}, health: map[string]*upstreamhealth.Health{}, fastestPaces: map[string]cachedPace{}, inFlight: map[string]int{},
 		connections:    map[string]connectionState{},
 		engineMemories: map[string]*placement.EngineMemory[incarnation]{}, tokenRates: map[string]*batch.TokenRate{},
 		peerLoad: peerLoadSums{requests: map[string]int{}, tokens: map[string]int{}}, hedges: retry.NewBudget(retry.DefaultBudgetConfig(), time.Now()),
