Say what is wrong in three messages

An unexpected status of an upstream was reported by its text alone, which is empty for an unknown status; the message now has the number, as those for 422 and 500 (log field error of "run ended early").

--- a/gateway/job_view_test.go
+++ b/gateway/job_view_test.go
@@ -15,7 +15,7 @@
 	disconnected chan struct{}
 }
 
-var errDisconnected = &hosting.Error{Kind: hosting.KindUnknown, Op: "cut"}
+var errDisconnected = &hosting.Error{Kind: hosting.KindUnknown, Op: "call"}
 
 func (r *disconnectableRows) isDisconnected() bool {
 	select {
--- a/gateway/run_item.go
+++ b/gateway/run_item.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -127,8 +128,8 @@
 }
 
 // Priorities of items at an engine; a lower number ranks first. Plain requests of callers have no priority and rank
-// between them. An engine that runs out of memory preempts the newest run of the last rank, which waits for room and has
-// its prompt processed again.
+// between them. An engine that runs out of memory preempts the newest run of the last rank, which waits for room and
+// has its prompt processed again.
 const (
 	criticalPathPriority = 3
 	normalPriority       = 4
@@ -157,7 +158,7 @@
 	case response.Status == http.StatusInternalServerError:
 		return ran(upstreamcall.Failed, "upstream responded with status 500")
 	case response.Status != http.StatusOK:
-		return ran(upstreamcall.Broken, http.StatusText(response.Status))
+		return ran(upstreamcall.Broken, fmt.Sprintf("upstream responded with status %d", response.Status))
 	case !response.Signed:
 		return ran(upstreamcall.Crossed, "successful response without a signature")
 	case response.Version != 0 && response.Version < minVersion:
--- a/gateway/snapshot.go
+++ b/gateway/snapshot.go
@@ -197,7 +197,7 @@
 		c.report(r, "%d of %d items are listed", record.Listed, record.Total)
 	}
 	if n := record.Done.Count(); n != record.Listed {
-		c.report(r, "names %d listed items but counts %d", n, record.Listed)
+		c.report(r, "marks %d items as listed but counts %d", n, record.Listed)
 	}
 	chunks := 0
 	for _, row := range s.table(contentTable) {
@@ -234,6 +234,6 @@
 		seen[result.ID] = true
 	}
 	if position != record.Listed {
-		c.report(r, "lists %d results but has %d", record.Listed, position)
+		c.report(r, "counts %d listed results but %d are stored", record.Listed, position)
 	}
 }
