Mend comments of the gateway and the packages that decide for it

isExpired and isRetryable had the old names of their functions. "The lock" is g.mu. The entry of an upstream is called registry entry in all places, since the log calls it that. The comments of the Retry-After times left out uses of them. Loads are free of charge, not free for use. Settle is described as in the platform settings. Comments longer than 120 columns are wrapped.

--- a/batch/doc.go
+++ b/batch/doc.go
@@ -4,8 +4,8 @@
 // Invariants:
 //
 //   - An item has one position in its job, and a listed result never changes.
-//   - A result is succeeded only with a complete text whose weight versions are all allowed, and with its score where one
-//     was requested.
-//   - An item is abandoned only after a response that it can never be done, after the allowed number of failed runs, after
-//     its lifetime, or after the end of its job.
+//   - A result is succeeded only with a complete text whose weight versions are all allowed, and with its score where
+//     one was requested.
+//   - An item is abandoned only after a response that it can never be done, after the allowed number of failed runs,
+//     after its lifetime, or after the end of its job.
 package batch
--- a/call/request.go
+++ b/call/request.go
@@ -20,7 +20,7 @@
 	Timeout time.Duration
 	// Received is when the request arrived.
 	Received time.Time
-	// ResumeAfter is the id of the last event that the caller has received; 0 for a new stream.
+	// ResumeAfter is the ID of the last event that the caller has received; 0 for a new stream.
 	ResumeAfter int
 }
 
@@ -30,7 +30,7 @@
 	ID string
 	// Host and Key identify the caller: the requested host name and the API key.
 	Host, Key string
-	// Item is the id of the item whose body is requested.
+	// Item is the ID of the item whose body is requested.
 	Item string
 	// After is the position of the first result to return, and Wait how long to wait for one.
 	After int
--- a/call/response.go
+++ b/call/response.go
@@ -16,8 +16,8 @@
 	// Stream writes the body incrementally; flush sends what has been written. If it returns an error, the caller's
 	// connection must be aborted, so that the response does not appear complete.
 	Stream func(w io.Writer, flush func()) error
-	// Upstream is the upstream that responded, empty if the service itself did. Sends is the number of times the request was
-	// sent to an upstream.
+	// Upstream is the upstream that responded, empty if the service itself did. Sends is the number of times the
+	// request was sent to an upstream.
 	Upstream string
 	Sends    int
 }
--- a/gateway/adopt.go
+++ b/gateway/adopt.go
@@ -97,7 +97,7 @@
 	return time.Duration(rank) * adoptRankDelay
 }
 
-// expired reports whether twice the lifetime of a job has passed, after which none of its items is run. The caller
+// isExpired reports whether twice the lifetime of a job has passed, after which none of its items is run. The caller
 // holds g.mu.
 func (g *Gateway) isExpired(e *jobEntry) bool {
 	return e.record.Lifetime > 0 && g.storeClock() > e.record.AcceptedAt+2*e.record.Lifetime
--- a/gateway/adopt_test.go
+++ b/gateway/adopt_test.go
@@ -191,7 +191,7 @@
 	}
 }
 
-// Guards against items that are listed twice because a record counts results that it does not name, and against a
+// Guards against items that are listed twice because a record counts more listed items than it marks, and against a
 // process that rewrites such a record repeatedly.
 func TestInconsistentRecordIsNotRun(t *testing.T) {
 	w := newTestCluster(t)
--- a/gateway/authorize.go
+++ b/gateway/authorize.go
@@ -53,8 +53,8 @@
 	return auth, nil
 }
 
-// authorizeBatch looks up the workspace of a caller that asks about a batch job. It is empty if the configuration has no
-// keys.
+// authorizeBatch looks up the workspace of a caller that asks about a batch job. The name is empty if the
+// configuration has no keys.
 func (g *Gateway) authorizeBatch(host, key string) (workspace string, err error) {
 	g.mu.Lock()
 	config := g.config
--- a/gateway/broken_run.go
+++ b/gateway/broken_run.go
@@ -46,7 +46,7 @@
 }
 
 // recordAbandonedRun records a run whose caller disconnected before any response. The upstream may have hung because of
-// it, which only its table entry shows later.
+// it, which only its registry entry shows later.
 func (g *Gateway) recordAbandonedRun(req *upstreamcall.Request, u upstreams.Entry, progress int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -36,8 +36,8 @@
 	g.connections[id] = c
 }
 
-// openConnections estimates how many connections to an upstream are open, including those in use. The caller holds the
-// lock.
+// openConnections estimates how many connections to an upstream are open, including those in use. The caller holds
+// g.mu.
 func (g *Gateway) openConnections(id string, now time.Time) int {
 	c := g.connections[id]
 	if now.Sub(c.usedAt) >= idleConnectionTTL {
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -61,7 +61,7 @@
 	UsageWindow, UsageLate time.Duration
 	// BatchLifetime is how long results stay readable after their job was submitted.
 	BatchLifetime time.Duration
-	// Settle is the time within which every host must show what any host has shown.
+	// Settle is the time within which a state that one host has shown must be visible on all hosts.
 	Settle time.Duration
 	// CancelApply is the time after a job was ended by its caller from which none of its items may be started.
 	CancelApply time.Duration
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -125,7 +125,7 @@
 	}
 }
 
-// retryable reports whether the request may be sent again although it may have run.
+// isRetryable reports whether the request may be sent again although it may have run.
 func (f *plainRequest) isRetryable() bool {
 	return f.auth.route.Retryable() && len(f.tried) < f.auth.route.MaxAttempts && f.action != quarantine.Probe
 }
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -23,8 +23,8 @@
 	alive    bool
 }
 
-// isResponsive reports whether an upstream whose streams are silent still responds to a status request. Healthy upstreams
-// fall silent, too: while they load weights, preempt texts or work off a queue.
+// isResponsive reports whether an upstream whose streams are silent still responds to a status request. Healthy
+// upstreams fall silent, too: while they load weights, preempt texts or work off a queue.
 func (g *Gateway) isResponsive(ctx context.Context, u upstreams.Entry) bool {
 	g.mu.Lock()
 	if g.isLocallySlow() {
--- a/gateway/recover_panic.go
+++ b/gateway/recover_panic.go
@@ -13,8 +13,8 @@
 // loopRestartDelay is the delay before a loop that panicked is restarted.
 const loopRestartDelay = 100 * time.Millisecond
 
-// recoverPanic runs f and recovers a panic, so that it ends only the operation at hand and not the process. The panic is
-// logged and counted, and panicked reports it.
+// recoverPanic runs f and recovers a panic, so that it ends only the operation at hand and not the process. The panic
+// is logged and counted, and panicked reports it.
 func (g *Gateway) recoverPanic(operation string, f func()) (panicked bool) {
 	defer func() {
 		if cause := recover(); cause != nil {
--- a/gateway/recover_panic_test.go
+++ b/gateway/recover_panic_test.go
@@ -39,7 +39,8 @@
 	w.checkExactlyOnce(w.readAll(g, "job-1"), items)
 }
 
-// Guards against a response on which the decoder panics: it must neither crash the process nor leave its item unfinished.
+// Guards against a response on which the decoder panics: it must neither crash the process nor leave its item
+// unfinished.
 func TestPanicOnResponseFailsOnlyItsRun(t *testing.T) {
 	w := newTestCluster(t)
 	w.addUpstream("e2", engineService, 4, map[string]int64{testModel: 1})
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -9,11 +9,13 @@
 
 // Retry-After times of refusals.
 const (
-	// retryAfterStart applies while the process has not read its tables yet or is shutting down.
+	// retryAfterStart applies while the process has not read its tables yet or is shutting down, and to requests about a
+	// stored job while the store does not respond.
 	retryAfterStart = 300 * time.Millisecond
 	// retryAfterBusy applies if all upstreams are busy; a plain request takes a few tens of milliseconds.
 	retryAfterBusy = 150 * time.Millisecond
-	// retryAfterStoreOutage applies if the store does not respond; outages last seconds.
+	// retryAfterStoreOutage applies to new jobs while the store does not respond, since outages last seconds, to crash
+	// suspects whose probe cannot be claimed, and to routes without a target service.
 	retryAfterStoreOutage = 1200 * time.Millisecond
 )
 
--- a/gateway/stream_suspect_test.go
+++ b/gateway/stream_suspect_test.go
@@ -69,8 +69,8 @@
 	return stream(r.ResumeAfter+1, r.ResumeAfter+*events, false), nil
 }
 
-// Guards against a stream that crashes every engine it runs on and is sent on regardless, within one attempt and on each
-// retry by its caller.
+// Guards against a stream that crashes every engine it runs on and is sent on regardless, within one attempt and on
+// each retry by its caller.
 func TestCrashingStreamIsQuarantined(t *testing.T) {
 	w := newTestCluster(t)
 	g, e := startEngines(w, 5)
@@ -88,8 +88,8 @@
 	}
 }
 
-// Guards against a long stream that is aborted because engines crashed during it for other reasons. It makes progress on
-// each engine, so it is not the cause.
+// Guards against a long stream that is aborted because engines crashed during it for other reasons. It makes progress
+// on each engine, so it is not the cause.
 func TestStreamSurvivesUnrelatedCrashes(t *testing.T) {
 	w := newTestCluster(t)
 	g, e := startEngines(w, 5)
--- a/gateway/time_of_day_test.go
+++ b/gateway/time_of_day_test.go
@@ -14,8 +14,8 @@
 
 func (c *jumpingClock) now() time.Time { return time.Now().Add(time.Duration(c.offset.Load())) }
 
-// Guards against a usage window that is closed and reported before its end, and against a request that is counted in the
-// wrong window. Both could come about when the clock of the duty holder jumps forward.
+// Guards against a usage window that is closed and reported before its end, and against a request that is counted in
+// the wrong window. Both could come about when the clock of the duty holder jumps forward.
 func TestClockJumpClosesNoWindow(t *testing.T) {
 	w := newTestCluster(t)
 	clock := &jumpingClock{}
@@ -50,8 +50,8 @@
 	}
 }
 
-// Guards against results that count as late, or a job that is abandoned, when the clocks of the hosts jump while results
-// arrive. Both must depend on the store's clock alone.
+// Guards against results that count as late, or a job that is abandoned, when the clocks of the hosts jump while
+// results arrive. Both must depend on the store's clock alone.
 func TestClockJumpMakesNoResultLate(t *testing.T) {
 	w := newTestCluster(t)
 	clock := &jumpingClock{}
--- a/gateway/upstream_leaving.go
+++ b/gateway/upstream_leaving.go
@@ -2,8 +2,8 @@
 
 import "github.com/radishshelf/radishshelf/upstreams"
 
-// UpstreamLeaving marks an upstream as leaving because it announced this in a response, which may come before its table
-// entry says so, or without the entry ever saying so. From then on nothing new is sent to the upstream.
+// UpstreamLeaving marks an upstream as leaving because it announced this in a response, which may come before its
+// registry entry says so, or without the entry ever saying so. From then on nothing new is sent to the upstream.
 func (g *Gateway) UpstreamLeaving(u upstreams.Entry) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// watchdog aborts a run whose upstream sends no event and does not respond to a probe, or sends no event for maxSilence.
+// watchdog aborts a run whose upstream sends no event and does not respond to a probe, or sends no event for
+// maxSilence.
 type watchdog struct {
 	isResponsive func() bool
 	abort        func()
--- a/upstreams/entry.go
+++ b/upstreams/entry.go
@@ -10,7 +10,7 @@
 	Draining State = "draining"
 )
 
-// Entry is the table entry that an upstream writes about itself.
+// Entry is the registry entry that an upstream writes about itself.
 type Entry struct {
 	// ID identifies one incarnation in most cases; Born distinguishes incarnations with the same ID.
 	ID string
--- a/versionplan/plan.go
+++ b/versionplan/plan.go
@@ -4,8 +4,8 @@
 // Each model is served by one and a half times its even share of the upstreams. A step accepts texts of the newest
 // version and of the previous one, so at least half of the upstreams of a model load each version while the other half
 // serves the step. Where running texts continue across a load, more upstreams load the version as long as such loads
-// are free: the fewer upstreams stay behind, the fewer have to load at the start of the next step, which cannot use
-// upstreams that are two versions behind.
+// are free of charge: the fewer upstreams stay behind, the fewer have to load at the start of the next step, which
+// cannot use upstreams that are two versions behind.
 package versionplan
 
 import (
@@ -248,7 +248,7 @@
 }
 
 // targetLoads returns how many members load each version: half of them or, where loads do not block upstreams, the even
-// share of all upstreams if that is more. That many loads per version are free.
+// share of all upstreams if that is more. That many loads per version are free of charge.
 func targetLoads(list, members []Upstream, d Demand, models int) int {
 	half := (len(members) + 1) / 2
 	if d.WaitsForRunning {
@@ -258,8 +258,8 @@
 }
 
 // memberShare is the number of members of a model as a multiple of its even share of the upstreams. Each member loads
-// at least every other version, so up to twice the even share costs no paid load; above 1.5 the loads take longer than
-// a step.
+// at least every other version, so up to twice the even share needs no load that is charged; above 1.5 the loads take
+// longer than a step.
 const memberShare = 1.5
 
 // Members returns the usable upstreams from list that serve a model, when models models share the upstreams. Every
