--- a/agent/sources.go
+++ b/agent/sources.go
@@ -13,9 +13,9 @@
 
 // An engine waits for a source in its data centre for storeFallbackDelay plus a random part of storeFallbackJitter
 // before it fetches from the weight store itself. The delay covers a fetching engine that hangs; entries replace a
-// fetching engine that is lost. At the design size a regular staging takes about 4 minutes, and engines that fetch
-// earlier overload the store, so that no version is ever complete. With the jitter, the first engine that fetches can
-// serve the others.
+// fetching engine that is lost. In the largest fleet that the system is designed for, 680 engines, a regular staging
+// takes about 4 minutes, and engines that fetch earlier overload the store, so that no version is ever complete. With
+// the jitter, the first engine that fetches can serve the others.
 const (
 	storeFallbackDelay  = 5 * time.Minute
 	storeFallbackJitter = 5 * time.Minute
--- a/configsync/exchange.go
+++ b/configsync/exchange.go
@@ -12,8 +12,8 @@
 	"github.com/radishshelf/radishshelf/rpc"
 )
 
-// maxParallelCalls bounds the concurrent calls to peers. It is above the burst of probes at the design size of the
-// fleet, so that hanging peers do not delay the others.
+// maxParallelCalls bounds the concurrent calls to peers. With 350 entries, the most that the system is designed for, it
+// is above the number of probes per tick at the start of a table outage, so that hanging peers do not delay the others.
 const maxParallelCalls = 128
 
 // pull exchanges entry infos and participants' state with a peer and applies its newer objects.
--- a/configsync/run.go
+++ b/configsync/run.go
@@ -13,10 +13,11 @@
 	// fallbackReaders is the average number of entries that read the table themselves in each interval while the
 	// readers provide no confirmation. It keeps the reads of a large fleet far below the budget of the table.
 	fallbackReaders = 16
-	// burstAgeFactor is the age of the confirmation, in multiples of KeyFreshness, up to which more peers are probed.
+	// burstAgeFactor is the age of the confirmation, in multiples of KeyFreshness, up to which a burst of probes is sent
+	// in each tick, at the start of a table outage.
 	burstAgeFactor = 2
-	// burstDivisor sets the fraction of the entries that are probed in each tick of the burst: a third, since two ticks
-	// then cover more than half.
+	// burstDivisor sets the fraction of the entries that a burst probes: a third, since the bursts of two ticks then
+	// cover more than half.
 	burstDivisor = 3
 	// staleFraction is the fraction of KeyFreshness after which an entry probes peers or reads the table itself.
 	staleFraction = 0.5
--- a/configsync/syncer.go
+++ b/configsync/syncer.go
@@ -10,8 +10,8 @@
 	"github.com/radishshelf/radishshelf/rpc"
 )
 
-// probesPerSecond is the rate of probes while the table does not confirm, except in the burst at the start. It
-// determines the response window of a large fleet.
+// probesPerSecond is the rate of probes while the table does not confirm the configuration, except at the start of such
+// a table outage. It determines the response window of a large fleet.
 const probesPerSecond = 32
 
 // Syncer keeps the configuration of one entry up to date. It is safe for concurrent use.
--- a/lotstore/options.go
+++ b/lotstore/options.go
@@ -31,8 +31,9 @@
 	// maxReadyScan limits the ready groups that a pull with OrderFreshest reads, to 40 pages. Later groups are not
 	// considered until earlier ones have been delivered or discarded as stale.
 	maxReadyScan = 20_000
-	// readyCountInterval is how long a count of ready samples is reused. At the design size of 350 entries, with rollouts
-	// for five trainers at each entry and three reads per count, counting uses 350 of the 2,000 reads per second.
+	// readyCountInterval is how long a count of ready samples is reused. With 350 entries, the most that the system is
+	// designed for, rollouts for five trainers at each entry and three reads per count, counting uses 350 of the 2,000
+	// reads per second that the table allows.
 	readyCountInterval = 15 * time.Second
 	// maxPullAttempts limits the attempts of one pull while the head changes concurrently.
 	maxPullAttempts = 8
--- a/membership/options.go
+++ b/membership/options.go
@@ -21,8 +21,8 @@
 	defaultMissedHeartbeats  = 3
 	// defaultDeadRetention keeps the newest incarnation until no delayed report of an older incarnation can still arrive.
 	defaultDeadRetention = 10 * time.Minute
-	// defaultRelayRate is lower than the rate that the byte limits of entry/peer allow at the design size. The tests of
-	// entry/peer measure that rate.
+	// defaultRelayRate is lower than the rate that the byte limits of entry/peer allow in the largest fleet that the
+	// system is designed for, 350 entries and 680 upstreams. The tests of entry/peer measure that rate.
 	defaultRelayRate = 24
 )
 
--- a/routing/filter.go
+++ b/routing/filter.go
@@ -2,7 +2,7 @@
 
 // Filter keeps the candidates that may run a request.
 type Filter interface {
-	// Name is the key in Decision.Removed and in the log line.
+	// Name is the value of RemovedCount.Filter and the key in the log line.
 	Name() string
 	// Keep reports whether the candidate may run the request.
 	Keep(req *Request, c *Candidate) bool
--- a/routing/route_bench_test.go
+++ b/routing/route_bench_test.go
@@ -6,7 +6,7 @@
 	"testing"
 )
 
-// BenchmarkRoute measures one decision among 680 upstreams, the number in the design size.
+// BenchmarkRoute measures one decision among 680 upstreams, the most that the system is designed for.
 func BenchmarkRoute(b *testing.B) {
 	cfg := DefaultConfig()
 	cfg.DataCentre, cfg.Region = "dc0", "r0"
