Name local variables for what they hold, and one thing by one name

A Decision was v (admission, quota, fleetconfig), a Selection f or formation (lots, lotstore), an outcome what (dataplane), totals f (usage, usagestore). lotstore counted a delivered lot in recordHandover. The body that net/http cannot rewind was singleUseBody in dataplane and platform and nonRewindableBody in agent. TestExactlyOnceHandover becomes TestExactlyOnceDelivery; nothing but identifiers changes.

--- a/admission/fair_test.go
+++ b/admission/fair_test.go
@@ -82,12 +82,12 @@
 			case 0, 1:
 				item := Item{ID: fmt.Sprint(n), Workspace: fmt.Sprint(n % 3), Key: fmt.Sprint(n % 2), Cost: 100, Deadline: now.Add(2 * time.Second)}
 				in[item.ID] = true
-				v := q.Offer(item, now)
-				if v.Action != Wait {
+				decision := q.Offer(item, now)
+				if decision.Action != Wait {
 					leave(item.ID)
 				}
-				if v.Displaced != nil {
-					leave(v.Displaced.ID)
+				if decision.Displaced != nil {
+					leave(decision.Displaced.ID)
 				}
 			case 2:
 				if i, ok := q.Next(now); ok {
@@ -123,11 +123,11 @@
 	q.Offer(Item{ID: "running", Cost: 100}, start)
 	seen := map[time.Duration]bool{}
 	for n := range 20 {
-		v := q.Offer(Item{ID: fmt.Sprint(n), Cost: 100}, start)
-		if v.Action != Refuse || v.RetryAfter < time.Second || v.RetryAfter > 4*time.Second {
-			t.Fatalf("decision %+v", v)
+		decision := q.Offer(Item{ID: fmt.Sprint(n), Cost: 100}, start)
+		if decision.Action != Refuse || decision.RetryAfter < time.Second || decision.RetryAfter > 4*time.Second {
+			t.Fatalf("decision %+v", decision)
 		}
-		seen[v.RetryAfter] = true
+		seen[decision.RetryAfter] = true
 	}
 	if len(seen) < 15 {
 		t.Fatalf("only %d different times for 20 refusals", len(seen))
@@ -187,13 +187,13 @@
 			}
 			left := time.Duration(rapid.IntRange(1, 20_000).Draw(t, "left")) * time.Millisecond
 			item := Item{ID: fmt.Sprint(n), Workspace: fmt.Sprint(n % 3), Cost: 100, Deadline: now.Add(left), ServiceTime: time.Millisecond}
-			v := q.Offer(item, now)
+			decision := q.Offer(item, now)
 			limit := time.Duration(cfg.MaxWaitShare * float64(left))
-			if v.Action == Wait && v.ExpectedWait > limit {
-				t.Fatalf("item is expected to wait %v, more than the allowed %v", v.ExpectedWait, limit)
+			if decision.Action == Wait && decision.ExpectedWait > limit {
+				t.Fatalf("item is expected to wait %v, more than the allowed %v", decision.ExpectedWait, limit)
 			}
-			if v.Action == Refuse && v.ExpectedWait == 0 && left > item.ServiceTime {
-				t.Fatalf("item refused although it could start at once: %+v", v)
+			if decision.Action == Refuse && decision.ExpectedWait == 0 && left > item.ServiceTime {
+				t.Fatalf("item refused although it could start at once: %+v", decision)
 			}
 		}
 	})
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -53,15 +53,15 @@
 	if overrun := q.overrun(item, wait, now); overrun > 0 {
 		return q.refuse(ReasonDeadline, overrun, wait)
 	}
-	v := Decision{Action: Wait, ExpectedWait: wait}
+	decision := Decision{Action: Wait, ExpectedWait: wait}
 	if q.queuedItems >= q.cfg.MaxItems {
 		overShare := q.mostOverShare(item)
 		if overShare == nil {
 			return q.refuse(ReasonQueueFull, wait, wait)
 		}
 		displaced := q.removeLast(overShare)
-		v.Displaced = &displaced
-		v.DisplacedRetryAfter = q.withJitter(q.ExpectedWait(displaced))
+		decision.Displaced = &displaced
+		decision.DisplacedRetryAfter = q.withJitter(q.ExpectedWait(displaced))
 	}
 	f := q.flowFor(item)
 	if q.queuedItems == 0 && q.fits(item) {
@@ -69,15 +69,15 @@
 		q.queuedTokens += item.Cost
 		q.queuedItems++
 		q.admit(f, now)
-		v.Action = Admit
-		v.ExpectedWait = 0
-		return v
+		decision.Action = Admit
+		decision.ExpectedWait = 0
+		return decision
 	}
 	f.push(item)
 	q.queuedItems++
 	q.queuedTokens += item.Cost
 	q.meter.setBacklogged(true, now)
-	return v
+	return decision
 }
 
 // Next admits the item to be served next. It returns false when the queue is empty or the window has no room. An item that
--- a/admission/session_test.go
+++ b/admission/session_test.go
@@ -97,13 +97,14 @@
 	return item
 }
 
-func describe(v Decision) []string {
-	lines := []string{fmt.Sprintf("%s wait=%v", v.Action, v.ExpectedWait)}
-	if v.Action == Refuse {
-		lines[0] += fmt.Sprintf(" reason=%s retry-after=%v", v.Reason, v.RetryAfter.Round(time.Millisecond))
+func describe(decision Decision) []string {
+	lines := []string{fmt.Sprintf("%s wait=%v", decision.Action, decision.ExpectedWait)}
+	if decision.Action == Refuse {
+		lines[0] += fmt.Sprintf(" reason=%s retry-after=%v", decision.Reason, decision.RetryAfter.Round(time.Millisecond))
 	}
-	if v.Displaced != nil {
-		lines = append(lines, fmt.Sprintf("displaced %s retry-after=%v", v.Displaced.ID, v.DisplacedRetryAfter.Round(time.Millisecond)))
+	if decision.Displaced != nil {
+		lines = append(lines, fmt.Sprintf("displaced %s retry-after=%v",
+			decision.Displaced.ID, decision.DisplacedRetryAfter.Round(time.Millisecond)))
 	}
 	return lines
 }
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -37,13 +37,13 @@
 	}}
 }
 
-// nonRewindableBody hides the type of the reader from net/http. With a bytes.Reader the request would get a GetBody
+// singleUseBody hides the type of the reader from net/http. With a bytes.Reader the request would get a GetBody
 // function, so the transport could rewind the body and resend the request after a failure. A request that must run at
 // most once would then run twice.
-type nonRewindableBody struct{ r *bytes.Reader }
+type singleUseBody struct{ r *bytes.Reader }
 
-func (b nonRewindableBody) Read(p []byte) (int, error) { return b.r.Read(p) }
-func (b nonRewindableBody) Close() error               { return nil }
+func (b singleUseBody) Read(p []byte) (int, error) { return b.r.Read(p) }
+func (b singleUseBody) Close() error               { return nil }
 
 // send sends the request once. After an error, sent reports whether any byte of the request may have been sent.
 func (u *upstream) send(ctx context.Context, c call, header http.Header, body []byte) (resp *http.Response, sent bool, err error) {
@@ -56,7 +56,7 @@
 	req.Header = header
 	req.Header.Set(engineapi.HeaderPriority, strconv.Itoa(c.priority))
 	if len(body) > 0 {
-		req.Body = nonRewindableBody{r: bytes.NewReader(body)}
+		req.Body = singleUseBody{r: bytes.NewReader(body)}
 		req.ContentLength = int64(len(body))
 	}
 	resp, err = u.transport.RoundTrip(req)
--- a/dataplane/client_test.go
+++ b/dataplane/client_test.go
@@ -96,11 +96,11 @@
 
 // Guards against an outcome of "not run" that is not certain.
 func TestOutcomeOfFailedCalls(t *testing.T) {
-	refuse := func(what string) http.HandlerFunc {
+	refuse := func(outcomeText string) http.HandlerFunc {
 		return func(w http.ResponseWriter, r *http.Request) {
 			echoRequestID(w, r)
 			w.Header().Set(HeaderRefusalKind, "leaving")
-			w.Header().Set(HeaderOutcome, what)
+			w.Header().Set(HeaderOutcome, outcomeText)
 			w.Header().Set("Retry-After", "7")
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
--- a/dataplane/fuzz_test.go
+++ b/dataplane/fuzz_test.go
@@ -43,13 +43,13 @@
 
 // Guards against a refusal that counts as "not run" although the agent did not say so.
 func FuzzRefusal(f *testing.F) {
-	f.Fuzz(func(t *testing.T, kind, what, retryAfter string) {
+	f.Fuzz(func(t *testing.T, kind, outcomeText, retryAfter string) {
 		resp := &http.Response{StatusCode: http.StatusServiceUnavailable, Header: http.Header{
-			HeaderRefusalKind: {kind}, HeaderOutcome: {what}, "Retry-After": {retryAfter},
+			HeaderRefusalKind: {kind}, HeaderOutcome: {outcomeText}, "Retry-After": {retryAfter},
 		}}
 		r := decodeRefusal(Call{Address: "127.0.0.1:1"}, resp)
-		if r.Outcome == outcome.NotRun && what != outcome.NotRun.String() {
-			t.Errorf("outcome %q was decoded as not run", what)
+		if r.Outcome == outcome.NotRun && outcomeText != outcome.NotRun.String() {
+			t.Errorf("outcome %q was decoded as not run", outcomeText)
 		}
 		if r.RetryAfter < 0 {
 			t.Errorf("Retry-After %q was decoded as %s", retryAfter, r.RetryAfter)
--- a/dataplane/response.go
+++ b/dataplane/response.go
@@ -86,9 +86,9 @@
 
 // decodeRefusal returns the refusal that the agent sent. An unknown outcome is taken as MayHaveRun.
 func decodeRefusal(call Call, resp *http.Response) *outcome.Refusal {
-	what, err := outcome.Parse(resp.Header.Get(HeaderOutcome))
+	parsed, err := outcome.Parse(resp.Header.Get(HeaderOutcome))
 	r := &outcome.Refusal{
-		Kind: outcome.Kind(resp.Header.Get(HeaderRefusalKind)), Outcome: what, Status: resp.StatusCode,
+		Kind: outcome.Kind(resp.Header.Get(HeaderRefusalKind)), Outcome: parsed, Status: resp.StatusCode,
 		Message: "the agent at " + call.Address + " refused the request", Remedy: "repeat the request", Err: err,
 	}
 	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil && seconds > 0 {
--- a/fleetconfig/freshness.go
+++ b/fleetconfig/freshness.go
@@ -188,24 +188,24 @@
 
 // quorumDecision returns the decision when the last confirmation is too old to count by itself.
 func (f *Freshness) quorumDecision(now time.Time) Decision {
-	v := Decision{ConfirmationAge: f.ConfirmationAge(now),
+	decision := Decision{ConfirmationAge: f.ConfirmationAge(now),
 		RespondingPeers: f.countResponding(now), KnownEntries: f.KnownEntries()}
 	if peer := f.peerAhead(); peer != "" {
-		v.Reason, v.Detail = ReasonPeerAhead, peer
-		return v
+		decision.Reason, decision.Detail = ReasonPeerAhead, peer
+		return decision
 	}
 	// This entry does not count as responding: in a fleet partitioned into equal halves, neither half may reach the
 	// quorum by itself.
-	if v.KnownEntries > 1 && 2*v.RespondingPeers < v.KnownEntries {
-		v.Reason = ReasonTooFewPeers
-		return v
+	if decision.KnownEntries > 1 && 2*decision.RespondingPeers < decision.KnownEntries {
+		decision.Reason = ReasonTooFewPeers
+		return decision
 	}
 	if dataCentre := f.silentDataCentre(now); dataCentre != "" {
-		v.Reason, v.Detail = ReasonDataCentreSilent, dataCentre
-		return v
+		decision.Reason, decision.Detail = ReasonDataCentreSilent, dataCentre
+		return decision
 	}
-	v.Serve, v.Reason = true, ReasonStoreDown
-	return v
+	decision.Serve, decision.Reason = true, ReasonStoreDown
+	return decision
 }
 
 // isResponding reports whether the latest response of an entry is recent. A response of an entry that never had a
--- a/fleetconfig/freshness_test.go
+++ b/fleetconfig/freshness_test.go
@@ -52,9 +52,10 @@
 		case "expire":
 			fmt.Fprintf(&out, "%sdropped %v\n", outputPrefix, f.Expire(now))
 		case "verdict":
-			v := f.Decision(now)
+			decision := f.Decision(now)
 			fmt.Fprintf(&out, "%sserve=%t reason=%s detail=%q age=%s answered=%d/%d\n",
-				outputPrefix, v.Serve, v.Reason, v.Detail, v.ConfirmationAge, v.RespondingPeers, v.KnownEntries)
+				outputPrefix, decision.Serve, decision.Reason, decision.Detail, decision.ConfirmationAge,
+				decision.RespondingPeers, decision.KnownEntries)
 		default:
 			t.Fatalf("unknown event %q", line)
 		}
--- a/lots/form.go
+++ b/lots/form.go
@@ -30,29 +30,29 @@
 // step. ready must be sorted by key and must not contain groups of earlier lots. Groups are never split, so a lot may
 // exceed LotSamples by less than the size of its last group.
 func SelectGroups(spec Spec, step int64, ready []ReadyGroup) Selection {
-	var f Selection
+	var selection Selection
 	total, size := 0, 0
 	full := false
 	for _, r := range spec.Order.sort(ready) {
 		if samples.Stale(step, r.OldestVersion, spec.MaxStaleness) {
-			f.Discarded = append(f.Discarded, DiscardedGroup{ReadyGroup: r, Reason: samples.ReasonStale})
+			selection.Discarded = append(selection.Discarded, DiscardedGroup{ReadyGroup: r, Reason: samples.ReasonStale})
 			continue
 		}
-		full = full || total >= spec.LotSamples || len(f.Selected) == MaxGroups || size+r.Bytes > MaxBytes
+		full = full || total >= spec.LotSamples || len(selection.Selected) == MaxGroups || size+r.Bytes > MaxBytes
 		if full {
 			continue
 		}
-		f.Selected = append(f.Selected, r)
+		selection.Selected = append(selection.Selected, r)
 		total += r.Samples
 		size += r.Bytes
 	}
-	if !full && total < spec.LotSamples && len(f.Selected) < MaxGroups {
-		f.Selected = nil
+	if !full && total < spec.LotSamples && len(selection.Selected) < MaxGroups {
+		selection.Selected = nil
 	}
 	byKey := func(a, b ReadyGroup) int { return cmp.Compare(a.Key, b.Key) }
-	slices.SortFunc(f.Selected, byKey)
-	slices.SortFunc(f.Discarded, func(a, b DiscardedGroup) int { return byKey(a.ReadyGroup, b.ReadyGroup) })
-	return f
+	slices.SortFunc(selection.Selected, byKey)
+	slices.SortFunc(selection.Discarded, func(a, b DiscardedGroup) int { return byKey(a.ReadyGroup, b.ReadyGroup) })
+	return selection
 }
 
 // NewLot returns the updated head and a new lot, numbered after the last one, that contains the given groups. The
--- a/lots/form_test.go
+++ b/lots/form_test.go
@@ -12,14 +12,14 @@
 		many[i] = ReadyGroup{Key: fmt.Sprintf("%06d", i), Samples: 1, OldestVersion: 1}
 	}
 	spec := Spec{MaxStaleness: 1, LotSamples: 10 * MaxGroups}
-	if f := SelectGroups(spec, 1, many); len(f.Selected) != MaxGroups {
-		t.Errorf("%d groups selected, want %d", len(f.Selected), MaxGroups)
+	if selection := SelectGroups(spec, 1, many); len(selection.Selected) != MaxGroups {
+		t.Errorf("%d groups selected, want %d", len(selection.Selected), MaxGroups)
 	}
 	large := []ReadyGroup{{Key: "1", Samples: 1, OldestVersion: 1, Bytes: MaxBytes}, {Key: "2", Samples: 1, OldestVersion: 1, Bytes: 1}}
-	if f := SelectGroups(spec, 1, large); len(f.Selected) != 1 {
-		t.Errorf("%d groups selected, want the one that fills the lot", len(f.Selected))
+	if selection := SelectGroups(spec, 1, large); len(selection.Selected) != 1 {
+		t.Errorf("%d groups selected, want the one that fills the lot", len(selection.Selected))
 	}
-	if f := SelectGroups(spec, 1, large[1:]); f.Selected != nil {
-		t.Errorf("lot formed from too few samples: %v", f.Selected)
+	if selection := SelectGroups(spec, 1, large[1:]); selection.Selected != nil {
+		t.Errorf("lot formed from too few samples: %v", selection.Selected)
 	}
 }
--- a/lots/order_test.go
+++ b/lots/order_test.go
@@ -25,17 +25,17 @@
 				OldestVersion: rapid.Int64Range(4, step).Draw(t, "oldest"),
 			})
 		}
-		f := SelectGroups(spec, step, ready)
+		selection := SelectGroups(spec, step, ready)
 		selected, discarded := map[string]bool{}, map[string]bool{}
 		count := 0
-		for _, r := range f.Selected {
+		for _, r := range selection.Selected {
 			selected[r.Key] = true
 			count += r.Samples
 		}
-		for _, g := range f.Discarded {
+		for _, g := range selection.Discarded {
 			discarded[g.Key] = true
 		}
-		if len(f.Selected) > 0 && count < spec.LotSamples {
+		if len(selection.Selected) > 0 && count < spec.LotSamples {
 			t.Fatalf("lot has %d samples, want at least %d", count, spec.LotSamples)
 		}
 		passing := 0
@@ -48,20 +48,21 @@
 				passing += r.Samples
 			}
 		}
-		if (passing >= spec.LotSamples) != (len(f.Selected) > 0) {
-			t.Fatalf("%d samples are within the bound, %d groups selected", passing, len(f.Selected))
+		if (passing >= spec.LotSamples) != (len(selection.Selected) > 0) {
+			t.Fatalf("%d samples are within the bound, %d groups selected", passing, len(selection.Selected))
 		}
-		checkSelectionOrder(t, spec.Order, f, ready, selected, discarded)
+		checkSelectionOrder(t, spec.Order, selection, ready, selected, discarded)
 	})
 }
 
 // checkSelectionOrder compares every skipped group with every selected group.
-func checkSelectionOrder(t *rapid.T, order Order, f Selection, ready []ReadyGroup, selected, discarded map[string]bool) {
+func checkSelectionOrder(t *rapid.T, order Order, selection Selection, ready []ReadyGroup,
+	selected, discarded map[string]bool) {
 	for _, skipped := range ready {
 		if selected[skipped.Key] || discarded[skipped.Key] {
 			continue
 		}
-		for _, r := range f.Selected {
+		for _, r := range selection.Selected {
 			first := skipped.Key < r.Key
 			if order == OrderFreshest {
 				first = skipped.OldestVersion > r.OldestVersion || (skipped.OldestVersion == r.OldestVersion && skipped.Key > r.Key)
--- a/lots/session_test.go
+++ b/lots/session_test.go
@@ -86,30 +86,30 @@
 }
 
 func (s *session) form(step int64) {
-	f := SelectGroups(s.spec, step, s.ready)
-	if len(f.Discarded) > 0 {
-		s.head = s.head.RecordDiscards(f.Discarded)
+	selection := SelectGroups(s.spec, step, s.ready)
+	if len(selection.Discarded) > 0 {
+		s.head = s.head.RecordDiscards(selection.Discarded)
 	}
-	for _, g := range f.Discarded {
+	for _, g := range selection.Discarded {
 		s.emit("discard group %s (%d samples): %s", g.Group, g.Samples, g.Reason)
 	}
-	if len(f.Selected) == 0 {
-		s.removeReady(f)
+	if len(selection.Selected) == 0 {
+		s.removeReady(selection)
 		s.emit("error: %v", ErrNotReady)
 		return
 	}
-	s.head, s.lastLot = s.head.NewLot("coach", step, f.Selected, time.Time{})
-	s.removeReady(f)
+	s.head, s.lastLot = s.head.NewLot("coach", step, selection.Selected, time.Time{})
+	s.removeReady(selection)
 	s.writeLot("formed")
 }
 
 // removeReady removes the selected and discarded groups from the ready list.
-func (s *session) removeReady(f Selection) {
+func (s *session) removeReady(selection Selection) {
 	removed := map[string]bool{}
-	for _, r := range f.Selected {
+	for _, r := range selection.Selected {
 		removed[r.Key] = true
 	}
-	for _, g := range f.Discarded {
+	for _, g := range selection.Discarded {
 		removed[g.Key] = true
 	}
 	var remaining []ReadyGroup
--- a/lotstore/form.go
+++ b/lotstore/form.go
@@ -20,14 +20,14 @@
 	if err != nil {
 		return lots.Lot{}, nil, err
 	}
-	formation := lots.SelectGroups(p.spec, p.step, ready)
-	if err := s.discardGroups(ctx, p, head, formation.Discarded); err != nil {
+	selection := lots.SelectGroups(p.spec, p.step, ready)
+	if err := s.discardGroups(ctx, p, head, selection.Discarded); err != nil {
 		return lots.Lot{}, nil, err
 	}
-	if len(formation.Selected) == 0 {
+	if len(selection.Selected) == 0 {
 		return lots.Lot{}, nil, lots.ErrNotReady
 	}
-	next, lot := head.NewLot(p.trainer, p.step, formation.Selected, s.opts.Now())
+	next, lot := head.NewLot(p.trainer, p.step, selection.Selected, s.opts.Now())
 	content, err := s.buildContent(ctx, lot)
 	if err != nil {
 		return lots.Lot{}, nil, err
@@ -39,7 +39,7 @@
 		return lots.Lot{}, nil, err
 	}
 	s.metrics.formed.Inc()
-	s.metrics.recordHandover(p.trainer, p.step-lot.OldestVersion)
+	s.metrics.recordDelivery(p.trainer, p.step-lot.OldestVersion)
 	s.opts.Log.Info().Str("trainer", p.trainer).Int64("lot", lot.Number).Int64("step", p.step).
 		Int("groups", len(lot.Groups)).Int("samples", lot.Samples).Int64("oldest_version", lot.OldestVersion).Msg("lot formed")
 	return lot, content, nil
--- a/lotstore/metrics.go
+++ b/lotstore/metrics.go
@@ -31,8 +31,8 @@
 	}
 }
 
-// recordHandover counts a delivered lot and records the staleness of its oldest sample, in versions.
-func (m *storeMetrics) recordHandover(trainer string, age int64) {
+// recordDelivery counts a delivered lot and records the staleness of its oldest sample, in versions.
+func (m *storeMetrics) recordDelivery(trainer string, age int64) {
 	m.delivered.Inc()
 	m.registry.GetOrCreateHistogram(fmt.Sprintf("radishshelf_lot_staleness_versions{trainer=%q}", trainer)).Update(float64(age))
 }
--- a/lotstore/property_test.go
+++ b/lotstore/property_test.go
@@ -20,7 +20,7 @@
 
 // Guards against samples that are lost or delivered twice or stale, and against lots whose content changes, under
 // crashes, lost replies, repeated pulls, concurrent additions of the same group and an advancing step.
-func TestExactlyOnceHandover(t *testing.T) {
+func TestExactlyOnceDelivery(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rapid.Check(synctestTB{t}, func(rt *rapid.T) {
 			m := newModel(rt)
--- a/lotstore/pull.go
+++ b/lotstore/pull.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		return lots.Lot{}, nil, err
 	}
-	s.metrics.recordHandover(p.trainer, p.step-lot.OldestVersion)
+	s.metrics.recordDelivery(p.trainer, p.step-lot.OldestVersion)
 	return lot, content, nil
 }
 
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -78,13 +78,13 @@
 	s := NewShares(cfg)
 	now := start
 	for range 50 {
-		v := s.Take("w", 1600, 60, now)
-		if v.Allowed {
+		decision := s.Take("w", 1600, 60, now)
+		if decision.Allowed {
 			continue
 		}
-		now = now.Add(v.RetryAfter + time.Microsecond)
-		if v = s.Take("w", 1600, 60, now); !v.Allowed {
-			t.Fatalf("refused again after RetryAfter, with a new delay of %v", v.RetryAfter)
+		now = now.Add(decision.RetryAfter + time.Microsecond)
+		if decision = s.Take("w", 1600, 60, now); !decision.Allowed {
+			t.Fatalf("refused again after RetryAfter, with a new delay of %v", decision.RetryAfter)
 		}
 	}
 }
--- a/usage/workspace_totals.go
+++ b/usage/workspace_totals.go
@@ -12,11 +12,11 @@
 	LateRequests int64 `json:"late_requests,omitempty"`
 }
 
-func (f *WorkspaceTotals) add(rec Record, late bool) {
-	f.Requests++
-	f.PromptTokens += rec.PromptTokens
-	f.CompletionTokens += rec.CompletionTokens
+func (t *WorkspaceTotals) add(rec Record, late bool) {
+	t.Requests++
+	t.PromptTokens += rec.PromptTokens
+	t.CompletionTokens += rec.CompletionTokens
 	if late {
-		f.LateRequests++
+		t.LateRequests++
 	}
 }
--- a/usagestore/model_test.go
+++ b/usagestore/model_test.go
@@ -153,11 +153,11 @@
 	w.retainer.Retain("r", workspace, "planner", dataplane.Result{
 		Upstream: "agent/1", Incarnation: w.incarnationName(), UsageSeq: seq, PromptTokens: tokens, CompletionTokens: 2 * tokens,
 	}, w.now)
-	f := w.expected[workspace]
-	f.Requests++
-	f.PromptTokens += tokens
-	f.CompletionTokens += 2 * tokens
-	w.expected[workspace] = f
+	totals := w.expected[workspace]
+	totals.Requests++
+	totals.PromptTokens += tokens
+	totals.CompletionTokens += 2 * tokens
+	w.expected[workspace] = totals
 }
 
 // reportAll clears all faults and runs steps until every window is reported.
@@ -190,15 +190,15 @@
 		if report.Conflicts > 0 {
 			return nil, fmt.Errorf("report %s was sent again with a different body", report.ID)
 		}
-		var f usage.WorkspaceTotals
-		if err := json.Unmarshal(report.Body, &f); err != nil {
+		var totals usage.WorkspaceTotals
+		if err := json.Unmarshal(report.Body, &totals); err != nil {
 			return nil, err
 		}
-		sum := sums[f.Workspace]
-		sum.Requests += f.Requests
-		sum.PromptTokens += f.PromptTokens
-		sum.CompletionTokens += f.CompletionTokens
-		sums[f.Workspace] = sum
+		sum := sums[totals.Workspace]
+		sum.Requests += totals.Requests
+		sum.PromptTokens += totals.PromptTokens
+		sum.CompletionTokens += totals.CompletionTokens
+		sums[totals.Workspace] = sum
 	}
 	return sums, nil
 }
