Name the events of the freshness sessions after the calls that they make

The sessions said verdict, know, answer, answered= and dropped for Decision, ObserveEntry, RecordResponse, RespondingPeers and the entries that Expire removes.

--- a/fleetconfig/freshness_test.go
+++ b/fleetconfig/freshness_test.go
@@ -18,8 +18,8 @@
 	goldentest.Run(t, "testdata/*.golden", func(t *testing.T, _, script string) string { return replaySession(t, script) })
 }
 
-// replaySession executes the events of a session and returns the session with a line of output after each "verdict" and
-// "expire" event.
+// replaySession executes the events of a session and returns the session with a line of output after each "decision"
+// and "expire" event.
 func replaySession(t *testing.T, session string) string {
 	t.Helper()
 	f := NewFreshness(FreshnessOptions{Self: "a", DataCentre: "sudur"})
@@ -38,22 +38,22 @@
 		switch words[0] {
 		case "at":
 			now = start.Add(parseDuration(t, words[1]))
-		case "know":
+		case "entry":
 			f.ObserveEntry(words[1], words[2], now)
 		case "confirm":
 			f.RecordConfirmation(now)
 		case "applied":
 			f.RecordApplied(parseInt(t, words[1]))
-		case "answer":
+		case "response":
 			f.RecordResponse(PeerResponse{
 				Name: words[1], DataCentre: words[2], SentAt: now,
 				ConfirmationAge: parseDuration(t, words[3]), Revision: parseInt(t, words[4]),
 			})
 		case "expire":
-			fmt.Fprintf(&out, "%sdropped %v\n", outputPrefix, f.Expire(now))
-		case "verdict":
+			fmt.Fprintf(&out, "%sremoved %v\n", outputPrefix, f.Expire(now))
+		case "decision":
 			decision := f.Decision(now)
-			fmt.Fprintf(&out, "%sserve=%t reason=%s detail=%q age=%s answered=%d/%d\n",
+			fmt.Fprintf(&out, "%sserve=%t reason=%s detail=%q age=%s responding=%d/%d\n",
 				outputPrefix, decision.Serve, decision.Reason, decision.Detail, decision.ConfirmationAge,
 				decision.RespondingPeers, decision.KnownEntries)
 		default:
