--- a/configsync/network_test.go
+++ b/configsync/network_test.go
@@ -95,7 +95,7 @@
 	cut := s.network.side[s.address] != 0
 	s.network.mu.Unlock()
 	if cut {
-		return 0, errors.New("cut off")
+		return 0, errors.New("the entry is separated from the table")
 	}
 	s.network.headReads.Add(1)
 	return s.Store.Head(ctx)
--- a/lotstore/add.go
+++ b/lotstore/add.go
@@ -89,11 +89,11 @@
 	}, nil
 }
 
-// resolveUnknownCommit reads the group row after the reply to a commit was lost. If the row does not exist, it returns
-// an error and the group stays pending until the next retry.
+// resolveUnknownCommit reads the group row after the reply to a commit was lost. If the row does not exist or cannot be
+// read, it returns an error and the group stays pending until the next retry.
 func (s *Store) resolveUnknownCommit(ctx context.Context, key string, cause error) error {
 	if _, err := s.opts.Table.Get(ctx, key); err != nil {
-		return eris.Wrapf(cause, "write %s, reply lost and row not found", key)
+		return eris.Wrapf(cause, "write %s: the reply was lost, and the row is absent or cannot be read", key)
 	}
 	s.metrics.added.Inc()
 	return nil
--- a/usagestore/commit.go
+++ b/usagestore/commit.go
@@ -35,12 +35,12 @@
 	return nil, conditionError(guard, result.Current, key)
 }
 
-// resolveLostReply reads key after a lost reply and returns its value. If the row cannot be read, the transaction may
-// still be in transit, so that the error of the commit is returned.
+// resolveLostReply reads key after a lost reply and returns its value. If the row is absent or cannot be read, the
+// transaction may still be in transit, so that the error of the commit is returned.
 func (r *Reporter) resolveLostReply(ctx context.Context, key string, cause error) ([]byte, error) {
 	row, err := r.opts.Table.Get(ctx, key)
 	if err != nil {
-		return nil, eris.Wrapf(cause, "write %s, reply lost and row not found", key)
+		return nil, eris.Wrapf(cause, "write %s: the reply was lost, and the row is absent or cannot be read", key)
 	}
 	return row.Value, nil
 }
--- a/usagestore/writer.go
+++ b/usagestore/writer.go
@@ -59,14 +59,15 @@
 	return result.Committed || containsKey(result.Current, key), nil
 }
 
-// resolveLostReply reads the batch row after a lost reply. If the row is absent, the transaction may still be in
-// transit, so that the error of the commit is returned and the next attempt resolves it.
+// resolveLostReply reads the batch row after a lost reply. If the row is absent or cannot be read, the transaction may
+// still be in transit, so that the error of the commit is returned and the next attempt resolves it.
 func (w *Writer) resolveLostReply(ctx context.Context, key string, cause error) (bool, error) {
 	_, err := w.table.Get(ctx, key)
 	if err == nil {
 		return true, nil
 	}
-	return false, eris.Wrapf(cause, "write usage batch %s, reply lost and row not found", key)
+	return false, eris.Wrapf(cause,
+		"write usage batch %s: the reply was lost, and the row is absent or cannot be read", key)
 }
 
 func containsKey(rows []hosting.Row, key string) bool {
