--- a/admission/config.go
+++ b/admission/config.go
@@ -23,9 +23,9 @@
 	RetryJitter   float64
 }
 
-// DefaultMaxWaitShare lets an item wait for a quarter of the time until its deadline. In the overload scenarios of package
-// measure, a share of one half lost up to a twelfth of the capacity to late responses, and one tenth was little better than
-// a quarter.
+// DefaultMaxWaitShare lets an item wait for a quarter of the time until its deadline. In the overload scenarios of
+// package measure, a share of one half lost up to a twelfth of the capacity to late responses, and one tenth was little
+// better than a quarter.
 const DefaultMaxWaitShare = 0.25
 
 // DefaultConfig returns the values for one entry in front of a few engines.
--- a/admission/fair_test.go
+++ b/admission/fair_test.go
@@ -11,8 +11,8 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against starvation: a backlogged workspace must get its weighted share of the admitted tokens minus one item of
-// maximum cost, whatever the other workspaces send and whenever they become active or idle.
+// Guards against starvation: a backlogged workspace must get its weighted share of the admitted tokens minus one item
+// of maximum cost, whatever the other workspaces send and whenever they become active or idle.
 func TestBackloggedWorkspaceGetsItsShare(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const maxCost = 100
@@ -134,8 +134,8 @@
 	}
 }
 
-// Guards against a queue that admits items which have no time left to run, and against one that refuses a class of items
-// forever after it has observed slow runs.
+// Guards against a queue that admits items which have no time left to run, and against one that refuses a class of
+// items forever after it has observed slow runs.
 func TestObservedServiceTime(t *testing.T) {
 	q := New(Config{WindowTokens: 1 << 20, WindowItems: 1, MaxItems: 10, TokensPerSecond: 100, RateInterval: time.Hour}, rand.New(rand.NewSource(1)))
 	now := start
@@ -165,8 +165,8 @@
 	}
 }
 
-// Guards against an item that is queued although its expected wait exceeds MaxWaitShare, and against a limit that refuses
-// items which could start at once.
+// Guards against an item that is queued although its expected wait exceeds MaxWaitShare, and against a limit that
+// refuses items which could start at once.
 func TestNoItemWaitsBeyondItsShare(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := Config{
--- a/admission/item.go
+++ b/admission/item.go
@@ -14,9 +14,9 @@
 	Cost int64
 	// Deadline is when the response must be complete; zero means none.
 	Deadline time.Time
-	// ServiceTime is the estimated running time after admission. If it is 0, the queue uses the 95th percentile of the times
-	// observed for items of similar cost. The mean would be too low: a long queue would then admit many items that run past
-	// their deadline and waste their tokens.
+	// ServiceTime is the estimated running time after admission. If it is 0, the queue uses the 95th percentile of the
+	// times observed for items of similar cost. The mean would be too low: a long queue would then admit many items that
+	// run past their deadline and waste their tokens.
 	ServiceTime time.Duration
 	// CompletesGroup places the item before the workspace's other items, because its group waits only for it.
 	CompletesGroup bool
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -39,8 +39,8 @@
 	}
 }
 
-// Offer admits, queues or refuses a new item. An item that cannot finish before its deadline, or whose expected wait exceeds
-// MaxWaitShare, is refused at once instead of being queued.
+// Offer admits, queues or refuses a new item. An item that cannot finish before its deadline, or whose expected wait
+// exceeds MaxWaitShare, is refused at once instead of being queued.
 func (q *Queue) Offer(item Item, now time.Time) Decision {
 	item.Cost = max(item.Cost, 1)
 	if item.Weight <= 0 {
@@ -80,8 +80,8 @@
 	return decision
 }
 
-// Next admits the item to be served next. It returns false when the queue is empty or the window has no room. An item that
-// can no longer finish in time is left for Expire.
+// Next admits the item to be served next. It returns false when the queue is empty or the window has no room. An item
+// that can no longer finish in time is left for Expire.
 func (q *Queue) Next(now time.Time) (Item, bool) {
 	f := q.nextFlow()
 	if f == nil || !q.fits(f.head()) || f.head().missesDeadline(0, now) {
@@ -92,8 +92,8 @@
 	return item, true
 }
 
-// Done ends an admitted item and corrects its cost to the number of tokens actually used, 0 when it did not run. An unknown
-// id is ignored.
+// Done ends an admitted item and corrects its cost to the number of tokens actually used, 0 when it did not run. An
+// unknown id is ignored.
 func (q *Queue) Done(id string, actualTokens int64, now time.Time) {
 	r, ok := q.running[id]
 	if !ok {
@@ -111,7 +111,8 @@
 	q.removeIdleFlows()
 }
 
-// Expire removes and returns the items that can no longer finish before their deadline. Call it before Next and on a timer.
+// Expire removes and returns the items that can no longer finish before their deadline. Call it before Next and on a
+// timer.
 func (q *Queue) Expire(now time.Time) []Item {
 	return q.removeWhere(now, func(i Item) bool { return i.missesDeadline(0, now) })
 }
--- a/admission/rate.go
+++ b/admission/rate.go
@@ -11,8 +11,8 @@
 	backlogged    bool
 }
 
-// rateSmoothing is the weight of the newest interval in the moving average; with a third, the rate follows a change within a
-// few intervals.
+// rateSmoothing is the weight of the newest interval in the moving average; with a third, the rate follows a change
+// within a few intervals.
 const rateSmoothing = 1.0 / 3
 
 // add adds the tokens of a finished item. They count only while items are queued.
@@ -23,8 +23,8 @@
 	m.closeInterval(now)
 }
 
-// setBacklogged sets whether items are queued. Intervals without queued items do not show the largest possible rate and are
-// discarded.
+// setBacklogged sets whether items are queued. Intervals without queued items do not show the largest possible rate and
+// are discarded.
 func (m *rateMeter) setBacklogged(backlogged bool, now time.Time) {
 	if backlogged == m.backlogged {
 		return
--- a/admission/schedule.go
+++ b/admission/schedule.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// flowFor returns the flow of an item's workspace. The start tag of a flow that becomes backlogged is at least the virtual
-// time, so that an idle workspace accumulates no credit.
+// flowFor returns the flow of an item's workspace. The start tag of a flow that becomes backlogged is at least the
+// virtual time, so that an idle workspace accumulates no credit.
 func (q *Queue) flowFor(item Item) *flow {
 	f, ok := q.flows[item.Workspace]
 	if !ok {
@@ -83,8 +83,8 @@
 	return len(q.running) < q.cfg.WindowItems && q.outstanding+item.Cost <= q.cfg.WindowTokens
 }
 
-// removeIdleFlows removes flows without items whose start tag is not ahead of virtual time. Once the whole queue is idle, it
-// removes all flows, whatever their start tags.
+// removeIdleFlows removes flows without items whose start tag is not ahead of virtual time. Once the whole queue is
+// idle, it removes all flows, whatever their start tags.
 func (q *Queue) removeIdleFlows() {
 	idle := q.queuedItems == 0 && len(q.running) == 0
 	for name, f := range q.flows {
@@ -94,8 +94,8 @@
 	}
 }
 
-// mostOverShare returns the flow with the most queued items relative to its weight, if that is more than the workspace of
-// the new item would have; nil otherwise.
+// mostOverShare returns the flow with the most queued items relative to its weight, if that is more than the workspace
+// of the new item would have; nil otherwise.
 func (q *Queue) mostOverShare(item Item) *flow {
 	own := 1.0
 	if f, ok := q.flows[item.Workspace]; ok {
--- a/admission/service_time.go
+++ b/admission/service_time.go
@@ -14,8 +14,8 @@
 	minServiceTimes = 20
 )
 
-// serviceTimes keeps observed running times by the magnitude of the cost, so that a plain call and a generation in the same
-// queue have separate estimates.
+// serviceTimes keeps observed running times by the magnitude of the cost, so that a plain call and a generation in the
+// same queue have separate estimates.
 type serviceTimes struct {
 	byMagnitude map[int]*retry.Latencies
 }
@@ -32,9 +32,9 @@
 	s.byMagnitude[m].Observe(duration)
 }
 
-// estimate returns the expected running time of an item, 0 while there are too few observations. It returns at most half of
-// the time until the deadline: otherwise a class of items that once ran too long would be refused forever, and no new
-// running times could be observed.
+// estimate returns the expected running time of an item, 0 while there are too few observations. It returns at most
+// half of the time until the deadline: otherwise a class of items that once ran too long would be refused forever, and
+// no new running times could be observed.
 func (s serviceTimes) estimate(item Item, now time.Time) time.Duration {
 	observed := s.byMagnitude[magnitude(item.Cost)]
 	if item.Deadline.IsZero() || observed == nil || observed.Count() < minServiceTimes {
--- a/admission/session_test.go
+++ b/admission/session_test.go
@@ -18,8 +18,8 @@
 	replay(t, "testdata/queue.golden", sessionConfig())
 }
 
-// Guards against a queue that accepts an item whose expected wait exceeds MaxWaitShare, and against a RetryAfter that ignores
-// this limit.
+// Guards against a queue that accepts an item whose expected wait exceeds MaxWaitShare, and against a RetryAfter that
+// ignores this limit.
 func TestWaitShareSession(t *testing.T) {
 	cfg := sessionConfig()
 	cfg.MaxWaitShare = 0.25
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -5,8 +5,8 @@
 // maxWait limits estimated waits, so that arithmetic on durations does not overflow.
 const maxWait = time.Hour
 
-// ExpectedWait estimates how long an item would be queued. An item waits for the backlog of its own workspace, served at the
-// workspace's share of the rate, but never longer than for the whole queue.
+// ExpectedWait estimates how long an item would be queued. An item waits for the backlog of its own workspace, served
+// at the workspace's share of the rate, but never longer than for the whole queue.
 func (q *Queue) ExpectedWait(item Item) time.Duration {
 	if q.queuedItems == 0 && q.fits(item) {
 		return 0
@@ -58,7 +58,8 @@
 	return i.Weight
 }
 
-// overrun returns by how much a wait exceeds the longest one allowed for the item; it is at most 0 when the item may wait.
+// overrun returns by how much a wait exceeds the longest one allowed for the item; it is at most 0 when the item may
+// wait.
 func (q *Queue) overrun(item Item, wait time.Duration, now time.Time) time.Duration {
 	if item.Deadline.IsZero() {
 		return 0
--- a/dataplane/headers.go
+++ b/dataplane/headers.go
@@ -1,5 +1,5 @@
-// Package dataplane defines the HTTP protocol between an entry and an agent: POST RunPath with the body of the forwarded
-// request, the headers below, and trailers that mark a response as complete.
+// Package dataplane defines the HTTP protocol between an entry and an agent: POST RunPath with the body of the
+// forwarded request, the headers below, and trailers that mark a response as complete.
 package dataplane
 
 // RunPath is the agent's endpoint for forwarded requests.
--- a/dataplane/response.go
+++ b/dataplane/response.go
@@ -60,8 +60,8 @@
 // Close closes the body. Closing it before its end cancels the request at the agent.
 func (r *Response) Close() error { return r.resp.Body.Close() }
 
-// Result returns the result that the agent reported at the end of the body, and whether it is valid. A truncated response
-// may have a result too, because the agent counts the tokens that were generated.
+// Result returns the result that the agent reported at the end of the body, and whether it is valid. A truncated
+// response may have a result too, because the agent counts the tokens that were generated.
 func (r *Response) Result() (Result, bool) {
 	var result Result
 	if !r.ended {
--- a/fleetconfig/freshness.go
+++ b/fleetconfig/freshness.go
@@ -14,8 +14,8 @@
 	response   PeerResponse // latest response, if responded
 }
 
-// Freshness decides whether keyed requests, that is, requests authenticated by a key that may have been withdrawn, may be
-// served with the configuration that this entry has applied. It is not safe for concurrent use.
+// Freshness decides whether keyed requests, that is, requests authenticated by a key that may have been withdrawn, may
+// be served with the configuration that this entry has applied. It is not safe for concurrent use.
 //
 // Invariant: a decision to serve means that this entry has applied every change accepted more than KeyFreshness plus
 // ResponseWindow ago, or that at least half of the entries, including at least one in each data centre, cannot
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -41,8 +41,8 @@
 		earned += b.grantedRate * granted.Sub(b.accruedAt).Seconds()
 	}
 	b.accruedAt = now
-	// A balance above the capacity was earned with a larger grant that has expired. It is reduced, so that bursts follow the
-	// current rate.
+	// A balance above the capacity was earned with a larger grant that has expired. It is reduced, so that bursts follow
+	// the current rate.
 	b.balance = min(b.balance+earned, b.rate(cfg, now)*cfg.Burst.Seconds())
 }
 
@@ -71,9 +71,9 @@
 	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
 }
 
-// demandSmoothing is the weight of the newest interval in the moving average of the demand. The granter must reserve the
-// largest unexpired grant of each entry, so demand that varies strongly from second to second would leave most of the limit
-// reserved and unused.
+// demandSmoothing is the weight of the newest interval in the moving average of the demand. The granter must reserve
+// the largest unexpired grant of each entry, so demand that varies strongly from second to second would leave most of
+// the limit reserved and unused.
 const demandSmoothing = 0.3
 
 // updateDemand updates the demand at the end of a demand interval and starts the next interval.
--- a/quota/config.go
+++ b/quota/config.go
@@ -17,13 +17,13 @@
 	DemandInterval time.Duration
 }
 
-// defaultStaticFraction is a quarter, because the static part can be used fully only if MaxEntries entries run. With 6 of 16
-// entries and even demand, a half left 0.351 of the limit unused and a quarter 0.213 (package measure, scenario (f)). The
-// static part is also what entries fall back to between two holders of the role, for less than a minute.
+// defaultStaticFraction is a quarter, because the static part can be used fully only if MaxEntries entries run. With 6
+// of 16 entries and even demand, a half left 0.351 of the limit unused and a quarter 0.213 (package measure, scenario
+// (f)). The static part is also what entries fall back to between two holders of the role, for less than a minute.
 const defaultStaticFraction = 0.25
 
-// DefaultConfig returns parameters for up to 16 entries. Grants last for three request intervals of one second, so that an
-// entry does not fall back to its static rate after one lost reply.
+// DefaultConfig returns parameters for up to 16 entries. Grants last for three request intervals of one second, so that
+// an entry does not fall back to its static rate after one lost reply.
 func DefaultConfig() Config {
 	return Config{
 		MaxEntries:     16,
--- a/quota/granter.go
+++ b/quota/granter.go
@@ -9,8 +9,8 @@
 	ledgers map[string]*ledger
 }
 
-// NewGranter returns the granter of a process that acquired the role at the given time. It grants nothing until the grants of
-// the previous holder have expired.
+// NewGranter returns the granter of a process that acquired the role at the given time. It grants nothing until the
+// grants of the previous holder have expired.
 func NewGranter(cfg Config, acquired time.Time) *Granter {
 	return &Granter{cfg: cfg, readyAt: acquired.Add(cfg.GrantDuration), ledgers: make(map[string]*ledger)}
 }
@@ -18,8 +18,8 @@
 // ReadyAt returns the time from which grants are issued.
 func (g *Granter) ReadyAt() time.Time { return g.readyAt }
 
-// Request records an entry's demands and returns its grants. limit returns the limit of a workspace; workspaces without a
-// limit get no grant.
+// Request records an entry's demands and returns its grants. limit returns the limit of a workspace; workspaces without
+// a limit get no grant.
 func (g *Granter) Request(entry string, demands []Demand, limit func(workspace string) float64, now time.Time) []Grant {
 	var grants []Grant
 	for _, d := range demands {
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// recountInterval is the shortest time between two recounts of a ledger. Until the next recount, expired grants still count
-// as reserved, which is safe. A recount on every request used 1.9 cores with 350 entries and 100 workspaces.
+// recountInterval is the shortest time between two recounts of a ledger. Until the next recount, expired grants still
+// count as reserved, which is safe. A recount on every request used 1.9 cores with 350 entries and 100 workspaces.
 const recountInterval = 250 * time.Millisecond
 
 // expiringRate is a grant that an entry may still use, or a demand that still counts.
@@ -20,8 +20,8 @@
 //
 // Invariant: reserved is at least the sum, over all entries, of the largest unexpired grant.
 type ledger struct {
-	// grants holds all unexpired grants of each entry, because an entry may continue to use a larger grant if the reply with
-	// a newer, smaller one is lost.
+	// grants holds all unexpired grants of each entry, because an entry may continue to use a larger grant if the reply
+	// with a newer, smaller one is lost.
 	grants  map[string][]expiringRate
 	demands map[string]expiringRate
 	// staticRate is the rate that an entry has without a grant.
@@ -44,7 +44,8 @@
 	}
 }
 
-// recount removes expired demands and grants and adds up the rest in name order, so that equal histories give equal totals.
+// recount removes expired demands and grants and adds up the rest in name order, so that equal histories give equal
+// totals.
 func (l *ledger) recount(static float64, now time.Time) {
 	l.staticRate, l.recountedAt = static, now
 	l.totalExcess, l.reserved = 0, 0
@@ -76,8 +77,8 @@
 // excessOf returns the part of an entry's demand above the static rate; only that part needs a grant.
 func (l *ledger) excessOf(entry string) float64 { return max(0, l.demands[entry].rate-l.staticRate) }
 
-// grantableRate returns an entry's share of the granted rate in proportion to its excess demand, limited to what the grants
-// of the other entries leave.
+// grantableRate returns an entry's share of the granted rate in proportion to its excess demand, limited to what the
+// grants of the other entries leave.
 func (l *ledger) grantableRate(entry string, granted float64) float64 {
 	wanted := l.excessOf(entry)
 	if wanted <= 0 || l.totalExcess <= 0 {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -10,8 +10,8 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// Guards against exceeding the limit: with lost and late replies, changing demand and changes of the role holder, the rates
-// of all entries must never add up to more than the limit.
+// Guards against exceeding the limit: with lost and late replies, changing demand and changes of the role holder, the
+// rates of all entries must never add up to more than the limit.
 func TestSumOfSharesNeverExceedsLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := Config{MaxEntries: 4, StaticFraction: rapid.Float64Range(0, 1).Draw(t, "static"), GrantDuration: 5 * time.Second, Burst: time.Second, DemandInterval: time.Second}
@@ -49,8 +49,8 @@
 	})
 }
 
-// Guards against long-term use above the rate: a negative balance after a large request must be earned back before the next
-// request is allowed.
+// Guards against long-term use above the rate: a negative balance after a large request must be earned back before the
+// next request is allowed.
 func TestTakeKeepsLongTermRate(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := Config{MaxEntries: 1, StaticFraction: 0.5, Burst: 2 * time.Second, DemandInterval: time.Second}
@@ -89,8 +89,8 @@
 	}
 }
 
-// Guards against grants that stay with one entry although the demand of another has grown, and against a new holder that
-// issues grants before those of the previous one have expired.
+// Guards against grants that stay with one entry although the demand of another has grown, and against a new holder
+// that issues grants before those of the previous one have expired.
 func TestGrantsFollowDemand(t *testing.T) {
 	cfg := DefaultConfig()
 	cfg.StaticFraction = 0.5
--- a/quota/shares.go
+++ b/quota/shares.go
@@ -56,8 +56,8 @@
 	return demands
 }
 
-// Apply applies grants from the role holder. requestedAt is when the request for them was sent. Their validity counts from
-// then, so that they expire here before they expire on the granter, without comparing clocks.
+// Apply applies grants from the role holder. requestedAt is when the request for them was sent. Their validity counts
+// from then, so that they expire here before they expire on the granter, without comparing clocks.
 func (s *Shares) Apply(grants []Grant, requestedAt, now time.Time) {
 	for _, g := range grants {
 		b, ok := s.buckets[g.Workspace]
--- a/routing/config.go
+++ b/routing/config.go
@@ -21,8 +21,8 @@
 	CrossRegionCost     time.Duration
 	// CrossRegionCostPerMB is the cost of billed traffic between regions, expressed as time per megabyte.
 	CrossRegionCostPerMB time.Duration
-	// NearSamples, AnySamples and PrefixSamples are the numbers of upstreams drawn from the nearest ones, from all, and from
-	// those with the longest prefix match.
+	// NearSamples, AnySamples and PrefixSamples are the numbers of upstreams drawn from the nearest ones, from all, and
+	// from those with the longest prefix match.
 	NearSamples   int
 	AnySamples    int
 	PrefixSamples int
@@ -30,9 +30,9 @@
 	RetryAfter time.Duration
 }
 
-// DefaultConfig returns parameters for one-way delays of 1.5 ms between data centres and 20 ms between regions. Crossing
-// regions costs half a second on top of the round trip, so that traffic stays in its region until the queue there is longer
-// than that.
+// DefaultConfig returns parameters for one-way delays of 1.5 ms between data centres and 20 ms between regions.
+// Crossing regions costs half a second on top of the round trip, so that traffic stays in its region until the queue
+// there is longer than that.
 func DefaultConfig() Config {
 	return Config{
 		MaxReportAge:           10 * time.Second,
--- a/routing/filter_exclusive.go
+++ b/routing/filter_exclusive.go
@@ -1,7 +1,7 @@
 package routing
 
-// ExclusiveFilter isolates crash suspects from other requests: a suspect runs only on an idle upstream, and an upstream that
-// runs a suspect accepts no other request.
+// ExclusiveFilter isolates crash suspects from other requests: a suspect runs only on an idle upstream, and an upstream
+// that runs a suspect accepts no other request.
 type ExclusiveFilter struct {
 	InFlight *InFlight
 }
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -5,8 +5,8 @@
 	"slices"
 )
 
-// Picker draws the candidates to score. Comparing a few random candidates instead of all of them keeps many entries with the
-// same stale view from choosing the same upstream.
+// Picker draws the candidates to score. Comparing a few random candidates instead of all of them keeps many entries
+// with the same stale view from choosing the same upstream.
 type Picker struct {
 	Rand          *rand.Rand
 	NearSamples   int
@@ -14,8 +14,8 @@
 	PrefixSamples int
 }
 
-// Sample returns distinct candidates: some of the nearest, some of those with the longest prefix match, and some of all. It
-// modifies the slices.
+// Sample returns distinct candidates: some of the nearest, some of those with the longest prefix match, and some of
+// all. It modifies the slices.
 func (p Picker) Sample(kept, near, prefix []*Candidate) []*Candidate {
 	sampled := p.draw(nil, near, p.NearSamples)
 	sampled = p.draw(sampled, prefix, p.PrefixSamples)
--- a/routing/router.go
+++ b/routing/router.go
@@ -12,7 +12,8 @@
 	"github.com/radishshelf/radishshelf/outcome"
 )
 
-// PrefixMatcher returns how many leading prompt blocks each upstream probably has cached. *prefixindex.Index implements it.
+// PrefixMatcher returns how many leading prompt blocks each upstream probably has cached. *prefixindex.Index implements
+// it.
 type PrefixMatcher interface {
 	Match(hashes []uint64, now time.Time) map[string]int
 }
--- a/routing/scorer_wait.go
+++ b/routing/scorer_wait.go
@@ -4,9 +4,9 @@
 
 // WaitScorer estimates how long an upstream needs for the work it already has.
 //
-// A load report covers all entries but lags; this entry's own attempts are current but cover one entry. Own attempts sent
-// after the report are added to it, and the weight of the report decreases linearly with its age, so that an upstream that
-// was busy seconds ago is not avoided forever.
+// A load report covers all entries but lags; this entry's own attempts are current but cover one entry. Own attempts
+// sent after the report are added to it, and the weight of the report decreases linearly with its age, so that an
+// upstream that was busy seconds ago is not avoided forever.
 type WaitScorer struct {
 	InFlight               *InFlight
 	MaxReportAge           time.Duration
@@ -24,8 +24,8 @@
 	return pending / s.rate(c)
 }
 
-// rate returns the estimated generation rate under load. The reported rate of an upstream with free slots can be low for
-// lack of work, so DefaultTokensPerSecond is its lower limit.
+// rate returns the estimated generation rate under load. The reported rate of an upstream with free slots can be low
+// for lack of work, so DefaultTokensPerSecond is its lower limit.
 func (s WaitScorer) rate(c *Candidate) float64 {
 	if c.TokensPerSecond > 0 && c.Slots > 0 && c.Running >= c.Slots {
 		return c.TokensPerSecond
--- a/routing/session_test.go
+++ b/routing/session_test.go
@@ -39,8 +39,8 @@
 	return s
 }
 
-// Guards against routing a request to an upstream that must not run it, and against unintended changes in the relative cost
-// of prefix, load and place.
+// Guards against routing a request to an upstream that must not run it, and against unintended changes in the relative
+// cost of prefix, load and place.
 func TestRoutingSession(t *testing.T) {
 	s := newSession()
 	goldentest.Run(t, "testdata/routes.golden", func(t *testing.T, _, script string) string {
@@ -97,7 +97,8 @@
 	return []string{d.String()}
 }
 
-// Guards against an empty candidate list that is not reported as a refusal with the outcome "not run" and a retry delay.
+// Guards against an empty candidate list that is not reported as a refusal with the outcome "not run" and a retry
+// delay.
 func TestRouteWithoutUpstreams(t *testing.T) {
 	_, err := newSession().router.Route(Request{ID: "r", Serves: "p"}, nil, start)
 	var refusal *outcome.Refusal
@@ -106,8 +107,8 @@
 	}
 }
 
-// Guards against choosing an upstream that a filter removes, and against refusing a request that some upstream could run,
-// for example because of its prefix matches.
+// Guards against choosing an upstream that a filter removes, and against refusing a request that some upstream could
+// run, for example because of its prefix matches.
 func TestChosenCandidatePassesEveryFilter(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSession()
--- a/rowrelay/attempt.go
+++ b/rowrelay/attempt.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// hungCallAge is the age from which an unfinished call counts as hung once the store has answered another call. Calls to
-// a store that is 60 times slower than usual take about as long.
+// hungCallAge is the age from which an unfinished call counts as hung once the store has answered another call. Calls
+// to a store that is 60 times slower than usual take about as long.
 const hungCallAge = 300 * time.Millisecond
 
 // attempt is one call in progress, to the store or to a peer.
@@ -32,8 +32,8 @@
 	delete(c.inFlight, a)
 }
 
-// cancelHungAttempts cancels calls that were sent while the store was silent. They will not be answered any more, but new
-// calls are. The caller holds the lock.
+// cancelHungAttempts cancels calls that were sent while the store was silent. They will not be answered any more, but
+// new calls are. The caller holds the lock.
 func (c *Client) cancelHungAttempts(now time.Time) {
 	for a := range c.inFlight {
 		if now.Sub(a.started) > hungCallAge {
--- a/rowrelay/client.go
+++ b/rowrelay/client.go
@@ -41,7 +41,8 @@
 
 var _ hosting.Rows = (*Client)(nil)
 
-// New returns a client. relays is called for each call that is not made directly, and must return a new slice each time.
+// New returns a client. relays is called for each call that is not made directly, and must return a new slice each
+// time.
 func New(direct hosting.Rows, relays func() []Relay) *Client {
 	return &Client{direct: direct, relays: relays, ranking: newRelayRanking(), inFlight: map[*attempt]struct{}{}}
 }
--- a/rowrelay/client_test.go
+++ b/rowrelay/client_test.go
@@ -14,7 +14,8 @@
 
 func key(name string) hosting.RowKey { return hosting.RowKey{Table: "t", Key: name} }
 
-// unreachableStore is the store as seen by a host that the store refuses; kind is the error of its calls, empty for none.
+// unreachableStore is the store as seen by a host that the store refuses; kind is the error of its calls, empty for
+// none.
 type unreachableStore struct {
 	hosting.Rows
 	kind  hosting.ErrorKind
@@ -45,8 +46,8 @@
 	return store, direct, New(direct, func() []Relay { return []Relay{{Name: "peer", Rows: peer}} })
 }
 
-// Guards against a host that loses access to the store, and so misses withdrawn keys, because the store refuses only this
-// host.
+// Guards against a host that loses access to the store, and so misses withdrawn keys, because the store refuses only
+// this host.
 func TestCallsUseRelayWhileStoreUnreachable(t *testing.T) {
 	store, direct, client := newRelay(t)
 	direct.kind = hosting.KindUnavailable
