--- a/fleetconfig/trainer.go
+++ b/fleetconfig/trainer.go
@@ -11,7 +11,7 @@
 	Policy string `json:"policy"`
 	// MaxStaleness is the maximum age of a sample at the pull, in weight versions.
 	MaxStaleness int64 `json:"max_staleness"`
-	// LotSamples is the number of samples in a lot.
+	// LotSamples is the minimum number of samples in a lot.
 	LotSamples int `json:"lot_samples"`
 	// LotOrder selects which of the ready groups within MaxStaleness a lot takes first: LotOrderOldest, the default, or
 	// LotOrderFreshest.
