--- a/usage/recorder.go
+++ b/usage/recorder.go
@@ -35,7 +35,7 @@
 	r.window = Window{Length: w.length()}
 }
 
-// Window returns the reporting windows; their length is DefaultWindowLength until SetWindow is called.
+// Window returns the reporting windows. Its Length is 0, which means DefaultWindowLength, until SetWindow is called.
 func (r *Recorder) Window() Window {
 	r.mu.Lock()
 	defer r.mu.Unlock()
