--- a/dataplane/response.go
+++ b/dataplane/response.go
@@ -60,8 +60,8 @@
 // Close closes the body. Closing it before its end cancels the request at the agent.
 func (r *Response) Close() error { return r.resp.Body.Close() }
 
-// Result returns the result that the agent reported at the end of the body, and whether it is valid. A truncated response
-// may have a result too, because the agent counts the tokens that were generated.
+// Result returns the result that the agent reported at the end of the body, and whether it is valid. A truncated
+// response may have a result too, because the agent counts the tokens that were generated.
 func (r *Response) Result() (Result, bool) {
 	var result Result
 	if !r.ended {
@@ -86,9 +86,9 @@
 
 // decodeRefusal returns the refusal that the agent sent. An unknown outcome is taken as MayHaveRun.
 func decodeRefusal(call Call, resp *http.Response) *outcome.Refusal {
-	what, err := outcome.Parse(resp.Header.Get(HeaderOutcome))
+	parsed, err := outcome.Parse(resp.Header.Get(HeaderOutcome))
 	r := &outcome.Refusal{
-		Kind: outcome.Kind(resp.Header.Get(HeaderRefusalKind)), Outcome: what, Status: resp.StatusCode,
+		Kind: outcome.Kind(resp.Header.Get(HeaderRefusalKind)), Outcome: parsed, Status: resp.StatusCode,
 		Message: "the agent at " + call.Address + " refused the request", Remedy: "repeat the request", Err: err,
 	}
 	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil && seconds > 0 {
