Bound the ledger's cases also after a known end

What callers would see: nothing yet; a host whose upstream crashed under many requests could hold more than MaxCases cases until the next end or merge. Cause: RecordBrokenRun counts a run at once when the end of its upstream is already known, and only RecordEnd and Merge evicted. Evidence: TestLedgerIsBoundedAfterKnownEnd printed "1000 cases, want at most 16" before, and passes now. Why it works: every path that adds a case evicts.

--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -69,7 +69,9 @@
 func (l *Ledger) RecordBrokenRun(fingerprint string, incarnation UpstreamIncarnation, progress int, now time.Time) bool {
 	run := brokenRun{fingerprint: fingerprint, progress: progress, brokenAt: now}
 	if _, ended := l.endedAt[incarnation]; ended {
-		return l.countEnd(run, incarnation, now)
+		counted := l.countEnd(run, incarnation, now)
+		l.evict()
+		return counted
 	}
 	if l.brokenRunCount < l.cfg.MaxBrokenRuns {
 		l.brokenRuns[incarnation] = append(l.brokenRuns[incarnation], run)
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -149,6 +149,21 @@
 	}
 }
 
+// Guards against unbounded memory when many requests report a broken run after the end of their upstream is already known.
+func TestLedgerIsBoundedAfterKnownEnd(t *testing.T) {
+	cfg := DefaultLedgerConfig()
+	cfg.MaxCases = 16
+	l := NewLedger(cfg)
+	end := UpstreamIncarnation{"u", "1"}
+	l.RecordEnd(end, start)
+	for i := range 1000 {
+		l.RecordBrokenRun(fmt.Sprint("f", i), end, 0, start.Add(time.Millisecond))
+	}
+	if l.Len() > cfg.MaxCases {
+		t.Errorf("%d cases, want at most %d", l.Len(), cfg.MaxCases)
+	}
+}
+
 // Guards against fingerprints that differ between hosts with the same key, or that can be computed without the key.
 func TestKeyedFingerprints(t *testing.T) {
 	key := NewKey()
