Wait for the trainer and its key in the end-to-end test

Cause: the test writes policy, trainer and key straight into the store, where nothing waits for propagation, and each entry was only awaited until it knew the policy. An entry may read the trainer in a later pass. Everything that it checked before is checked as before.

--- a/cmd/radishshelf-entry/stack_test.go
+++ b/cmd/radishshelf-entry/stack_test.go
@@ -92,9 +92,11 @@
 		return c.call(p, "POST", "/v1/rollout-groups", secret, body)
 	}
 	for i, p := range c.entries {
-		c.await("the engine is known", func() bool {
+		c.await("the engine and the configuration are known", func() bool {
 			list := p.fleet.Upstreams(time.Now())
-			return len(list) == 1 && list[0].ActiveVersion == 1 && len(p.rollouts()) == 1
+			_, trainerKnown := p.syncer.View().Trainer("coach")
+			_, keyKnown := p.syncer.View().Object(fleetconfig.KindKey, "k2")
+			return len(list) == 1 && list[0].ActiveVersion == 1 && len(p.rollouts()) == 1 && trainerKnown && keyKnown
 		})
 		for _, stream := range []bool{false, true} {
 			body := fmt.Sprintf(`{"model":"toll","messages":[{"role":"user","content":"fare?"}],"max_tokens":8,"stream":%v}`, stream)
