Keep the suspects of different hosts apart after an end

What callers saw: a sound request that ran beside the first attempt of a request which ends its upstreams could be sent to the same second upstream as that request by another host, had two ends, and got 502; its repeats were refused for 2 s.

Cause: each host keeps its own suspects apart, but chooses the upstream of the next run by load, so hosts with the same view of the loads choose the same one. The log of a failing run of TestCompanyOfACrashingRequestIsServed (not read before) shows it: both requests break at desk-3 and reach desk-2 within 1 ms, from two hosts.

Ruled out: a race within one host (TestRequestsBesideCrashAtOneHostAreServed passes), rows that arrive late (the verdict is each host's own). Rejected: a third try (one more upstream ended of three in all), an exchange between hosts before the second send (a round trip to the store takes longer than the request).

Fix: quarantine.NewIsolationSlot divides the remaining upstreams of the service among the live hosts by rendezvous rank for this end, without a message. It rests on equal views of hosts and upstreams; a host that is seen by some only may still share a slot, as all did before.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -60,6 +60,9 @@
 	action  quarantine.Action
 	broken  []brokenRun
 	results chan sendResult
+	// slot holds the upstreams for the next run after a broken one, and slotStart is when that run may start.
+	slot      quarantine.IsolationSlot
+	slotStart time.Time
 	// lastResponse is a server error, returned to the caller if no later send succeeds.
 	lastResponse *call.Response
 	lastFailure  *upstreamcall.Failure
@@ -195,7 +198,9 @@
 		f.lastResponse = r.response
 	} else {
 		f.lastFailure = r.failure
-		f.addBrokenRun(r.broken)
+		if f.addBrokenRun(r.broken); len(f.broken) > 0 {
+			f.isolate(r.upstream)
+		}
 		if r.failure.Outcome == outcome.NotRun {
 			delete(f.tried, r.upstream.ID)
 			f.refused[r.upstream.ID] = true
@@ -234,15 +239,10 @@
 	return f.isRetryable() && f.g.mayRunAgain(ctx, f.broken)
 }
 
-// addBrokenRun records a run under which an upstream may have ended. From then on the request is isolated from other
-// suspects.
+// addBrokenRun records a run at an upstream that may have ended.
 func (f *plainRequest) addBrokenRun(run brokenRun) {
-	if run.fingerprint == "" {
-		return
-	}
-	f.broken = append(f.broken, run)
-	if f.action == quarantine.Run {
-		f.action = quarantine.RunAlone
+	if run.fingerprint != "" {
+		f.broken = append(f.broken, run)
 	}
 }
 
--- a/gateway/suspect_test.go
+++ b/gateway/suspect_test.go
@@ -101,6 +101,11 @@
 // Guards against the same failure if all requests come to one host, which can always isolate them from each other.
 func TestRequestsBesideCrashAtOneHostAreServed(t *testing.T) { testRequestsBesideCrash(t, "a") }
 
+// Guards against the same failure if there are more hosts than upstreams, so that several hosts share an upstream.
+func TestRequestsBesideCrashAtManyHostsAreServed(t *testing.T) {
+	testRequestsBesideCrash(t, "a", "b", "c", "d", "e", "f")
+}
+
 func testRequestsBesideCrash(t *testing.T, names ...string) {
 	w := newTestCluster(t)
 	var hosts []*Gateway
