Give each upstream of the soak a name of its own

Cause: replace took the name of the next upstream from the number of upstreams started so far. Until a replacement starts, 0.8 s after the stop, that number stays the same, so two upstreams that stop within the delay were followed by two of one name. The checker knows upstreams by name: one desk-7 announced that it leaves, and the requests at the other one counted as late.

Fix: a number is reserved under the lock when an upstream stops and is used for its replacement. Two upstreams cannot have the same number. Names and data centres are those of before wherever no two stops lie within the delay; with two, the first keeps its name and the second has the next one; data centres follow the order of the stops, no longer that of the starts.

Ruled out: a gateway that sends to a leaving upstream.

--- a/standin/soak/upstream.go
+++ b/standin/soak/upstream.go
@@ -32,12 +32,22 @@
 
 // upstreamSet holds the running upstreams. All methods are safe for concurrent use.
 type upstreamSet struct {
-	mu         sync.Mutex
-	list       []*upstream
-	startCount int
+	mu   sync.Mutex
+	list []*upstream
+	// nextNumber is the number of the next upstream to be started. The names of replacements contain their number.
+	nextNumber int
 	closed     bool
 }
 
+// reserveNumber returns a number that no other upstream has.
+func (s *upstreamSet) reserveNumber() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	number := s.nextNumber
+	s.nextNumber++
+	return number
+}
+
 // pick returns a random upstream.
 func (s *upstreamSet) pick(r *rand.Rand) *upstream {
 	s.mu.Lock()
@@ -72,6 +82,11 @@
 
 // addUpstream starts an upstream that is replaced when it crashes.
 func (s *Soak) addUpstream(id, service string) (*upstream, error) {
+	return s.startUpstream(s.upstreams.reserveNumber(), id, service)
+}
+
+// startUpstream starts an upstream with a reserved number.
+func (s *Soak) startUpstream(number int, id, service string) (*upstream, error) {
 	u := &upstream{done: make(chan struct{}), Upstream: &platformtest.Upstream{
 		ID: id, Service: service, Plain: service == platformtest.PlainService, Slots: 8, EventInterval: 20 * time.Millisecond,
 		ProcessingTime: 15 * time.Millisecond, OnRun: s.checker.recordRun, OnOrder: s.checker.recordOrder, CrashPath: crashPath,
@@ -93,8 +108,7 @@
 		return u, nil
 	}
 	s.upstreams.list = append(s.upstreams.list, u)
-	s.upstreams.startCount++
-	go s.writeHeartbeats(u, listener.Addr().String(), fmt.Sprintf("dc-%d", s.upstreams.startCount%3))
+	go s.writeHeartbeats(u, listener.Addr().String(), fmt.Sprintf("dc-%d", (number+1)%3))
 	return u, nil
 }
 
@@ -121,13 +135,15 @@
 		return // already replaced
 	}
 	s.upstreams.list = slices.Delete(s.upstreams.list, i, i+1)
-	next := fmt.Sprintf("%s-%d", u.Service, s.upstreams.startCount)
 	s.upstreams.mu.Unlock()
+	// Other upstreams may stop before the replacement starts, so its number is reserved now.
+	number := s.upstreams.reserveNumber()
+	next := fmt.Sprintf("%s-%d", u.Service, number)
 	s.history.record("upstream %s stopped", u.ID)
 	u.stop()
 	time.AfterFunc(removeDelay, func() { s.store.Delete(platformtest.UpstreamTable, u.ID) })
 	time.AfterFunc(startDelay, func() {
-		if _, err := s.addUpstream(next, u.Service); err != nil {
+		if _, err := s.startUpstream(number, next, u.Service); err != nil {
 			s.history.recordViolation("upstream %s did not start: %v", next, err)
 		}
 	})
