Claim the loopback subnet of a soak run

Seen: two runs of bin/soak -seed 9690 -seconds 10 at the same time both fail, one with "entry-0 exited unexpectedly; see its log" after 0.035 s, the other with "request call--1 ran 2 times, but may run only once" after 0.098 s. Found by looking for names and ports that are computed before they are claimed.

Cause: the addresses of the gateways follow from the seed modulo 250 and fixed ports, and no run claimed them. The gateways of the second run could not bind, and its callers reached those of the first.

Fix: a run listens on one port of the first address of its subnet until it ends, and takes the next subnet if that of its seed is owned. A run alone gets the subnet that it had before. The guard is needed since gateways do not listen while they are restarted. standin/fleet claims blocks of ports in the same way.

Ruled out: the other names and addresses in standin/soak. Servers, proxies and upstreams bind port 0 and keep the listener, logs lie in a folder of the run, IDs of jobs, items and crashing requests are counted by one sender each. The IDs of plain requests contain 32 random bits and a count, which is not claimed, but a run with equal ones is improbable (below 1e-5). platform/platformtest draws no names or ports.

--- a/standin/soak/process.go
+++ b/standin/soak/process.go
@@ -28,18 +28,32 @@
 	exitExpected bool
 }
 
-// Ports of the gateways. All gateways use the same ports, since each gateway of each seed has its own IP address.
+// Ports of the gateways. All gateways use the same ports, since each gateway of each run has its own IP address.
 const (
+	guardPort = 21079
 	frontPort = 21080
 	readyPort = 21081
 	firstPort = 21090
 )
 
-// seedSubnets is the number of loopback subnets, and so of seeds that can run in parallel.
-const seedSubnets = 250
+// subnetCount is the number of loopback subnets, and so of runs that can be executed in parallel.
+const subnetCount = 250
+
+// claimSubnet claims the loopback subnet of the seed, or the next one that no run owns. A run owns a subnet while it listens
+// on guardPort of its first address, since the gateways do not listen at all times.
+func claimSubnet(seed uint64) (subnet int, guard net.Listener, err error) {
+	for i := range subnetCount {
+		subnet = (int(seed%subnetCount) + i) % subnetCount
+		guard, err = net.Listen("tcp", fmt.Sprintf("127.1.%d.1:%d", subnet, guardPort))
+		if err == nil {
+			return subnet, guard, nil
+		}
+	}
+	return 0, nil, fmt.Errorf("no free loopback subnet: %w", err)
+}
 
 // newProcess creates the gateway with the given number, its log file and its proxy to the store. It does not start it.
-func newProcess(opts Options, h *history, number int, storeAddress, dutyAddress string) (*process, error) {
+func newProcess(opts Options, h *history, subnet, number int, storeAddress, dutyAddress string) (*process, error) {
 	proxy, err := newProxy(storeAddress)
 	if err != nil {
 		return nil, err
@@ -52,7 +66,7 @@
 	return &process{
 		binary: opts.Binary, dir: opts.Dir, store: proxy, log: log, history: h,
 		settings: platformtest.ProcessSettings{
-			Name: name, IP: fmt.Sprintf("127.1.%d.%d", opts.Seed%seedSubnets, 10+number), DataCentre: fmt.Sprintf("dc-%d", number%3),
+			Name: name, IP: fmt.Sprintf("127.1.%d.%d", subnet, 10+number), DataCentre: fmt.Sprintf("dc-%d", number%3),
 			Store: proxy.Address(), Duties: dutyAddress, FrontPort: frontPort, ReadyPort: readyPort, FirstPort: firstPort,
 		},
 	}, nil
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -38,6 +38,8 @@
 	served     atomic.Int64
 	background sync.WaitGroup
 	servers    []*http.Server
+	// subnetGuard keeps other runs off the addresses of the processes.
+	subnetGuard net.Listener
 }
 
 // ErrViolation is returned when a guarantee was violated. The error text holds the first violation with the events before
@@ -123,8 +125,13 @@
 			return err
 		}
 	}
+	subnet, guard, err := claimSubnet(s.opts.Seed)
+	if err != nil {
+		return err
+	}
+	s.subnetGuard = guard
 	for i := range s.opts.Gateways {
-		p, err := newProcess(s.opts, s.history, i, storeAddress, dutyAddress)
+		p, err := newProcess(s.opts, s.history, subnet, i, storeAddress, dutyAddress)
 		if err != nil {
 			return err
 		}
@@ -167,4 +174,7 @@
 	for _, server := range s.servers {
 		server.Close()
 	}
+	if s.subnetGuard != nil {
+		s.subnetGuard.Close()
+	}
 }
