Log why a failed attempt was or was not followed by another

The log line of a request had the number of attempts and the last routing decision, but not why the entry stopped there: an empty retry budget, a used-up number of attempts and a cancelled request looked the same. The line and the explanation of the operator port now have the reason of each decision (key retry, list retries); a cancelled request has a reason of its own.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -121,6 +121,9 @@
 	if n := len(record.Decisions); n > 0 {
 		lastDecision = record.Decisions[n-1]
 	}
+	if n := len(record.Retries); n > 0 {
+		event.Str("retry", string(record.Retries[n-1]))
+	}
 	event.Str("request", x.id).Str("workspace", record.Workspace).Str("destination", record.Destination).
 		Str("upstream", record.Upstream).Int("status", record.Status).Str("outcome", record.Outcome).
 		Int("attempts", len(record.Decisions)).Dur("queue_ms", record.QueueWait).
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -64,7 +64,9 @@
 			worstOutcome = refusal.Outcome
 		}
 		last = refusal
-		if !e.mayRetry(ctx, j, attempt, refusal, receiver.bytesPassedOn()) {
+		decision := e.decideRetry(ctx, j, attempt, refusal, receiver.bytesPassedOn())
+		record.addRetryDecision(decision)
+		if !decision.Retry {
 			return delivery{}, coverAttempts(refusal, worstOutcome)
 		}
 		if err := e.checkSuspect(j); err != nil {
@@ -88,10 +90,10 @@
 	return &covered
 }
 
-// mayRetry reports whether the retry policy allows another attempt, and charges it to the retry budget.
-func (e *Entry) mayRetry(ctx context.Context, j *job, attempt int, refusal *outcome.Refusal, bytesPassedOn int64) bool {
+// decideRetry decides whether the retry policy allows another attempt, and charges it to the retry budget.
+func (e *Entry) decideRetry(ctx context.Context, j *job, attempt int, refusal *outcome.Refusal, bytesPassedOn int64) retry.Decision {
 	if ctx.Err() != nil {
-		return false
+		return retry.Decision{Reason: retry.ReasonCancelled}
 	}
 	now := e.now()
 	decision := e.retries.decide(retry.Attempt{
@@ -101,7 +103,7 @@
 	if decision.Retry {
 		e.metrics.recordRetry(string(decision.Reason))
 	}
-	return decision.Retry
+	return decision
 }
 
 // sendAttempt sends j to one upstream and passes the response to the receiver.
--- a/entry/record.go
+++ b/entry/record.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/radishshelf/radishshelf/outcome"
+	"github.com/radishshelf/radishshelf/retry"
 )
 
 // maxRecords limits the stored explanations; at about 1 KiB each they use less than 4 MiB.
@@ -18,15 +19,17 @@
 	// Destination is the name of the policy or route.
 	Destination string `json:"destination"`
 	// Decisions has one line for each routing decision, and Failures one for each failed attempt.
-	Decisions []string      `json:"decisions,omitempty"`
-	Failures  []string      `json:"failures,omitempty"`
-	Upstream  string        `json:"upstream,omitempty"`
-	Status    int           `json:"status"`
-	Outcome   string        `json:"outcome"`
-	Refusal   outcome.Kind  `json:"refusal,omitempty"`
-	QueueWait time.Duration `json:"queue_wait_ns"`
-	FirstByte time.Duration `json:"first_byte_ns"`
-	Total     time.Duration `json:"total_ns"`
+	Decisions []string `json:"decisions,omitempty"`
+	Failures  []string `json:"failures,omitempty"`
+	// Retries has the reason, for each failed attempt, why it was or was not retried.
+	Retries   []retry.Reason `json:"retries,omitempty"`
+	Upstream  string         `json:"upstream,omitempty"`
+	Status    int            `json:"status"`
+	Outcome   string         `json:"outcome"`
+	Refusal   outcome.Kind   `json:"refusal,omitempty"`
+	QueueWait time.Duration  `json:"queue_wait_ns"`
+	FirstByte time.Duration  `json:"first_byte_ns"`
+	Total     time.Duration  `json:"total_ns"`
 }
 
 // requestRecord collects the explanation while the request runs. All generations of a rollout group share one record.
@@ -61,6 +64,12 @@
 	r.Failures = append(r.Failures, upstream+": "+refusal.Error())
 }
 
+func (r *requestRecord) addRetryDecision(d retry.Decision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Retries = append(r.Retries, d.Reason)
+}
+
 // explanationStore keeps the most recent explanations by request id.
 type explanationStore struct {
 	mu   sync.Mutex
--- a/retry/reason.go
+++ b/retry/reason.go
@@ -13,4 +13,6 @@
 	ReasonAttempts      Reason = "attempts_used"
 	ReasonDeadline      Reason = "deadline"
 	ReasonBudget        Reason = "budget_empty"
+	// ReasonCancelled means that the request was cancelled or its deadline passed; Policy.Decide does not return it.
+	ReasonCancelled Reason = "cancelled"
 )
