Treat a request as a suspect when an agent refuses it as one

What callers saw: a request that one agent refused as a crash suspect, or as quarantined, was sent to the next upstream as an ordinary request, beside others, if the agent there had not heard of it yet. It could end that upstream, and the requests beside it failed.

Cause: the entry took the refusal for one of the upstream, not of the request. It kept nothing of it, so the check before the next attempt passed.

Now the entry records the request as a suspect for the time of the agent's Retry-After. Agents refuse a request that runs alone only from the second death on: it is then refused, and otherwise the next attempt runs alone. What remains: an ordinary request that is refused for two deaths is tried once alone, as the refusal does not say how many deaths it counts.

Evidence: entry:TestRequestRefusedAsSuspectRunsAlone without the change 'the suspect was sent 8 times beside other requests', entry:TestRequestRefusedAsQuarantinedIsNotSentOn without it 'got status 200'; both pass with it.

--- a/entry/fleetsuspects.go
+++ b/entry/fleetsuspects.go
@@ -13,7 +13,8 @@
 	maxLocalSuspects = 4096
 )
 
-// localSuspect is a request whose upstream failed while running it, as observed by this entry.
+// localSuspect is a request whose upstream failed while running it, or that an agent refused as a suspect, as observed by this
+// entry.
 type localSuspect struct {
 	until time.Time
 	// repeated is set if the request was already a suspect and ran exclusively.
@@ -21,7 +22,8 @@
 }
 
 // checkQuarantine returns how a request may run. A request whose upstream has just failed is a suspect at once, and one
-// that fails again as a suspect is refused: until the agent's heartbeat arrives, it could crash another upstream.
+// that fails again as a suspect is refused: until the agent's heartbeat arrives, it could crash another upstream. The same
+// holds for a request that an agent refused as a suspect: this entry and other agents may not know of it yet.
 func (f *Fleet) checkQuarantine(fingerprint string, now time.Time) quarantine.Decision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -37,15 +39,15 @@
 	return decision
 }
 
-// addSuspect records that an upstream failed while running a request. repeated is set if the request was already a
-// suspect.
-func (f *Fleet) addSuspect(fingerprint string, repeated bool, now time.Time) {
+// addSuspect records for the duration ttl that a request is a suspect. repeated is set if the request was already one and ran
+// exclusively.
+func (f *Fleet) addSuspect(fingerprint string, repeated bool, ttl time.Duration, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(f.suspects) >= maxLocalSuspects {
 		f.pruneSuspects(now)
 	}
-	f.suspects[fingerprint] = localSuspect{until: now.Add(localSuspectTTL), repeated: repeated}
+	f.suspects[fingerprint] = localSuspect{until: now.Add(ttl), repeated: repeated}
 }
 
 // pruneSuspects drops the expired suspects, or all if none has expired: the agents report the actual suspects soon. The
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -146,17 +146,20 @@
 }
 
 // recordFailure excludes an upstream from selection at once if its address refuses connections, and marks a request as a
-// crash suspect if its upstream failed while running it.
+// crash suspect if its upstream failed while running it or its agent refused it as one.
 func (e *Entry) recordFailure(ctx context.Context, j *job, choice upstreamChoice, err error) {
 	refusal := asRefusal(err)
-	if ctx.Err() != nil || refusal.Kind != outcome.KindUpstreamFailed {
-		return
-	}
-	if refusal.Outcome == outcome.NotRun {
+	switch {
+	case ctx.Err() != nil:
+	case refusal.Kind == outcome.KindQuarantined:
+		// Agents refuse an exclusive request only after repeated deaths.
+		e.fleet.addSuspect(j.fingerprint, j.exclusive, max(refusal.RetryAfter, localSuspectTTL), e.now())
+	case refusal.Kind != outcome.KindUpstreamFailed:
+	case refusal.Outcome == outcome.NotRun:
 		e.fleet.recordConnectionRefused(choice.upstream.Name, e.now())
-		return
+	default:
+		e.fleet.addSuspect(j.fingerprint, j.exclusive, localSuspectTTL, e.now())
 	}
-	e.fleet.addSuspect(j.fingerprint, j.exclusive, e.now())
 }
 
 // truncatedRefusal returns the refusal for a response that began and did not complete.
