Answer 503 when a request was refused as not run by failed upstreams

What callers saw: 502 with outcome "not run" when no attempt of a request had reached an upstream. Callers and proxies take 502 for a request that may have run, and many resend only after 503.

Cause: the refusals for a connection that was not made, at the entry and at the agent, had the status of those for a connection that broke.

A failed upstream now gives 503 with Retry-After while the outcome is "not run". Where an earlier attempt of the request may have run (and for a rollout group with more than one generation), the answer is 502 as before: the status is set together with the outcome of the whole request. Statuses of other kinds are unchanged.

Evidence: entry:TestRefusedConnectionIsNotRun without the change 'got status 502', agent:TestRefusedConnectionIsNotRun 'status 502, Retry-After 1s; want 503'; entry:TestStatusCoversAllAttempts with the new statuses but without withOutcome 'status 503, want 502'. All pass with the change.

--- a/agent/outcome_test.go
+++ b/agent/outcome_test.go
@@ -89,6 +89,9 @@
 	server.Close()
 	_, err := f.client.Do(t.Context(), f.call("r1", http.MethodPost, "/bookings", []byte(`{"id":"b1"}`)))
 	wantRefusal(t, err, outcome.KindUpstreamFailed, outcome.NotRun)
+	if refusal, _ := outcome.AsRefusal(err); refusal.Status != http.StatusServiceUnavailable || refusal.RetryAfter <= 0 {
+		t.Errorf("status %d, Retry-After %s; want 503 with a time", refusal.Status, refusal.RetryAfter)
+	}
 }
 
 // Guards against a request that is refused as "not run" by a full or leaving agent, but reached the upstream.
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -72,7 +72,7 @@
 		RetryAfter: defaultRetryAfter, Err: err,
 	}
 	if !sent {
-		r.Outcome = outcome.NotRun
+		r.Outcome, r.Status = outcome.NotRun, http.StatusServiceUnavailable
 		r.Message = "no connection to the upstream"
 		r.Remedy = "use another upstream"
 	}
--- a/dataplane/client.go
+++ b/dataplane/client.go
@@ -90,7 +90,7 @@
 
 func notSentRefusal(call Call, err error) *outcome.Refusal {
 	return &outcome.Refusal{
-		Kind: outcome.KindUpstreamFailed, Outcome: outcome.NotRun, Status: http.StatusBadGateway,
+		Kind: outcome.KindUpstreamFailed, Outcome: outcome.NotRun, Status: http.StatusServiceUnavailable,
 		Message: "no connection to the agent at " + call.Address, Remedy: "repeat the request",
 		RetryAfter: time.Second, Err: err,
 	}
--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -57,15 +57,36 @@
 	}
 }
 
-// Guards against a refused connection that is not reported as "not run" with a time to retry.
+// Guards against a status that invites a resend of a request that an earlier attempt may have run.
+func TestStatusCoversAllAttempts(t *testing.T) {
+	r := newTestEnv(t, func(o *Options) { o.Settings.RetryShare = 1 })
+	dead := newFakeAgent(t, respondWithText("x"))
+	dead.server.Close()
+	reset := newFakeAgent(t, func(http.ResponseWriter, *http.Request) {
+		// Only the retry finds this upstream.
+		r.addUpstream("desk-2", fleetconfig.UpstreamService, "desk", dead)
+		panic(http.ErrAbortHandler)
+	})
+	r.addUpstream("desk-1", fleetconfig.UpstreamService, "desk", reset)
+	got := r.do("POST", "/fare", testSecret, "x")
+	got.wantRefusal(t, outcome.KindUpstreamFailed, outcome.MayHaveRun)
+	if explanation, _ := r.entry.Explain(got.header.Get(HeaderRequestID)); len(explanation.Failures) != 2 {
+		t.Fatalf("failures %q, want one of each upstream", explanation.Failures)
+	}
+	if got.status != http.StatusBadGateway {
+		t.Fatalf("status %d, want %d", got.status, http.StatusBadGateway)
+	}
+}
+
+// Guards against a refused connection that is not reported as "not run", with a status and a time to retry.
 func TestRefusedConnectionIsNotRun(t *testing.T) {
 	r := newTestEnv(t, nil)
 	dead := newFakeAgent(t, respondWithText("x"))
 	dead.server.Close()
 	r.addService(dead)
 	got := r.do("POST", "/book", testSecret, "x")
-	if got.refusal.Outcome != outcome.NotRun.String() || got.header.Get("Retry-After") == "" {
-		t.Fatalf("got %+v", got.refusal)
+	if got.refusal.Outcome != outcome.NotRun.String() || got.header.Get("Retry-After") == "" || got.status != http.StatusServiceUnavailable {
+		t.Fatalf("got status %d, %+v", got.status, got.refusal)
 	}
 }
 
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -85,9 +85,19 @@
 	if worstOutcome == outcome.NotRun || last.Outcome != outcome.NotRun {
 		return last
 	}
-	covered := *last
-	covered.Outcome = worstOutcome
-	return &covered
+	return withOutcome(last, worstOutcome)
+}
+
+// withOutcome returns a copy of the refusal of an attempt that did not run, with the outcome of the whole request. The status
+// 503 of a failed upstream invites callers and proxies to resend, so it is kept only for "not run".
+func withOutcome(refusal *outcome.Refusal, o outcome.Outcome) *outcome.Refusal {
+	changed := *refusal
+	changed.Outcome = o
+	if changed.Kind == outcome.KindUpstreamFailed && o != outcome.NotRun {
+		changed.Status = http.StatusBadGateway
+		changed.Remedy = "check the effect before repeating the request"
+	}
+	return &changed
 }
 
 // decideRetry decides whether the retry policy allows another attempt, and charges it to the retry budget.
--- a/entry/grouprun.go
+++ b/entry/grouprun.go
@@ -75,11 +75,11 @@
 // groupRefusal returns the refusal of the whole group. Its outcome covers the generations of the other samples, which
 // may have run.
 func (g *groupRun) groupRefusal(err error) *outcome.Refusal {
-	refusal := *asRefusal(err)
+	refusal := asRefusal(err)
 	if g.generations.Load() > 1 && refusal.Outcome == outcome.NotRun {
-		refusal.Outcome = outcome.MayHaveRun
+		return withOutcome(refusal, outcome.MayHaveRun)
 	}
-	return &refusal
+	return refusal
 }
 
 // completeSample generates one sample until it is usable. oneMissing is closed when one sample of the group is missing;
