Send a request that has not run to another upstream without retry budget

What callers saw: standin/fleet:TestCrashingRequest failed now and then beside load: 0.4 s after an engine had died an entry that had not heard of it chose it for an unrelated request, was refused as not run and answered 502 after one attempt, while another engine was idle.

Cause: each retry spent one from the retry budget, also one after "not run". The budget of a quiet entry starts at 0.5 and earns 0.5 a second and 0.1 a request; the requests that had broken off with the engines had just spent it. The log line of the failed run (run 10 of 20 beside three busy loops) has attempts=1, engine-3 as a second candidate at a cost of 0.540, outcome=not-run and retry=budget_empty.

Ruled out by that line: the idle engine was a candidate, so neither the suspects nor an isolated request had reserved it; neither the sends (attempts_used) nor the time (deadline) were used up; the test assumes nothing that the design does not promise.

Now only a retry of an attempt that may have run spends the budget, as only that one can repeat work at an upstream. The sends stay bounded when upstreams refuse everything: at most max_attempts (3) for each request, each at another upstream, so that no upstream gets a request twice and all of them together get at most three times what callers send. A refusal costs an agent the read of the body and no slot. An upstream that refused a connection is not chosen again until its agent reports. Weighed: a larger first balance (shifts the moment at which it is empty) and a second budget for retries after "not run" (empty just when several upstreams have died at once).

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -100,7 +100,7 @@
 	return &changed
 }
 
-// decideRetry decides whether the retry policy allows another attempt, and charges it to the retry budget.
+// decideRetry decides whether the retry policy allows another attempt. It spends the retry budget as the policy does.
 func (e *Entry) decideRetry(ctx context.Context, j *job, attempt int, refusal *outcome.Refusal, bytesPassedOn int64) retry.Decision {
 	if ctx.Err() != nil {
 		return retry.Decision{Reason: retry.ReasonCancelled}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -48,7 +48,8 @@
 	// number of queued requests.
 	QueueTokens int64 `json:"queue_tokens,omitempty"`
 	QueueLength int   `json:"queue_length,omitempty"`
-	// RetryShare is the retry budget as a fraction of first attempts, from 0 to 1.
+	// RetryShare is the retry budget as a fraction of first attempts, from 0 to 1. Retries of attempts that have not run do not
+	// spend it.
 	RetryShare float64 `json:"retry_share,omitempty"`
 	// MaxAttempts limits the attempts of one request.
 	MaxAttempts int `json:"max_attempts,omitempty"`
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// BudgetConfig limits the extra load that retries and hedges may cause.
+// BudgetConfig limits the extra load that hedges and retries of attempts that may have run cause.
 type BudgetConfig struct {
 	// Share is the number of retries that each first attempt earns, for example 0.1.
 	Share float64
@@ -13,12 +13,13 @@
 	MaxBalance float64
 }
 
-// DefaultBudgetConfig allows one retry for every ten first attempts.
+// DefaultBudgetConfig allows one such retry for every ten first attempts.
 func DefaultBudgetConfig() BudgetConfig {
 	return BudgetConfig{Share: 0.1, MinPerSecond: 0.5, MaxBalance: 20}
 }
 
-// Budget is a balance of retries: first attempts and elapsed time add to it, retries and hedges spend it.
+// Budget is a balance of retries: first attempts and elapsed time add to it, hedges and retries of attempts that may have run
+// spend it.
 type Budget struct {
 	cfg     BudgetConfig
 	balance float64
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -17,7 +17,8 @@
 	return Policy{MaxAttempts: 3}
 }
 
-// Decide decides whether to retry a failed attempt. If so, it has spent one retry from budget.
+// Decide decides whether to retry a failed attempt. Only a retry of an attempt that may have run spends from budget, because
+// only that one may repeat work. The sends of a request that has not run are limited by MaxAttempts.
 func (p Policy) Decide(a Attempt, budget *Budget, now time.Time) Decision {
 	reason, safe := retryable(a)
 	if !safe {
@@ -29,7 +30,7 @@
 	if a.DeadlineLeft <= 0 || a.DeadlineLeft < a.MinRunTime {
 		return Decision{Reason: ReasonDeadline}
 	}
-	if !budget.Spend(now) {
+	if reason != ReasonNotRun && !budget.Spend(now) {
 		return Decision{Reason: ReasonBudget}
 	}
 	return Decision{Retry: true, Reason: reason}
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -75,11 +75,31 @@
 		}
 	}
 	empty := NewBudget(BudgetConfig{MaxBalance: 1}, start)
-	if got := DefaultPolicy().Decide(base, empty, start); got.Reason != ReasonBudget {
+	if got := DefaultPolicy().Decide(base, empty, start); got != (Decision{false, ReasonBudget}) {
 		t.Errorf("empty budget: %+v", got)
 	}
 }
 
+// Guards against a request that has not run and is not retried because others spent the budget, against one that spends what
+// the others need, and against retries of it without limit.
+func TestNotRunSpendsNoBudget(t *testing.T) {
+	a := Attempt{Outcome: outcome.NotRun, DeadlineLeft: time.Second}
+	for _, balance := range []float64{0, 1} {
+		b := NewBudget(BudgetConfig{MinPerSecond: balance, MaxBalance: 1}, start)
+		for a.Number = 1; a.Number < DefaultPolicy().MaxAttempts; a.Number++ {
+			if got := DefaultPolicy().Decide(a, b, start); got != (Decision{true, ReasonNotRun}) {
+				t.Errorf("attempt %d with balance %v: %+v", a.Number, balance, got)
+			}
+		}
+		if got := DefaultPolicy().Decide(a, b, start); got != (Decision{false, ReasonAttempts}) {
+			t.Errorf("attempt %d with balance %v: %+v", a.Number, balance, got)
+		}
+		if got := b.Balance(start); got != balance {
+			t.Errorf("balance %v, want %v", got, balance)
+		}
+	}
+}
+
 // Guards against hedging requests that must not run twice, and against hedging every sample of a slow group.
 func TestHedge(t *testing.T) {
 	observed := &Latencies{}
