--- a/entry/forward.go
+++ b/entry/forward.go
@@ -64,7 +64,9 @@
 			worstOutcome = refusal.Outcome
 		}
 		last = refusal
-		if !e.mayRetry(ctx, j, attempt, refusal, receiver.bytesPassedOn()) {
+		decision := e.decideRetry(ctx, j, attempt, refusal, receiver.bytesPassedOn())
+		record.addRetryDecision(decision)
+		if !decision.Retry {
 			return delivery{}, coverAttempts(refusal, worstOutcome)
 		}
 		if err := e.checkSuspect(j); err != nil {
@@ -83,15 +85,25 @@
 	if worstOutcome == outcome.NotRun || last.Outcome != outcome.NotRun {
 		return last
 	}
-	covered := *last
-	covered.Outcome = worstOutcome
-	return &covered
+	return withOutcome(last, worstOutcome)
 }
 
-// mayRetry reports whether the retry policy allows another attempt, and charges it to the retry budget.
-func (e *Entry) mayRetry(ctx context.Context, j *job, attempt int, refusal *outcome.Refusal, bytesPassedOn int64) bool {
+// withOutcome returns a copy of the refusal of an attempt that did not run, with the outcome of the whole request. The status
+// 503 of a failed upstream invites callers and proxies to resend, so it is kept only for "not run".
+func withOutcome(refusal *outcome.Refusal, o outcome.Outcome) *outcome.Refusal {
+	changed := *refusal
+	changed.Outcome = o
+	if changed.Kind == outcome.KindUpstreamFailed && o != outcome.NotRun {
+		changed.Status = http.StatusBadGateway
+		changed.Remedy = "check the effect before repeating the request"
+	}
+	return &changed
+}
+
+// decideRetry decides whether the retry policy allows another attempt. It spends the retry budget as the policy does.
+func (e *Entry) decideRetry(ctx context.Context, j *job, attempt int, refusal *outcome.Refusal, bytesPassedOn int64) retry.Decision {
 	if ctx.Err() != nil {
-		return false
+		return retry.Decision{Reason: retry.ReasonCancelled}
 	}
 	now := e.now()
 	decision := e.retries.decide(retry.Attempt{
@@ -101,7 +113,7 @@
 	if decision.Retry {
 		e.metrics.recordRetry(string(decision.Reason))
 	}
-	return decision.Retry
+	return decision
 }
 
 // sendAttempt sends j to one upstream and passes the response to the receiver.
@@ -144,17 +156,20 @@
 }
 
 // recordFailure excludes an upstream from selection at once if its address refuses connections, and marks a request as a
-// crash suspect if its upstream failed while running it.
+// crash suspect if its upstream failed while running it or its agent refused it as one.
 func (e *Entry) recordFailure(ctx context.Context, j *job, choice upstreamChoice, err error) {
 	refusal := asRefusal(err)
-	if ctx.Err() != nil || refusal.Kind != outcome.KindUpstreamFailed {
-		return
-	}
-	if refusal.Outcome == outcome.NotRun {
+	switch {
+	case ctx.Err() != nil:
+	case refusal.Kind == outcome.KindQuarantined:
+		// Agents refuse an exclusive request only after repeated deaths.
+		e.fleet.addSuspect(j.fingerprint, j.exclusive, max(refusal.RetryAfter, localSuspectTTL), e.now())
+	case refusal.Kind != outcome.KindUpstreamFailed:
+	case refusal.Outcome == outcome.NotRun:
 		e.fleet.recordConnectionRefused(choice.upstream.Name, e.now())
-		return
+	default:
+		e.fleet.addSuspect(j.fingerprint, j.exclusive, localSuspectTTL, e.now())
 	}
-	e.fleet.addSuspect(j.fingerprint, j.exclusive, e.now())
 }
 
 // truncatedRefusal returns the refusal for a response that began and did not complete.
