Seal usage windows without batch rows that cannot be decoded

What callers see: one batch row in the table that the holder of role usage cannot decode no longer stops the reports. Its window is sealed and reported from the other rows, the later windows too. The row is copied to usage/kept/ under the rest of its key before its window is sealed. There is one line "row skipped" (level warn, key and error) for each row and process, the counter radishshelf_usage_rows_skipped_total, and the field "unreadable" in the sealed row and in the line "usage window sealed".

Cause: aggregate returned the decoding error, Step ended at the first window with an error, and the next step met the same row again. Windows are handled oldest first, so no later one was reached.

Rows that are JSON but not the batch of their key (null, an object of another format, a batch without records) did not give an error: they decoded to an empty batch, were counted as one and deleted with the window. They now count as unreadable. A writer makes the key from the batch and never writes an empty one, so no row that it wrote is affected.

Ruled out: - Leave the row in place: the window would never be done, and with 64 such windows (maxWindowsPerStep) no later one would be reached. Delete it: a later version may be able to read it. - Decide at the deletion which rows to copy: a holder of another version that takes over between seal and deletion may read a row that the seal has left out, and would delete it uncounted. The copy is therefore made before the seal, under the guard of the role. - Move the row instead of copying it: with all rows of a window moved before a crash, nobody would seal the window. - Skip the row usage/counted or a sealed row that cannot be decoded: without the first, records would be counted twice, without the second, other figures might be sent. Both still stop the step.

Why it works: the decoding error of a row no longer leaves aggregate; only errors of the table do, and the next step repeats the seal, where the copies exist already. No record of the row is added to usage/counted, so the same record from a recovery batch counts once, and a later reader of the copy can tell for 48 hours what was counted.

--- a/usage/sealed.go
+++ b/usage/sealed.go
@@ -16,7 +16,9 @@
 	Missing int64 `json:"missing,omitempty"`
 	// Repeated counts the records that arrived more than once.
 	Repeated int64 `json:"repeated,omitempty"`
-	// Batches counts the batches of the window.
+	// Unreadable counts the batch rows that could not be decoded. Their usage is in no report.
+	Unreadable int64 `json:"unreadable,omitempty"`
+	// Batches counts the batches of the window without the unreadable ones.
 	Batches int64 `json:"batches"`
 }
 
--- a/usagestore/keys.go
+++ b/usagestore/keys.go
@@ -17,6 +17,9 @@
 	closingPrefix  = "usage/closing/"
 	sealedPrefix   = "usage/sealed/"
 	reportedPrefix = "usage/reported/"
+	// keptPrefix is the prefix of the copies of unreadable batch rows. It is no longer than batchPrefix, so that the key of
+	// a copy is within the table's limit.
+	keptPrefix = "usage/kept/"
 	// countedKey is the row with the usage.DedupState of the latest seal.
 	countedKey = "usage/counted"
 	// maxKeySuffix sorts after every character that occurs in a key.
@@ -35,6 +38,9 @@
 	return reportedPrefix + window + "/" + url.PathEscape(workspace)
 }
 
+// keptKey returns the key of the copy of an unreadable batch row.
+func keptKey(batchKey string) string { return keptPrefix + strings.TrimPrefix(batchKey, batchPrefix) }
+
 // windowOfBatch returns the window of a batch row.
 func windowOfBatch(key string) string {
 	window, _, _ := strings.Cut(strings.TrimPrefix(key, batchPrefix), "/")
--- a/usagestore/model_test.go
+++ b/usagestore/model_test.go
@@ -95,14 +95,19 @@
 	entryFlusher *Flusher
 	reporter     *Reporter
 	previous     *Reporter
+	// unreadable holds the values of the unreadable batch rows in the table by key.
+	unreadable map[string]string
+	// log receives the lines of the reporters made from now on.
+	log zerolog.Logger
 
 	expected map[string]usage.WorkspaceTotals
 }
 
 func newHarness() *harness {
 	w := &harness{
-		ctx: context.Background(), platform: memory.New(memory.Options{}), expected: map[string]usage.WorkspaceTotals{},
-		now: time.Date(2026, 3, 1, 10, 0, 0, 0, time.UTC),
+		unreadable: map[string]string{},
+		ctx:        context.Background(), platform: memory.New(memory.Options{}), expected: map[string]usage.WorkspaceTotals{},
+		now: time.Date(2026, 3, 1, 10, 0, 0, 0, time.UTC), log: zerolog.Nop(),
 	}
 	w.interceptor = &interceptor{Table: w.platform.Table, UsageSink: w.platform.Usage}
 	w.startAgent()
@@ -142,7 +147,7 @@
 	w.previous = w.reporter
 	w.reporter = NewReporter(ReporterOptions{
 		Table: w.interceptor, Sink: w.interceptor, Authority: fakeAuthority{result.Revision}, Window: fixedWindow,
-		Grace: 20 * time.Second, Now: w.clock, Log: zerolog.Nop(), Registry: telemetry.NewRegistry(),
+		Grace: 20 * time.Second, Now: w.clock, Log: w.log, Registry: telemetry.NewRegistry(),
 	})
 }
 
--- a/usagestore/reporter.go
+++ b/usagestore/reporter.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/rowskip"
 	"github.com/radishshelf/radishshelf/telemetry"
 	"github.com/radishshelf/radishshelf/usage"
 )
@@ -40,11 +41,12 @@
 	Registry *telemetry.Registry
 }
 
-// Reporter closes, seals and reports windows while this process holds role usage. It keeps no state in memory, so that
-// a new holder continues from the rows in the table.
+// Reporter closes, seals and reports windows while this process holds role usage. It keeps no state in memory except
+// which rows it has logged, so that a new holder continues from the rows in the table.
 type Reporter struct {
 	opts    ReporterOptions
 	metrics reporterMetrics
+	skipped *rowskip.Skipper
 }
 
 // NewReporter returns a Reporter and applies the defaults of opts.
@@ -61,7 +63,8 @@
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
-	return &Reporter{opts: opts, metrics: newReporterMetrics(opts.Registry)}
+	m := newReporterMetrics(opts.Registry)
+	return &Reporter{opts: opts, metrics: m, skipped: rowskip.New(opts.Log, m.skipped)}
 }
 
 // Run calls Step at each interval until ctx ends.
--- a/usagestore/reporter_metrics.go
+++ b/usagestore/reporter_metrics.go
@@ -13,6 +13,7 @@
 	repeated  *metrics.Counter
 	conflicts *metrics.Counter
 	failed    *metrics.Counter
+	skipped   *metrics.Counter
 	delay     *metrics.Histogram
 }
 
@@ -24,6 +25,7 @@
 		repeated:  registry.GetOrCreateCounter("radishshelf_usage_records_repeated_total"),
 		conflicts: registry.GetOrCreateCounter("radishshelf_usage_report_conflicts_total"),
 		failed:    registry.GetOrCreateCounter("radishshelf_usage_report_errors_total"),
+		skipped:   registry.GetOrCreateCounter("radishshelf_usage_rows_skipped_total"),
 		delay:     registry.GetOrCreateHistogram("radishshelf_usage_report_delay_seconds"),
 	}
 }
--- a/usagestore/seal.go
+++ b/usagestore/seal.go
@@ -60,7 +60,11 @@
 	if err != nil {
 		return usage.SealedWindow{}, err
 	}
-	return r.writeSealed(ctx, sealed, counted.Prune(start.Add(-r.opts.DedupRetention)), condition)
+	sealed, err = r.writeSealed(ctx, sealed, counted.Prune(start.Add(-r.opts.DedupRetention)), condition)
+	if err == nil {
+		r.skipped.Forget() // the batches of a sealed window are not decoded again
+	}
+	return sealed, err
 }
 
 // readDedupState reads the records that earlier seals have counted. The condition that it returns makes the write fail
@@ -80,26 +84,34 @@
 	return counted, hosting.Condition{Key: countedKey, Revision: row.Revision}, nil
 }
 
+// aggregate adds up the batches of a window. Batch rows that cannot be decoded are kept and counted in the result.
 func (r *Reporter) aggregate(
 	ctx context.Context, start time.Time, counted usage.DedupState,
 ) (usage.SealedWindow, usage.DedupState, error) {
 	sealer := usage.NewSealer(start, counted)
 	prefix := batchPrefix + usage.WindowKey(start) + "/"
 	after := ""
+	unreadable := int64(0)
 	for {
 		rows, err := r.opts.Table.Scan(ctx, prefix, after, batchPageSize)
 		if err != nil {
 			return usage.SealedWindow{}, usage.DedupState{}, eris.Wrap(err, "read usage batches")
 		}
 		if len(rows) == 0 {
-			return sealer.Seal()
+			sealed, counted, err := sealer.Seal()
+			sealed.Unreadable = unreadable
+			return sealed, counted, err
 		}
 		for _, row := range rows {
-			var batch usage.Batch
-			if err := json.Unmarshal(row.Value, &batch); err != nil {
-				return usage.SealedWindow{}, usage.DedupState{}, eris.Wrapf(err, "decode %s", row.Key)
+			batch, err := decodeBatch(row)
+			if err == nil {
+				sealer.Add(batch)
+				continue
+			}
+			unreadable++
+			if err := r.keepUnreadable(ctx, row, err); err != nil {
+				return usage.SealedWindow{}, usage.DedupState{}, err
 			}
-			sealer.Add(batch)
 		}
 		after = rows[len(rows)-1].Key
 	}
@@ -131,7 +143,8 @@
 	r.metrics.missing.AddInt64(sealed.Missing)
 	r.metrics.repeated.AddInt64(sealed.Repeated)
 	r.opts.Log.Info().Str("window", sealed.Window).Int64("batches", sealed.Batches).Int("workspaces", len(sealed.Reports)).
-		Int64("missing", sealed.Missing).Int64("repeated", sealed.Repeated).Msg("usage window sealed")
+		Int64("missing", sealed.Missing).Int64("repeated", sealed.Repeated).Int64("unreadable", sealed.Unreadable).
+		Msg("usage window sealed")
 	return sealed, nil
 }
 
