Form lots without ready rows that cannot be decoded

What callers see: one row of a ready group that cannot be decoded no longer makes every pull of its trainer fail. Lots are formed from the other groups. The status of the trainer and the count behind max_ready_samples leave the row out, too; before, both failed, and with the count the last result stayed in use. There is one line "row skipped" (level warn, key and error) for each row and process, and the counter radishshelf_lot_rows_skipped_total.

Cause: readReadyPage returned the decoding error of a row, and its three callers return it. The row stays in front of the list, so the next pull met it again.

Rows that are JSON but not the group of their key gave no error. null or an object of another format decoded to a group without key, samples or object; a row without its oldest version was discarded as stale. They now count as unreadable. AddGroup writes the key into the row, and a group that passes Validate has an id, samples, versions above 0 and content, so no row that it wrote is affected.

Ruled out: - Delete or discard the row: a later version may be able to read it, and the samples would be lost. - Read the group from its group row instead: it has the same writer and format, so it would help only against damage to the one row. The page now comes with the key of its last row.

Why it works: a decoding error no longer leaves readReadyPage, and only decoded groups reach the selection, so a lot has none that could not be read. Lots and discards delete rows by the keys of selected groups, so a skipped row is never deleted, and a group that is readable again is selected like any other.

The body of TestExactlyOnceDelivery is now checkDelivery, with the same draws and checks; TestExactlyOnceDeliveryWithUnreadableRows calls it with one more action, which adds such rows. Each of these must be unchanged at the end.

Not covered: a group whose content in the object store cannot be read still fails the pulls that select it.

--- a/lotstore/capacity.go
+++ b/lotstore/capacity.go
@@ -90,8 +90,8 @@
 	count := 0
 	after := ""
 	for count <= limit {
-		page, err := s.readReadyPage(ctx, trainer, after)
-		if err != nil || len(page) == 0 {
+		page, last, err := s.readReadyPage(ctx, trainer, after)
+		if err != nil || last == "" {
 			return count, err
 		}
 		for _, r := range page {
@@ -99,7 +99,7 @@
 				count += r.Samples
 			}
 		}
-		after = page[len(page)-1].Key
+		after = last
 	}
 	return count, nil
 }
--- a/lotstore/form.go
+++ b/lotstore/form.go
@@ -67,11 +67,11 @@
 		limit = maxReadyScan
 	}
 	for (usable < p.spec.LotSamples || p.spec.Order == lots.OrderFreshest) && len(ready) < limit {
-		page, err := s.readReadyPage(ctx, p.trainer, after)
+		page, last, err := s.readReadyPage(ctx, p.trainer, after)
 		if err != nil {
 			return nil, err
 		}
-		if len(page) == 0 {
+		if last == "" {
 			break
 		}
 		for _, r := range page {
@@ -80,25 +80,11 @@
 			}
 		}
 		ready = append(ready, page...)
-		after = page[len(page)-1].Key
+		after = last
 	}
 	return ready, nil
 }
 
-func (s *Store) readReadyPage(ctx context.Context, trainer, after string) ([]lots.ReadyGroup, error) {
-	rows, err := s.opts.Table.Scan(ctx, readyPrefix(trainer), after, readyPageSize)
-	if err != nil {
-		return nil, eris.Wrapf(err, "read ready groups of %s", trainer)
-	}
-	page := make([]lots.ReadyGroup, len(rows))
-	for i, row := range rows {
-		if err := json.Unmarshal(row.Value, &page[i]); err != nil {
-			return nil, eris.Wrapf(err, "decode %s", row.Key)
-		}
-	}
-	return page, nil
-}
-
 // discardGroups records stale groups as discarded and removes them from the ready list, in transactions of limited
 // size.
 func (s *Store) discardGroups(ctx context.Context, p pullRequest, head *headState, groups []lots.DiscardedGroup) error {
--- a/lotstore/metrics.go
+++ b/lotstore/metrics.go
@@ -17,6 +17,7 @@
 	formed    *metrics.Counter
 	delivered *metrics.Counter
 	voided    *metrics.Counter
+	skipped   *metrics.Counter
 }
 
 func newStoreMetrics(registry *telemetry.Registry) storeMetrics {
@@ -28,6 +29,7 @@
 		formed:    registry.GetOrCreateCounter("radishshelf_lots_formed_total"),
 		delivered: registry.GetOrCreateCounter("radishshelf_lots_handed_over_total"),
 		voided:    registry.GetOrCreateCounter("radishshelf_lots_void_total"),
+		skipped:   registry.GetOrCreateCounter("radishshelf_lot_rows_skipped_total"),
 	}
 }
 
--- a/lotstore/model_test.go
+++ b/lotstore/model_test.go
@@ -88,13 +88,17 @@
 	seen     map[string]bool
 	contents map[int64][]byte
 	voidLots map[int64]bool
+	// unreadable holds the values of the unreadable ready rows by key, durable the keys whose write had no error.
+	unreadable map[string]string
+	durable    []string
 }
 
 func newModel(t *rapid.T) *model {
 	m := &model{
 		t: t, platform: memory.New(memory.Options{}), acknowledged: map[string]bool{}, sizes: map[string]int{}, step: 3,
 		seen: map[string]bool{}, contents: map[int64][]byte{}, voidLots: map[int64]bool{},
-		spec: testSpec,
+		unreadable: map[string]string{},
+		spec:       testSpec,
 	}
 	m.spec.Order = rapid.SampledFrom([]lots.Order{lots.OrderOldest, lots.OrderFreshest}).Draw(t, "order")
 	m.table = &interleavingTable{Table: m.platform.Table}
@@ -155,6 +159,15 @@
 	synctest.Wait()
 }
 
+// addUnreadable adds an unreadable ready row.
+func (m *model) addUnreadable() {
+	put := unreadableRow(len(m.unreadable), time.Now())
+	m.unreadable[put.Key] = string(put.Value)
+	if _, err := m.platform.Table.Commit(context.Background(), hosting.Txn{Puts: []hosting.Put{put}}); err == nil {
+		m.durable = append(m.durable, put.Key)
+	}
+}
+
 // pull makes one pull by the trainer and reports whether it made progress. The trainer receives the reply unless lost
 // is set.
 func (m *model) pull(i int, lost bool) bool {
--- a/lotstore/status.go
+++ b/lotstore/status.go
@@ -42,8 +42,8 @@
 	}
 	after := ""
 	for status.ReadyGroups < lots.MaxGroups {
-		page, err := s.readReadyPage(ctx, trainer, after)
-		if err != nil || len(page) == 0 {
+		page, last, err := s.readReadyPage(ctx, trainer, after)
+		if err != nil || last == "" {
 			return status, err
 		}
 		for _, r := range page {
@@ -56,7 +56,7 @@
 				status.OldestVersion = r.OldestVersion
 			}
 		}
-		after = page[len(page)-1].Key
+		after = last
 	}
 	return status, nil
 }
--- a/lotstore/store.go
+++ b/lotstore/store.go
@@ -10,12 +10,14 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/rowskip"
 )
 
 // Store adds groups and serves pulls. It is safe for concurrent use. Run must be running.
 type Store struct {
 	opts    Options
 	metrics storeMetrics
+	skipped *rowskip.Skipper
 	// pending holds groups that were completed here and are not stored yet, replicas the copies held for peers.
 	pending  *buffer
 	replicas *buffer
@@ -35,6 +37,7 @@
 		readyCounts: map[string]*readyCount{},
 	}
 	s.metrics = newStoreMetrics(opts.Registry)
+	s.skipped = rowskip.New(opts.Log, s.metrics.skipped)
 	return s
 }
 
