Give every pool and policy its turn in a round

What callers see: a pool whose orders, lookups or intent writes fail no longer keeps the pools after it from being ordered, and a policy that cannot be read or written no longer keeps the policies after it from new weight versions. Round of ordermanager and of rolloutmanager returns the errors of all of them, joined; Run logs them in one line for each round, as before, and radishshelf_orders_failed_total still counts rounds.

Cause: both loops returned at the first error, and pools and policies come in the same order in every round.

In ordermanager this was not all. A failed write of one intent made the next round load all intents and start with a planner without history. While the write kept failing, the other pools' scaling delays began anew each time, so a need that arose after the failing one was never ordered. Only the row of the failed pool is read again now, before its next turn, and the planner keeps its history.

Ruled out: - Only join the errors: with the reload of all intents, TestFailingPoolBlocksNoOther still fails where the intent cannot be written ("the order of tirol/engine:lifts reached the platform 0 times, want 1"). Intents written after the failure in the same round would also carry term 0. - Not read the row again: after a lost reply the pool's writes fail for ever ("was changed by another holder"). - Leave a failing pool out for some rounds: its error would no longer be in every round, and it would be late when the fault ends.

A round ends early only when its context is done or, in ordermanager, when the role is no longer held in this term; then no pool can have its turn. A round may now take CallTimeout for each call that gets no answer, for each pool; before, it stopped after the first.

Why it works: nothing that a pool or policy does in its turn changes the state of another one. An intent is still written before its order is sent, under the guard of the role and the revision that was read, so an order has one ID also after a lost reply; the test checks that each order reaches the platform once, under one term.

--- a/ordermanager/intent.go
+++ b/ordermanager/intent.go
@@ -1,6 +1,7 @@
 package ordermanager
 
 import (
+	"encoding/json"
 	"fmt"
 
 	"github.com/radishshelf/radishshelf/hosting"
@@ -33,6 +34,16 @@
 	revision int64
 }
 
+// decodeIntent returns the intent of a row.
+func decodeIntent(row hosting.Row) (Intent, error) {
+	var intent Intent
+	if err := json.Unmarshal(row.Value, &intent); err != nil {
+		return Intent{}, fmt.Errorf("intent row %s cannot be decoded: %w; restore it from the platform's list of orders", row.Key, err)
+	}
+	intent.revision = row.Revision
+	return intent, nil
+}
+
 func (i Intent) key() string { return intentPrefix + i.Pool.String() }
 
 // order returns the order with its fixed ID and the term of the current holder.
--- a/ordermanager/manager.go
+++ b/ordermanager/manager.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
+	"errors"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
@@ -24,6 +24,8 @@
 	// term is the term in which planner and intents were loaded, or 0 if they have to be loaded.
 	term    int64
 	intents map[ordering.Pool]Intent
+	// outdated holds the keys of the intent rows that must be read again before the next turn of their pool.
+	outdated map[string]bool
 
 	placed, failed *metrics.Counter
 	cost           costMeter
@@ -52,7 +54,8 @@
 }
 
 // Round handles each pool once: it resolves the pool's open intent or else plans and places a new order if one is
-// needed. It does nothing while the role is not held.
+// needed. An error of one pool does not keep the others from their turn; Round returns all errors at the end. It does
+// nothing while the role is not held.
 func (m *Manager) Round(ctx context.Context) error {
 	term, ok := m.opts.Authority.MayAct(m.opts.Now())
 	if !ok {
@@ -68,12 +71,25 @@
 	}
 	signals := m.opts.Signals(m.opts.Now())
 	m.cost.add(signals, m.desiredCount, m.opts.Now())
+	return m.reconcilePools(ctx, signals)
+}
+
+// reconcilePools ends early only if no pool can have its turn, because ctx is done or the role is lost.
+func (m *Manager) reconcilePools(ctx context.Context, signals []ordering.Signal) error {
+	var errs []error
 	for _, s := range signals {
-		if err := m.reconcilePool(ctx, s); err != nil {
-			return err
+		if ctx.Err() != nil || !m.holdsTerm() {
+			break
 		}
+		errs = append(errs, m.reconcilePool(ctx, s))
 	}
-	return nil
+	return errors.Join(errs...)
+}
+
+// holdsTerm reports whether the role is still held in the term of the loaded intents.
+func (m *Manager) holdsTerm() bool {
+	term, ok := m.opts.Authority.MayAct(m.opts.Now())
+	return ok && term == m.term
 }
 
 // loadIntents reads the intents from the table and replaces the planner by one without history.
@@ -86,22 +102,49 @@
 	}
 	intents := make(map[ordering.Pool]Intent, len(rows))
 	for _, row := range rows {
-		var intent Intent
-		if err := json.Unmarshal(row.Value, &intent); err != nil {
-			return fmt.Errorf("intent row %s cannot be decoded: %w; restore it from the platform's list of orders", row.Key, err)
+		intent, err := decodeIntent(row)
+		if err != nil {
+			return err
 		}
-		intent.revision = row.Revision
 		intents[intent.Pool] = intent
 	}
 	planner, err := ordering.New(m.opts.Planning)
 	if err != nil {
 		return err
 	}
-	m.planner, m.intents = planner, intents
+	m.planner, m.intents, m.outdated = planner, intents, map[string]bool{}
+	return nil
+}
+
+// refreshIntent reads the intent row of a pool again if it is outdated.
+func (m *Manager) refreshIntent(ctx context.Context, pool ordering.Pool) error {
+	key := Intent{Pool: pool}.key()
+	if !m.outdated[key] {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, m.opts.CallTimeout)
+	defer cancel()
+	row, err := m.opts.Table.Get(ctx, key)
+	switch {
+	case hosting.IsKind(err, hosting.KindNotFound):
+		delete(m.intents, pool)
+	case err != nil:
+		return eris.Wrapf(err, "read intent %s", key)
+	default:
+		intent, err := decodeIntent(row)
+		if err != nil {
+			return err
+		}
+		m.intents[pool] = intent
+	}
+	delete(m.outdated, key)
 	return nil
 }
 
 func (m *Manager) reconcilePool(ctx context.Context, s ordering.Signal) error {
+	if err := m.refreshIntent(ctx, s.Pool); err != nil {
+		return err
+	}
 	intent, known := m.intents[s.Pool]
 	if known && intent.State == IntentPlanned {
 		return m.resolveIntent(ctx, intent)
@@ -158,15 +201,15 @@
 func (m *Manager) place(ctx context.Context, intent Intent) error {
 	ctx, cancel := context.WithTimeout(ctx, m.opts.CallTimeout)
 	defer cancel()
-	term, ok := m.opts.Authority.MayAct(m.opts.Now())
-	if !ok || term != m.term {
+	if !m.holdsTerm() {
 		return nil
 	}
-	if err := m.opts.Orders.Place(ctx, intent.order(term)); err != nil {
-		return eris.Wrapf(err, "place order %s", intent.order(term).ID)
+	order := intent.order(m.term)
+	if err := m.opts.Orders.Place(ctx, order); err != nil {
+		return eris.Wrapf(err, "place order %s", order.ID)
 	}
 	m.placed.Inc()
-	m.opts.Log.Info().Str("pool", intent.Pool.String()).Int("count", intent.Count).Int64("term", term).
+	m.opts.Log.Info().Str("pool", intent.Pool.String()).Int("count", intent.Count).Int64("term", m.term).
 		Int64("generation", intent.Generation).Msg("order placed")
 	return m.markDone(ctx, intent)
 }
@@ -178,7 +221,8 @@
 }
 
 // writeIntent writes the pool's intent row on condition that the role is still held. After a failed or unknown result
-// the intents are reloaded before the next round, so that no order gets a second ID.
+// the row is read again before the pool's next turn, so that no order gets a second ID. The history of the planner
+// stays: without it, the other pools would have to wait for the scaling delay again.
 func (m *Manager) writeIntent(ctx context.Context, intent Intent) (Intent, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.opts.CallTimeout)
 	defer cancel()
@@ -196,7 +240,7 @@
 		Puts:       []hosting.Put{{Key: intent.key(), Value: value}},
 	})
 	if err != nil || !result.Committed {
-		m.term = 0 // reload the intents before the next round
+		m.outdated[intent.key()] = true
 	}
 	if err != nil {
 		return intent, eris.Wrapf(err, "write intent %s", intent.key())
--- a/rolloutmanager/manager.go
+++ b/rolloutmanager/manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
@@ -40,8 +41,9 @@
 	})
 }
 
-// Round advances every policy once. It does nothing without authority. A new term starts with new planners, because
-// the waits of an earlier term must not count.
+// Round advances every policy once. An error of one policy does not keep the others from their turn; Round returns all
+// errors at the end. It does nothing without authority. A new term starts with new planners, because the waits of an
+// earlier term must not count.
 func (m *Manager) Round(ctx context.Context) error {
 	term, ok := m.opts.Authority.MayAct(m.opts.Now())
 	if !ok {
@@ -52,12 +54,14 @@
 		m.term = term
 		m.planners = map[string]*rollout.Planner{}
 	}
+	var errs []error
 	for _, current := range m.opts.Rollouts() {
-		if err := m.advance(ctx, current); err != nil {
-			return err
+		if ctx.Err() != nil {
+			break
 		}
+		errs = append(errs, m.advance(ctx, current))
 	}
-	return nil
+	return errors.Join(errs...)
 }
 
 // advance plans one policy and writes the planned rollout, if any.
