Order for all other pools when an intent row cannot be decoded

What callers see: one intent row that the holder of role orders cannot decode stops the orders of its own pool only. There is one line "row skipped" (level warn, key and error) for each row and process, and the counter radishshelf_orders_rows_skipped_total. Each round returns an error that names the row while its pool is in the signals. Once the row is repaired or replaced, the next round reads it; the process need not be restarted.

Cause: loadIntents returned the decoding error, and without loaded intents a round ends before the first pool.

The pool of such a row gets no order: its generation is unknown, and an order under a used generation has the ID of an earlier order. JSON that is not the intent of its key (null, another format, no generation, an unknown state) counts as unreadable, too. Before, the first two were ignored at the load, so that the pool's next write failed with "was changed by another holder"; a row without generation led to an order with generation 1 and a row with an unknown state was taken for a completed order. writeIntent makes the key from the pool, counts generations from 1 and writes only the two states.

Ruled out: to take the pool as one without an intent, or to overwrite or delete the row (a later version may be able to read it, and the next generation depends on it).

Why it works: a row that cannot be decoded marks only its key as outdated, and a pool with an outdated row reads it before anything else in its turn and ends the turn with the error.

--- a/ordermanager/intent.go
+++ b/ordermanager/intent.go
@@ -34,16 +34,33 @@
 	revision int64
 }
 
-// decodeIntent returns the intent of a row.
+// decodeIntent returns the intent of a row. JSON in another format may decode without an error, so the intent must also
+// belong to the key of the row and be valid.
 func decodeIntent(row hosting.Row) (Intent, error) {
 	var intent Intent
-	if err := json.Unmarshal(row.Value, &intent); err != nil {
+	err := json.Unmarshal(row.Value, &intent)
+	if err == nil {
+		err = intent.checkFor(row.Key)
+	}
+	if err != nil {
 		return Intent{}, fmt.Errorf("intent row %s cannot be decoded: %w; restore it from the platform's list of orders", row.Key, err)
 	}
 	intent.revision = row.Revision
 	return intent, nil
 }
 
+func (i Intent) checkFor(key string) error {
+	switch {
+	case i.key() != key:
+		return fmt.Errorf("the row holds the intent of pool %s", i.Pool)
+	case i.Generation <= 0:
+		return fmt.Errorf("generation %d is not positive", i.Generation)
+	case i.State != IntentPlanned && i.State != IntentDone:
+		return fmt.Errorf("state %q is unknown", i.State)
+	}
+	return nil
+}
+
 func (i Intent) key() string { return intentPrefix + i.Pool.String() }
 
 // order returns the order with its fixed ID and the term of the current holder.
--- a/ordermanager/manager.go
+++ b/ordermanager/manager.go
@@ -11,6 +11,7 @@
 	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/ordering"
 	"github.com/radishshelf/radishshelf/roles"
+	"github.com/radishshelf/radishshelf/rowskip"
 )
 
 // scanLimit limits the number of intent rows that are read. It is far above the number of pools, which is the number of
@@ -27,8 +28,9 @@
 	// outdated holds the keys of the intent rows that must be read again before the next turn of their pool.
 	outdated map[string]bool
 
-	placed, failed *metrics.Counter
-	cost           costMeter
+	placed, failed, skippedRows *metrics.Counter
+	skipped                     *rowskip.Skipper
+	cost                        costMeter
 }
 
 // New returns a Manager; Run starts it.
@@ -37,11 +39,14 @@
 	if err := opts.Planning.Validate(); err != nil {
 		return nil, err
 	}
+	skippedRows := opts.Registry.NewCounter("radishshelf_orders_rows_skipped_total")
 	return &Manager{
-		opts:   opts,
-		placed: opts.Registry.NewCounter("radishshelf_orders_placed_total"),
-		failed: opts.Registry.NewCounter("radishshelf_orders_failed_total"),
-		cost:   costMeter{registry: opts.Registry},
+		opts:        opts,
+		placed:      opts.Registry.NewCounter("radishshelf_orders_placed_total"),
+		failed:      opts.Registry.NewCounter("radishshelf_orders_failed_total"),
+		skippedRows: skippedRows,
+		skipped:     rowskip.New(opts.Log, skippedRows),
+		cost:        costMeter{registry: opts.Registry},
 	}, nil
 }
 
@@ -92,7 +97,8 @@
 	return ok && term == m.term
 }
 
-// loadIntents reads the intents from the table and replaces the planner by one without history.
+// loadIntents reads the intents from the table and replaces the planner by one without history. It skips rows that
+// cannot be decoded. Their pools get no order until a later read of the row succeeds, since its generation is unknown.
 func (m *Manager) loadIntents(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, m.opts.CallTimeout)
 	defer cancel()
@@ -101,10 +107,13 @@
 		return eris.Wrap(err, "read order intents")
 	}
 	intents := make(map[ordering.Pool]Intent, len(rows))
+	outdated := map[string]bool{}
 	for _, row := range rows {
 		intent, err := decodeIntent(row)
 		if err != nil {
-			return err
+			m.skipped.Skip(row.Key, err)
+			outdated[row.Key] = true
+			continue
 		}
 		intents[intent.Pool] = intent
 	}
@@ -112,7 +121,7 @@
 	if err != nil {
 		return err
 	}
-	m.planner, m.intents, m.outdated = planner, intents, map[string]bool{}
+	m.planner, m.intents, m.outdated = planner, intents, outdated
 	return nil
 }
 
