Let a committed change spread after its author has disconnected

What operators saw: a change that was committed while its author disconnected, or whose wait ended early (the rollouts wait 0.5 s), reached the other entries only with their next pull, up to an interval of 1 s later instead of at once; if the author was gone before the entry had read the change, the entry itself had to wait for its next read, too.

Cause: AwaitPropagation read the table and started the push on the context of its caller, so that the end of the wait cancelled the calls in flight and all later ones.

Now the read and the push of a committed change run on a context of their own, with the values of the caller's. It ends with Run, that is with the process's loops, and at the latest after 10 s; each call keeps its own timeout. AwaitPropagation still returns as soon as its caller's context ends. The probes stay on the caller's context, since only the wait needs them.

--- a/configsync/network_test.go
+++ b/configsync/network_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/radishshelf/radishshelf/configstore"
 	"github.com/radishshelf/radishshelf/fleetconfig"
@@ -23,6 +24,8 @@
 	// side is the side of a partition by address. Entries on different sides cannot reach each other; the table is on
 	// side 0.
 	side map[string]int
+	// callDelay is the time that a call takes to arrive.
+	callDelay time.Duration
 }
 
 func newNetwork() *network {
@@ -58,6 +61,25 @@
 	}
 }
 
+func (w *network) setCallDelay(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.callDelay = d
+}
+
+// waitCallDelay waits until a call arrives. It returns an error if ctx ends first.
+func (w *network) waitCallDelay(ctx context.Context) error {
+	w.mu.Lock()
+	d := w.callDelay
+	w.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
 func (w *network) reachable(from, to string) *Syncer {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -80,6 +102,9 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
+	if err := l.network.waitCallDelay(ctx); err != nil {
+		return nil, err
+	}
 	return target.HandleSync(ctx, req)
 }
 
--- a/configsync/propagation.go
+++ b/configsync/propagation.go
@@ -10,6 +10,9 @@
 	probeRoundInterval = 200 * time.Millisecond
 	// isolationMargin covers a response that was in transit when an entry was cut off.
 	isolationMargin = time.Second
+	// maxSpreadTime bounds the read and the push of a committed change. A push to 350 entries, of which none responds,
+	// takes three times the timeout of a call.
+	maxSpreadTime = 10 * time.Second
 )
 
 // Propagation reports which entries have yet to apply a change.
@@ -43,17 +46,40 @@
 	}
 }
 
-// applyCommitted applies the committed change to this entry and pushes it.
+// applyCommitted applies the committed change to this entry and pushes it. It returns once the change is applied, the
+// read of the table has failed or ctx has ended. The read and the push go on after the end of ctx, because a committed
+// change must spread even if its author has disconnected.
 func (s *Syncer) applyCommitted(ctx context.Context, revision int64) {
 	if s.View().Revision() >= revision {
 		return
 	}
-	changed, err := s.readTable(ctx)
-	if err != nil {
-		s.opts.Logger.Warn().Err(err).Int64("revision", revision).Msg("cannot read committed change from the table; will retry")
-		return
+	read := make(chan struct{})
+	go func() {
+		ctx, cancel := s.spreadContext(ctx)
+		defer cancel()
+		changed, err := s.readTable(ctx)
+		close(read)
+		if err != nil {
+			s.opts.Logger.Warn().Err(err).Int64("revision", revision).
+				Msg("cannot read committed change from the table; will retry")
+			return
+		}
+		s.push(ctx, changed, true)
+	}()
+	select {
+	case <-read:
+	case <-ctx.Done():
+	}
+}
+
+// spreadContext returns a context with the values of ctx that ends after maxSpreadTime or at the end of Run.
+func (s *Syncer) spreadContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), maxSpreadTime)
+	stop := context.AfterFunc(s.lifetime, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
 	}
-	go s.push(ctx, changed, true)
 }
 
 // propagation classifies the known entries. An entry that has not responded since the change for as long as a
--- a/configsync/run.go
+++ b/configsync/run.go
@@ -23,8 +23,9 @@
 	staleFraction = 0.5
 )
 
-// Run keeps the configuration up to date until ctx ends.
+// Run keeps the configuration up to date until ctx ends. It is called once.
 func (s *Syncer) Run(ctx context.Context) error {
+	defer s.endLifetime()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.runEvery(ctx, s.refreshFromTable) })
 	group.Go(func() error { return s.runEvery(ctx, s.syncWithPeers) })
--- a/configsync/syncer.go
+++ b/configsync/syncer.go
@@ -1,6 +1,7 @@
 package configsync
 
 import (
+	"context"
 	"errors"
 	"sync"
 	"sync/atomic"
@@ -33,6 +34,10 @@
 	loggedReason fleetconfig.Reason // reason of the decision that was logged last
 
 	pullRequests chan string // addresses of peers that have a newer revision
+
+	// lifetime ends with Run. It bounds work that outlives the call that started it.
+	lifetime    context.Context
+	endLifetime context.CancelFunc
 }
 
 // New returns a Syncer with an empty configuration; Run keeps it up to date.
@@ -52,6 +57,7 @@
 		peers:        newPeerTable(self, opts.Dial, opts.Peers, now),
 		pullRequests: make(chan string, maxRelayedInfos),
 	}
+	s.lifetime, s.endLifetime = context.WithCancel(context.Background())
 	for _, p := range s.peers.sortedPeers() {
 		s.freshness.ObserveEntry(p.nameOrAddress(), "", now)
 	}
