Tell callers to check the effect of a request that may have run

What callers saw: a refusal by an agent had the remedy "repeat the request" also with the outcome may-have-run, so that a caller who followed it could book twice; and for every refusal only "the agent at ... refused the request", whatever the agent had said. The same remedy stood under a refusal whose last attempt did not run although an earlier one may have, unless its kind was upstream_failed.

Cause: decodeRefusal had one remedy for all outcomes and never read the body of the refusal; withOutcome in package entry changed the outcome of a refusal and its remedy for one kind only.

Now the remedy follows the outcome: everything but "not run" gets "check the effect before repeating the request", whatever the agent says; after "not run" the agent's own remedy stands. The agent's message follows the address of the agent. The body is read up to 4 KiB and for at most 200 ms, since the next attempt waits for it; without one the refusal is as before. The agent's remedies told the entry to "use another upstream"; callers read them now, so they say what a caller can do.

Evidence: dataplane:TestRefusalText before: 'may_have_run: got message "the agent at 127.0.0.1:34895 refused the request" and remedy "repeat the request"; want ... "check the effect before repeating the request"', the same for no outcome, an unknown one and ran; 'not_run' lacked the agent's message. entry:TestOutcomeCoversAllAttempts with its new check before: '"type":"overloaded" ... "remedy":"repeat the request","outcome":"may-have-run"'. Both pass now. TestRefusalWithStalledBody passes before (no body was read) and without the bound in time (a trial) ends with 'panic: test timed out'. FuzzRefusal checks the remedy over its corpus, too; it had no body, which a received response always has.

--- a/agent/admission.go
+++ b/agent/admission.go
@@ -14,6 +14,12 @@
 // defaultRetryAfter is how long an entry should wait before it tries this upstream again; it can use others meanwhile.
 const defaultRetryAfter = time.Second
 
+// Remedies of refusals. Entries pass them on to callers, who cannot choose an upstream.
+const (
+	remedyRepeat         = "repeat the request; another upstream may serve it"
+	remedyRepeatWhenIdle = "repeat the request later; it must run alone on an upstream"
+)
+
 // slotRequest is a request that waits for or holds a slot of the upstream.
 type slotRequest struct {
 	priority  int
@@ -91,7 +97,7 @@
 	if r.exclusive && (a.running > 0 || len(a.waiting) > 0) && a.lifecycle.State() == drain.Ready {
 		return &outcome.Refusal{
 			Kind: outcome.KindOverloaded, Outcome: outcome.NotRun, Status: http.StatusServiceUnavailable,
-			Message: "the request must run alone, but this upstream is not idle", Remedy: "use an idle upstream",
+			Message: "the request must run alone, but this upstream is not idle", Remedy: remedyRepeatWhenIdle,
 			RetryAfter: defaultRetryAfter,
 		}
 	}
@@ -105,7 +111,7 @@
 	if len(a.waiting) >= a.queueLimit && a.lifecycle.State() == drain.Ready {
 		return &outcome.Refusal{
 			Kind: outcome.KindOverloaded, Outcome: outcome.NotRun, Status: http.StatusServiceUnavailable,
-			Message: "all slots and the queue of this upstream are full", Remedy: "use another upstream",
+			Message: "all slots and the queue of this upstream are full", Remedy: remedyRepeat,
 			RetryAfter: defaultRetryAfter,
 		}
 	}
@@ -124,7 +130,7 @@
 		}
 		return &outcome.Refusal{
 			Kind: kind, Outcome: outcome.NotRun, Status: http.StatusServiceUnavailable,
-			Message: err.Error(), Remedy: "use another upstream", RetryAfter: defaultRetryAfter, Err: err,
+			Message: "this upstream is " + string(a.lifecycle.State()), Remedy: remedyRepeat, RetryAfter: defaultRetryAfter, Err: err,
 		}
 	}
 	return nil
--- a/agent/refusal.go
+++ b/agent/refusal.go
@@ -10,7 +10,8 @@
 	"github.com/radishshelf/radishshelf/outcome"
 )
 
-// refusalBody is the JSON body of a refusal. Entries read the headers instead; the body is for people.
+// refusalBody is the JSON body of a refusal. Entries decide by the headers and pass the message and the remedy on
+// to callers.
 type refusalBody struct {
 	Kind    outcome.Kind `json:"kind"`
 	Outcome string       `json:"outcome"`
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -110,7 +110,7 @@
 	if a.handlers.Add(1) > a.maxHandlers() {
 		a.refuse(w, call{requestID: r.Header.Get(dataplane.HeaderRequestID)}, time.Now(), &outcome.Refusal{
 			Kind: outcome.KindOverloaded, Outcome: outcome.NotRun, Status: http.StatusServiceUnavailable,
-			Message: "too many concurrent requests on this agent", Remedy: "use another upstream", RetryAfter: defaultRetryAfter,
+			Message: "too many concurrent requests on this agent", Remedy: remedyRepeat, RetryAfter: defaultRetryAfter,
 		})
 		return
 	}
--- a/agent/suspects.go
+++ b/agent/suspects.go
@@ -96,7 +96,7 @@
 		RetryAfter: found.expiresAt.Sub(now),
 	}
 	if found.deaths < refuseAfterDeaths {
-		refusal.Remedy = "mark the request as exclusive and send it to an idle upstream"
+		refusal.Remedy = remedyRepeatWhenIdle
 	}
 	return refusal
 }
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -74,7 +74,7 @@
 	if !sent {
 		r.Outcome, r.Status = outcome.NotRun, http.StatusServiceUnavailable
 		r.Message = "no connection to the upstream"
-		r.Remedy = "use another upstream"
+		r.Remedy = remedyRepeat
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		r.Kind, r.Status, r.Message = outcome.KindDeadline, http.StatusGatewayTimeout, "the deadline passed before the response arrived"
--- a/dataplane/client.go
+++ b/dataplane/client.go
@@ -91,7 +91,7 @@
 func notSentRefusal(call Call, err error) *outcome.Refusal {
 	return &outcome.Refusal{
 		Kind: outcome.KindUpstreamFailed, Outcome: outcome.NotRun, Status: http.StatusServiceUnavailable,
-		Message: "no connection to the agent at " + call.Address, Remedy: "repeat the request",
+		Message: "no connection to the agent at " + call.Address, Remedy: remedyRepeat,
 		RetryAfter: time.Second, Err: err,
 	}
 }
@@ -100,7 +100,7 @@
 	r := &outcome.Refusal{
 		Kind: outcome.KindUpstreamFailed, Outcome: outcome.MayHaveRun, Status: http.StatusBadGateway,
 		Message: "the agent at " + call.Address + " sent no response",
-		Remedy:  "check the effect before repeating the request", RetryAfter: time.Second, Err: err,
+		Remedy:  remedyCheckEffect, RetryAfter: time.Second, Err: err,
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		r.Kind, r.Status, r.Message = outcome.KindDeadline, http.StatusGatewayTimeout, "the deadline passed before the response arrived"
@@ -112,6 +112,6 @@
 	return &outcome.Refusal{
 		Kind: outcome.KindUpstreamFailed, Outcome: outcome.MayHaveRun, Status: http.StatusBadGateway,
 		Message: "the agent at " + call.Address + " sent a response for request " + quoteID(got),
-		Remedy:  "check the effect before repeating the request", RetryAfter: time.Second,
+		Remedy:  remedyCheckEffect, RetryAfter: time.Second,
 	}
 }
--- a/dataplane/client_test.go
+++ b/dataplane/client_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -165,3 +166,55 @@
 		}
 	}
 }
+
+// Guards against telling a caller to repeat a request that may have run, and against losing what the agent says about a
+// refusal.
+func TestRefusalText(t *testing.T) {
+	const checkEffect = "check the effect before repeating the request"
+	const body = `{"message":"the queue is full","remedy":"repeat the request later"}`
+	tests := []struct{ name, outcome, body, message, remedy string }{
+		{"may have run", "may-have-run", "", "refused the request", checkEffect},
+		{"no outcome", "", body, "refused the request: the queue is full", checkEffect},
+		{"unknown outcome", "perhaps", body, "refused the request: the queue is full", checkEffect},
+		{"ran", "ran", body, "refused the request: the queue is full", checkEffect},
+		{"not run", "not-run", body, "refused the request: the queue is full", "repeat the request later"},
+		{"not run without a body", "not-run", "", "refused the request", "repeat the request"},
+		{"not run with another body", "not-run", "<html>", "refused the request", "repeat the request"},
+		{"not run with a huge body", "not-run", `{"message":"` + strings.Repeat("x", 1<<20) + `"}`, "refused the request", "repeat the request"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, refusal := doCall(t, func(w http.ResponseWriter, r *http.Request) {
+				echoRequestID(w, r)
+				w.Header().Set(HeaderRefusalKind, "overloaded")
+				w.Header().Set(HeaderOutcome, tt.outcome)
+				w.WriteHeader(http.StatusServiceUnavailable)
+				_, _ = io.WriteString(w, tt.body)
+			}, Call{RequestID: "r1"})
+			if refusal.Remedy != tt.remedy || !strings.HasSuffix(refusal.Message, tt.message) {
+				t.Errorf("got message %.100q and remedy %.100q; want %q and %q", refusal.Message, refusal.Remedy, tt.message, tt.remedy)
+			}
+		})
+	}
+}
+
+// Guards against a refusal that takes effect late because the agent does not end its body.
+func TestRefusalWithStalledBody(t *testing.T) {
+	stalled := make(chan struct{})
+	defer close(stalled)
+	start := time.Now()
+	_, refusal := doCall(t, func(w http.ResponseWriter, r *http.Request) {
+		echoRequestID(w, r)
+		w.Header().Set(HeaderRefusalKind, "overloaded")
+		w.Header().Set(HeaderOutcome, "not-run")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-stalled:
+		case <-r.Context().Done():
+		}
+	}, Call{RequestID: "r1"})
+	if took := time.Since(start); refusal.Outcome != outcome.NotRun || took > 2*time.Second {
+		t.Errorf("got %v after %s", refusal, took)
+	}
+}
--- a/dataplane/fuzz_test.go
+++ b/dataplane/fuzz_test.go
@@ -46,11 +46,14 @@
 	f.Fuzz(func(t *testing.T, kind, outcomeText, retryAfter string) {
 		resp := &http.Response{StatusCode: http.StatusServiceUnavailable, Header: http.Header{
 			HeaderRefusalKind: {kind}, HeaderOutcome: {outcomeText}, "Retry-After": {retryAfter},
-		}}
+		}, Body: io.NopCloser(strings.NewReader(`{"remedy":"repeat the request"}`))}
 		r := decodeRefusal(Call{Address: "127.0.0.1:1"}, resp)
 		if r.Outcome == outcome.NotRun && outcomeText != outcome.NotRun.String() {
 			t.Errorf("outcome %q was decoded as not run", outcomeText)
 		}
+		if r.Outcome != outcome.NotRun && r.Remedy != remedyCheckEffect {
+			t.Errorf("outcome %q was decoded with the remedy %q", outcomeText, r.Remedy)
+		}
 		if r.RetryAfter < 0 {
 			t.Errorf("Retry-After %q was decoded as %s", retryAfter, r.RetryAfter)
 		}
--- a/dataplane/response.go
+++ b/dataplane/response.go
@@ -14,8 +14,20 @@
 // ErrTruncated means that a response ended without the agent's complete marker.
 var ErrTruncated = errors.New("the response ended without the agent's complete marker; treat it as truncated")
 
-// maxQuotedIDBytes bounds the part of a received request ID that is quoted in an error message.
-const maxQuotedIDBytes = 64
+const (
+	// maxQuotedIDBytes bounds the part of a received request ID that is quoted in an error message.
+	maxQuotedIDBytes = 64
+	// maxRefusalBodyBytes is above the size of every refusal that an agent writes.
+	maxRefusalBodyBytes = 4 << 10
+	// refusalBodyTimeout is short, because the next attempt waits for the body.
+	refusalBodyTimeout = 200 * time.Millisecond
+)
+
+// Remedies of refusals.
+const (
+	remedyRepeat      = "repeat the request"
+	remedyCheckEffect = "check the effect before repeating the request"
+)
 
 // Response is the response to a call. Result is valid only after the body has been read to its end.
 type Response struct {
@@ -87,9 +99,13 @@
 // decodeRefusal returns the refusal that the agent sent. An unknown outcome is taken as MayHaveRun.
 func decodeRefusal(call Call, resp *http.Response) *outcome.Refusal {
 	parsed, err := outcome.Parse(resp.Header.Get(HeaderOutcome))
+	text := readRefusalText(resp.Body)
 	r := &outcome.Refusal{
 		Kind: outcome.Kind(resp.Header.Get(HeaderRefusalKind)), Outcome: parsed, Status: resp.StatusCode,
-		Message: "the agent at " + call.Address + " refused the request", Remedy: "repeat the request", Err: err,
+		Message: "the agent at " + call.Address + " refused the request", Remedy: text.remedy(parsed), Err: err,
+	}
+	if text.Message != "" {
+		r.Message += ": " + text.Message
 	}
 	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil && seconds > 0 {
 		r.RetryAfter = time.Duration(min(seconds, int(maxRetryAfter/time.Second))) * time.Second
@@ -97,6 +113,36 @@
 	return r
 }
 
+// refusalText is the part of the body of a refusal that is meant for people.
+type refusalText struct {
+	Message string `json:"message"`
+	Remedy  string `json:"remedy"`
+}
+
+// readRefusalText reads the body of a refusal. The text is empty if the agent sent none, or not in time.
+func readRefusalText(body io.ReadCloser) refusalText {
+	stop := time.AfterFunc(refusalBodyTimeout, func() { _ = body.Close() })
+	defer stop.Stop()
+	data, err := io.ReadAll(io.LimitReader(body, maxRefusalBodyBytes))
+	var text refusalText
+	if err != nil || json.Unmarshal(data, &text) != nil {
+		return refusalText{}
+	}
+	return text
+}
+
+// remedy returns the agent's remedy. It never invites callers to repeat a request that may have run.
+func (t refusalText) remedy(o outcome.Outcome) string {
+	switch {
+	case o != outcome.NotRun:
+		return remedyCheckEffect
+	case t.Remedy != "":
+		return t.Remedy
+	default:
+		return remedyRepeat
+	}
+}
+
 func quoteID(id string) string {
 	if len(id) > maxQuotedIDBytes {
 		id = id[:maxQuotedIDBytes]
--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -272,7 +272,11 @@
 	}
 	r.addUpstream("desk-1", fleetconfig.UpstreamService, "desk", newFakeAgent(t, serve))
 	r.addUpstream("desk-2", fleetconfig.UpstreamService, "desk", newFakeAgent(t, serve))
-	r.do("POST", "/fare", testSecret, "x").wantRefusal(t, outcome.KindOverloaded, outcome.MayHaveRun)
+	got := r.do("POST", "/fare", testSecret, "x")
+	got.wantRefusal(t, outcome.KindOverloaded, outcome.MayHaveRun)
+	if !strings.Contains(got.body, "check the effect before repeating the request") {
+		t.Errorf("body %s; want the remedy of a request that may have run", got.body)
+	}
 	if n := calls.Load(); n != 2 {
 		t.Fatalf("%d attempts, want 2", n)
 	}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -93,9 +93,13 @@
 func withOutcome(refusal *outcome.Refusal, o outcome.Outcome) *outcome.Refusal {
 	changed := *refusal
 	changed.Outcome = o
-	if changed.Kind == outcome.KindUpstreamFailed && o != outcome.NotRun {
+	if o == outcome.NotRun {
+		return &changed
+	}
+	// The remedy may be to repeat the request, which is right for the last attempt only.
+	changed.Remedy = "check the effect before repeating the request"
+	if changed.Kind == outcome.KindUpstreamFailed {
 		changed.Status = http.StatusBadGateway
-		changed.Remedy = "check the effect before repeating the request"
 	}
 	return &changed
 }
