Renew known suspects while an agent's list of suspects is full

What operators saw: with 4,096 crash suspects at an agent, a suspect that entries went on reporting expired at the agent, which then let the request run again although the quarantine of the fleet was still in force. The entries check suspects, too, so this shows where an entry has not heard of one.

Cause: recordReported stopped at the limit before it looked at the fingerprint, so that a full list lost renewals of its own members, and all reports after the first one over the limit.

Now only a new fingerprint is dropped at the limit, and the rest of the list is still read.

Evidence: agent:TestFullSuspectListIsRenewed before: 'a suspect that was reported again has expired'; it passes now. go test ./agent and ./docs pass.

--- a/agent/suspects.go
+++ b/agent/suspects.go
@@ -65,8 +65,8 @@
 	defer s.mu.Unlock()
 	s.expire(now)
 	for _, q := range list {
-		if len(s.reported) >= maxSuspects {
-			return
+		if _, known := s.reported[q.Fingerprint]; !known && len(s.reported) >= maxSuspects {
+			continue
 		}
 		// Limited, so that a wrong value neither overflows nor makes the agent refuse a request forever.
 		remaining := time.Duration(min(q.RemainingMs, s.retention.Milliseconds())) * time.Millisecond
