Name the disconnect of a caller as such in an agent's refusal

What operators saw: for a caller that disconnected while its request waited for a slot, the agent's log said "the deadline passed while the request waited for a slot", and the refusal advised "a later deadline"; the same if it disconnected while the body was read.

Cause: both places took every end of the context for its deadline.

Now the error of the context decides. A disconnect is refused as "the caller closed the connection ...", with status 499, which nobody receives, as the entry does it. The kind stays "deadline", also as at the entry: kinds are part of the API, so the metric radishshelf_agent_refusals_total still counts both under one kind.

Evidence: agent:TestEndedWaitNamesItsReason before: 'got 503 "the deadline passed while the request waited for a slot"; want 499 "the caller closed the connection"'; it passes now, and its case of a passed deadline passes before and after. The place that reads the body has no test of its own; it calls the same function. go test ./agent and ./docs pass.

--- a/agent/admission.go
+++ b/agent/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"sync"
@@ -14,6 +15,9 @@
 // defaultRetryAfter is how long an entry should wait before it tries this upstream again; it can use others meanwhile.
 const defaultRetryAfter = time.Second
 
+// statusCallerGone is the status for a caller that closed its connection. Nobody receives it.
+const statusCallerGone = 499
+
 // Remedies of refusals. Entries pass them on to callers, who cannot choose an upstream.
 const (
 	remedyRepeat         = "repeat the request; another upstream may serve it"
@@ -87,7 +91,7 @@
 		return nil
 	case <-ctx.Done():
 		a.cancel(r)
-		return deadlineRefusal("the deadline passed while the request waited for a slot")
+		return endedRefusal(ctx, "while the request waited for a slot")
 	}
 }
 
@@ -184,6 +188,17 @@
 	a.closeIfStopped()
 }
 
+// endedRefusal returns the refusal of a request whose context ended before it was sent to the upstream.
+func endedRefusal(ctx context.Context, during string) *outcome.Refusal {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return deadlineRefusal("the deadline passed " + during)
+	}
+	return &outcome.Refusal{
+		Kind: outcome.KindDeadline, Outcome: outcome.NotRun, Status: statusCallerGone,
+		Message: "the caller closed the connection " + during, Remedy: remedyRepeat,
+	}
+}
+
 func deadlineRefusal(message string) *outcome.Refusal {
 	return &outcome.Refusal{
 		Kind: outcome.KindDeadline, Outcome: outcome.NotRun, Status: http.StatusServiceUnavailable,
--- a/agent/run.go
+++ b/agent/run.go
@@ -73,7 +73,7 @@
 		return nil, bodyRefusal(err, a.settings.MaxBodyBytes)
 	}
 	if ctx.Err() != nil {
-		return nil, deadlineRefusal("the deadline passed while the body was read")
+		return nil, endedRefusal(ctx, "while the body was read")
 	}
 	return body, nil
 }
