Forget entries that have left in the heartbeats of an agent

What operators saw: nothing at once; an agent that outlives many entries grew by a client and a counter for each of them. An entry that came back at the same address started with the misses of the one before it.

Cause: heartbeatSender.peers kept the client of every address that had ever been a target. entryList.misses dropped the count of an address only at its third miss in a row, not when its entry announced that it leaves, and a heartbeat that failed after that announcement counted for an address that was no longer known.

Now the clients are those of the targets of the current round; an entry that becomes a target again gets a new client over the same connections. The misses go with the learned entry, whichever way it is removed, and a miss of an unknown address is not counted. The misses of a configured entry stay, since it remains a target and its rank depends on them.

Evidence: agent:TestMissesOfDepartedEntriesAreForgotten before: 'misses of 101 entries are kept; want that of the configured entry'. agent:TestClientsOfDepartedEntriesAreForgotten before, with a selectPeers that calls the former peer for each target: '101 clients are kept; want 2'. Both pass now. go test -race ./agent and go test ./docs pass.

--- a/agent/entrylist.go
+++ b/agent/entrylist.go
@@ -43,7 +43,7 @@
 			continue
 		}
 		if entry.Leaving {
-			delete(l.learned, entry.PeerAddress)
+			l.removeLearned(entry.PeerAddress)
 			continue
 		}
 		if len(l.learned) < maxEntries {
@@ -63,12 +63,21 @@
 func (l *entryList) recordMiss(address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.learned[address] && !slices.Contains(l.configured, address) {
+		return // it was removed while the heartbeat was in flight
+	}
 	l.misses[address]++
-	if l.misses[address] >= maxMissedHeartbeats && l.learned[address] {
-		delete(l.learned, address)
-		if !slices.Contains(l.configured, address) {
-			delete(l.misses, address)
-		}
+	if l.misses[address] >= maxMissedHeartbeats {
+		l.removeLearned(address)
+	}
+}
+
+// removeLearned removes a learned entry. The misses of a configured entry are kept, since it stays a target. The caller
+// holds mu.
+func (l *entryList) removeLearned(address string) {
+	delete(l.learned, address)
+	if !slices.Contains(l.configured, address) {
+		delete(l.misses, address)
 	}
 }
 
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -23,7 +23,8 @@
 	client *http.Client
 	scheme string
 	seq    int64
-	peers  map[string]rpc.Peer
+	// peers holds the clients of the targets of the current round.
+	peers map[string]rpc.Peer
 }
 
 func (h *heartbeatSender) run(ctx context.Context) {
@@ -52,8 +53,8 @@
 	defer cancel()
 	var replies atomic.Int64
 	var wg sync.WaitGroup
-	for _, address := range a.entries.targets() {
-		peer := h.peer(address)
+	h.selectPeers(a.entries.targets())
+	for address, peer := range h.peers {
 		wg.Go(func() {
 			reply, err := peer.Heartbeat(ctx, report)
 			if err != nil {
@@ -77,13 +78,17 @@
 	return h.agent.cache.read(ctx)
 }
 
-func (h *heartbeatSender) peer(address string) rpc.Peer {
-	peer, ok := h.peers[address]
-	if !ok {
-		peer = rpc.NewPeerProtobufClient(h.scheme+"://"+address, h.client)
-		h.peers[address] = peer
+// selectPeers makes targets the peers of the next round. It keeps their clients and drops the others.
+func (h *heartbeatSender) selectPeers(targets []string) {
+	selected := make(map[string]rpc.Peer, len(targets))
+	for _, address := range targets {
+		peer, ok := h.peers[address]
+		if !ok {
+			peer = rpc.NewPeerProtobufClient(h.scheme+"://"+address, h.client)
+		}
+		selected[address] = peer
 	}
-	return peer
+	h.peers = selected
 }
 
 func (a *Agent) handleHeartbeatError(address string, err error) {
