Advise to read the rows after a relayed commit of unknown effect

What operators saw: a commit through a peer that broke off was an error of kind "unknown" with the remedy "try another peer", or with "see the peer's log" if the peer's own call of the store had broken off. Either may have taken effect; whoever followed the first could commit a second time. The client of the relay itself goes by the kind, not by the remedy.

Cause: decodeError chose the remedy by who failed, not by the kind of the error.

Now a commit of unknown effect has the remedy "read the rows before repeating the commit" in both cases. Reads and all other kinds keep theirs.

--- a/rowrelay/client_test.go
+++ b/rowrelay/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -123,3 +124,38 @@
 		t.Errorf("answered %s after the store recovered: %v", took, err)
 	}
 }
+
+// lostReply is a store whose commits have an unknown effect.
+type lostReply struct{ hosting.Rows }
+
+func (lostReply) Commit(context.Context, hosting.RowTxn) (hosting.RowTxnResult, error) {
+	return hosting.RowTxnResult{}, &hosting.Error{Kind: hosting.KindUnknown, Op: "commit"}
+}
+
+// Guards against advice to repeat a relayed commit that may have taken effect, whether the peer or its store failed.
+func TestRemedyOfCommitWithUnknownEffect(t *testing.T) {
+	peerFails := func(w http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) }
+	for name, handler := range map[string]http.Handler{
+		"peer fails":  http.HandlerFunc(peerFails),
+		"store fails": NewHandler(lostReply{rows.New()}, func() bool { return false }),
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(handler)
+			defer server.Close()
+			peer := NewPeer(strings.TrimPrefix(server.URL, "http://"), http.DefaultClient)
+			_, err := peer.Commit(t.Context(), hosting.RowTxn{})
+			var failed *hosting.Error
+			if !errors.As(err, &failed) || failed.Kind != hosting.KindUnknown || failed.Remedy != remedyReadRows {
+				t.Errorf("commit: %v; want effect unknown and the remedy %q", err, remedyReadRows)
+			}
+		})
+	}
+	server := httptest.NewServer(http.HandlerFunc(peerFails))
+	defer server.Close()
+	peer := NewPeer(strings.TrimPrefix(server.URL, "http://"), http.DefaultClient)
+	_, err := peer.Range(t.Context(), hosting.RowRange{Table: "t"})
+	var failed *hosting.Error
+	if !errors.As(err, &failed) || failed.Kind != hosting.KindUnavailable || failed.Remedy != "try another peer" {
+		t.Errorf("range: %v; want it unavailable and the remedy to try another peer", err)
+	}
+}
--- a/rowrelay/peer.go
+++ b/rowrelay/peer.go
@@ -17,6 +17,9 @@
 
 var _ hosting.Rows = (*Peer)(nil)
 
+// remedyReadRows is the remedy for a commit that may have taken effect.
+const remedyReadRows = "read the rows before repeating the commit"
+
 // NewPeer returns a client of the process at address, host:port.
 func NewPeer(address string, client *http.Client) *Peer {
 	return &Peer{client: relaypb.NewStoreRelayProtobufClient("http://"+address, client)}
@@ -77,17 +80,23 @@
 }
 
 // decodeError returns the store error that the peer received, or an error of kind peerErrorKind if the call of the peer
-// failed.
+// failed. peerErrorKind is KindUnknown for commits only.
 func decodeError(op string, peerErrorKind hosting.ErrorKind, err error, storeErr *relaypb.RelayError) error {
-	if err != nil {
-		return &hosting.Error{Kind: peerErrorKind, Op: op, Err: err, Remedy: "try another peer"}
-	}
-	if storeErr == nil {
+	var failed *hosting.Error
+	switch {
+	case err != nil:
+		failed = &hosting.Error{Kind: peerErrorKind, Op: op, Err: err, Remedy: "try another peer"}
+	case storeErr != nil:
+		failed = &hosting.Error{
+			Kind: hosting.ErrorKind(storeErr.GetKind()), Op: op, Err: errors.New(storeErr.GetMessage()), Remedy: "see the peer's log",
+		}
+	default:
 		return nil
 	}
-	return &hosting.Error{
-		Kind: hosting.ErrorKind(storeErr.GetKind()), Op: op, Err: errors.New(storeErr.GetMessage()), Remedy: "see the peer's log",
+	if peerErrorKind == hosting.KindUnknown && failed.Kind == hosting.KindUnknown {
+		failed.Remedy = remedyReadRows
 	}
+	return failed
 }
 
 func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
