Test the bound of a spreading change and a disconnect during the body

configsync:TestSpreadTimeIsBounded: with the caller's context in place of the detached one (a trial) 'ended 0s after the caller left; want 10s'. agent:TestDisconnectDuringBodyNamesItsReason: with the former refusal (a trial) 'got deadline: the deadline passed while the body was read (not-run); repeat the request with a later deadline; want that the caller closed the connection'.

--- a/agent/admission_test.go
+++ b/agent/admission_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -41,3 +42,16 @@
 		})
 	}
 }
+
+// Guards against the same wrong reason when the caller disconnects while its body is read.
+func TestDisconnectDuringBodyNamesItsReason(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	a := &Agent{settings: DefaultSettings(), suspects: newSuspects(testRetention)}
+	r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("body"))
+	_, err := a.checkAndReadBody(ctx, httptest.NewRecorder(), r, call{timeout: time.Second})
+	refusal, ok := outcome.AsRefusal(err)
+	if !ok || refusal.Message != "the caller closed the connection while the body was read" {
+		t.Errorf("got %v; want that the caller closed the connection", err)
+	}
+}
--- a/configsync/propagation_test.go
+++ b/configsync/propagation_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -66,3 +67,19 @@
 		}
 	})
 }
+
+// Guards against a push that goes on without end because calls do not return.
+func TestSpreadTimeIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Options{Name: "entry-0", PeerAddress: address(0)})
+		caller, leave := context.WithCancel(t.Context())
+		ctx, cancel := s.spreadContext(caller)
+		defer cancel()
+		start := time.Now()
+		leave()
+		<-ctx.Done()
+		if took := time.Since(start); took != maxSpreadTime {
+			t.Errorf("ended %s after the caller left; want %s", took, maxSpreadTime)
+		}
+	})
+}
