--- a/agent/admission.go
+++ b/agent/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"sync"
@@ -14,6 +15,15 @@
 // defaultRetryAfter is how long an entry should wait before it tries this upstream again; it can use others meanwhile.
 const defaultRetryAfter = time.Second
 
+// statusCallerGone is the status for a caller that closed its connection. Nobody receives it.
+const statusCallerGone = 499
+
+// Remedies of refusals. Entries pass them on to callers, who cannot choose an upstream.
+const (
+	remedyRepeat         = "repeat the request; another upstream may serve it"
+	remedyRepeatWhenIdle = "repeat the request later; it must run alone on an upstream"
+)
+
 // slotRequest is a request that waits for or holds a slot of the upstream.
 type slotRequest struct {
 	priority  int
@@ -81,7 +91,7 @@
 		return nil
 	case <-ctx.Done():
 		a.cancel(r)
-		return deadlineRefusal("the deadline passed while the request waited for a slot")
+		return endedRefusal(ctx, "while the request waited for a slot")
 	}
 }
 
@@ -91,7 +101,7 @@
 	if r.exclusive && (a.running > 0 || len(a.waiting) > 0) && a.lifecycle.State() == drain.Ready {
 		return &outcome.Refusal{
 			Kind: outcome.KindOverloaded, Outcome: outcome.NotRun, Status: http.StatusServiceUnavailable,
-			Message: "the request must run alone, but this upstream is not idle", Remedy: "use an idle upstream",
+			Message: "the request must run alone, but this upstream is not idle", Remedy: remedyRepeatWhenIdle,
 			RetryAfter: defaultRetryAfter,
 		}
 	}
@@ -105,7 +115,7 @@
 	if len(a.waiting) >= a.queueLimit && a.lifecycle.State() == drain.Ready {
 		return &outcome.Refusal{
 			Kind: outcome.KindOverloaded, Outcome: outcome.NotRun, Status: http.StatusServiceUnavailable,
-			Message: "all slots and the queue of this upstream are full", Remedy: "use another upstream",
+			Message: "all slots and the queue of this upstream are full", Remedy: remedyRepeat,
 			RetryAfter: defaultRetryAfter,
 		}
 	}
@@ -124,7 +134,7 @@
 		}
 		return &outcome.Refusal{
 			Kind: kind, Outcome: outcome.NotRun, Status: http.StatusServiceUnavailable,
-			Message: err.Error(), Remedy: "use another upstream", RetryAfter: defaultRetryAfter, Err: err,
+			Message: "this upstream is " + string(a.lifecycle.State()), Remedy: remedyRepeat, RetryAfter: defaultRetryAfter, Err: err,
 		}
 	}
 	return nil
@@ -178,6 +188,17 @@
 	a.closeIfStopped()
 }
 
+// endedRefusal returns the refusal of a request whose context ended before it was sent to the upstream.
+func endedRefusal(ctx context.Context, during string) *outcome.Refusal {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return deadlineRefusal("the deadline passed " + during)
+	}
+	return &outcome.Refusal{
+		Kind: outcome.KindDeadline, Outcome: outcome.NotRun, Status: statusCallerGone,
+		Message: "the caller closed the connection " + during, Remedy: remedyRepeat,
+	}
+}
+
 func deadlineRefusal(message string) *outcome.Refusal {
 	return &outcome.Refusal{
 		Kind: outcome.KindDeadline, Outcome: outcome.NotRun, Status: http.StatusServiceUnavailable,
