Show that bodies within the limits exceed a gateway's memory

Clients of a burst send bodies that max_body_bytes allows, three times as many as usual. The memory budget counts a body only until it is read, so the bodies of the requests in progress have no bound together: both gateways exceed their memory and are killed, several times each.

--- a/review/cases/fleet.go
+++ b/review/cases/fleet.go
@@ -110,10 +110,10 @@
 		return nil, err
 	}
 	g := &gatewayProcess{f: f, name: name, ip: f.nextIP(), storeAddress: address}
-	settings := platformtest.ProcessSettings{
+	settings := strings.Replace(platformtest.ProcessSettings{
 		Name: name, IP: g.ip, DataCentre: zone, Store: address, Duties: f.duties,
 		FrontPort: frontPort, ReadyPort: readyPort, FirstPort: firstPort,
-	}.Settings()
+	}.Settings(), "limits.memory_mb=256", "limits.memory_mb=354", 1)
 	if err := os.WriteFile(g.settingsPath(), []byte(settings), 0o600); err != nil {
 		return nil, err
 	}
