Accept only the events that follow when a stream is resumed

Cause: streamRequest.copyResponse copied the body of any response whose status isn't 200, and returned no error; copyEvents calls it for resumed runs too. Nothing else of a resumed response was checked either: signature, Content-Type, whether its events follow the last one, and whether its end is more than a closed connection. In the other direction, an error's body that broke off was continued with another upstream's events.

Change: a response continues a stream only if it has status 200, a signature and the content headers that the caller already has, and only from the event that follows. Any other response counts as a failed run: the next upstream is asked, or the stream is broken off. A response without a length that ends a resumable stream is checked by asking another upstream for what follows. Bodies that aren't events are never resumed.

--- a/gateway/send.go
+++ b/gateway/send.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/radishshelf/radishshelf/call"
@@ -54,10 +53,8 @@
 	if err != nil {
 		return nil, "", &upstreamcall.Failure{Reason: upstreamcall.Broken, Outcome: outcome.MayHaveRun, Err: err}
 	}
-	if response.Status < http.StatusMultipleChoices && !response.Signed {
-		return nil, "", &upstreamcall.Failure{
-			Reason: upstreamcall.Crossed, Outcome: outcome.MayHaveRun, Err: errors.New("successful response without a signature"),
-		}
+	if failure := checkSigned(response); failure != nil {
+		return nil, "", failure
 	}
 	return &call.Response{Status: response.Status, Header: response.Header, Body: body}, response.Signature, nil
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -27,8 +28,12 @@
 		cancel()
 		return nil, err
 	}
+	s.header = first.Header
 	return &call.Response{Status: first.Status, Header: first.Header, Stream: func(w io.Writer, flush func()) error {
 		defer cancel()
+		if first.Status != http.StatusOK {
+			return s.copyBody(ctx, first, w)
+		}
 		return s.copyEvents(ctx, first, w, flush)
 	}}, nil
 }
@@ -40,6 +45,8 @@
 	lastEventID int
 	// lastSent is the request of the latest send.
 	lastSent *upstreamcall.Request
+	// header is the header of the response that the caller gets; nil until the first upstream has responded.
+	header http.Header
 }
 
 // openNext sends the request to one upstream after another until one begins to respond.
@@ -85,6 +92,9 @@
 	sent.ResumeAfter, sent.Upstream = s.lastEventID, u
 	s.lastSent = &sent
 	response, err := s.g.opts.Upstreams.Send(ctx, s.lastSent)
+	if err == nil {
+		err = s.checkResponse(response)
+	}
 	if err != nil {
 		failure := upstreamcall.AsFailure(err)
 		s.g.finishSend(u, "", failure, ctx)
@@ -105,17 +115,35 @@
 	return s.isRetryable() && s.g.mayRunAgain(ctx, s.broken)
 }
 
+// checkResponse returns a failure, and closes the response, unless the response may go to the caller: as a new response,
+// or as the continuation of the one that the caller already has.
+func (s *streamRequest) checkResponse(response *upstreamcall.Response) error {
+	if s.header == nil {
+		return nil
+	}
+	failure := checkContinuation(s.header, response)
+	if failure == nil {
+		return nil
+	}
+	response.Body.Close()
+	return failure
+}
+
+// copyBody writes the body of a response that is not a stream of events. A body that breaks off is never continued, as
+// only events can be.
+func (s *streamRequest) copyBody(ctx context.Context, response *upstreamcall.Response, w io.Writer) error {
+	_, err := io.Copy(w, response.Body)
+	response.Body.Close()
+	s.finishRun(ctx, err)
+	return err
+}
+
 // copyEvents writes the events to the caller, and resumes the stream at other upstreams where that is allowed.
 func (s *streamRequest) copyEvents(ctx context.Context, response *upstreamcall.Response, w io.Writer, flush func()) error {
-	for {
-		err := s.copyResponse(response, w, flush)
+	for resumed := false; ; resumed = true {
+		err := s.copyResponse(response, resumed, w, flush)
 		response.Body.Close()
-		var failure *upstreamcall.Failure
-		if err != nil {
-			failure = upstreamcall.AsFailure(err)
-		}
-		s.g.finishSend(s.lastSent.Upstream, "", failure, ctx)
-		s.recordRun(ctx, failure)
+		s.finishRun(ctx, err)
 		if err == nil {
 			return nil
 		}
@@ -123,11 +151,23 @@
 			return err
 		}
 		if response, err = s.openNext(ctx); err != nil {
+			s.g.opts.Log.Info().Str("request", s.request.ID).Int("last_event", s.lastEventID).AnErr("error", err).
+				Msg("stream broken off; no upstream continues it")
 			return err
 		}
 	}
 }
 
+// finishRun records the end of a run that began to respond; a nil error means success.
+func (s *streamRequest) finishRun(ctx context.Context, err error) {
+	var failure *upstreamcall.Failure
+	if err != nil {
+		failure = upstreamcall.AsFailure(err)
+	}
+	s.g.finishSend(s.lastSent.Upstream, "", failure, ctx)
+	s.recordRun(ctx, failure)
+}
+
 // recordRun records how the latest send ended, for the detection of crash suspects.
 func (s *streamRequest) recordRun(ctx context.Context, failure *upstreamcall.Failure) {
 	if failure != nil && errors.Is(ctx.Err(), context.Canceled) {
@@ -141,17 +181,14 @@
 	}
 }
 
-// copyResponse writes one response to the caller. Events that the caller already has are skipped.
-func (s *streamRequest) copyResponse(response *upstreamcall.Response, w io.Writer, flush func()) error {
-	if response.Status != http.StatusOK {
-		_, err := io.Copy(w, response.Body)
-		return err
-	}
+// copyResponse writes the events of one run to the caller. Events that the caller already has are skipped. The events
+// of a resumed run must continue those of the runs before it.
+func (s *streamRequest) copyResponse(response *upstreamcall.Response, resumed bool, w io.Writer, flush func()) error {
 	events := s.g.opts.Codec.Events(response.Body, response.Version)
 	for {
 		event, err := events.Next()
 		if err == io.EOF {
-			return nil
+			return s.checkEnd(response)
 		}
 		if err != nil {
 			return err
@@ -159,6 +196,15 @@
 		if event.ID >= 0 && event.ID <= s.lastEventID {
 			continue // already written to the caller
 		}
+		if resumed {
+			if event.ID != s.lastEventID+1 {
+				return &upstreamcall.Failure{
+					Reason: upstreamcall.Crossed, Outcome: outcome.Ran,
+					Err: fmt.Errorf("event %d of a resumed stream does not follow event %d", event.ID, s.lastEventID),
+				}
+			}
+			resumed = false
+		}
 		if _, err := w.Write(event.Raw); err != nil {
 			return err
 		}
@@ -166,3 +212,12 @@
 		s.lastEventID = max(s.lastEventID, event.ID)
 	}
 }
+
+// checkEnd returns an error if the end of a response may be a lost connection and another upstream can tell whether
+// events are missing.
+func (s *streamRequest) checkEnd(response *upstreamcall.Response) error {
+	if !response.Framed && s.auth.route.Resumable {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
