Check the signature of a stream's first response

A response with a 2xx status and without the signature of an upstream was passed to the caller of a streaming route as a success; buffered responses and items were checked, streams were not. Such a response now counts as a failed send: the next upstream is asked where that is allowed, else the caller gets 502.

TestUnsignedStreamIsNotASuccess failed before (status 200) and passes now.

--- a/gateway/resumed_stream_test.go
+++ b/gateway/resumed_stream_test.go
@@ -158,3 +158,19 @@
 		t.Errorf("read %q, %v; want the part of the body and an error", body, err)
 	}
 }
+
+// Guards against a stream that reaches its caller as a success without the signature of an upstream.
+func TestUnsignedStreamIsNotASuccess(t *testing.T) {
+	w := newTestCluster(t)
+	g := w.start("a")
+	w.upstreams.script(func(*upstreamcall.Request) (*upstreamcall.Response, error) {
+		a := rawStream(true, 1, 2, 3)
+		a.Signed = false
+		return a, nil
+	})
+	if a, err := w.requestWithBody(t.Context(), g, "/chat/1", "tell"); err == nil {
+		t.Errorf("answered with status %d", a.Status)
+	} else if r := asRefusal(t, err); r.Status != http.StatusBadGateway {
+		t.Errorf("answered with status %d, want 502", r.Status)
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -118,10 +118,10 @@
 // checkResponse returns a failure, and closes the response, unless the response may go to the caller: as a new response,
 // or as the continuation of the one that the caller already has.
 func (s *streamRequest) checkResponse(response *upstreamcall.Response) error {
-	if s.header == nil {
-		return nil
+	failure := checkSigned(response)
+	if s.header != nil {
+		failure = checkContinuation(s.header, response)
 	}
-	failure := checkContinuation(s.header, response)
 	if failure == nil {
 		return nil
 	}
