End a stream when writing to its caller fails

A failed write to the caller of a resumable stream was taken for a broken run: the stream was sent to the next upstream, again and again, until the request's context ended or the tries were used up. It is now classified as cancelled, which ends it.

TestStreamEndsWithItsCaller failed before (the stream went on until its deadline) and passes now with a single send.

--- a/gateway/resumed_stream_test.go
+++ b/gateway/resumed_stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/base64"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -174,3 +175,25 @@
 		t.Errorf("answered with status %d, want 502", r.Status)
 	}
 }
+
+// failingWriter is a caller who has disconnected.
+type failingWriter struct{}
+
+func (failingWriter) Write([]byte) (int, error) { return 0, errors.New("connection closed") }
+
+// Guards against a stream that is sent to further upstreams after its caller has disconnected.
+func TestStreamEndsWithItsCaller(t *testing.T) {
+	w := newTestCluster(t)
+	w.addUpstream("e2", engineService, 4, map[string]int64{testModel: 1})
+	g := w.start("a")
+	a, err := w.requestWithBody(t.Context(), g, "/chat/1", "tell")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := a.Stream(failingWriter{}, func() {}); err == nil {
+		t.Error("the stream ended as complete")
+	}
+	if n := w.upstreams.requests(func(upstreamcall.Request) bool { return true }); n != 1 {
+		t.Errorf("%d sends, want 1", n)
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -143,11 +143,11 @@
 	for resumed := false; ; resumed = true {
 		err := s.copyResponse(response, resumed, w, flush)
 		response.Body.Close()
-		s.finishRun(ctx, err)
+		failure := s.finishRun(ctx, err)
 		if err == nil {
 			return nil
 		}
-		if ctx.Err() != nil || !s.auth.route.Resumable || !s.mayResume(ctx) {
+		if ctx.Err() != nil || failure.Reason == upstreamcall.Cancelled || !s.auth.route.Resumable || !s.mayResume(ctx) {
 			return err
 		}
 		if response, err = s.openNext(ctx); err != nil {
@@ -158,14 +158,15 @@
 	}
 }
 
-// finishRun records the end of a run that began to respond; a nil error means success.
-func (s *streamRequest) finishRun(ctx context.Context, err error) {
+// finishRun records the end of a run that began to respond, and returns its failure; nil means success.
+func (s *streamRequest) finishRun(ctx context.Context, err error) *upstreamcall.Failure {
 	var failure *upstreamcall.Failure
 	if err != nil {
 		failure = upstreamcall.AsFailure(err)
 	}
 	s.g.finishSend(s.lastSent.Upstream, "", failure, ctx)
 	s.recordRun(ctx, failure)
+	return failure
 }
 
 // recordRun records how the latest send ended, for the detection of crash suspects.
@@ -206,7 +207,7 @@
 			resumed = false
 		}
 		if _, err := w.Write(event.Raw); err != nil {
-			return err
+			return &upstreamcall.Failure{Reason: upstreamcall.Cancelled, Outcome: outcome.Ran, Err: err}
 		}
 		flush()
 		s.lastEventID = max(s.lastEventID, event.ID)
