Never send an attempt twice over one connection

Cause: a response is matched to its request by the connection and the attempt ID that it repeats. The gateway sends an attempt again after a refusal, often over the same kept connection. When an upstream sends the refusal a second time, late, the copy arrives where the response to the second send is expected, and its ID is the expected one. The resend of a busy attempt (plain requests) was the example; streams, batch items and score calls send the same way.

Change: the package attemptconn, over which the client for upstreams sends everything but orders and reports (these open a connection each). Every connection knows the attempts that it has carried. If the transport offers a connection that has carried the attempt, that connection is closed before anything is written to it, and the next one is tried. A copy can then only arrive on a connection on which another attempt, or nothing, is expected. The record of a connection is bounded: it is replaced after 256 attempts.

Evidence: with the check switched off, TestRefusedAttemptRunsOnce (plain, stream), TestItemAndScoreCallAreNotRepeatedOverTheirConnections (refused) and the four tests of attemptconn fail; they pass with it.

--- /dev/null
+++ b/attemptconn/client.go
@@ -0,0 +1,67 @@
+package attemptconn
+
+import (
+	"context"
+	"hash/maphash"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// Client sends attempts over the connections of a transport.
+type Client struct {
+	transport *http.Transport
+	seed      maphash.Seed
+}
+
+// NewClient returns a client that takes over a transport whose DialContext is set. The transport must not be used
+// otherwise.
+func NewClient(transport *http.Transport) *Client {
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: c}, nil
+	}
+	return &Client{transport: transport, seed: maphash.MakeSeed()}
+}
+
+// Send sends an attempt once, over a connection that has not carried it before, and returns the response as
+// http.RoundTripper does, with the connection. The connection is nil if none could be opened. A request with a body must
+// have GetBody set.
+func (c *Client) Send(req *http.Request, attempt string) (*http.Response, httptrace.GotConnInfo, error) {
+	hash := maphash.String(c.seed, attempt)
+	for {
+		resp, used, refused, err := c.try(req, hash)
+		if !refused {
+			return resp, used, err
+		}
+		if err == nil {
+			resp.Body.Close() // a second copy of an earlier response: the request was not sent
+		}
+	}
+}
+
+// try sends a request over any connection. refused is set if nothing was sent, because the connection must not carry the
+// attempt; that connection is closed, so that a limited number of tries reach a new one.
+func (c *Client) try(req *http.Request, attempt uint64) (
+	resp *http.Response, used httptrace.GotConnInfo, refused bool, err error,
+) {
+	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		GetConn: func(string) { used, refused = httptrace.GotConnInfo{}, false },
+		GotConn: func(info httptrace.GotConnInfo) {
+			used, refused = info, !info.Conn.(*conn).claim(attempt)
+			if refused {
+				_ = info.Conn.Close() // nothing can be written to it any more
+			}
+		},
+	})
+	once, err := newSingleUseRequest(ctx, req)
+	if err != nil {
+		return nil, used, false, err
+	}
+	resp, err = c.transport.RoundTrip(once)
+	return resp, used, refused, err
+}
