--- a/logging/logging.go
+++ b/logging/logging.go
@@ -54,7 +54,11 @@
 	return "caller=" + quote(v)
 }
 
-// quote formats a value on one line, in quotes if it is empty or contains spaces, quotes, "=" or line breaks.
+// maxValueBytes bounds the value of a field, which may quote input from outside. It leaves room for a stack.
+const maxValueBytes = 8 << 10
+
+// quote formats a value on one line, in quotes if it is empty or contains spaces, quotes, "=" or line breaks. A value that
+// is too long is cut.
 func quote(v any) string {
 	if v == nil {
 		return `""`
@@ -66,6 +70,9 @@
 	if unquoted, err := strconv.Unquote(text); err == nil {
 		text = unquoted
 	}
+	if len(text) > maxValueBytes {
+		text = fmt.Sprintf("%s... (%d bytes)", text[:maxValueBytes], len(text))
+	}
 	if text == "" || strings.ContainsAny(text, " =\"\n\r\t") {
 		return strconv.Quote(text)
 	}
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"strings"
 	"testing"
 )
@@ -25,3 +26,16 @@
 		}
 	}
 }
+
+// Guards against a line whose length is set by input from outside, such as an error that quotes a row.
+func TestLongValuesAreCut(t *testing.T) {
+	var buf bytes.Buffer
+	log, err := New(&buf, "test", "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	log.Warn().Err(errors.New(strings.Repeat("9", 1<<20))).Str("key", "u-1").Msg("row skipped")
+	if line := buf.String(); len(line) > 2*maxValueBytes || !strings.Contains(line, "key=u-1") || !strings.Contains(line, "(1048576 bytes)") {
+		t.Errorf("a line of %d bytes", len(line))
+	}
+}
