Keep the limits of a job's route with the job

Cause: a process learns of a job and of its route by separate watches. One that owned a job before it knew the route took defaults for both limits and kept them for the life of the job; later configurations were ignored as well.

Change: the record of a job holds the limits with which it was accepted, and the version of that configuration. The owner takes the limits of its own configuration if that is as new and has the route, else those of the record, and looks again at each new configuration. A record of an earlier release without a known route decides nothing: no item is abandoned, and no text of two versions is listed, until the route is known. There are no defaults.

--- a/batch/record.go
+++ b/batch/record.go
@@ -20,6 +20,11 @@
 	// Due and Lifetime are relative to AcceptedAt.
 	Due      time.Duration `json:"due,omitempty"`
 	Lifetime time.Duration `json:"lifetime,omitempty"`
+	// ConfigVersion is the configuration under which the job was accepted, and MaxAttempts and SingleVersion are limits of
+	// its route in it. Records of earlier releases have none of them.
+	ConfigVersion int64 `json:"config_version,omitempty"`
+	MaxAttempts   int   `json:"max_attempts,omitempty"`
+	SingleVersion bool  `json:"single_version,omitempty"`
 	// Total is the number of items, and Listed the number of those with a listed result.
 	Total  int `json:"total"`
 	Listed int `json:"listed"`
--- a/gateway/cluster_test.go
+++ b/gateway/cluster_test.go
@@ -122,12 +122,17 @@
 
 // submit submits a batch job with the given items.
 func (w *testCluster) submit(g *Gateway, id string, items ...batch.Item) (*call.Response, error) {
+	return w.submitTo(g, "/rollout/", id, items...)
+}
+
+// submitTo submits a batch job on the route with the given path prefix.
+func (w *testCluster) submitTo(g *Gateway, prefix, id string, items ...batch.Item) (*call.Response, error) {
 	body, err := json.Marshal(batch.Spec{Model: testModel, MinVersion: 1, Items: items})
 	if err != nil {
 		w.t.Fatal(err)
 	}
 	return g.Handle(w.t.Context(), &call.Request{
-		ID: id, Host: testHost, Method: http.MethodPost, Path: "/rollout/" + id, Target: "/rollout/" + id, Body: body,
+		ID: id, Host: testHost, Method: http.MethodPost, Path: prefix + id, Target: prefix + id, Body: body,
 		Key: testKey, Received: time.Now(), Timeout: 5 * time.Second,
 	})
 }
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -37,7 +37,7 @@
 	}
 	return serving.Builder{
 		Version: version,
-		Routes: []*serving.Route{
+		Routes: append(lateRoutes(version), []*serving.Route{
 			{
 				Name: "rollout", Host: testHost, PathPrefix: "/rollout/", Kind: serving.Rollout, MaxAttempts: 3,
 				Targets: []serving.Target{{Service: engineService, Weight: 1}}, Due: 5 * time.Second, ItemLifetime: 20 * time.Second,
@@ -61,12 +61,25 @@
 				Name: "score", Host: testHost, PathPrefix: "/score/", Kind: serving.Idempotent, MaxAttempts: 4, Public: true,
 				Targets: []serving.Target{{Service: plainService, Weight: 1}},
 			},
-		},
+		}...),
 		Services:   []*serving.Service{{Name: engineService, Models: []string{testModel}}, {Name: plainService}},
 		Workspaces: []serving.WorkspaceKeys{{Workspace: serving.Workspace{Name: "north"}, Keys: []string{testKey}}},
 	}.Build(), nil
 }
 
+// lateVersion is the configuration that adds a route for batch jobs with other limits than the defaults.
+const lateVersion = 100
+
+func lateRoutes(version int64) []*serving.Route {
+	if version < lateVersion {
+		return nil
+	}
+	return []*serving.Route{{
+		Name: "late", Host: testHost, PathPrefix: "/late/", Kind: serving.Rollout, MaxAttempts: 5, SingleVersion: true,
+		Targets: []serving.Target{{Service: engineService, Weight: 1}}, Due: 5 * time.Second, ItemLifetime: 20 * time.Second,
+	}}
+}
+
 func (testCodec) DecodeModelVersion(key string, value []byte) (n versionplan.ModelVersion, err error) {
 	return n, json.Unmarshal(value, &n)
 }
--- a/gateway/own.go
+++ b/gateway/own.go
@@ -8,10 +8,6 @@
 	"github.com/radishshelf/radishshelf/batch"
 )
 
-// defaultMaxFailures is the number of failed runs after which an item is abandoned if the configuration has no route
-// for its job.
-const defaultMaxFailures = 3
-
 // ownedJob is a job whose items this process runs.
 type ownedJob struct {
 	g     *Gateway
@@ -34,12 +30,8 @@
 
 // startOwned starts to run a job. texts are the saved texts of its items. The caller holds g.mu.
 func (g *Gateway) startOwned(e *jobEntry, spec batch.Spec, texts map[string]batch.Text) {
-	limits := batch.Limits{MaxFailures: defaultMaxFailures, Rate: g.tokenRateOf(spec.Model)}
-	if g.config != nil {
-		if route, ok := g.config.Route(e.record.Host, e.record.PathPrefix); ok {
-			limits.MaxFailures, limits.SingleVersion = route.MaxAttempts, route.SingleVersion
-		}
-	}
+	limits := batch.Limits{Rate: g.tokenRateOf(spec.Model)}
+	limits.MaxFailures, limits.SingleVersion = g.jobLimits(&e.record)
 	o := &ownedJob{
 		g: g, entry: e, job: batch.NewJob(spec, e.record, limits), listSignal: make(chan struct{}, 1),
 		savedEvents: map[string]int{}, runs: map[*batch.Progress]*itemRun{},
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -47,6 +47,7 @@
 		MinVersion: spec.MinVersion, AcceptedBy: g.opts.Incarnation, AcceptedAt: g.storeClock(),
 		Due: auth.route.Due, Lifetime: auth.route.ItemLifetime, Total: len(spec.Items),
 	}
+	setRouteLimits(&record, auth.config, auth.route)
 	record.Owner, record.OwnerIncarnation = g.chooseOwner(trainerKey(&record), len(spec.Items))
 	if known != nil && known.record.Workspace == record.Workspace {
 		g.mu.Unlock()
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -80,6 +80,7 @@
 	newer := g.config == nil || config.Version > g.config.Version
 	if newer {
 		g.config = config
+		g.updateJobLimits()
 	}
 	g.mu.Unlock()
 	if newer {
