Count a body until its request is answered

Cause: the memory budget counted a body only while it was read, so that the number of complete bodies in memory had no bound; the same held for buffered responses that wait for a slow caller.

Change: a complete body or response is kept in the budget until it is passed on, and isn't shed. Those still being received are shed as before, the largest first.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -33,6 +33,7 @@
 // forward sends a plain request to upstreams until one responds.
 func (g *Gateway) forward(ctx context.Context, r *call.Request, auth *authorization) (*call.Response, error) {
 	f := newPlainRequest(g, r, auth)
+	f.inUse = ctx
 	ctx, cancel := context.WithDeadline(ctx, f.deadline)
 	defer cancel() // cancels hedged sends that are still running
 	return f.run(ctx)
@@ -47,6 +48,8 @@
 	auth     *authorization
 	service  string
 	deadline time.Time
+	// inUse ends once the response was written to the caller.
+	inUse context.Context
 	// waitUntil is until when the request may wait for a free upstream.
 	waitUntil time.Time
 	// tried holds the upstreams that may have begun to run the request, and refused those that certainly have not.
@@ -173,7 +176,7 @@
 	req.TimeLeft, req.Upstream = time.Until(f.deadline), u
 	isolated := f.action != quarantine.Run
 	go func() {
-		result := f.g.sendBuffered(ctx, &req)
+		result := f.g.sendBuffered(ctx, f.inUse, &req)
 		if isolated {
 			f.g.releaseIsolated(u.ID)
 		}
--- a/gateway/scoring.go
+++ b/gateway/scoring.go
@@ -108,7 +108,7 @@
 	defer cancel()
 	req := s.request()
 	req.TimeLeft, req.Upstream = timeout, u
-	return s.o.g.sendBuffered(ctx, req)
+	return s.o.g.sendBuffered(ctx, ctx, req)
 }
 
 // request builds the score call, which is the same for every upstream.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -15,15 +15,20 @@
 // maxBufferedResponse limits the size of a response that is buffered until it is complete.
 const maxBufferedResponse = 32 << 20
 
+// smallResponse is the size up to which a response does not count against the memory budget after it was read. The sockets'
+// buffers take it at once, however slowly its caller reads.
+const smallResponse = 64 << 10
+
 // errResponseTooLarge is the error of a response that exceeds maxBufferedResponse, or that was dropped as the largest
 // one when memory ran short.
 var errResponseTooLarge = errors.New("the response exceeds 32 MiB or the available memory")
 
-// sendBuffered sends a request, reads the complete response and updates the health of the upstream from the result.
-func (g *Gateway) sendBuffered(ctx context.Context, req *upstreamcall.Request) sendResult {
+// sendBuffered sends a request, reads the complete response and updates the health of the upstream from the result. The
+// body of the response is in use until inUse ends.
+func (g *Gateway) sendBuffered(ctx, inUse context.Context, req *upstreamcall.Request) sendResult {
 	started := time.Now()
 	result := sendResult{upstream: req.Upstream}
-	result.response, result.signature, result.failure = g.readBuffered(ctx, req)
+	result.response, result.signature, result.failure = g.readBuffered(ctx, inUse, req)
 	result.took = time.Since(started)
 	g.finishSend(req.Upstream, "", result.failure, ctx)
 	result.broken = g.recordRun(ctx, req, result.failure, 0)
@@ -35,7 +40,7 @@
 
 // readBuffered sends a request and reads the complete response, and returns it with its signature.
 func (g *Gateway) readBuffered(
-	ctx context.Context, req *upstreamcall.Request,
+	ctx, inUse context.Context, req *upstreamcall.Request,
 ) (*call.Response, string, *upstreamcall.Failure) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -45,7 +50,12 @@
 	}
 	defer response.Body.Close()
 	reservation := g.opts.Memory.NewReservation(func() { cancel(errResponseTooLarge) })
-	defer reservation.Release()
+	releaseOnReturn := true
+	defer func() {
+		if releaseOnReturn {
+			reservation.Release()
+		}
+	}()
 	body, err := io.ReadAll(reservation.Reader(io.LimitReader(response.Body, maxBufferedResponse+1)))
 	if len(body) > maxBufferedResponse || errors.Is(context.Cause(ctx), errResponseTooLarge) {
 		return nil, "", &upstreamcall.Failure{Reason: upstreamcall.Endless, Outcome: outcome.MayHaveRun, Err: errResponseTooLarge}
@@ -56,6 +66,13 @@
 	if failure := checkSigned(response); failure != nil {
 		return nil, "", failure
 	}
+	if len(body) > smallResponse {
+		if !reservation.Keep() {
+			return nil, "", &upstreamcall.Failure{Reason: upstreamcall.Endless, Outcome: outcome.MayHaveRun, Err: errResponseTooLarge}
+		}
+		releaseOnReturn = false
+		context.AfterFunc(inUse, reservation.Release)
+	}
 	return &call.Response{Status: response.Status, Header: response.Header, Body: body}, response.Signature, nil
 }
 
--- a/membudget/budget.go
+++ b/membudget/budget.go
@@ -1,6 +1,7 @@
-// Package membudget limits the total memory of responses and request bodies that are being buffered. Each of them has a
-// size limit of its own, but a few of the largest would fill the memory of a small host. When the total exceeds the
-// limit, the largest buffer is shed, so that one endless stream does not affect the others.
+// Package membudget limits the total memory of buffered responses and request bodies. Each of them has a size limit of its
+// own, but a few of the largest would fill the memory of a small host. When the total exceeds the limit, the largest
+// buffer that is still being filled is shed, so that one endless stream does not affect the others. A complete buffer can
+// be kept: it counts until it is released, and is not shed.
 package membudget
 
 import (
@@ -11,10 +12,12 @@
 // Budget is a limit in bytes that several reservations share. All methods are safe for concurrent use. Reservations of
 // a nil Budget have no limit.
 type Budget struct {
-	limit        int64
-	onShed       func(bytes int64)
-	mu           sync.Mutex
-	used         int64
+	limit  int64
+	onShed func(bytes int64)
+	mu     sync.Mutex
+	used   int64
+	// kept is the part of used that is not shed.
+	kept         int64
 	reservations map[*Reservation]struct{}
 }
 
@@ -30,12 +33,24 @@
 	return b.used
 }
 
+// Fits reports whether a buffer of n bytes fits beside the kept ones. A buffer that does not fit would be shed before it is
+// complete.
+func (b *Budget) Fits(n int64) bool {
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.kept+n <= b.limit
+}
+
 // Reservation is the memory of one buffered response or request body.
 type Reservation struct {
 	budget *Budget
 	// shed cancels the request or response to which the reservation belongs.
 	shed     func()
 	bytes    int64
+	kept     bool
 	released bool
 }
 
@@ -52,7 +67,7 @@
 	return r
 }
 
-// Add adds n bytes to the reservation. While the total exceeds the limit, the largest reservation is shed, which may be
+// Add adds n bytes to a reservation that is not kept. While the total exceeds the limit, the largest reservation is shed, which may be
 // this one.
 func (r *Reservation) Add(n int) {
 	b := r.budget
@@ -80,6 +95,24 @@
 	}
 }
 
+// Keep excludes a complete buffer from being shed. It returns false if the reservation was shed or released before.
+func (r *Reservation) Keep() bool {
+	b := r.budget
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r.released {
+		return false
+	}
+	if !r.kept {
+		r.kept = true
+		b.kept += r.bytes
+	}
+	return true
+}
+
 // Release returns the bytes of the reservation to the budget. Calling it again has no effect.
 func (r *Reservation) Release() {
 	if r.budget == nil {
@@ -97,14 +130,17 @@
 	}
 	r.released = true
 	b.used -= r.bytes
+	if r.kept {
+		b.kept -= r.bytes
+	}
 	delete(b.reservations, r)
 }
 
-// largest returns the reservation with the most bytes, nil when all are empty. The caller holds the lock.
+// largest returns the reservation with the most bytes that may be shed, nil if there is none. The caller holds the lock.
 func (b *Budget) largest() *Reservation {
 	var largest *Reservation
 	for r := range b.reservations {
-		if r.bytes > 0 && (largest == nil || r.bytes > largest.bytes) {
+		if r.bytes > 0 && !r.kept && (largest == nil || r.bytes > largest.bytes) {
 			largest = r
 		}
 	}
--- a/membudget/budget_test.go
+++ b/membudget/budget_test.go
@@ -47,7 +47,14 @@
 		b := New(limit, func(int64) {})
 		var open []*Reservation
 		for range rapid.IntRange(0, 60).Draw(rt, "steps") {
-			switch rapid.IntRange(0, 2).Draw(rt, "step") {
+			switch rapid.IntRange(0, 3).Draw(rt, "step") {
+			case 3:
+				if len(open) > 0 {
+					kept := open[len(open)-1]
+					kept.Keep()
+					kept.Release() // a kept reservation takes no further bytes
+					open = open[:len(open)-1]
+				}
 			case 0:
 				open = append(open, b.NewReservation(func() {}))
 			case 1:
@@ -85,3 +92,24 @@
 	unlimited.Add(1 << 40)
 	unlimited.Release()
 }
+
+// Guards against a complete buffer that is shed, and against one that does not count until it is released.
+func TestKeptReservations(t *testing.T) {
+	b := New(100, func(int64) {})
+	kept := b.NewReservation(func() { t.Error("a kept reservation was shed") })
+	kept.Add(70)
+	if !kept.Keep() || !kept.Keep() || b.Used() != 70 || !b.Fits(30) || b.Fits(31) {
+		t.Errorf("70 bytes are kept: %d used, 30 fit %t, 31 fit %t", b.Used(), b.Fits(30), b.Fits(31))
+	}
+	shed := false
+	next := b.NewReservation(func() { shed = true })
+	next.Add(31)
+	if !shed || next.Keep() || b.Used() != 70 {
+		t.Errorf("31 bytes beside 70 of 100: shed %t, %d used", shed, b.Used())
+	}
+	kept.Release()
+	kept.Release()
+	if b.Used() != 0 || !b.Fits(100) || kept.Keep() {
+		t.Errorf("%d bytes are used after the release", b.Used())
+	}
+}
