--- a/membudget/budget_test.go
+++ b/membudget/budget_test.go
@@ -98,7 +98,8 @@
 	b := New(100, func(int64) {})
 	kept := b.NewReservation(func() { t.Error("a kept reservation was shed") })
 	kept.Add(70)
-	if !kept.Keep() || !kept.Keep() || b.Used() != 70 || !b.Fits(30) || b.Fits(31) {
+	first, second := kept.Keep(), kept.Keep()
+	if !first || !second || b.Used() != 70 || !b.Fits(30) || b.Fits(31) {
 		t.Errorf("70 bytes are kept: %d used, 30 fit %t, 31 fit %t", b.Used(), b.Fits(30), b.Fits(31))
 	}
 	shed := false
