Break off a stream that makes no progress

A resumable stream whose only upstream breaks it off at once was sent there again as fast as that upstream answered, until the stream's deadline: the number of tries counted upstreams, not runs. Found while listing the paths that send an attempt again; it adds load where an upstream is in trouble.

A stream now ends once as many runs in a row as the route has max_attempts have brought no event.

--- a/gateway/resumed_stream_test.go
+++ b/gateway/resumed_stream_test.go
@@ -197,3 +197,23 @@
 		t.Errorf("%d sends, want 1", n)
 	}
 }
+
+// Guards against a stream that is sent to its only upstream over and over, as fast as the upstream breaks it off.
+func TestStreamWithoutProgressIsBrokenOff(t *testing.T) {
+	w := newTestCluster(t)
+	g := w.start("a")
+	var mu sync.Mutex
+	runs := 0
+	w.upstreams.script(func(*upstreamcall.Request) (*upstreamcall.Response, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		if runs++; runs == 1 {
+			return rawStream(false, 1, 2), nil
+		}
+		return rawStream(false), nil
+	})
+	body, err := readStream(w.requestWithBody(t.Context(), g, "/chat/1", "tell"))
+	if err == nil || body != writtenEvents(2) || runs > 6 {
+		t.Errorf("read %q, %v after %d runs; the route allows 5 without an event", body, err, runs)
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -11,6 +11,7 @@
 	"github.com/radishshelf/radishshelf/call"
 	"github.com/radishshelf/radishshelf/outcome"
 	"github.com/radishshelf/radishshelf/upstreamcall"
+	"github.com/radishshelf/radishshelf/upstreams"
 )
 
 // stream forwards the events of a stream as they arrive. A resumable stream continues at another upstream if the
@@ -45,6 +46,8 @@
 	lastEventID int
 	// lastSent is the request of the latest send.
 	lastSent *upstreamcall.Request
+	// runsWithoutEvent counts the latest runs in a row from which no event was written.
+	runsWithoutEvent int
 	// header is the header of the response that the caller gets; nil until the first upstream has responded.
 	header http.Header
 }
@@ -100,19 +103,24 @@
 		s.g.finishSend(u, "", failure, ctx)
 		s.recordRun(ctx, failure)
 		if failure.Outcome != outcome.NotRun {
-			s.tried[u.ID] = true
-			s.countUsage()
+			s.recordTry(u)
 		}
 		return nil, failure
 	}
+	s.recordTry(u)
+	return response, nil
+}
+
+// recordTry counts a send that may have begun to run at an upstream.
+func (s *streamRequest) recordTry(u upstreams.Entry) {
 	s.tried[u.ID] = true
+	s.runsWithoutEvent++
 	s.countUsage()
-	return response, nil
 }
 
-// mayResume reports whether a stream that broke off may continue at another upstream.
+// mayResume reports whether a stream that broke off may continue, at another upstream if there is one.
 func (s *streamRequest) mayResume(ctx context.Context) bool {
-	return s.isRetryable() && s.g.mayRunAgain(ctx, s.broken)
+	return s.isRetryable() && s.runsWithoutEvent < s.auth.route.MaxAttempts && s.g.mayRunAgain(ctx, s.broken)
 }
 
 // checkResponse returns a failure, and closes the response, unless the response may go to the caller: as a new response,
@@ -210,6 +218,7 @@
 			return &upstreamcall.Failure{Reason: upstreamcall.Cancelled, Outcome: outcome.Ran, Err: err}
 		}
 		flush()
+		s.runsWithoutEvent = 0
 		s.lastEventID = max(s.lastEventID, event.ID)
 	}
 }
