Pause before a refused stream asks the same upstreams again

A stream that all upstreams refused was sent to them again at once, up to 12 times within some milliseconds, and then refused or, if its caller had received events, broken off. Plain requests pause for 15 ms once every upstream has refused, for a part of the target latency. Streams do the same now; one that has begun waits for as long as its sends last.

TestStreamWaitsForRoom (first run, resumed) failed before and passes now.

--- a/gateway/resumed_stream_test.go
+++ b/gateway/resumed_stream_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/radishshelf/radishshelf/upstreamcall"
 )
@@ -217,3 +218,35 @@
 		t.Errorf("read %q, %v after %d runs; the route allows 5 without an event", body, err, runs)
 	}
 }
+
+// Guards against a stream that is refused, or a broken one that is not resumed, because its upstreams were asked several
+// times within the moment in which all of them were full.
+func TestStreamWaitsForRoom(t *testing.T) {
+	for name, started := range map[string]bool{"first run": false, "resumed": true} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestCluster(t)
+			g := w.start("a")
+			var mu sync.Mutex
+			runs := 0
+			var fullUntil time.Time
+			w.upstreams.script(func(r *upstreamcall.Request) (*upstreamcall.Response, error) {
+				mu.Lock()
+				defer mu.Unlock()
+				if runs++; runs == 1 {
+					fullUntil = time.Now().Add(25 * time.Millisecond)
+					if started {
+						return rawStream(false, 1, 2), nil
+					}
+				}
+				if time.Now().Before(fullUntil) {
+					return nil, notRun(upstreamcall.Busy)
+				}
+				return rawStream(true, []int{1, 2, 3, 4, 5, 6}[r.ResumeAfter:]...), nil
+			})
+			body, err := readStream(w.requestWithBody(t.Context(), g, "/chat/1", "tell"))
+			if err != nil || body != writtenEvents(streamEvents) {
+				t.Errorf("read %q, %v after %d sends", body, err, runs)
+			}
+		})
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -68,7 +68,11 @@
 			return nil, err // no upstream can be tried
 		}
 		s.lastFailure = failure
-		if failure.Outcome != outcome.NotRun && !s.mayResume(ctx) || ctx.Err() != nil {
+		mayRetry := s.mayResume
+		if failure.Outcome == outcome.NotRun {
+			mayRetry = s.waitForRoom
+		}
+		if !mayRetry(ctx) || ctx.Err() != nil {
 			break
 		}
 	}
@@ -102,7 +106,9 @@
 		failure := upstreamcall.AsFailure(err)
 		s.g.finishSend(u, "", failure, ctx)
 		s.recordRun(ctx, failure)
-		if failure.Outcome != outcome.NotRun {
+		if failure.Outcome == outcome.NotRun {
+			s.refused[u.ID] = true
+		} else {
 			s.recordTry(u)
 		}
 		return nil, failure
@@ -111,6 +117,25 @@
 	return response, nil
 }
 
+// waitForRoom pauses once every upstream has refused the request, before these are asked again. It reports whether the
+// request may wait; one whose caller has received events waits for as long as its sends last.
+func (s *streamRequest) waitForRoom(ctx context.Context) bool {
+	s.g.mu.Lock()
+	ready := s.g.upstreams.Ready(s.service)
+	s.g.mu.Unlock()
+	for _, u := range ready {
+		if !s.refused[u.ID] {
+			return true
+		}
+	}
+	if s.header == nil && time.Now().After(s.waitUntil) {
+		return false
+	}
+	clear(s.refused)
+	sleep(ctx, busyRetryDelay)
+	return true
+}
+
 // recordTry counts a send that may have begun to run at an upstream.
 func (s *streamRequest) recordTry(u upstreams.Entry) {
 	s.tried[u.ID] = true
