--- a/gateway/send.go
+++ b/gateway/send.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/radishshelf/radishshelf/call"
+	"github.com/radishshelf/radishshelf/membudget"
 	"github.com/radishshelf/radishshelf/outcome"
 	"github.com/radishshelf/radishshelf/upstreamcall"
 	"github.com/radishshelf/radishshelf/upstreams"
@@ -50,32 +51,34 @@
 	}
 	defer response.Body.Close()
 	reservation := g.opts.Memory.NewReservation(func() { cancel(errResponseTooLarge) })
-	releaseOnReturn := true
-	defer func() {
-		if releaseOnReturn {
-			reservation.Release()
-		}
-	}()
-	body, err := io.ReadAll(reservation.Reader(io.LimitReader(response.Body, maxBufferedResponse+1)))
-	if len(body) > maxBufferedResponse || errors.Is(context.Cause(ctx), errResponseTooLarge) {
-		return nil, "", &upstreamcall.Failure{Reason: upstreamcall.Endless, Outcome: outcome.MayHaveRun, Err: errResponseTooLarge}
+	body, failure := readBody(ctx, response.Body, reservation)
+	if failure == nil {
+		failure = checkSigned(response)
 	}
-	if err != nil {
-		return nil, "", &upstreamcall.Failure{Reason: upstreamcall.Broken, Outcome: outcome.MayHaveRun, Err: err}
+	if failure == nil && len(body) > smallResponse && reservation.Keep() {
+		context.AfterFunc(inUse, reservation.Release)
+	} else {
+		reservation.Release()
 	}
-	if failure := checkSigned(response); failure != nil {
+	if failure != nil {
 		return nil, "", failure
 	}
-	if len(body) > smallResponse {
-		if !reservation.Keep() {
-			return nil, "", &upstreamcall.Failure{Reason: upstreamcall.Endless, Outcome: outcome.MayHaveRun, Err: errResponseTooLarge}
-		}
-		releaseOnReturn = false
-		context.AfterFunc(inUse, reservation.Release)
-	}
 	return &call.Response{Status: response.Status, Header: response.Header, Body: body}, response.Signature, nil
 }
 
+// readBody reads the body of a response up to maxBufferedResponse. ctx is cancelled with errResponseTooLarge if the
+// reservation is shed.
+func readBody(ctx context.Context, source io.Reader, reservation *membudget.Reservation) ([]byte, *upstreamcall.Failure) {
+	body, err := io.ReadAll(reservation.Reader(io.LimitReader(source, maxBufferedResponse+1)))
+	switch {
+	case len(body) > maxBufferedResponse, errors.Is(context.Cause(ctx), errResponseTooLarge):
+		return nil, &upstreamcall.Failure{Reason: upstreamcall.Endless, Outcome: outcome.MayHaveRun, Err: errResponseTooLarge}
+	case err != nil:
+		return nil, &upstreamcall.Failure{Reason: upstreamcall.Broken, Outcome: outcome.MayHaveRun, Err: err}
+	}
+	return body, nil
+}
+
 // finishSend counts the end of a send and updates the health of its upstream from the result. A nil failure means
 // success.
 func (g *Gateway) finishSend(u upstreams.Entry, model string, failure *upstreamcall.Failure, ctx context.Context) {
