--- a/gateway/send.go
+++ b/gateway/send.go
@@ -71,7 +71,7 @@
 func readBody(ctx context.Context, source io.Reader, reservation *membudget.Reservation) ([]byte, *upstreamcall.Failure) {
 	body, err := io.ReadAll(reservation.Reader(io.LimitReader(source, maxBufferedResponse+1)))
 	switch {
-	case len(body) > maxBufferedResponse, errors.Is(context.Cause(ctx), errResponseTooLarge):
+	case len(body) > maxBufferedResponse, err != nil && errors.Is(context.Cause(ctx), errResponseTooLarge):
 		return nil, &upstreamcall.Failure{Reason: upstreamcall.Endless, Outcome: outcome.MayHaveRun, Err: errResponseTooLarge}
 	case err != nil:
 		return nil, &upstreamcall.Failure{Reason: upstreamcall.Broken, Outcome: outcome.MayHaveRun, Err: err}
