--- a/cmd/radishshelf-gateway/process.go
+++ b/cmd/radishshelf-gateway/process.go
@@ -98,7 +98,7 @@
 	shed := registry.NewCounter("radishshelf_gateway_memory_shed_total")
 	memory := membudget.New(int64(bufferFraction*float64(bytes)), func(bytes int64) {
 		shed.Inc()
-		log.Warn().Int64("bytes", bytes).Msg("buffer memory is full; dropped the largest buffered response or body")
+		log.Warn().Int64("bytes", bytes).Msg("buffer memory is full; gave up a response or body")
 	})
 	registry.NewGauge("radishshelf_gateway_memory_held_bytes", func() float64 { return float64(memory.Used()) })
 	return memory
--- a/membudget/budget.go
+++ b/membudget/budget.go
@@ -21,7 +21,8 @@
 	reservations map[*Reservation]struct{}
 }
 
-// New returns a budget of limit bytes. onShed is called with the size of each reservation that is shed.
+// New returns a budget of limit bytes. onShed is called with the size of each buffer that is shed or not
+// admitted.
 func New(limit int64, onShed func(bytes int64)) *Budget {
 	return &Budget{limit: limit, onShed: onShed, reservations: map[*Reservation]struct{}{}}
 }
@@ -33,15 +34,19 @@
 	return b.used
 }
 
-// Fits reports whether a buffer of n bytes fits beside the kept ones. A buffer that does not fit would be shed before it is
-// complete.
-func (b *Budget) Fits(n int64) bool {
+// Admit reports whether a buffer of n bytes fits beside the kept ones. One that does not fit would be shed before it is
+// complete, and is reported as shed at once.
+func (b *Budget) Admit(n int64) bool {
 	if b == nil {
 		return true
 	}
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.kept+n <= b.limit
+	fits := b.kept+n <= b.limit
+	b.mu.Unlock()
+	if !fits {
+		b.onShed(n)
+	}
+	return fits
 }
 
 // Reservation is the memory of one buffered response or request body.
--- a/membudget/budget_test.go
+++ b/membudget/budget_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"slices"
 	"sync/atomic"
 	"testing"
 
@@ -95,12 +96,13 @@
 
 // Guards against a complete buffer that is shed, and against one that does not count until it is released.
 func TestKeptReservations(t *testing.T) {
-	b := New(100, func(int64) {})
+	var reported []int64
+	b := New(100, func(bytes int64) { reported = append(reported, bytes) })
 	kept := b.NewReservation(func() { t.Error("a kept reservation was shed") })
 	kept.Add(70)
 	first, second := kept.Keep(), kept.Keep()
-	if !first || !second || b.Used() != 70 || !b.Fits(30) || b.Fits(31) {
-		t.Errorf("70 bytes are kept: %d used, 30 fit %t, 31 fit %t", b.Used(), b.Fits(30), b.Fits(31))
+	if !first || !second || b.Used() != 70 || !b.Admit(30) || b.Admit(31) {
+		t.Errorf("70 bytes are kept, %d are used; want room for 30 and not for 31", b.Used())
 	}
 	shed := false
 	next := b.NewReservation(func() { shed = true })
@@ -110,7 +112,10 @@
 	}
 	kept.Release()
 	kept.Release()
-	if b.Used() != 0 || !b.Fits(100) || kept.Keep() {
+	if b.Used() != 0 || !b.Admit(100) || kept.Keep() {
 		t.Errorf("%d bytes are used after the release", b.Used())
 	}
+	if !slices.Equal(reported, []int64{31, 31}) {
+		t.Errorf("reported as shed: %v, want 31 bytes not admitted and 31 shed", reported)
+	}
 }
