--- a/attemptconn/client.go
+++ b/attemptconn/client.go
@@ -14,8 +14,8 @@
 	seed      maphash.Seed
 }
 
-// NewClient returns a client that takes over a transport whose DialContext is set. The transport must not be used
-// otherwise.
+// NewClient returns a client for plain HTTP that takes over a transport whose DialContext is set. The transport must not be
+// used otherwise.
 func NewClient(transport *http.Transport) *Client {
 	dial := transport.DialContext
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -34,8 +34,8 @@
 func (c *Client) Send(req *http.Request, attempt string) (*http.Response, httptrace.GotConnInfo, error) {
 	hash := maphash.String(c.seed, attempt)
 	for {
-		resp, used, refused, err := c.try(req, hash)
-		if !refused {
+		resp, used, rejected, err := c.try(req, hash)
+		if !rejected {
 			return resp, used, err
 		}
 		if err == nil {
@@ -44,16 +44,16 @@
 	}
 }
 
-// try sends a request over any connection. refused is set if nothing was sent, because the connection must not carry the
-// attempt; that connection is closed, so that a limited number of tries reach a new one.
+// try sends a request over any connection. rejected is set if nothing was sent, because the connection must not carry the
+// attempt. That connection is closed, so that the number of tries is limited by the number of kept connections.
 func (c *Client) try(req *http.Request, attempt uint64) (
-	resp *http.Response, used httptrace.GotConnInfo, refused bool, err error,
+	resp *http.Response, used httptrace.GotConnInfo, rejected bool, err error,
 ) {
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
-		GetConn: func(string) { used, refused = httptrace.GotConnInfo{}, false },
+		GetConn: func(string) { used, rejected = httptrace.GotConnInfo{}, false },
 		GotConn: func(info httptrace.GotConnInfo) {
-			used, refused = info, !info.Conn.(*conn).claim(attempt)
-			if refused {
+			used, rejected = info, !info.Conn.(*conn).claim(attempt)
+			if rejected {
 				_ = info.Conn.Close() // nothing can be written to it any more
 			}
 		},
@@ -63,5 +63,5 @@
 		return nil, used, false, err
 	}
 	resp, err = c.transport.RoundTrip(once)
-	return resp, used, refused, err
+	return resp, used, rejected, err
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -180,10 +180,7 @@
 		if err == nil {
 			return nil
 		}
-		if ctx.Err() != nil || failure.Reason == upstreamcall.Cancelled || !s.auth.route.Resumable || !s.mayResume(ctx) {
-			return err
-		}
-		if response, err = s.openNext(ctx); err != nil {
+		if response, err = s.resume(ctx, failure); err != nil {
 			s.g.opts.Log.Info().Str("request", s.request.ID).Int("last_event", s.lastEventID).AnErr("error", err).
 				Msg("stream broken off; no upstream continues it")
 			return err
@@ -191,6 +188,16 @@
 	}
 }
 
+// resume sends the request on after a run that broke off, and returns the response that continues the stream. The error is
+// the failure of that run if the stream may not be resumed.
+func (s *streamRequest) resume(ctx context.Context, failure *upstreamcall.Failure) (*upstreamcall.Response, error) {
+	callerLeft := ctx.Err() != nil || failure.Reason == upstreamcall.Cancelled
+	if callerLeft || !s.auth.route.Resumable || !s.mayResume(ctx) {
+		return nil, failure
+	}
+	return s.openNext(ctx)
+}
+
 // finishRun records the end of a run that began to respond, and returns its failure; nil means success.
 func (s *streamRequest) finishRun(ctx context.Context, err error) *upstreamcall.Failure {
 	var failure *upstreamcall.Failure
