--- a/cmd/radishshelf-gateway/process.go
+++ b/cmd/radishshelf-gateway/process.go
@@ -34,7 +34,7 @@
 	memoryLimitFraction = 0.6
 	// bufferFraction is the fraction of the host's memory that buffered responses and request bodies may use together, while
 	// they are received and until they are passed on. The collector needs room beside them below memoryLimitFraction.
-	bufferFraction = 0.36
+	bufferFraction = 1.0 / 3
 	// gcPercent lets the heap grow to several times the live data, because memory is cheaper than CPU time.
 	gcPercent = 400
 	// storeDialTimeout and peerDialTimeout allow several round trips between regions.
