Tell in logs and metrics which limits upstreams name and how hosts use them

Nothing showed the limit of an upstream or the requests of all hosts to it, so the hypotheses of the incident could not be told apart. Now every response of an upstream is read for what it says of itself (leaving, limit), also reports, orders and refusals; hosts pass limits on in their heartbeats; two log lines and three metrics show them. Nothing obeys a limit yet.

--- a/cmd/radishshelf-gateway/process.go
+++ b/cmd/radishshelf-gateway/process.go
@@ -25,6 +25,7 @@
 	"github.com/radishshelf/radishshelf/quarantine"
 	"github.com/radishshelf/radishshelf/rowrelay"
 	"github.com/radishshelf/radishshelf/telemetry"
+	"github.com/radishshelf/radishshelf/upstreamcall"
 	"github.com/radishshelf/radishshelf/upstreams"
 )
 
@@ -155,10 +156,12 @@
 		CPUShare:  s.CPUShare,
 		UsageDuty: s.HasUsageDuty(), ScaleDuty: s.HasScaleDuty(),
 		Timing: newTiming(s.Bounds), Rows: p.rows, Codec: platform.Codec{}, Memory: p.memory, Log: p.log,
-		Suspects:  ledgerConfig(s.HeartbeatInterval),
-		Registry:  registry,
-		Upstreams: platform.NewUpstreamClient(platform.UpstreamDialer(), func(u upstreams.Entry) { g.UpstreamLeaving(u) }),
-		Duties:    p.duties,
+		Suspects: ledgerConfig(s.HeartbeatInterval),
+		Registry: registry,
+		Upstreams: platform.NewUpstreamClient(platform.UpstreamDialer(), func(u upstreams.Entry, a upstreamcall.Announcement) {
+			g.UpstreamAnnounced(u, a)
+		}),
+		Duties: p.duties,
 	})
 	return g
 }
--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/radishshelf/radishshelf/upstreams"
+)
 
 // idleConnectionTTL is how long an idle connection is assumed to stay open. Upstreams close idle connections after
 // timeouts of their own.
@@ -13,8 +17,11 @@
 	usedAt time.Time
 }
 
-// acquire counts a request that is about to be sent to an upstream. The caller holds g.mu.
-func (g *Gateway) acquire(id string, now time.Time) {
+// acquire counts a request that is about to be sent to an upstream, also against the upstream's limit. Every request of a
+// caller or a job passes through here. The caller holds g.mu.
+func (g *Gateway) acquire(u upstreams.Entry, now time.Time) {
+	id := u.ID
+	g.limits.Sent(u, now)
 	g.inFlight[id]++
 	c := g.connections[id]
 	if now.Sub(c.usedAt) > idleConnectionTTL {
--- /dev/null
+++ b/gateway/control_calls.go
@@ -0,0 +1,30 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/radishshelf/radishshelf/upstreamcall"
+	"github.com/radishshelf/radishshelf/upstreams"
+)
+
+// report asks an upstream for its state. The request counts against the upstream's limit but does not wait for it: runs and
+// orders depend on the answer, and the requests sent after it make up for it.
+func (g *Gateway) report(ctx context.Context, u upstreams.Entry) (upstreamcall.Report, error) {
+	g.countControlCall(u)
+	return g.opts.Upstreams.Report(ctx, u)
+}
+
+// order sends a version order to an upstream; it counts as a report does.
+func (g *Gateway) order(
+	ctx context.Context, u upstreams.Entry, o upstreamcall.VersionOrder,
+) (upstreamcall.OrderResult, error) {
+	g.countControlCall(u)
+	return g.opts.Upstreams.Order(ctx, u, o)
+}
+
+func (g *Gateway) countControlCall(u upstreams.Entry) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limits.Sent(u, time.Now())
+}
--- a/gateway/duty_work.go
+++ b/gateway/duty_work.go
@@ -16,7 +16,7 @@
 	planner *versionplan.Planner
 	// acceptedOrders holds how many orders each incarnation of an upstream has accepted. An upstream that is
 	// missing here is asked before it gets an order.
-	acceptedOrders map[incarnation]int64
+	acceptedOrders map[upstreams.Incarnation]int64
 	reporter       *usageReporter
 	scaler         *upstreamScaler
 	gc             *jobGC
@@ -24,17 +24,9 @@
 	calls          sync.WaitGroup
 }
 
-// incarnation identifies one start of an upstream.
-type incarnation struct {
-	id   string
-	born int64
-}
-
-func incarnationOf(e upstreams.Entry) incarnation { return incarnation{id: e.ID, born: e.Born} }
-
 func newDutyWork(g *Gateway) *dutyWork {
 	return &dutyWork{
-		g: g, planner: versionplan.New(versionplan.DefaultConfig()), acceptedOrders: map[incarnation]int64{},
+		g: g, planner: versionplan.New(versionplan.DefaultConfig()), acceptedOrders: map[upstreams.Incarnation]int64{},
 		reporter: newUsageReporter(g), scaler: newUpstreamScaler(g), gc: &jobGC{g: g},
 	}
 }
@@ -101,7 +93,7 @@
 		}
 		for _, l := range w.planner.NextLoads(w.plannerView(service.Name), g.modelDemands(service.Models), now) {
 			if e, ok := g.upstreams.Get(l.Upstream); ok {
-				_, known := w.acceptedOrders[incarnationOf(e)]
+				_, known := w.acceptedOrders[e.Incarnation()]
 				due = append(due, dueLoad{load: l, entry: e, strategy: strategy, known: known})
 			}
 		}
@@ -115,7 +107,7 @@
 	for _, e := range w.g.upstreams.Ready(service) {
 		peerRequests, _ := w.g.loadOfPeers(e.ID)
 		list = append(list, versionplan.Upstream{
-			ID: e.ID, DataCentre: e.DataCentre, Usable: !w.g.healthOf(e.ID).Suspect(), Orders: w.acceptedOrders[incarnationOf(e)],
+			ID: e.ID, DataCentre: e.DataCentre, Usable: !w.g.healthOf(e.ID).Suspect(), Orders: w.acceptedOrders[e.Incarnation()],
 			Versions: e.Versions, Running: w.g.inFlight[e.ID] + peerRequests,
 		})
 	}
@@ -146,7 +138,7 @@
 		w.withLock(func() { w.planner.Refused(l.load) })
 		return
 	}
-	result, err := w.g.opts.Upstreams.Order(ctx, l.entry, upstreamcall.VersionOrder{
+	result, err := w.g.order(ctx, l.entry, upstreamcall.VersionOrder{
 		Model: l.load.Model, Version: l.load.Version, Strategy: l.strategy, Holder: w.g.opts.Host, Term: term,
 		ExpectedOrders: l.load.ExpectedOrders,
 	})
@@ -157,7 +149,7 @@
 	switch result {
 	case upstreamcall.OrderAccepted:
 		w.withLock(func() {
-			w.acceptedOrders[incarnationOf(l.entry)] = l.load.ExpectedOrders + 1
+			w.acceptedOrders[l.entry.Incarnation()] = l.load.ExpectedOrders + 1
 			w.planner.Accepted(l.load, time.Now())
 		})
 	case upstreamcall.OrderConflict, upstreamcall.OrderHolds:
@@ -173,14 +165,14 @@
 func (w *dutyWork) queryOrders(ctx context.Context, l dueLoad) {
 	ctx, cancel := context.WithTimeout(ctx, dutyCallTimeout)
 	defer cancel()
-	report, err := w.g.opts.Upstreams.Report(ctx, l.entry)
+	report, err := w.g.report(ctx, l.entry)
 	w.g.opts.Log.Info().Str("upstream", l.load.Upstream).Int64("orders", report.Orders).Bool("loading", report.Loading).
 		Interface("versions", report.Versions).AnErr("error", err).Msg("upstream reported its orders")
 	if err != nil {
 		return // the planner waits before it retries
 	}
 	w.withLock(func() {
-		w.acceptedOrders[incarnationOf(l.entry)] = report.Orders
+		w.acceptedOrders[l.entry.Incarnation()] = report.Orders
 		if !report.Loading && report.Versions[l.load.Model] < l.load.Version {
 			w.planner.Refused(l.load)
 		}
--- a/gateway/engine_memory.go
+++ b/gateway/engine_memory.go
@@ -17,10 +17,10 @@
 func (g *Gateway) engineMemory(e upstreams.Entry, now time.Time) int {
 	memory, ok := g.engineMemories[e.Service]
 	if !ok {
-		memory = &placement.EngineMemory[incarnation]{}
+		memory = &placement.EngineMemory[upstreams.Incarnation]{}
 		g.engineMemories[e.Service] = memory
 	}
-	tokens, due := memory.Lookup(incarnationOf(e), now)
+	tokens, due := memory.Lookup(e.Incarnation(), now)
 	if due {
 		g.workWG.Go(func() { g.queryMemory(memory, e) })
 	}
@@ -28,19 +28,19 @@
 }
 
 // queryMemory asks an engine for its memory and records the result. It also drops engines that no longer exist.
-func (g *Gateway) queryMemory(memory *placement.EngineMemory[incarnation], e upstreams.Entry) {
+func (g *Gateway) queryMemory(memory *placement.EngineMemory[upstreams.Incarnation], e upstreams.Entry) {
 	ctx, cancel := context.WithTimeout(g.workCtx, memoryQueryTimeout)
 	defer cancel()
-	report, err := g.opts.Upstreams.Report(ctx, e)
+	report, err := g.report(ctx, e)
 	g.metrics.probes.Inc()
 	g.opts.Log.Info().Str("upstream", e.ID).Int("memory_tokens", report.MemoryTokens).AnErr("error", err).
 		Msg("queried the memory of an upstream")
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	memory.RecordResponse(incarnationOf(e), report.MemoryTokens)
-	memory.Retain(func(i incarnation) bool {
-		known, ok := g.upstreams.Get(i.id)
-		return ok && known.Born == i.born
+	memory.RecordResponse(e.Incarnation(), report.MemoryTokens)
+	memory.Retain(func(i upstreams.Incarnation) bool {
+		known, ok := g.upstreams.Get(i.ID)
+		return ok && known.Born == i.Born
 	})
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/radishshelf/radishshelf/retry"
 	"github.com/radishshelf/radishshelf/serving"
 	"github.com/radishshelf/radishshelf/upstreamhealth"
+	"github.com/radishshelf/radishshelf/upstreamlimit"
 	"github.com/radishshelf/radishshelf/upstreams"
 	"github.com/radishshelf/radishshelf/wallclock"
 )
@@ -52,11 +53,13 @@
 	inFlight map[string]int
 	// engineMemories holds the memory that engines reported, by service, and tokenRates the ratio of tokens to events, by
 	// model.
-	engineMemories map[string]*placement.EngineMemory[incarnation]
+	engineMemories map[string]*placement.EngineMemory[upstreams.Incarnation]
 	tokenRates     map[string]*batch.TokenRate
 	// connections estimates how many connections to each upstream are open.
 	connections map[string]connectionState
 	peerLoad    peerLoadSums
+	// limits divides the limits that upstreams name between the hosts.
+	limits *upstreamlimit.Table
 	// clock is the reading of the store's clock that was taken at clockAt.
 	clock   time.Duration
 	clockAt time.Time
@@ -91,10 +94,11 @@
 		opts: opts, latestVersions: map[string]int64{}, upstreams: upstreams.NewView(), peers: presence.NewView(peerTimeout),
 		jobs: map[string]*jobEntry{}, health: map[string]*upstreamhealth.Health{}, fastestPaces: map[string]cachedPace{}, inFlight: map[string]int{},
 		connections:    map[string]connectionState{},
-		engineMemories: map[string]*placement.EngineMemory[incarnation]{}, tokenRates: map[string]*batch.TokenRate{},
+		engineMemories: map[string]*placement.EngineMemory[upstreams.Incarnation]{}, tokenRates: map[string]*batch.TokenRate{},
 		peerLoad: peerLoadSums{requests: map[string]int{}, tokens: map[string]int{}}, hedges: retry.NewBudget(retry.DefaultBudgetConfig(), time.Now()),
 		suspects: newSuspects(opts.Suspects), usage: usageCounts{}, probes: map[string]*probe{}, schedulerWake: make(chan struct{}, 1), jobAssigned: make(chan struct{}, 1),
 	}
+	g.limits = upstreamlimit.NewTable(opts.Host, limitView{g})
 	if g.opts.WallClock == nil {
 		g.opts.WallClock = time.Now
 	}
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -32,6 +32,7 @@
 	if g.config != nil {
 		heartbeat.ConfigVersion = g.config.Version
 	}
+	heartbeat.Limits = g.limitsReport(time.Now())
 	g.mu.Unlock()
 	maps.DeleteFunc(heartbeat.Load, func(_ string, n int) bool { return n == 0 })
 	value, err := json.Marshal(heartbeat)
@@ -49,6 +50,7 @@
 	}
 	g.mu.Lock()
 	g.heartbeatStored, g.heartbeatStoredAt, g.heartbeatRowVersion = sequence, time.Now(), result.Version
+	g.limits.Reported(heartbeat.Limits)
 	g.mu.Unlock()
 }
 
--- a/gateway/isolation.go
+++ b/gateway/isolation.go
@@ -109,7 +109,7 @@
 	}
 	u, ok = f.g.choosePlain(f.service, exclude, false, now)
 	if ok {
-		f.g.acquire(u.ID, now)
+		f.g.acquire(u, now)
 		if f.action != quarantine.Run {
 			f.g.suspects.isolated[u.ID]++
 		}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -23,8 +23,11 @@
 	endChecks     *metrics.Counter
 	// upstreamsLeaving counts upstreams that announced in a response that they are leaving.
 	upstreamsLeaving *metrics.Counter
-	suspectEnds      *metrics.Counter
-	suspectProbes    *metrics.Counter
+	// limitChanges counts limits of upstreams that were named, changed or lifted, and invalidLimits those that are no
+	// positive number.
+	limitChanges, invalidLimits *metrics.Counter
+	suspectEnds                 *metrics.Counter
+	suspectProbes               *metrics.Counter
 	// suspectsRefused counts refused requests, and suspectsCleared cases that were closed by a complete response.
 	suspectsRefused, suspectsCleared *metrics.Counter
 	dutiesTaken                      *metrics.Counter
@@ -80,6 +83,11 @@
 		defer g.mu.Unlock()
 		return float64(g.suspects.ledger.Len())
 	})
+	r.NewGauge("radishshelf_gateway_limited_upstreams", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(g.limits.Len())
+	})
 	for phase, name := range map[batch.Phase]string{
 		batch.Waiting: "waiting", batch.Running: "running", batch.Scoring: "scoring", batch.Finished: "finished",
 	} {
@@ -97,6 +105,8 @@
 		endChecks:        r.NewCounter("radishshelf_gateway_end_checks_total"),
 		suspectEnds:      r.NewCounter("radishshelf_gateway_suspect_ends_total"),
 		upstreamsLeaving: r.NewCounter("radishshelf_gateway_upstreams_leaving_total"),
+		limitChanges:     r.NewCounter("radishshelf_gateway_limit_changes_total"),
+		invalidLimits:    r.NewCounter("radishshelf_gateway_invalid_limits_total"),
 		suspectProbes:    r.NewCounter("radishshelf_gateway_suspect_probes_total"),
 		suspectsRefused:  r.NewCounter("radishshelf_gateway_suspects_refused_total"),
 		suspectsCleared:  r.NewCounter("radishshelf_gateway_suspects_cleared_total"),
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -62,7 +62,7 @@
 func (g *Gateway) runProbe(u upstreams.Entry, p *probe) {
 	ctx, cancel := context.WithTimeout(g.workCtx, probeTimeout)
 	defer cancel()
-	report, err := g.opts.Upstreams.Report(ctx, u)
+	report, err := g.report(ctx, u)
 	g.metrics.probes.Inc()
 	g.opts.Log.Info().Str("upstream", u.ID).Bool("loading", report.Loading).Int("running", report.Running).
 		Int("queued", report.Queued).AnErr("error", err).Msg("probed a silent upstream")
--- a/gateway/schedule_pass.go
+++ b/gateway/schedule_pass.go
@@ -60,7 +60,7 @@
 	c.Job.Start(c.Item)
 	g.metrics.itemWait.Update(s.now.Sub(c.Item.NotBefore).Seconds())
 	e.owned.runs[c.Item] = &itemRun{upstream: u, started: s.now}
-	g.acquire(u.ID, s.now)
+	g.acquire(u, s.now)
 	o := e.owned
 	g.workWG.Go(func() { o.recoverPanic("item", func() { o.runItem(c.Item, u) }) })
 }
--- a/gateway/scoring.go
+++ b/gateway/scoring.go
@@ -97,7 +97,7 @@
 	if !ok || slices.ContainsFunc(s.pending, func(p upstreams.Entry) bool { return p.ID == u.ID }) {
 		return
 	}
-	g.acquire(u.ID, now)
+	g.acquire(u, now)
 	s.tried[u.ID] = true
 	s.pending = append(s.pending, u)
 	g.workWG.Go(func() { s.results <- s.call(ctx, u, timeout) })
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -87,7 +87,7 @@
 	s.g.mu.Lock()
 	u, ok := s.g.choosePlain(s.service, s.tried, true, time.Now())
 	if ok {
-		s.g.acquire(u.ID, time.Now())
+		s.g.acquire(u, time.Now())
 	}
 	s.g.mu.Unlock()
 	if !ok {
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -160,6 +160,7 @@
 		defer g.mu.Unlock()
 		if c.Deleted {
 			g.peers.Forget(c.Key)
+			g.limits.ForgetPeer(c.Key)
 			g.peerLoad.valid = false
 			return
 		}
@@ -183,6 +184,7 @@
 		return
 	}
 	g.peers.Observe(b)
+	g.observePeerLimits(b)
 	if b.Host == g.opts.Host && b.Incarnation == g.opts.Incarnation {
 		g.heartbeatSeen = max(g.heartbeatSeen, b.Sequence)
 	}
--- a/gateway/upstream_leaving_test.go
+++ b/gateway/upstream_leaving_test.go
@@ -24,7 +24,7 @@
 	})
 	toLeaving := func(r upstreamcall.Request) bool { return r.Upstream.ID == "p1" || r.Upstream.ID == "e1" }
 	for _, id := range []string{"p1", "e1"} {
-		g.UpstreamLeaving(upstreams.Entry{ID: id})
+		g.UpstreamAnnounced(upstreams.Entry{ID: id}, upstreamcall.Announcement{Leaving: true})
 	}
 	for n := range 10 {
 		if _, err := w.requestWithBody(t.Context(), g, "/quote/1", fmt.Sprint(n)); err != nil {
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -10,6 +10,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/radishshelf/radishshelf/upstreamlimit"
 )
 
 // Heartbeat is the row that a process rewrites regularly to show that it is alive.
@@ -34,6 +36,8 @@
 	Items    int     `json:"items"`
 	// ConfigVersion is the version of the configuration that the process uses.
 	ConfigVersion int64 `json:"config_version"`
+	// Limits holds the limits of upstreams that the process knows, and its demand for them; nil without limits.
+	Limits *upstreamlimit.Report `json:"limits,omitempty"`
 }
 
 // View holds the last heartbeat of each process. It is not safe for concurrent use.
--- /dev/null
+++ b/upstreamlimit/statement.go
@@ -0,0 +1,101 @@
+package upstreamlimit
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/radishshelf/radishshelf/upstreams"
+)
+
+// Change describes a limit that was named, changed or lifted.
+type Change struct {
+	Upstream upstreams.Incarnation
+	Service  string
+	// From and To are requests a second; 0 means no limit.
+	From, To float64
+	// Peer is the host that passed the limit on; "" if this host heard it itself.
+	Peer string
+}
+
+// statement is what an upstream said of its limit at a time.
+type statement struct {
+	service   string
+	perSecond float64
+	heardAt   time.Time
+	peer      string
+}
+
+// Hear records what a response of an upstream says of its limit: 0 if it names none. Only the response to a request that
+// was sent after the last statement can raise or lift a limit, because responses may overtake each other; requestedAt is
+// zero if the time of the request is not known.
+func (t *Table) Hear(u upstreams.Entry, perSecond float64, requestedAt, now time.Time) (Change, bool) {
+	i := u.Incarnation()
+	known, ok := t.limits[i]
+	if !ok {
+		if perSecond == 0 {
+			return Change{}, false
+		}
+		return t.set(i, statement{service: u.Service, perSecond: perSecond, heardAt: now})
+	}
+	last := known.heardAt
+	if known.peer != "" {
+		last = last.Add(clockError)
+	}
+	if requestedAt.After(last) || isStricter(perSecond, known.perSecond) {
+		return t.set(i, statement{service: u.Service, perSecond: perSecond, heardAt: now})
+	}
+	return Change{}, false
+}
+
+// hearFromPeer records a statement that another host has heard. The newer statement holds, and of two that may be equally
+// old the stricter one.
+func (t *Table) hearFromPeer(i upstreams.Incarnation, s statement) (Change, bool) {
+	known, ok := t.limits[i]
+	switch {
+	case !ok && s.perSecond == 0:
+		return Change{}, false
+	case !ok, s.heardAt.After(known.heardAt.Add(clockError)),
+		isStricter(s.perSecond, known.perSecond) && s.heardAt.After(known.heardAt.Add(-clockError)):
+		return t.set(i, s)
+	}
+	return Change{}, false
+}
+
+// isStricter reports whether limit a allows less than limit b; 0 means no limit.
+func isStricter(a, b float64) bool { return a > 0 && (b == 0 || a < b) }
+
+// set makes a statement the one that holds, and returns the change if it differs from the one before.
+func (t *Table) set(i upstreams.Incarnation, s statement) (Change, bool) {
+	l, ok := t.limits[i]
+	if !ok {
+		if len(t.limits) >= maxLimits {
+			return Change{}, false
+		}
+		l = &limit{}
+		t.limits[i] = l
+	}
+	change := Change{Upstream: i, Service: s.service, From: l.perSecond, To: s.perSecond, Peer: s.peer}
+	l.service, l.perSecond, l.heardAt, l.peer = s.service, s.perSecond, s.heardAt, s.peer
+	if change.From == change.To {
+		return change, false
+	}
+	if change.From == 0 {
+		l.bucket = rate.NewLimiter(minRate, 1)
+		l.bucket.ReserveN(s.heardAt, 1) // the requests just sent count
+	}
+	t.dividedAt = time.Time{}
+	return change, true
+}
+
+// minRate replaces a rate of 0, with which a bucket would never earn back what was sent beyond it.
+const minRate rate.Limit = 1e-6
+
+// prune forgets limits that no longer matter.
+func (t *Table) prune(now time.Time) {
+	for i, l := range t.limits {
+		if now.Sub(l.heardAt) > retention && (l.perSecond == 0 || !t.view.IsRegistered(i)) {
+			delete(t.limits, i)
+		}
+	}
+}
--- a/upstreams/entry.go
+++ b/upstreams/entry.go
@@ -26,3 +26,12 @@
 	// Versions holds the weight version of each model that the upstream serves; empty for a plain service.
 	Versions map[string]int64
 }
+
+// Incarnation identifies one start of an upstream.
+type Incarnation struct {
+	ID   string
+	Born int64
+}
+
+// Incarnation returns the incarnation that the entry describes.
+func (e Entry) Incarnation() Incarnation { return Incarnation{ID: e.ID, Born: e.Born} }
