--- a/gateway/cluster_test.go
+++ b/gateway/cluster_test.go
@@ -17,6 +17,7 @@
 	"github.com/radishshelf/radishshelf/quarantine"
 	storerows "github.com/radishshelf/radishshelf/standin/rows"
 	"github.com/radishshelf/radishshelf/telemetry"
+	"github.com/radishshelf/radishshelf/upstreamcall"
 	"github.com/radishshelf/radishshelf/upstreams"
 )
 
@@ -78,14 +79,18 @@
 
 // startWithRows starts a gateway with its own access to the store.
 func (w *testCluster) startWithRows(host string, cpuShare float64, rows hosting.Rows) *Gateway {
-	g := New(Options{
+	var g *Gateway
+	caller := &announcingUpstreams{fakeUpstreams: w.upstreams, host: host, announce: func(u upstreams.Entry, a upstreamcall.Announcement) {
+		g.UpstreamAnnounced(u, a)
+	}}
+	g = New(Options{
 		Host: host, Incarnation: fmt.Sprint(time.Now().UnixNano()), DataCentre: "north-1",
 		RegionOf: map[string]string{"north-1": "north"}, PeerAddress: host, MaxRowBytes: 64 << 10, UsageDuty: true, CPUShare: cpuShare,
 		Timing: Timing{
 			Lease: 3 * time.Second, Grace: 8 * time.Second, UsageWindow: 5 * time.Second, UsageLate: 10 * time.Second,
 			BatchLifetime: 2 * time.Minute, Settle: time.Second, CancelApply: 3 * time.Second,
 		},
-		WallClock: w.wall, Suspects: w.suspects, Rows: rows, Upstreams: w.upstreams, Duties: w.duties, Codec: testCodec{}, Log: zerolog.New(logWriter{w.t}),
+		WallClock: w.wall, Suspects: w.suspects, Rows: rows, Upstreams: caller, Duties: w.duties, Codec: testCodec{}, Log: zerolog.New(logWriter{w.t}),
 		Registry: telemetry.NewRegistry(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -129,11 +129,14 @@
 	cancelled int
 	sent      []upstreamcall.Request
 	orders    []upstreamcall.VersionOrder
+	// limits holds the requests a second that upstreams name in every response, and sends every request, report and order.
+	limits map[string]float64
+	sends  []fakeSend
 	// ended holds the upstreams whose process has ended, so that nothing listens at their address.
 	ended map[string]bool
 }
 
-func newFakeUpstreams() *fakeUpstreams { return &fakeUpstreams{ended: map[string]bool{}} }
+func newFakeUpstreams() *fakeUpstreams { return &fakeUpstreams{ended: map[string]bool{}, limits: map[string]float64{}} }
 
 // endUpstream makes Dial of an upstream fail as if its process had ended.
 func (f *fakeUpstreams) endUpstream(id string) {
