Give a model engines without a limit beside those with one

A model whose engines all named a limit waited for them while engines of other models were idle. For each member with a limit the planner now takes another one without, as far as there are any.

--- a/versionplan/plan.go
+++ b/versionplan/plan.go
@@ -23,6 +23,8 @@
 	DataCentre string
 	// Usable upstreams accept work. The others keep their entry for a while but load nothing.
 	Usable bool
+	// Limited upstreams have named a limit on requests and serve less than others.
+	Limited bool
 	// Running is the number of requests in flight at the upstream.
 	Running int
 	// Orders is the number of orders that the upstream has accepted, as far as known.
@@ -262,8 +264,9 @@
 // longer than a step.
 const memberShare = 1.5
 
-// Members returns the usable upstreams from list that serve a model, when models models share the upstreams. Every
-// process computes the same members from the same list, and an added or removed upstream changes few others.
+// Members returns the usable upstreams from list that serve a model, when models models share the upstreams. For each
+// limited one there is another one without a limit, as far as there are any, so that not all members of a model are
+// limited. Every process computes the same members from the same list, and an added or removed upstream changes few others.
 func Members(list []Upstream, model string, models int) []Upstream {
 	var usable []Upstream
 	for _, u := range list {
@@ -275,7 +278,27 @@
 		return cmp.Or(cmp.Compare(rendezvous.Weight(model, b.ID), rendezvous.Weight(model, a.ID)), cmp.Compare(a.ID, b.ID))
 	})
 	count := min(int(math.Ceil(memberShare*float64(len(usable))/float64(max(models, 1)))), len(usable))
-	return spreadByDataCentre(usable, count)
+	members := spreadByDataCentre(usable, count)
+	return append(members, substitutes(usable, members)...)
+}
+
+// substitutes returns upstreams without a limit that are no members yet, as many as there are members with a limit.
+func substitutes(usable, members []Upstream) []Upstream {
+	missing := 0
+	isMember := map[string]bool{}
+	for _, u := range members {
+		isMember[u.ID] = true
+		if u.Limited {
+			missing++
+		}
+	}
+	var list []Upstream
+	for _, u := range usable {
+		if len(list) < missing && !u.Limited && !isMember[u.ID] {
+			list = append(list, u)
+		}
+	}
+	return list
 }
 
 // spreadByDataCentre returns count upstreams, in the order of the list but with even shares for the data centres.
--- a/versionplan/plan_test.go
+++ b/versionplan/plan_test.go
@@ -144,6 +144,34 @@
 	})
 }
 
+// Guards against a model whose members all have limits although others have none, and against members that are exchanged
+// for others, which would have to load first.
+func TestLimitedMembersGetSubstitutes(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFleet(rapid.IntRange(3, 30).Draw(rt, "upstreams"), "a", "b", "c")
+		before := Members(f.list, "a", 3)
+		unlimited := 0
+		for i := range f.list {
+			if f.list[i].Limited = rapid.Bool().Draw(rt, "limited"); !f.list[i].Limited {
+				unlimited++
+			}
+		}
+		members := Members(f.list, "a", 3)
+		limited := 0
+		for i, u := range members {
+			if i < len(before) && u.ID != before[i].ID {
+				rt.Fatalf("member %s was replaced by %s", before[i].ID, u.ID)
+			}
+			if u.Limited {
+				limited++
+			}
+		}
+		if want := min(len(before), unlimited); len(members)-limited != want {
+			rt.Fatalf("%d members without a limit beside %d with one, want %d", len(members)-limited, limited, want)
+		}
+	})
+}
+
 // Guards against a model that gets no loads because models earlier in the alphabet take all concurrent loads.
 func TestNoModelStarves(t *testing.T) {
 	models := []string{"a", "b", "c"}
