Keep the limits that upstreams name, over all hosts and every send

What callers of an upstream in need saw: it got far more requests than it had named (LIMIT), because nothing read the limit.

Hosts tell each other in their heartbeats which limits they know and what they would send, and each computes its share (package upstreamlimit). Every request is counted where it is counted as in flight; reports and orders count, too. A request that finds no room waits in a fair queue if its turn comes in a quarter of its time, and is refused at once as not run otherwise, with a time to come back. Callers go before jobs, in the queue and in the division.

Weighed: a holder that grants parts of the limit (as package quota does) needs a call to it before a share can grow and another holder when it is lost; equal parts leave most of a limit unused, as three owners of jobs send nearly all. Shares by demand need no call and no write of their own.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/radishshelf/radishshelf/placement"
@@ -47,17 +48,36 @@
 	return "", false
 }
 
-// choosePlain picks the upstream with the lowest cost for a request that needs no model. Upstreams in tried are ranked
-// last, or left out if allowTried is false. The caller holds g.mu.
-func (g *Gateway) choosePlain(service string, tried map[string]bool, allowTried bool, now time.Time) (upstreams.Entry, bool) {
-	var best upstreams.Entry
-	bestCost, found := 0.0, false
-	for _, e := range g.upstreams.Ready(service) {
-		if tried[e.ID] && !allowTried {
+// plainChoice says among which upstreams a request that needs no model may choose.
+type plainChoice struct {
+	service string
+	// tried upstreams are ranked last, or left out unless allowTried is set.
+	tried      map[string]bool
+	allowTried bool
+	// background requests leave upstreams without a limit to those of callers once these have work for all their slots.
+	background bool
+	// inTurn is set for a request that has waited for its share of a limit. Others leave the limited upstreams of a
+	// service to those that wait.
+	inTurn bool
+}
+
+// choosePlain picks the upstream with the lowest cost for a request. limited reports whether upstreams were left out
+// because of their limits. The caller holds g.mu.
+func (g *Gateway) choosePlain(c plainChoice, now time.Time) (best upstreams.Entry, found, limited bool) {
+	bestCost := 0.0
+	hasLimits := g.hasLimits(c.service, now)
+	keepsOrder := !c.inTurn && g.limitQueueLen(c.service) > 0
+	for _, e := range g.upstreams.Ready(c.service) {
+		tried := c.tried[e.ID]
+		if tried && !c.allowTried {
+			continue
+		}
+		if hasLimits && (!g.hasRoom(e, c.background, now) || keepsOrder && g.limits.Limited(e, now)) {
+			limited = true
 			continue
 		}
 		cost := g.sendCost(e, now)
-		if tried[e.ID] {
+		if tried {
 			cost += 2 * suspectCost
 		}
 		if g.healthOf(e.ID).IsBusy("", now) {
@@ -70,7 +90,35 @@
 			best, bestCost, found = e, cost, true
 		}
 	}
-	return best, found
+	return best, found, limited
+}
+
+// crowdedRatio is the multiple of an upstream's slots from which on it takes no more background requests in place of
+// limited upstreams. A few requests that wait at the upstream keep its slots in use.
+const crowdedRatio = 2
+
+// hasRoom reports whether an upstream of a service with limits may get one more request: by its limit or, if it has none,
+// by its health and load. Without this, an upstream without a limit would have to refuse the load of all limited ones. The caller
+// holds g.mu.
+func (g *Gateway) hasRoom(e upstreams.Entry, background bool, now time.Time) bool {
+	h := g.healthOf(e.ID)
+	switch {
+	case g.limits.Limited(e, now):
+		return g.limits.Allowed(e, now) > 0
+	case h.IsBusy("", now), !h.Allowed(now, g.inFlight[e.ID]):
+		return false
+	case !background:
+		return true
+	}
+	peerRequests, _ := g.loadOfPeers(e.ID)
+	return g.inFlight[e.ID]+peerRequests < crowdedRatio*max(e.Slots, 1)
+}
+
+// hasLimits reports whether an upstream of a service has a limit. The caller holds g.mu.
+func (g *Gateway) hasLimits(service string, now time.Time) bool {
+	return g.limits.Len() > 0 && slices.ContainsFunc(g.upstreams.Ready(service), func(e upstreams.Entry) bool {
+		return g.limits.Limited(e, now)
+	})
 }
 
 // sendCost returns the cost of one more request at an upstream. The caller holds g.mu.
--- a/gateway/engine_memory.go
+++ b/gateway/engine_memory.go
@@ -21,7 +21,10 @@
 		g.engineMemories[e.Service] = memory
 	}
 	tokens, due := memory.Lookup(e.Incarnation(), now)
-	if due {
+	switch {
+	case due && g.limits.Allowed(e, now) <= 0:
+		memory.RecordResponse(e.Incarnation(), 0) // a text needs the engine's next request more
+	case due:
 		g.workWG.Go(func() { g.queryMemory(memory, e) })
 	}
 	return tokens
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -136,7 +136,9 @@
 	ended map[string]bool
 }
 
-func newFakeUpstreams() *fakeUpstreams { return &fakeUpstreams{ended: map[string]bool{}, limits: map[string]float64{}} }
+func newFakeUpstreams() *fakeUpstreams {
+	return &fakeUpstreams{ended: map[string]bool{}, limits: map[string]float64{}}
+}
 
 // endUpstream makes Dial of an upstream fail as if its process had ended.
 func (f *fakeUpstreams) endUpstream(id string) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,6 +60,11 @@
 	peerLoad    peerLoadSums
 	// limits divides the limits that upstreams name between the hosts.
 	limits *upstreamlimit.Table
+	// limitQueues holds the requests that wait for a share of a limit, by service, and limitWaiters numbers them.
+	limitQueues  map[string]*limitQueue
+	limitWaiters int64
+	// itemsWaiting counts, by engine, the items that found no engine in the last pass of the scheduler.
+	itemsWaiting map[string]float64
 	// clock is the reading of the store's clock that was taken at clockAt.
 	clock   time.Duration
 	clockAt time.Time
@@ -96,7 +101,8 @@
 		connections:    map[string]connectionState{},
 		engineMemories: map[string]*placement.EngineMemory[upstreams.Incarnation]{}, tokenRates: map[string]*batch.TokenRate{},
 		peerLoad: peerLoadSums{requests: map[string]int{}, tokens: map[string]int{}}, hedges: retry.NewBudget(retry.DefaultBudgetConfig(), time.Now()),
-		suspects: newSuspects(opts.Suspects), usage: usageCounts{}, probes: map[string]*probe{}, schedulerWake: make(chan struct{}, 1), jobAssigned: make(chan struct{}, 1),
+		suspects: newSuspects(opts.Suspects), usage: usageCounts{}, probes: map[string]*probe{}, limitQueues: map[string]*limitQueue{},
+		schedulerWake: make(chan struct{}, 1), jobAssigned: make(chan struct{}, 1),
 	}
 	g.limits = upstreamlimit.NewTable(opts.Host, limitView{g})
 	if g.opts.WallClock == nil {
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -50,7 +50,6 @@
 	}
 	g.mu.Lock()
 	g.heartbeatStored, g.heartbeatStoredAt, g.heartbeatRowVersion = sequence, time.Now(), result.Version
-	g.limits.Reported(heartbeat.Limits)
 	g.mu.Unlock()
 }
 
--- a/gateway/isolation.go
+++ b/gateway/isolation.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/radishshelf/radishshelf/admission"
 	"github.com/radishshelf/radishshelf/quarantine"
 	"github.com/radishshelf/radishshelf/upstreams"
 )
@@ -32,11 +33,37 @@
 
 // chooseUpstream picks the upstream of the next send. Crash suspects are isolated from each other: otherwise a request
 // that crashes its upstreams would make the requests beside it look like the cause.
-func (f *plainRequest) chooseUpstream(ctx context.Context) (upstreams.Entry, bool) {
+func (f *plainRequest) chooseUpstream(ctx context.Context) (upstreams.Entry, error) {
 	if f.action == quarantine.Run {
-		u, ok, _ := f.reserveUpstream(anyUpstream)
-		return u, ok
+		return f.g.reserve(ctx, f.limitTurn(), f.pending == 0)
 	}
+	if u, ok := f.chooseIsolated(ctx); ok {
+		return u, nil
+	}
+	return upstreams.Entry{}, noUpstream()
+}
+
+// limitTurn describes the request to the queues for limited upstreams.
+func (f *plainRequest) limitTurn() limitTurn {
+	return limitTurn{
+		request: f.request.ID, service: f.service,
+		item: admission.Item{Workspace: f.auth.workspaceName(), Rank: f.auth.priority(), Deadline: f.latestStart()},
+		choose: func(inTurn bool, now time.Time) (upstreams.Entry, bool, bool) {
+			exclude := maps.Clone(f.tried)
+			maps.Copy(exclude, f.refused)
+			return f.g.choosePlain(plainChoice{service: f.service, tried: exclude, inTurn: inTurn}, now)
+		},
+	}
+}
+
+// latestStart returns until when the request may wait for a limit, so that most of its time is left for the upstream.
+func (f *plainRequest) latestStart() time.Time {
+	now := time.Now()
+	return now.Add(time.Duration(admission.DefaultMaxWaitShare * float64(f.deadline.Sub(now))))
+}
+
+// chooseIsolated picks the upstream of a crash suspect.
+func (f *plainRequest) chooseIsolated(ctx context.Context) (upstreams.Entry, bool) {
 	until := f.isolationEnd()
 	if f.pending == 0 {
 		sleep(ctx, time.Until(f.slotStart))
@@ -107,7 +134,7 @@
 	if scope != anyUpstream {
 		occupied = f.excludeIsolated(exclude, scope)
 	}
-	u, ok = f.g.choosePlain(f.service, exclude, false, now)
+	u, ok, _ = f.g.choosePlain(plainChoice{service: f.service, tried: exclude}, now)
 	if ok {
 		f.g.acquire(u, now)
 		if f.action != quarantine.Run {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -26,8 +26,12 @@
 	// limitChanges counts limits of upstreams that were named, changed or lifted, and invalidLimits those that are no
 	// positive number.
 	limitChanges, invalidLimits *metrics.Counter
-	suspectEnds                 *metrics.Counter
-	suspectProbes               *metrics.Counter
+	// limitRefusals counts requests and calls that found no room within the limits of upstreams, and limitWait measures
+	// how long the others waited for it.
+	limitRefusals *metrics.Counter
+	limitWait     *metrics.Histogram
+	suspectEnds   *metrics.Counter
+	suspectProbes *metrics.Counter
 	// suspectsRefused counts refused requests, and suspectsCleared cases that were closed by a complete response.
 	suspectsRefused, suspectsCleared *metrics.Counter
 	dutiesTaken                      *metrics.Counter
@@ -107,6 +111,8 @@
 		upstreamsLeaving: r.NewCounter("radishshelf_gateway_upstreams_leaving_total"),
 		limitChanges:     r.NewCounter("radishshelf_gateway_limit_changes_total"),
 		invalidLimits:    r.NewCounter("radishshelf_gateway_invalid_limits_total"),
+		limitRefusals:    r.NewCounter("radishshelf_gateway_limit_refusals_total"),
+		limitWait:        r.NewHistogram("radishshelf_gateway_limit_wait_seconds"),
 		suspectProbes:    r.NewCounter("radishshelf_gateway_suspect_probes_total"),
 		suspectsRefused:  r.NewCounter("radishshelf_gateway_suspects_refused_total"),
 		suspectsCleared:  r.NewCounter("radishshelf_gateway_suspects_cleared_total"),
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -69,6 +69,8 @@
 	// lastResponse is a server error, returned to the caller if no later send succeeds.
 	lastResponse *call.Response
 	lastFailure  *upstreamcall.Failure
+	// lastRefusal is why no upstream could be chosen for the latest send.
+	lastRefusal error
 }
 
 // sendResult is the result of one send. Either response or failure is set.
@@ -164,9 +166,10 @@
 		f.g.hedges.AddFirstAttempt(time.Now())
 		f.g.mu.Unlock()
 	}
-	u, ok := f.chooseUpstream(ctx)
-	if !ok {
-		return unavailable(outcome.KindNoUpstream, "no upstream of the service can take the request", retryAfterBusy)
+	u, err := f.chooseUpstream(ctx)
+	if err != nil {
+		f.lastRefusal = err
+		return err
 	}
 	f.sends++
 	f.pending++
@@ -264,6 +267,8 @@
 	switch {
 	case f.lastResponse != nil:
 		return f.lastResponse, nil
+	case len(f.tried) == 0 && f.lastRefusal != nil:
+		return nil, f.lastRefusal
 	case len(f.tried) == 0:
 		return nil, unavailable(outcome.KindOverloaded, "no upstream of the service accepted the request", retryAfterBusy)
 	default:
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -24,6 +24,11 @@
 	return &outcome.Refusal{Kind: kind, Outcome: outcome.NotRun, Status: status, Message: message, Remedy: remedy}
 }
 
+// noUpstream returns the refusal of a request for which the service has no upstream now.
+func noUpstream() *outcome.Refusal {
+	return unavailable(outcome.KindNoUpstream, "no upstream of the service can take the request", retryAfterBusy)
+}
+
 // unavailable returns a refusal with status 503 for a request that was not run and may be retried after the given time.
 func unavailable(kind outcome.Kind, message string, after time.Duration) *outcome.Refusal {
 	r := newRefusal(kind, http.StatusServiceUnavailable, message, "repeat the request after the given time")
--- a/gateway/schedule.go
+++ b/gateway/schedule.go
@@ -35,6 +35,7 @@
 		return
 	}
 	candidates := g.startableItems(now)
+	g.itemsWaiting = nil
 	if len(candidates) == 0 || !g.mayStartItems(now) {
 		return
 	}
@@ -43,6 +44,7 @@
 	for _, c := range candidates {
 		pass.start(c)
 	}
+	g.itemsWaiting = pass.waitingByEngine()
 }
 
 // startableItems returns the items that may start now. The caller holds g.mu.
--- a/gateway/schedule_pass.go
+++ b/gateway/schedule_pass.go
@@ -18,6 +18,8 @@
 	limits map[*ownedJob]int
 	// noRoom holds the requirements for which no engine was found in this pass.
 	noRoom map[placementKey]bool
+	// waiting counts the items that found no engine.
+	waiting map[placementKey]int
 }
 
 // selectorKey identifies the engines of a service that serve a model.
@@ -33,7 +35,10 @@
 }
 
 func newSchedulePass(g *Gateway, now time.Time) *schedulePass {
-	return &schedulePass{g: g, now: now, selectors: map[selectorKey]*placement.Selector{}, limits: map[*ownedJob]int{}, noRoom: map[placementKey]bool{}}
+	return &schedulePass{
+		g: g, now: now, selectors: map[selectorKey]*placement.Selector{}, limits: map[*ownedJob]int{},
+		noRoom: map[placementKey]bool{}, waiting: map[placementKey]int{},
+	}
 }
 
 // start starts one item at the best engine with room.
@@ -79,16 +84,57 @@
 	req := s.g.requirementsOf(c.Job, c.Item)
 	key := placementKey{selectorKey: selectorKey{service: service, model: c.Job.Spec.Model}, minVersion: req.MinVersion, long: req.Long}
 	if s.noRoom[key] {
+		s.waiting[key]++
 		return upstreams.Entry{}, false
 	}
 	id, ok := s.selector(key.selectorKey).Pick(req)
 	if !ok {
+		s.waiting[key]++
 		s.noRoom[key] = s.selector(key.selectorKey).Full(req)
 		return upstreams.Entry{}, false
 	}
+	s.wantEngines(key)
 	return s.g.upstreams.Get(id)
 }
 
+// wantEngines counts a text that starts as demand for the engines that could make it.
+func (s *schedulePass) wantEngines(key placementKey) {
+	if s.g.limits.Len() == 0 {
+		return
+	}
+	suitable := s.suitable(key)
+	for _, u := range suitable {
+		s.g.limits.Want(u, 1/float64(len(suitable)), true, s.now)
+	}
+}
+
+// suitable returns the engines that serve the model and version of a text, whether they have room or not.
+func (s *schedulePass) suitable(key placementKey) []upstreams.Entry {
+	var list []upstreams.Entry
+	for _, u := range s.g.upstreams.Ready(key.service) {
+		if version, serves := u.Versions[key.model]; (serves || key.model == "") && version >= key.minVersion {
+			list = append(list, u)
+		}
+	}
+	return list
+}
+
+// waitingByEngine returns the number of items that found no engine, by each engine that could serve them; an item counts in
+// equal parts for all of these.
+func (s *schedulePass) waitingByEngine() map[string]float64 {
+	if s.g.limits.Len() == 0 {
+		return nil
+	}
+	waiting := map[string]float64{}
+	for key, n := range s.waiting {
+		suitable := s.suitable(key)
+		for _, u := range suitable {
+			waiting[u.ID] += float64(n) / float64(len(suitable))
+		}
+	}
+	return waiting
+}
+
 func (s *schedulePass) selector(key selectorKey) *placement.Selector {
 	selector, ok := s.selectors[key]
 	if !ok {
@@ -124,10 +170,12 @@
 		h := g.healthOf(e.ID)
 		own := g.inFlight[e.ID]
 		peerRequests, peerTokens := g.loadOfPeers(e.ID)
+		sendsLeft := g.limits.Allowed(e, now)
 		engines = append(engines, placement.Engine{
 			ID: e.ID, Slots: e.Slots, OwnRequests: own, OtherRequests: peerRequests, Connections: g.openConnections(e.ID, now),
 			Distance: g.distanceTo(e), Version: version, Pace: h.Pace(now), LastPace: h.LastPace(),
 			MemoryTokens: g.engineMemory(e, now), Runs: runs[e.ID], OtherTokens: peerTokens,
+			Limited: g.limits.Limited(e, now), SendsLeft: sendsLeft,
 			Excluded: h.IsBusy(key.model, now) || !h.Allowed(now, own),
 		})
 	}
--- a/gateway/scoring.go
+++ b/gateway/scoring.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/radishshelf/radishshelf/admission"
 	"github.com/radishshelf/radishshelf/batch"
 	"github.com/radishshelf/radishshelf/quarantine"
 	"github.com/radishshelf/radishshelf/upstreamcall"
@@ -37,10 +38,10 @@
 	tried   map[string]bool
 	pending []upstreams.Entry
 	results chan sendResult
-	// limit is the number of failures that the route allows, and hedgeAfter the time after which another call is
-	// sent.
-	limit      int
-	hedgeAfter time.Duration
+	// limit is the number of failures that the route allows, hedgeAfter the time after which another call is sent, and
+	// timeout that of one call.
+	limit               int
+	hedgeAfter, timeout time.Duration
 }
 
 // run sends calls until one of them returns the score.
@@ -68,39 +69,73 @@
 	}
 }
 
-// send starts one more call, unless maxScoreCalls are pending or no upstream is available.
+// send starts one more call, unless maxScoreCalls are pending or no upstream is available. The first call waits until the
+// limits of upstreams allow it.
 func (s *scoring) send(ctx context.Context) {
 	if len(s.pending) >= maxScoreCalls {
 		return
 	}
-	g, score, now := s.o.g, s.item.Item.Score, time.Now()
+	g := s.o.g
 	action, err := g.checkQuarantine(ctx, s.request())
 	if err != nil || action != quarantine.Run && len(s.pending) > 0 {
 		return // the item is not abandoned but waits; a call that may crash its upstream runs at one upstream only
 	}
+	turn, ok := s.limitTurn()
+	if !ok {
+		return // the route was removed from the configuration; the item waits until it returns
+	}
+	u, err := g.reserve(ctx, turn, len(s.pending) == 0)
+	if err != nil {
+		return // run tries again
+	}
+	s.tried[u.ID] = true
+	s.pending = append(s.pending, u)
+	timeout := s.timeout
+	g.workWG.Go(func() { s.results <- s.call(ctx, u, timeout) })
+}
+
+// scoreRank ranks score calls behind the requests of callers of the same workspace, whatever the priority of their routes:
+// a caller waits for milliseconds, an item for seconds.
+const scoreRank = 1000
+
+// limitTurn describes the next call to the queues for limited upstreams. It returns false if the call has no route.
+func (s *scoring) limitTurn() (limitTurn, bool) {
+	g, score := s.o.g, s.item.Item.Score
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	route, ok := g.config.Route(score.Host, score.Path)
+	service, ok := s.findRoute()
+	return limitTurn{
+		request: score.ID, service: service, background: true,
+		item: admission.Item{Workspace: s.o.entry.record.Workspace, Rank: scoreRank + s.o.priority(s.item)},
+		choose: func(inTurn bool, now time.Time) (u upstreams.Entry, found, limited bool) {
+			service, ok := s.findRoute() // the configuration may have changed while the call waited
+			if !ok {
+				return upstreams.Entry{}, false, false
+			}
+			u, found, limited = g.choosePlain(
+				plainChoice{service: service, tried: s.tried, allowTried: true, background: true, inTurn: inTurn}, now)
+			isPending := slices.ContainsFunc(s.pending, func(p upstreams.Entry) bool { return p.ID == u.ID })
+			return u, found && !isPending, limited
+		},
+	}, ok
+}
+
+// findRoute reads the limits of the score call from its route, and picks its service. It returns false if there is no
+// route. The caller holds g.mu.
+func (s *scoring) findRoute() (service string, ok bool) {
+	score := s.item.Item.Score
+	route, ok := s.o.g.config.Route(score.Host, score.Path)
 	if !ok {
-		return // the route was removed from the configuration; the item waits until it returns
+		return "", false
 	}
-	s.limit, s.hedgeAfter = route.MaxAttempts, scoreHedgeDelay
+	s.limit, s.hedgeAfter, s.timeout = route.MaxAttempts, scoreHedgeDelay, scoreTimeout
 	if route.TargetLatency > 0 {
 		s.hedgeAfter = route.TargetLatency
 	}
-	timeout := scoreTimeout
 	if route.Timeout > 0 {
-		timeout = route.Timeout
+		s.timeout = route.Timeout
 	}
-	service, _ := chooseService(route)
-	u, ok := g.choosePlain(service, s.tried, true, now)
-	if !ok || slices.ContainsFunc(s.pending, func(p upstreams.Entry) bool { return p.ID == u.ID }) {
-		return
-	}
-	g.acquire(u, now)
-	s.tried[u.ID] = true
-	s.pending = append(s.pending, u)
-	g.workWG.Go(func() { s.results <- s.call(ctx, u, timeout) })
+	return chooseService(route)
 }
 
 func (s *scoring) call(ctx context.Context, u upstreams.Entry, timeout time.Duration) sendResult {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -86,6 +86,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.release(u.ID, now)
+	defer g.wakeLimitQueue(u.Service, now)
 	g.detectUpstreamEnd(u, failure)
 	h := g.healthOf(u.ID)
 	switch {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -63,9 +63,12 @@
 			return response, nil
 		}
 		var failure *upstreamcall.Failure
-		if !errors.As(err, &failure) {
+		if !errors.As(err, &failure) && len(s.tried) == 0 {
 			return nil, err // no upstream can be tried
 		}
+		if failure == nil {
+			break // an earlier send may have run
+		}
 		s.lastFailure = failure
 		mayRetry := s.mayResume
 		if failure.Outcome == outcome.NotRun {
@@ -84,14 +87,9 @@
 
 // sendNext sends the request to one upstream and asks for the events after lastEventID.
 func (s *streamRequest) sendNext(ctx context.Context) (*upstreamcall.Response, error) {
-	s.g.mu.Lock()
-	u, ok := s.g.choosePlain(s.service, s.tried, true, time.Now())
-	if ok {
-		s.g.acquire(u, time.Now())
-	}
-	s.g.mu.Unlock()
-	if !ok {
-		return nil, unavailable(outcome.KindNoUpstream, "no upstream of the service can take the request", retryAfterBusy)
+	u, err := s.g.reserve(ctx, s.streamTurn(), true)
+	if err != nil {
+		return nil, err
 	}
 	sent := *s.template
 	sent.TimeLeft, sent.Priority = time.Until(s.deadline), min(s.auth.priority(), 9)
@@ -116,6 +114,19 @@
 	return response, nil
 }
 
+// streamTurn describes the request to the queues for limited upstreams. A stream whose caller has received events waits for
+// as long as its sends last.
+func (s *streamRequest) streamTurn() limitTurn {
+	turn := s.limitTurn()
+	if s.header != nil {
+		turn.item.Deadline = time.Time{}
+	}
+	turn.choose = func(inTurn bool, now time.Time) (upstreams.Entry, bool, bool) {
+		return s.g.choosePlain(plainChoice{service: s.service, tried: s.tried, allowTried: true, inTurn: inTurn}, now)
+	}
+	return turn
+}
+
 // waitForRoom pauses once every upstream has refused the request, before these are asked again. It reports whether the
 // request may wait; one whose caller has received events waits for as long as its sends last.
 func (s *streamRequest) waitForRoom(ctx context.Context) bool {
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -184,7 +184,7 @@
 		return
 	}
 	g.peers.Observe(b)
-	g.observePeerLimits(b)
+	g.observeLimits(b)
 	if b.Host == g.opts.Host && b.Incarnation == g.opts.Incarnation {
 		g.heartbeatSeen = max(g.heartbeatSeen, b.Sequence)
 	}
--- a/gateway/upstream_limits.go
+++ b/gateway/upstream_limits.go
@@ -23,9 +23,6 @@
 	return hosts
 }
 
-// ReadyUpstreams returns the number of upstreams of a service that accept work.
-func (v limitView) ReadyUpstreams(service string) int { return len(v.g.upstreams.Ready(service)) }
-
 // IsRegistered reports whether an incarnation of an upstream has an entry.
 func (v limitView) IsRegistered(i upstreams.Incarnation) bool {
 	e, ok := v.g.upstreams.Get(i.ID)
@@ -40,9 +37,12 @@
 	g.wakeScheduler()
 }
 
-// observePeerLimits takes over the limits that another host knows. The caller holds g.mu.
-func (g *Gateway) observePeerLimits(b presence.Heartbeat) {
+// observeLimits takes over the limits that another host knows, and its demand. The caller holds g.mu.
+func (g *Gateway) observeLimits(b presence.Heartbeat) {
 	if b.Host == g.opts.Host {
+		if b.Incarnation == g.opts.Incarnation && b.Sequence >= g.heartbeatSeen {
+			g.limits.ObserveOwn(b.Limits)
+		}
 		return
 	}
 	h := upstreamlimit.Heartbeat{Host: b.Host, Incarnation: b.Incarnation, Sequence: b.Sequence}
@@ -55,9 +55,9 @@
 // The caller holds g.mu.
 func (g *Gateway) limitsReport(now time.Time) *upstreamlimit.Report {
 	for _, u := range g.limits.Usage(now) {
-		if waiting := g.waitingForLimit(u.Service); u.Sent > 0 || waiting > 0 {
+		if waiting := g.waitingForLimit(u.Upstream, u.Service); u.Sent > 0 || waiting > 0 {
 			g.opts.Log.Info().Str("upstream", u.Upstream.ID).Str("service", u.Service).Float64("limit", u.Limit).
-				Float64("share", u.Share).Int("sent", u.Sent).Int("waiting", waiting).Msg("limit of an upstream used")
+				Float64("share", u.Share).Int("sent", u.Sent).Float64("waiting", waiting).Msg("limit of an upstream used")
 		}
 	}
 	if g.clockAt.IsZero() {
@@ -66,5 +66,23 @@
 	return g.limits.Report(g.waitingForLimit, g.storeClock(), now)
 }
 
-// waitingForLimit returns how many requests and items wait because of the limits of a service. The caller holds g.mu.
-func (g *Gateway) waitingForLimit(service string) int { return 0 }
+// waitingForLimit returns how many items and score calls wait that an upstream could serve; each counts in equal parts for
+// all upstreams that could serve it. The caller holds g.mu.
+func (g *Gateway) waitingForLimit(i upstreams.Incarnation, service string) float64 {
+	waiting := g.itemsWaiting[i.ID]
+	if q, ok := g.limitQueues[service]; ok {
+		waiting += float64(q.background()) / float64(max(len(g.upstreams.Ready(service)), 1))
+	}
+	return waiting
+}
+
+// wantAny counts a request as demand for the upstreams of a service, any of which could serve it. The caller holds g.mu.
+func (g *Gateway) wantAny(service string, background bool, now time.Time) {
+	if g.limits.Len() == 0 {
+		return
+	}
+	ready := g.upstreams.Ready(service)
+	for _, u := range ready {
+		g.limits.Want(u, 1/float64(len(ready)), background, now)
+	}
+}
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -38,6 +38,9 @@
 	// hold.
 	Runs        []Run
 	OtherTokens int
+	// Limited engines have named a limit on requests, of which this host may send SendsLeft more now.
+	Limited   bool
+	SendsLeft int
 	// Excluded engines take no text now, because they failed or refused a request for lack of capacity.
 	Excluded bool
 }
--- a/placement/selector.go
+++ b/placement/selector.go
@@ -62,6 +62,7 @@
 		return "", false
 	}
 	best.OwnRequests++
+	best.SendsLeft--
 	best.Runs = append(best.Runs, req.Run)
 	return best.ID, true
 }
@@ -102,7 +103,7 @@
 
 // accepts is the filter, except for memory.
 func (s *Selector) accepts(e *Engine, req Requirements) bool {
-	if e.Excluded || e.Version < req.MinVersion || e.OwnRequests >= e.availableSlots() {
+	if e.Excluded || e.Limited && e.SendsLeft <= 0 || e.Version < req.MinVersion || e.OwnRequests >= e.availableSlots() {
 		return false
 	}
 	return !s.isSuspectedSlow(e) || e.OwnRequests == 0 && (!req.Long || !s.hasHealthyEngine(req))
--- a/upstreamlimit/config.go
+++ b/upstreamlimit/config.go
@@ -3,26 +3,29 @@
 import "time"
 
 const (
-	// guaranteedFraction is the part of a limit that is guaranteed in equal parts to all hosts that need it; the rest
-	// follows their demand.
-	guaranteedFraction = 0.5
-	// idleFraction is the part of its guarantee that a host keeps without demand, for its next request.
-	idleFraction = 0.25
-	// demandHeadroom lets a host with little demand send somewhat more than its average.
-	demandHeadroom = 1.5
+	// callerFraction is the part of a limit that the requests of callers may take before other demand counts.
+	callerFraction = 0.75
+	// callerHeadroom is the multiple of its average demand that a host gets for its callers, who do not come evenly.
+	callerHeadroom = 2
+	// idleFraction is the part of an equal share that a host keeps without demand, for its next request.
+	idleFraction = 0.05
+	// unsightedFraction is the part of a limit that a host uses from its start until it sees the heartbeats of the others.
+	unsightedFraction = 0.05
 	// evenFraction is the part of an equal share that each host counts in addition to its demand, so that a small change
 	// of the demand of an otherwise idle fleet moves little.
 	evenFraction = 0.1
-	// extraHosts is how many hosts may use a limit beyond one for each request a second. A host can keep one request
-	// unused, and all kept requests may be sent at the same moment.
-	extraHosts = 3
-	// burst is the time whose requests a host may send at once if that is more than one request.
-	burst = 100 * time.Millisecond
+	// hostsPerRequest and extraHosts limit how many hosts may use a limit: extraHosts, and more by the requests a second. A
+	// host can keep one request unused, and all kept requests may be sent at the same moment.
+	hostsPerRequest = 0.75
+	extraHosts      = 3
+	// burst is the time whose requests a host may send at once, if that is more than one request. A host that begins a
+	// training step has many texts to start and none a little later.
+	burst = 700 * time.Millisecond
 	// divideInterval is how long shares are used before they are computed again.
 	divideInterval = 100 * time.Millisecond
-	// demandTime is the time constant of the average demand. It is longer than two heartbeats, so that reported demands
-	// differ little from one heartbeat to the next.
-	demandTime = 2 * time.Second
+	// demandTime is the time constant of the average demand. It is shorter than the interval of heartbeats, so that each
+	// heartbeat reports the demand since the one before.
+	demandTime = 400 * time.Millisecond
 	// clockError bounds the difference between the estimates that two hosts have of the store's clock.
 	clockError = 300 * time.Millisecond
 	// retention is how long a limit is remembered after it was lifted or its upstream has gone.
--- a/upstreamlimit/demand.go
+++ b/upstreamlimit/demand.go
@@ -29,35 +29,26 @@
 	return m.weight / demandTime.Seconds()
 }
 
-func (t *Table) meterOf(service string) *meter {
-	m, ok := t.meters[service]
-	if !ok {
-		m = &meter{}
-		t.meters[service] = m
-	}
-	return m
-}
-
-// reportedDemand holds the last two demands that a host has reported, in requests a second by service.
-type reportedDemand struct {
-	last, previous map[string]float64
+// Demand is how many requests a second a host wants to send to an upstream.
+type Demand struct {
+	// Callers is the demand of callers, who wait for milliseconds, and Background that of jobs.
+	Callers    float64 `json:"callers,omitempty"`
+	Background float64 `json:"background,omitempty"`
 }
 
-func (r *reportedDemand) add(demand map[string]float64) { r.previous, r.last = r.last, demand }
+func (d Demand) total() float64 { return d.Callers + d.Background }
 
-// lowest returns the lower one of the last two demands.
-func (r *reportedDemand) lowest(service string) float64 {
-	return min(r.last[service], r.previous[service])
+// isValid reports whether both figures are finite and not negative.
+func (d Demand) isValid() bool {
+	return d.Callers >= 0 && d.Background >= 0 && !math.IsInf(d.total(), 0)
 }
 
-// highest returns the higher one of the last two demands.
-func (r *reportedDemand) highest(service string) float64 {
-	return max(r.last[service], r.previous[service])
-}
+// demand holds the demand of a host by upstream.
+type demand map[string]Demand
 
-// peerDemand is the demand that another host reported in the heartbeats of one start.
+// peerDemand is the demand that another host reported in the latest heartbeat of one start.
 type peerDemand struct {
 	incarnation string
 	sequence    int64
-	reportedDemand
+	demand      demand
 }
--- a/upstreamlimit/report.go
+++ b/upstreamlimit/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -12,8 +13,8 @@
 // Report is what a host tells the others in its heartbeat. It is nil while the host knows no limit.
 type Report struct {
 	Limits []Claim `json:"limits,omitempty"`
-	// Demand is how many requests a second the host wants to send, by service with a limited upstream.
-	Demand map[string]float64 `json:"demand,omitempty"`
+	// Demand is the demand of the host, by upstream with a limit.
+	Demand map[string]Demand `json:"demand,omitempty"`
 }
 
 // Claim is a limit that a host has heard or has been told.
@@ -33,22 +34,26 @@
 	Sequence          int64
 }
 
-// Report returns what this host tells the others. waiting returns the requests that wait for a share of a service's
-// limits, and storeClock is the reading of the store's clock at now.
-func (t *Table) Report(waiting func(service string) int, storeClock time.Duration, now time.Time) *Report {
+// Report returns what this host tells the others. waiting returns how many requests of jobs wait for an upstream, where one
+// that may go to one of n upstreams counts 1/n; storeClock is the reading of the store's clock at now.
+func (t *Table) Report(
+	waiting func(i upstreams.Incarnation, service string) float64, storeClock time.Duration, now time.Time,
+) *Report {
 	t.prune(now)
 	if len(t.limits) == 0 {
 		return nil
 	}
-	r := &Report{Demand: map[string]float64{}}
+	r := &Report{Demand: demand{}}
 	for i, l := range t.limits {
 		r.Limits = append(r.Limits, Claim{
 			Upstream: i.ID, Born: i.Born, Service: l.service, Limit: l.perSecond,
 			HeardAt: (storeClock - now.Sub(l.heardAt)).Milliseconds(),
 		})
 		if l.perSecond > 0 {
-			demand := t.meterOf(l.service).perSecond(now) + float64(waiting(l.service))/demandTime.Seconds()
-			r.Demand[l.service] = math.Round(demand*100) / 100
+			r.Demand[i.ID] = Demand{
+				Callers:    round(l.callers.perSecond(now)),
+				Background: round(l.background.perSecond(now) + waiting(i, l.service)/demandTime.Seconds()),
+			}
 		}
 	}
 	slices.SortFunc(r.Limits, func(a, b Claim) int {
@@ -57,13 +62,18 @@
 	return r
 }
 
-// Reported records that the store has accepted a report of this host; nil if the heartbeat had none.
-func (t *Table) Reported(r *Report) { t.own.add(demandOf(r)) }
+// ObserveOwn records the report in a heartbeat of this host that has come back from the store, so that the other hosts have
+// most likely got it too; nil if the heartbeat has none.
+func (t *Table) ObserveOwn(r *Report) { t.own, t.sighted = demandOf(r), true }
 
-func demandOf(r *Report) map[string]float64 {
+// round keeps reports short.
+func round(perSecond float64) float64 { return math.Round(perSecond*100) / 100 }
+
+func demandOf(r *Report) demand {
 	if r == nil {
 		return nil
 	}
+	maps.DeleteFunc(r.Demand, func(_ string, d Demand) bool { return !d.isValid() })
 	return r.Demand
 }
 
@@ -100,7 +110,7 @@
 		return false
 	}
 	p.sequence = h.Sequence
-	p.add(demandOf(r))
+	p.demand = demandOf(r)
 	return true
 }
 
--- a/upstreamlimit/shares.go
+++ b/upstreamlimit/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -11,10 +12,10 @@
 	"github.com/radishshelf/radishshelf/upstreams"
 )
 
-// hostDemand is the demand of a host for one upstream, in requests a second.
+// hostDemand is the demand of a host for one upstream.
 type hostDemand struct {
-	host      string
-	perSecond float64
+	host string
+	Demand
 }
 
 // divide computes the shares of this host.
@@ -23,47 +24,46 @@
 		return
 	}
 	t.dividedAt = now
-	demands := map[string][]hostDemand{}
+	hosts := t.view.Hosts()
 	for i, l := range t.limits {
-		if l.perSecond == 0 {
-			continue
+		switch {
+		case l.perSecond == 0:
+		case !t.sighted:
+			l.setShare(unsightedFraction*l.perSecond, now)
+		default:
+			l.setShare(shareOf(t.host, l.perSecond, selectHosts(i, l.perSecond, t.demandsFor(i.ID, hosts))), now)
 		}
-		list, ok := demands[l.service]
-		if !ok {
-			list = t.demandsFor(l.service)
-			demands[l.service] = list
-		}
-		l.setShare(shareOf(t.host, l.perSecond, selectHosts(i, l.perSecond, list)), now)
 	}
 }
 
-// setShare changes the rate at which the bucket fills.
+// setShare changes the rate at which the bucket fills. A host that loses its share also loses what it has kept: otherwise
+// hosts that have a share in turns could keep one request each.
 func (l *limit) setShare(perSecond float64, now time.Time) {
+	if perSecond == 0 && l.share > 0 {
+		l.bucket.ReserveN(now, max(int(l.bucket.TokensAt(now)), 0))
+	}
 	l.share = perSecond
 	l.bucket.SetLimitAt(now, max(rate.Limit(perSecond), minRate))
-	l.bucket.SetBurstAt(now, max(int(perSecond*burst.Seconds()), 1))
+	l.bucket.SetBurstAt(now, max(int(math.Round(perSecond*burst.Seconds())), 1))
 }
 
-// demandsFor returns the demand of every host for one upstream of a service, ordered by host. The demand for a service
-// counts in equal parts for its upstreams.
-func (t *Table) demandsFor(service string) []hostDemand {
-	upstreamCount := float64(max(t.view.ReadyUpstreams(service), 1))
-	list := []hostDemand{{t.host, t.own.lowest(service) / upstreamCount}}
-	for _, host := range t.view.Hosts() {
+// demandsFor returns the demand of this host and the given other ones for an upstream.
+func (t *Table) demandsFor(upstream string, others []string) []hostDemand {
+	list := []hostDemand{{t.host, t.own[upstream]}}
+	for _, host := range others {
 		d := hostDemand{host: host}
 		if p, ok := t.peers[host]; ok {
-			d.perSecond = max(p.highest(service), 0) / upstreamCount
+			d.Demand = p.demand[upstream]
 		}
 		list = append(list, d)
 	}
-	slices.SortFunc(list, func(a, b hostDemand) int { return cmp.Compare(a.host, b.host) })
 	return list
 }
 
 // selectHosts returns the hosts that may use a limit: all, or if there are too many the ones with the highest demand and,
-// for half of the places, others that every host chooses by the same rank.
+// for a quarter of the places, others that every host chooses by the same rank.
 func selectHosts(i upstreams.Incarnation, perSecond float64, list []hostDemand) []hostDemand {
-	places := int(min(perSecond, maxLimits)) + extraHosts
+	places := int(min(hostsPerRequest*perSecond, maxLimits)) + extraHosts
 	if len(list) <= places {
 		return list
 	}
@@ -72,31 +72,32 @@
 		return cmp.Compare(rendezvous.Weight(i.ID, b.host), rendezvous.Weight(i.ID, a.host))
 	}
 	slices.SortFunc(byDemand, func(a, b hostDemand) int {
-		return cmp.Or(cmp.Compare(b.perSecond, a.perSecond), rank(a, b))
+		return cmp.Or(cmp.Compare(b.total(), a.total()), rank(a, b))
 	})
-	chosen := places - places/2
+	chosen := places - places/4
 	slices.SortFunc(byDemand[chosen:], rank)
 	return byDemand[:places]
 }
 
-// shareOf returns the share of a host in a limit that the given hosts use: a guaranteed part of the size that it needs,
-// and a part of the rest by demand. It rises with the host's own demand and falls with that of the others.
+// shareOf returns the share of a host in a limit that the given hosts use. Callers come first: each host gets what its
+// callers need, and the rest is divided by the whole demand. The share rises with the host's own demand and falls with that
+// of the others.
 func shareOf(host string, perSecond float64, list []hostDemand) float64 {
 	equal := perSecond / float64(len(list))
-	rest, weights := perSecond, 0.0
+	needs, weights := 0.0, 0.0
 	own, ownWeight := 0.0, 0.0
 	for _, d := range list {
-		guaranteed := guaranteedFraction * equal
-		guaranteed = min(max(demandHeadroom*d.perSecond, idleFraction*guaranteed), guaranteed)
-		weight := max(d.perSecond-guaranteed, 0) + evenFraction*equal
-		rest -= guaranteed
+		need := max(callerHeadroom*d.Callers, idleFraction*equal)
+		weight := d.total() + evenFraction*equal
+		needs += need
 		weights += weight
 		if d.host == host {
-			own, ownWeight = guaranteed, weight
+			own, ownWeight = need, weight
 		}
 	}
 	if ownWeight == 0 {
 		return 0 // the host is not one of the list
 	}
-	return own + rest*ownWeight/weights
+	scale := min(callerFraction*perSecond/needs, 1)
+	return scale*own + (perSecond-scale*needs)*ownWeight/weights
 }
--- a/upstreamlimit/table.go
+++ b/upstreamlimit/table.go
@@ -13,8 +13,6 @@
 type View interface {
 	// Hosts returns the live hosts without this one, in any order.
 	Hosts() []string
-	// ReadyUpstreams returns the number of upstreams of a service that accept work.
-	ReadyUpstreams(service string) int
 	// IsRegistered reports whether an incarnation of an upstream has an entry.
 	IsRegistered(i upstreams.Incarnation) bool
 }
@@ -24,11 +22,11 @@
 	host   string
 	view   View
 	limits map[upstreams.Incarnation]*limit
-	// meters measure the requests of this host, by service.
-	meters map[string]*meter
-	// own holds the demands that this host has reported, and peers those of the other hosts.
-	own   reportedDemand
-	peers map[string]*peerDemand
+	// own is the demand that the other hosts know of this one, and peers holds the demand of each of them.
+	own demand
+	// sighted is set once a heartbeat of this host has come back, which shows that it sees those of the others, too.
+	sighted bool
+	peers   map[string]*peerDemand
 	// dividedAt is when the shares were last computed; zero if a limit has changed since.
 	dividedAt time.Time
 }
@@ -44,15 +42,16 @@
 	// share is the part of perSecond that this host may use, and bucket limits its requests to it.
 	share  float64
 	bucket *rate.Limiter
-	// sent counts the requests of this host since the last call of Usage.
-	sent int
+	// callers and background measure the requests that this host sent or would have sent, and sent counts those that it sent
+	// since the last call of Usage.
+	callers, background meter
+	sent                int
 }
 
 // NewTable returns the table of a host that knows no limits.
 func NewTable(host string, view View) *Table {
 	return &Table{
-		host: host, view: view, limits: map[upstreams.Incarnation]*limit{}, meters: map[string]*meter{},
-		peers: map[string]*peerDemand{},
+		host: host, view: view, limits: map[upstreams.Incarnation]*limit{}, peers: map[string]*peerDemand{},
 	}
 }
 
@@ -101,15 +100,24 @@
 // Sent counts a request that is about to be sent to an upstream. One that is sent although Allowed returns 0 defers the
 // next ones.
 func (t *Table) Sent(u upstreams.Entry, now time.Time) {
-	t.meterOf(u.Service).add(1, now)
 	if l := t.inForce(u, now); l != nil {
 		l.bucket.ReserveN(now, 1)
 		l.sent++
 	}
 }
 
-// Unmet counts a request that was not sent for lack of a share. It adds to the demand of this host.
-func (t *Table) Unmet(service string, now time.Time) { t.meterOf(service).add(1, now) }
+// Want counts a request that this host could send to an upstream, whether it is sent there or not. A request that may go to
+// one of n upstreams counts 1/n at each of them. background is set for requests of jobs.
+func (t *Table) Want(u upstreams.Entry, n float64, background bool, now time.Time) {
+	l := t.inForce(u, now)
+	switch {
+	case l == nil:
+	case background:
+		l.background.add(n, now)
+	default:
+		l.callers.add(n, now)
+	}
+}
 
 // Len returns the number of limits in force.
 func (t *Table) Len() int {
