Let the stand-in upstreams and the soak name limits

An upstream of the soak names 0.2, 1 or 2 requests a second; from 4 s on it may get twice what the platform allows, since it cannot tell which processes are excused.

--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -90,6 +90,7 @@
 		s.store.ApplyDeferred()
 	}},
 	{"upstream announces in its responses that it leaves", func(s *Soak, r *rand.Rand, d time.Duration) { s.leaveUpstream(r, d) }},
+	{"upstream names a limit in its responses", func(s *Soak, r *rand.Rand, _ time.Duration) { s.limitUpstream(r) }},
 	{"store change history dropped", func(s *Soak, _ *rand.Rand, _ time.Duration) { s.store.Compact() }},
 	{"engine crash", func(s *Soak, r *rand.Rand, d time.Duration) {
 		u := s.upstreams.pick(r)
--- a/standin/soak/upstream.go
+++ b/standin/soak/upstream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/radishshelf/radishshelf/platform/platformtest"
@@ -28,6 +29,8 @@
 	server   *http.Server
 	done     chan struct{}
 	stopOnce sync.Once
+	// limiting is set while the upstream names a limit.
+	limiting atomic.Bool
 }
 
 // upstreamSet holds the running upstreams. All methods are safe for concurrent use.
