Bound what responses without end take while they are read

Reported by another operator: bytes without end in a head or a body, kept until the machine ran out of memory. It can happen here: with 60 callers, a job and upstreams that send such responses, a process with 112 MB used 201 MiB (soak:TestEndlessResponsesFitTheMemoryOfAHost, before).

Causes, each with its test: - Buffers grew by copying, so that shed bodies left garbage faster than it was collected. Bodies of unknown length are now read in chunks that are used again; those of declared length keep their exact buffer (membudget.ReadBody). - A shed body stopped counting at once, while its reader still held the memory.

The response in TestEndlessResponseIsAborted now has no declared length: it had one of 0, which no endless response can have.

--- a/batch/text.go
+++ b/batch/text.go
@@ -30,6 +30,15 @@
 	return true
 }
 
+// Size returns the bytes of all events.
+func (t *Text) Size() int {
+	n := 0
+	for _, e := range t.Events {
+		n += len(e)
+	}
+	return n
+}
+
 // LastEventID returns the ID of the last event, 0 if there is none.
 func (t *Text) LastEventID() int { return len(t.Events) }
 
--- a/cmd/radishshelf-gateway/process.go
+++ b/cmd/radishshelf-gateway/process.go
@@ -140,7 +140,7 @@
 	s := p.settings
 	store := p.newStore()
 	p.duties = platform.NewDutyClient(s.DutyAddress, platform.Dialer(storeDialTimeout))
-	peerClient := &http.Client{Transport: &http.Transport{DialContext: platform.Dialer(peerDialTimeout)}}
+	peerClient := rowrelay.NewClient(platform.Dialer(peerDialTimeout))
 	var g *gateway.Gateway
 	listRelays := func() []rowrelay.Relay {
 		var list []rowrelay.Relay
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,7 +57,7 @@
 			return nil, nil
 		}
 		a := signed(200, "")
-		a.Body = io.NopCloser(endlessReader{piece: []byte("no end ")})
+		a.Body, a.Length = io.NopCloser(endlessReader{piece: []byte("no end ")}), -1
 		return a, nil
 	})
 	suspect := func() bool {
@@ -110,3 +111,44 @@
 		t.Errorf("the job took %s", took)
 	}
 }
+
+// endlessEvent is an event that never ends. It counts the bytes that were read.
+type endlessEvent struct {
+	started bool
+	read    atomic.Int64
+}
+
+func (e *endlessEvent) Read(p []byte) (int, error) {
+	defer func() { e.read.Add(int64(len(p))) }()
+	if !e.started {
+		e.started = true
+		return copy(p, `{"ID":1,"Data":"`), nil
+	}
+	return copy(p, bytes.Repeat([]byte("x"), len(p))), nil
+}
+
+// Guards against an event without end, of which no part counts against the memory before it is complete.
+func TestEndlessEventIsGivenUp(t *testing.T) {
+	w := newTestCluster(t)
+	w.addUpstream("e2", engineService, 4, map[string]int64{testModel: 1})
+	g := w.start("a")
+	const memory = 256 << 10
+	g.opts.Memory = membudget.New(memory, func(int64) {})
+	body := &endlessEvent{}
+	var given atomic.Bool
+	w.upstreams.script(func(r *upstreamcall.Request) (*upstreamcall.Response, error) {
+		if r.Upstream.Service != engineService || !given.CompareAndSwap(false, true) {
+			return nil, nil
+		}
+		a := signed(200, "")
+		a.Version = 1
+		a.Body = io.NopCloser(body)
+		return a, nil
+	})
+	items := testItems(4)
+	w.mustSubmit(g, "job-1", items...)
+	w.checkExactlyOnce(w.readAll(g, "job-1"), items)
+	if n := body.read.Load(); n > 4*memory {
+		t.Errorf("%d bytes of an event were read with a memory budget of %d", n, memory)
+	}
+}
--- a/gateway/run_item.go
+++ b/gateway/run_item.go
@@ -77,7 +77,9 @@
 	}
 	reservation := o.g.opts.Memory.NewReservation(func() { cancel(errResponseTooLarge) })
 	defer reservation.Release()
-	events := o.g.opts.Codec.Events(response.Body, response.Version)
+	// What was read of an event counts, too: it may have no end.
+	events := o.g.opts.Codec.Events(reservation.Reader(response.Body), response.Version)
+	text := p.Text.Size()
 	last := time.Now()
 	for {
 		event, err := events.Next()
@@ -87,7 +89,8 @@
 		if err != nil {
 			return setCancelReason(ctx, &upstreamcall.Failure{Reason: upstreamcall.Broken, Outcome: outcome.MayHaveRun, Err: err})
 		}
-		reservation.Add(len(event.Data))
+		text += len(event.Data)
+		reservation.ShrinkTo(int64(text))
 		w.eventReceived(eventTimeout)
 		now := time.Now()
 		if failure := o.appendEvent(p, u, event, now.Sub(last)); failure != nil {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"time"
 
 	"github.com/radishshelf/radishshelf/call"
@@ -51,7 +50,7 @@
 	}
 	defer response.Body.Close()
 	reservation := g.opts.Memory.NewReservation(func() { cancel(errResponseTooLarge) })
-	body, failure := readBody(ctx, response.Body, reservation)
+	body, failure := readBody(ctx, response, reservation)
 	if failure == nil {
 		failure = checkSigned(response)
 	}
@@ -68,10 +67,13 @@
 
 // readBody reads the body of a response up to maxBufferedResponse. ctx is cancelled with errResponseTooLarge if the
 // reservation is shed.
-func readBody(ctx context.Context, source io.Reader, reservation *membudget.Reservation) ([]byte, *upstreamcall.Failure) {
-	body, err := io.ReadAll(reservation.Reader(io.LimitReader(source, maxBufferedResponse+1)))
+func readBody(
+	ctx context.Context, response *upstreamcall.Response, reservation *membudget.Reservation,
+) ([]byte, *upstreamcall.Failure) {
+	body, err := reservation.ReadBody(response.Body, response.Length, maxBufferedResponse)
 	switch {
-	case len(body) > maxBufferedResponse, err != nil && errors.Is(context.Cause(ctx), errResponseTooLarge):
+	case errors.Is(err, membudget.ErrTooLarge), errors.Is(err, membudget.ErrShed),
+		err != nil && errors.Is(context.Cause(ctx), errResponseTooLarge):
 		return nil, &upstreamcall.Failure{Reason: upstreamcall.Endless, Outcome: outcome.MayHaveRun, Err: errResponseTooLarge}
 	case err != nil:
 		return nil, &upstreamcall.Failure{Reason: upstreamcall.Broken, Outcome: outcome.MayHaveRun, Err: err}
--- a/gateway/stream_copy.go
+++ b/gateway/stream_copy.go
@@ -73,9 +73,12 @@
 // copyResponse writes the events of one run to the caller. Events that the caller already has are skipped. The events
 // of a resumed run must continue those of the runs before it.
 func (s *streamRequest) copyResponse(response *upstreamcall.Response, resumed bool, w io.Writer, flush func()) error {
-	events := s.g.opts.Codec.Events(response.Body, response.Version)
+	reservation := s.g.opts.Memory.NewReservation(func() { response.Body.Close() })
+	defer reservation.Release()
+	events := s.g.opts.Codec.Events(reservation.Reader(response.Body), response.Version)
 	for {
 		event, err := events.Next()
+		reservation.ShrinkTo(0) // only an event in progress counts
 		if err == io.EOF {
 			return s.checkEnd(response)
 		}
--- a/membudget/budget.go
+++ b/membudget/budget.go
@@ -16,15 +16,20 @@
 	onShed func(bytes int64)
 	mu     sync.Mutex
 	used   int64
-	// kept is the part of used that is not shed.
-	kept         int64
+	// kept is the part of used that is not shed. ending is the size, not part of used, of the reservations that were shed and
+	// whose owners have not released them yet: they still hold the memory.
+	kept, ending int64
+	// changed is signalled when ending changes.
+	changed      sync.Cond
 	reservations map[*Reservation]struct{}
 }
 
 // New returns a budget of limit bytes. onShed is called with the size of each buffer that is shed or not
 // admitted.
 func New(limit int64, onShed func(bytes int64)) *Budget {
-	return &Budget{limit: limit, onShed: onShed, reservations: map[*Reservation]struct{}{}}
+	b := &Budget{limit: limit, onShed: onShed, reservations: map[*Reservation]struct{}{}}
+	b.changed.L = &b.mu
+	return b
 }
 
 // Used returns the number of reserved bytes.
@@ -56,6 +61,7 @@
 	shed     func()
 	bytes    int64
 	kept     bool
+	wasShed  bool
 	released bool
 }
 
@@ -72,8 +78,8 @@
 	return r
 }
 
-// Add adds n bytes to a reservation that is not kept. While the total exceeds the limit, the largest reservation is shed, which may be
-// this one.
+// Add adds n bytes to a reservation that is not kept. While the total exceeds the limit, the largest reservation is shed,
+// which may be this one. Its owner has to release it.
 func (r *Reservation) Add(n int) {
 	b := r.budget
 	if b == nil {
@@ -81,7 +87,7 @@
 	}
 	b.mu.Lock()
 	var shed []*Reservation
-	if !r.released {
+	if !r.released && !r.wasShed {
 		r.bytes += int64(n)
 		b.used += int64(n)
 	}
@@ -90,9 +96,14 @@
 		if largest == nil {
 			break
 		}
-		b.release(largest)
+		largest.wasShed = true
+		b.used -= largest.bytes
+		b.ending += largest.bytes
 		shed = append(shed, largest)
 	}
+	if len(shed) > 0 {
+		b.changed.Broadcast()
+	}
 	b.mu.Unlock()
 	for _, s := range shed {
 		b.onShed(s.bytes)
@@ -100,6 +111,22 @@
 	}
 }
 
+// reserve adds n bytes, and waits until the memory that others have to give up for them is released. It returns false if
+// this reservation was shed.
+func (r *Reservation) reserve(n int) bool {
+	r.Add(n)
+	b := r.budget
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for b.used+b.ending > b.limit && b.ending > 0 && !r.wasShed {
+		b.changed.Wait()
+	}
+	return !r.wasShed
+}
+
 // Keep excludes a complete buffer from being shed. It returns false if the reservation was shed or released before.
 func (r *Reservation) Keep() bool {
 	b := r.budget
@@ -108,7 +135,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if r.released {
+	if r.released || r.wasShed {
 		return false
 	}
 	if !r.kept {
@@ -134,18 +161,23 @@
 		return
 	}
 	r.released = true
+	delete(b.reservations, r)
+	if r.wasShed {
+		b.ending -= r.bytes
+		b.changed.Broadcast()
+		return
+	}
 	b.used -= r.bytes
 	if r.kept {
 		b.kept -= r.bytes
 	}
-	delete(b.reservations, r)
 }
 
 // largest returns the reservation with the most bytes that may be shed, nil if there is none. The caller holds the lock.
 func (b *Budget) largest() *Reservation {
 	var largest *Reservation
 	for r := range b.reservations {
-		if r.bytes > 0 && !r.kept && (largest == nil || r.bytes > largest.bytes) {
+		if r.bytes > 0 && !r.kept && !r.wasShed && (largest == nil || r.bytes > largest.bytes) {
 			largest = r
 		}
 	}
--- a/rowrelay/peer.go
+++ b/rowrelay/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -20,6 +21,32 @@
 // remedyReadRows is the remedy for a commit that may have taken effect.
 const remedyReadRows = "read the rows before repeating the commit"
 
+const (
+	// maxMessageBytes bounds a relayed call and its response, which hold at most what one call of the store does.
+	maxMessageBytes = 8 << 20
+	// maxHeaderBytes bounds the header of a response.
+	maxHeaderBytes = 64 << 10
+)
+
+// NewClient returns the HTTP client of calls to peers. dial opens its connections.
+func NewClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
+	return &http.Client{Transport: &boundedTransport{
+		base: &http.Transport{DialContext: dial, MaxResponseHeaderBytes: maxHeaderBytes},
+	}}
+}
+
+// boundedTransport ends the reading of responses that exceed maxMessageBytes; the generated client reads them to their end.
+type boundedTransport struct{ base http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t *boundedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := t.base.RoundTrip(r)
+	if err == nil {
+		response.Body = http.MaxBytesReader(nil, response.Body, maxMessageBytes)
+	}
+	return response, err
+}
+
 // NewPeer returns a client of the process at address, host:port.
 func NewPeer(address string, client *http.Client) *Peer {
 	return &Peer{client: relaypb.NewStoreRelayProtobufClient("http://"+address, client)}
--- a/rowrelay/server.go
+++ b/rowrelay/server.go
@@ -21,7 +21,8 @@
 // NewHandler returns the handler that makes direct calls of the store for peers. While unreachable reports that this
 // process cannot reach the store itself, calls of peers fail at once.
 func NewHandler(direct hosting.Rows, unreachable func() bool) http.Handler {
-	return relaypb.NewStoreRelayServer(&server{direct: &guardedRows{rows: direct, unreachable: unreachable}})
+	relay := relaypb.NewStoreRelayServer(&server{direct: &guardedRows{rows: direct, unreachable: unreachable}})
+	return http.MaxBytesHandler(relay, maxMessageBytes)
 }
 
 // Commit implements relaypb.StoreRelay.
