Answer every request that was read before a planned stop ends

Nothing asked whether a request could end in the time that was left, and what was in flight at the end had no context that the process could cancel. Now a request that is complete once the platform sends no more connections, and that may last longer than the process, is refused at once as not run: other hosts can serve it. What is in flight at the end is cancelled and answered: as not run if it was not sent, else as of unknown outcome.

--- a/cmd/radishshelf-gateway/process.go
+++ b/cmd/radishshelf-gateway/process.go
@@ -46,12 +46,12 @@
 	defaultHeaderTimeout = 10 * time.Second
 	defaultIdleTimeout   = 60 * time.Second
 	maxHeaderBytes       = 64 << 10
-	// deregistrationDelay is the time after which the platform sends no new connections to an unready process.
-	deregistrationDelay = 2500 * time.Millisecond
 	// drainFraction is the fraction of the grace period within which requests in flight may finish, and shutdownFraction
 	// the one within which the process must have exited. The last store calls happen between the two.
 	drainFraction    = 0.85
 	shutdownFraction = 0.97
+	// finalResponseTime is how long the responses may take to requests that were ended at the end of the drain period.
+	finalResponseTime = 400 * time.Millisecond
 )
 
 // process holds the parts of one gateway.
@@ -66,6 +66,9 @@
 	duties      *platform.DutyClient
 	memory      *membudget.Budget
 	frontServer *http.Server
+	// requestCtx is the parent of the contexts of all requests of callers; endRequests cancels it.
+	requestCtx  context.Context
+	endRequests context.CancelCauseFunc
 }
 
 func run(path, level, metricsPort string) error {
@@ -207,8 +210,10 @@
 
 // listen opens all ports of the process and serves them. Each listener failure is sent to serveErrs.
 func (p *process) listen(registry *telemetry.Registry, metricsPort string, serveErrs chan<- error) error {
+	p.requestCtx, p.endRequests = context.WithCancelCause(context.Background())
 	p.frontServer = &http.Server{
-		Handler: platform.NewIngress(p.gateway, p.memory), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+		BaseContext: func(net.Listener) context.Context { return p.requestCtx },
+		Handler:     platform.NewIngress(p.gateway, p.memory), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
 	}
 	status := telemetry.NewStatusServer(registry, p.gateway.Ready)
@@ -243,14 +248,21 @@
 func scale(d time.Duration, factor float64) time.Duration { return time.Duration(factor * float64(d)) }
 
 // drain hands over the jobs, waits until the platform sends no more connections, and lets requests in flight finish
-// within timeout; Gateway.Stop cancels the rest.
+// within timeout. The rest is ended then, with a response to each.
 func (p *process) drain(timeout time.Duration) {
+	started := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	started := time.Now()
-	p.gateway.Leave()
-	time.Sleep(deregistrationDelay - min(time.Since(started), deregistrationDelay))
-	if err := p.frontServer.Shutdown(ctx); err != nil {
-		p.log.Warn().Err(err).Msg("requests still in flight after the drain timeout")
+	p.gateway.Leave(started.Add(timeout))
+	time.Sleep(gateway.DeregistrationDelay - min(time.Since(started), gateway.DeregistrationDelay))
+	if p.frontServer.Shutdown(ctx) == nil {
+		return
+	}
+	p.log.Warn().Msg("requests still in flight after the drain timeout")
+	p.endRequests(gateway.ErrStopping)
+	last, cancelLast := context.WithTimeout(context.Background(), finalResponseTime)
+	defer cancelLast()
+	if err := p.frontServer.Shutdown(last); err != nil {
+		p.log.Warn().Err(err).Msg("connections without a complete request or response at the end")
 	}
 }
--- a/gateway/adopt_test.go
+++ b/gateway/adopt_test.go
@@ -74,7 +74,7 @@
 	items := testItems(40)
 	w.mustSubmit(a, "job-1", items...)
 	w.eventually("items run", func() bool { return w.upstreams.requests(func(upstreamcall.Request) bool { return true }) > 2 })
-	a.Leave()
+	a.Leave(time.Now().Add(7 * time.Second))
 	left := time.Now()
 	w.eventually("b owns the job", func() bool {
 		b.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,7 +71,9 @@
 	// lastStoreResponse is when the store last responded. storeLost is set while the store is considered unavailable.
 	lastStoreResponse time.Time
 	storeLost         bool
-	leaving           bool
+	// leaving is set once the process is about to stop, since leavingSince. Requests may last until stopAt.
+	leaving              bool
+	leavingSince, stopAt time.Time
 	// hedges is the budget for hedged sends.
 	hedges *retry.Budget
 	// probes holds the last probe of each upstream that went silent.
--- a/gateway/leave.go
+++ b/gateway/leave.go
@@ -2,21 +2,31 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"github.com/radishshelf/radishshelf/batch"
 	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/outcome"
 )
 
 // handOverTimeout limits the hand-over of a job when the process stops.
 const handOverTimeout = 1500 * time.Millisecond
 
+// DeregistrationDelay is the time after which the platform sends no new connections to a process that is leaving. Requests
+// that arrive later come over connections that were opened before.
+const DeregistrationDelay = 2500 * time.Millisecond
+
+// ErrStopping is the cause with which the contexts of requests are cancelled that are still in flight when the process has to
+// stop. They are answered; their connections are not just closed.
+var ErrStopping = errors.New("the process stops")
+
 // Leave hands over all jobs: it cancels their runs, saves their texts and releases their ownership, so that other
-// processes continue at once. Callers are still served until the process stops.
-func (g *Gateway) Leave() {
+// processes continue at once. Callers are still served until stopAt. Late requests that may last longer are refused.
+func (g *Gateway) Leave(stopAt time.Time) {
 	g.mu.Lock()
-	g.leaving = true
+	g.leaving, g.leavingSince, g.stopAt = true, time.Now(), stopAt
 	var owned []*ownedJob
 	for _, e := range g.jobs {
 		if e.owned != nil {
@@ -38,6 +48,17 @@
 	}
 }
 
+// checkStop returns a refusal if the process is leaving and a request that may last until deadline should not be sent any
+// more: other processes can still serve it.
+func (g *Gateway) checkStop(deadline, now time.Time) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.leaving || now.Before(g.leavingSince.Add(DeregistrationDelay)) || !deadline.After(g.stopAt) {
+		return nil
+	}
+	return unavailable(outcome.KindLeaving, "this process stops before the request has certainly ended", retryAfterStart)
+}
+
 // handOver saves the state of the job and releases its ownership.
 func (o *ownedJob) handOver() {
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
--- a/gateway/leave_test.go
+++ b/gateway/leave_test.go
@@ -17,7 +17,7 @@
 	w.mustSubmit(g, "job-1", testItems(40)...)
 	w.store.SetFaults(func(rows.Call, *hosting.RowTxn) rows.Fault { return rows.Hang })
 	started := time.Now()
-	g.Leave()
+	g.Leave(time.Now().Add(7 * time.Second))
 	const budget = 800 * time.Millisecond
 	ctx, cancel := context.WithTimeout(t.Context(), budget)
 	defer cancel()
@@ -63,7 +63,7 @@
 	a := w.start("a")
 	w.eventually("a holds the duties", func() bool { _, ok := a.mayAct(); return ok })
 	b := w.start("b")
-	a.Leave()
+	a.Leave(time.Now().Add(7 * time.Second))
 	left := time.Now()
 	w.eventually("b holds the duties", func() bool { _, ok := b.mayAct(); return ok })
 	if took := time.Since(left); took > 2*time.Second {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -166,7 +166,11 @@
 		f.g.hedges.AddFirstAttempt(time.Now())
 		f.g.mu.Unlock()
 	}
-	u, err := f.chooseUpstream(ctx)
+	err := f.g.checkStop(f.deadline, time.Now())
+	var u upstreams.Entry
+	if err == nil {
+		u, err = f.chooseUpstream(ctx)
+	}
 	if err != nil {
 		f.lastRefusal = err
 		return err
@@ -278,6 +282,9 @@
 
 // timeoutError returns the error for the caller when the deadline has passed or the caller has disconnected.
 func (f *plainRequest) timeoutError(ctx context.Context) error {
+	if errors.Is(context.Cause(ctx), ErrStopping) {
+		return f.stopError()
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		for _, u := range f.openSends {
 			f.g.recordAbandonedRun(f.template, u, 0)
@@ -294,6 +301,15 @@
 	return outcomeUnknown(outcome.KindDeadline, http.StatusGatewayTimeout, "no response before the deadline", f.lastFailure)
 }
 
+// stopError returns the error for a caller whose request is in flight when the process has to stop.
+func (f *plainRequest) stopError() error {
+	f.g.opts.Log.Warn().Str("request", f.request.ID).Int("sends", f.sends).Msg("request ended because the process stops")
+	if f.pending == 0 && len(f.tried) == 0 {
+		return unavailable(outcome.KindLeaving, "this process stops", retryAfterStart)
+	}
+	return outcomeUnknown(outcome.KindLeaving, http.StatusBadGateway, "this process stopped before the response", f.lastFailure)
+}
+
 // countUsage counts the request once for the usage of its workspace.
 func (f *plainRequest) countUsage() {
 	if f.usageCounted || f.auth.workspace == nil {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -87,6 +87,9 @@
 
 // sendNext sends the request to one upstream and asks for the events after lastEventID.
 func (s *streamRequest) sendNext(ctx context.Context) (*upstreamcall.Response, error) {
+	if err := s.g.checkStop(s.deadline, time.Now()); err != nil {
+		return nil, err
+	}
 	u, err := s.g.reserve(ctx, s.streamTurn(), true)
 	if err != nil {
 		return nil, err
--- a/gateway/stream_copy.go
+++ b/gateway/stream_copy.go
@@ -59,6 +59,9 @@
 
 // recordRun records how the latest send ended, for the detection of crash suspects.
 func (s *streamRequest) recordRun(ctx context.Context, failure *upstreamcall.Failure) {
+	if failure != nil && errors.Is(context.Cause(ctx), ErrStopping) {
+		return // this process ended the run
+	}
 	if failure != nil && errors.Is(ctx.Err(), context.Canceled) {
 		s.g.recordAbandonedRun(s.lastSent, s.lastSent.Upstream, s.lastEventID)
 		return
