Name the successor of a job that is handed over

A job of a leaving process had no owner for 0.1 to 0.7 s, until the others agreed on who takes it, and often went to a host that was to stop next; texts that would have ended in a second or two were cut off and had their prompts processed again.

The leaving process now names the successor, which takes the job over as soon as it sees the record; hosts that started later than it go first, because the others are still to be stopped in a rolling restart. A job of which no item waits stays for up to 2 s, in which the process is up anyway. The warning "job taken over by another process" no longer stands for a hand-over.

--- a/gateway/leave.go
+++ b/gateway/leave.go
@@ -59,8 +59,30 @@
 	return unavailable(outcome.KindLeaving, "this process stops before the request has certainly ended", retryAfterStart)
 }
 
+const (
+	// lastTextsTime is how long a leaving process goes on with a job of which no item waits. It stays for longer than that in
+	// any case, and a text that is cut off has its prompt processed again.
+	lastTextsTime = 2 * time.Second
+	// lastTextsInterval is how often it checks whether an item waits or all are complete.
+	lastTextsInterval = 20 * time.Millisecond
+)
+
+// finishLastTexts waits for the texts in progress, unless items of the job wait for a process that may start them.
+func (o *ownedJob) finishLastTexts() {
+	for end := time.Now().Add(lastTextsTime); time.Now().Before(end) && o.ctx.Err() == nil; {
+		o.g.mu.Lock()
+		waiting, unfinished := o.job.Count(batch.Waiting), o.job.Count(batch.Running)+o.job.Count(batch.Scoring)
+		o.g.mu.Unlock()
+		if waiting > 0 || unfinished == 0 {
+			return
+		}
+		sleep(o.ctx, lastTextsInterval)
+	}
+}
+
 // handOver saves the state of the job and releases its ownership.
 func (o *ownedJob) handOver() {
+	o.finishLastTexts()
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
 	defer context.AfterFunc(ctx, o.stop)() // cancels a listing to which the store does not respond
@@ -72,14 +94,17 @@
 		o.g.mu.Lock()
 		record, version := o.entry.record, o.entry.version
 		stillOwned := record.OwnedBy(o.g.opts.Host, o.g.opts.Incarnation) && record.Open()
+		successor, incarnation := o.g.chooseSuccessor(trainerKey(&record), record.Total-record.Listed)
+		o.handedOver = true
 		o.g.mu.Unlock()
 		if !stillOwned {
 			return
 		}
-		record.Owner, record.OwnerIncarnation = "", ""
+		// The successor takes the job over as soon as it sees the record; without one, the others agree on who does.
+		record.Owner, record.OwnerIncarnation, record.AcceptedBy = successor, incarnation, ""
 		committed, err := o.g.commitRecord(ctx, o.entry, record, version)
 		if committed {
-			o.g.opts.Log.Info().Str("job", o.entry.id).Int("waiting", o.job.Count(batch.Waiting)).Msg("job handed over")
+			o.g.opts.Log.Info().Str("job", o.entry.id).Str("successor", successor).Int("waiting", o.job.Count(batch.Waiting)).Msg("job handed over")
 			return
 		}
 		if err != nil {
--- a/gateway/own.go
+++ b/gateway/own.go
@@ -24,6 +24,8 @@
 	awaitingCarryover bool
 	// runs holds the runs in progress.
 	runs map[*batch.Progress]*itemRun
+	// handedOver is set once this process has begun to give the job to another one.
+	handedOver bool
 	// listing is held while results are written, so that no two goroutines list the same results.
 	listing sync.Mutex
 }
@@ -55,7 +57,9 @@
 func (g *Gateway) ownedRecordChanged(e *jobEntry) {
 	o := e.owned
 	o.job.Record = e.record
-	if !e.record.OwnedBy(g.opts.Host, g.opts.Incarnation) {
+	if !e.record.OwnedBy(g.opts.Host, g.opts.Incarnation) && o.handedOver {
+		o.release() // logged by the hand-over
+	} else if !e.record.OwnedBy(g.opts.Host, g.opts.Incarnation) {
 		g.opts.Log.Warn().Str("job", e.id).Str("owner", e.record.Owner).Msg("job taken over by another process")
 		o.release()
 	} else if e.record.Ended {
