Pass on jobs that are assigned to a leaving process

A leaving process now writes a heartbeat at once, and assigns such a job to a successor.

TestJobAssignedToALeavingProcessIsPassedOn failed before (not within 20 s: a owns the job).

--- a/gateway/adopt.go
+++ b/gateway/adopt.go
@@ -38,7 +38,14 @@
 		for _, e := range due {
 			e.adopting = true
 		}
+		assigned := g.jobsAssignedWhileLeaving()
+		for _, e := range assigned {
+			e.adopting = true
+		}
 		g.mu.Unlock()
+		for _, e := range assigned {
+			go g.recoverPanic("pass on", func() { g.passOn(ctx, e) })
+		}
 		for _, e := range due {
 			go g.recoverPanic("adopt", func() { g.adopt(ctx, e) })
 		}
--- a/gateway/adopt_test.go
+++ b/gateway/adopt_test.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/radishshelf/radishshelf/batch"
+	"github.com/radishshelf/radishshelf/call"
 	"github.com/radishshelf/radishshelf/presence"
 	"github.com/radishshelf/radishshelf/standin/rows"
 	"github.com/radishshelf/radishshelf/upstreamcall"
@@ -224,3 +226,53 @@
 		t.Errorf("%d runs, owner %q", n, g.jobs["job-1"].record.Owner)
 	}
 }
+
+// Guards against a job that waits until its owner counts as dead, because it was assigned to a process that had just begun
+// to leave.
+func TestJobAssignedToALeavingProcessIsPassedOn(t *testing.T) {
+	w := newTestCluster(t)
+	a, b := w.start("a"), w.start("b")
+	for _, g := range []*Gateway{a, b} {
+		w.eventually("the hosts see each other's heartbeats", func() bool {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return len(g.peers.SeenWithin(maxOwnerHeartbeatAge)) == 2 && g.isPeerViewCurrent(time.Now())
+		})
+	}
+	b.mu.Lock()
+	b.leaving = true // no heartbeat has told the others
+	b.mu.Unlock()
+	// The owner is the host with the highest rank for the trainer, so a model is needed whose jobs go to b.
+	for n := 0; ; n++ {
+		if n == 40 {
+			t.Fatal("no job was assigned to b")
+		}
+		a.mu.Lock()
+		owner, _ := a.chooseOwner(fmt.Sprint("north ", testHost, "/rollout/ ", testModel, n), 4)
+		a.mu.Unlock()
+		if owner != "b" {
+			continue
+		}
+		body, err := json.Marshal(batch.Spec{Model: fmt.Sprint(testModel, n), MinVersion: 1, Items: testItems(4)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		started := time.Now()
+		if _, err := a.Handle(t.Context(), &call.Request{
+			ID: "job", Host: testHost, Method: http.MethodPost, Path: "/rollout/job", Target: "/rollout/job", Body: body,
+			Key: testKey, Received: started, Timeout: 5 * time.Second,
+		}); err != nil {
+			t.Fatal(err)
+		}
+		w.eventually("a owns the job", func() bool {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			e, ok := a.jobs["job"]
+			return ok && e.record.Owner == "a" && e.owned != nil
+		})
+		if took := time.Since(started); took > time.Second {
+			t.Errorf("the job was taken over after %s", took)
+		}
+		return
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,7 +85,9 @@
 	schedulerWake chan struct{}
 	// jobAssigned wakes the search for jobs without an owner after a job was assigned to this process.
 	jobAssigned chan struct{}
-	workWG      sync.WaitGroup
+	// heartbeatDue triggers a heartbeat before its time.
+	heartbeatDue chan struct{}
+	workWG       sync.WaitGroup
 	// workCtx is the context of all work for jobs; it is cancelled when the process stops.
 	workCtx  context.Context
 	stopWork context.CancelFunc
@@ -105,6 +107,7 @@
 		peerLoad: peerLoadSums{requests: map[string]int{}, tokens: map[string]int{}}, hedges: retry.NewBudget(retry.DefaultBudgetConfig(), time.Now()),
 		suspects: newSuspects(opts.Suspects), usage: usageCounts{}, probes: map[string]*probe{}, limitQueues: map[string]*limitQueue{},
 		schedulerWake: make(chan struct{}, 1), jobAssigned: make(chan struct{}, 1),
+		heartbeatDue: make(chan struct{}, 1),
 	}
 	g.limits = upstreamlimit.NewTable(opts.Host, limitView{g})
 	if g.opts.WallClock == nil {
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -14,11 +14,15 @@
 // counts as dead.
 const heartbeatInterval = 750 * time.Millisecond
 
-// heartbeatLoop writes this process's heartbeat until ctx ends.
+// heartbeatLoop writes this process's heartbeat until ctx ends, and at once when the process begins to leave.
 func (g *Gateway) heartbeatLoop(ctx context.Context) {
 	for sequence := int64(1); ctx.Err() == nil; sequence++ {
 		g.writeHeartbeat(ctx, sequence)
-		sleep(ctx, heartbeatInterval)
+		select {
+		case <-ctx.Done():
+		case <-g.heartbeatDue:
+		case <-time.After(heartbeatInterval):
+		}
 	}
 }
 
--- a/gateway/leave.go
+++ b/gateway/leave.go
@@ -35,6 +35,10 @@
 	}
 	g.mu.Unlock()
 	g.opts.Log.Info().Int("jobs", len(owned)).Msg("leaving")
+	select {
+	case g.heartbeatDue <- struct{}{}: // others assign no more jobs to this process once they know
+	default:
+	}
 	g.stopDuties()
 	done := make(chan struct{})
 	for _, o := range owned {
@@ -59,6 +63,36 @@
 	return unavailable(outcome.KindLeaving, "this process stops before the request has certainly ended", retryAfterStart)
 }
 
+// jobsAssignedWhileLeaving returns the jobs that others assigned to this process before they knew that it is leaving. The
+// caller holds g.mu.
+func (g *Gateway) jobsAssignedWhileLeaving() []*jobEntry {
+	var list []*jobEntry
+	if !g.leaving {
+		return nil
+	}
+	for _, e := range g.jobs {
+		if e.record.Open() && e.owned == nil && !e.adopting && e.record.OwnedBy(g.opts.Host, g.opts.Incarnation) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// passOn assigns a job to a successor that this process has never run.
+func (g *Gateway) passOn(ctx context.Context, e *jobEntry) {
+	g.mu.Lock()
+	record, version := e.record, e.version
+	record.Owner, record.OwnerIncarnation = g.chooseSuccessor(trainerKey(&record), record.Total-record.Listed)
+	record.AcceptedBy = ""
+	g.mu.Unlock()
+	committed, err := g.commitRecord(ctx, e, record, version)
+	g.opts.Log.Info().Str("job", e.id).Str("successor", record.Owner).Bool("committed", committed).AnErr("error", err).
+		Msg("job passed on: it was assigned to this process while it was leaving")
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e.adopting = false
+}
+
 const (
 	// lastTextsTime is how long a leaving process goes on with a job of which no item waits. It stays for longer than that in
 	// any case, and a text that is cut off has its prompt processed again.
