--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -14,6 +14,7 @@
 // Guards against a panic caused by the content of a watched row, and against a row that corrupts what is computed
 // from all rows.
 func FuzzWatchedRows(f *testing.F) {
+	f.Add(int64(1), []byte(`{"host":"b","incarnation":"1","sequence":4,"limits":{"limits":[{"upstream":"p1","born":0,"service":"desk","limit":1e308,"heard_at_ms":-9223372036854775808},{"upstream":"e1","limit":-1},{"upstream":"e1","limit":1e-320,"heard_at_ms":9223372036854775807}],"demand":{"p1":{"callers":-1},"e1":{"background":1e308,"callers":1e308}}}}`))
 	f.Add(int64(1), []byte(`{"host":"b","incarnation":"1","sequence":3,"load":{"e1":2},"tokens":{"e1":-5},"processor":0.5,"items":-7}`))
 	f.Add(int64(2), []byte(`{"host":"api.example","owner":"a","total":9,"listed":-1,"done":"/w==","chunks":1}`))
 	f.Add(int64(3), []byte(`{"ID":"e1","Service":"engines","Slots":-2,"State":"ready","Versions":{"fares":1}}`))
@@ -54,5 +55,12 @@
 		g.unfinishedItems()
 		g.modelDemands([]string{testModel})
 		g.loadOfPeers("e1")
+		for _, u := range g.upstreams.All() {
+			if share, next, limited := g.limits.Share(u, now); limited && (!(share >= 0) || next.Before(now)) {
+				t.Errorf("a share of %v a second, the next request at %s", share, next)
+			}
+			g.limits.Sent(u, now)
+		}
+		g.limitsReport(now)
 	})
 }
--- a/upstreamlimit/config.go
+++ b/upstreamlimit/config.go
@@ -21,6 +21,8 @@
 	// burst is the time whose requests a host may send at once, if that is more than one request. A host that begins a
 	// training step has many texts to start and none a little later.
 	burst = 700 * time.Millisecond
+	// maxBurst bounds the requests of a burst, whatever an upstream names as its limit.
+	maxBurst = 1 << 20
 	// divideInterval is how long shares are used before they are computed again.
 	divideInterval = 100 * time.Millisecond
 	// demandTime is the time constant of the average demand. It is shorter than the interval of heartbeats, so that each
--- a/upstreamlimit/shares.go
+++ b/upstreamlimit/shares.go
@@ -44,7 +44,7 @@
 	}
 	l.share = perSecond
 	l.bucket.SetLimitAt(now, max(rate.Limit(perSecond), minRate))
-	l.bucket.SetBurstAt(now, max(int(math.Round(perSecond*burst.Seconds())), 1))
+	l.bucket.SetBurstAt(now, int(min(max(math.Round(perSecond*burst.Seconds()), 1), maxBurst)))
 }
 
 // demandsFor returns the demand of this host and the given other ones for an upstream.
