Leave most of a short grace period to the hand-over of jobs

The last texts of a job might take 2 s whatever the grace period; they take 0.3 of the remaining time at most now.

--- a/gateway/leave.go
+++ b/gateway/leave.go
@@ -94,16 +94,22 @@
 }
 
 const (
-	// lastTextsTime is how long a leaving process goes on with a job of which no item waits. It stays for longer than that in
-	// any case, and a text that is cut off has its prompt processed again.
-	lastTextsTime = 2 * time.Second
+	// lastTextsTime is how long a leaving process goes on with a job of which no item waits, and lastTextsFraction the
+	// largest fraction of its remaining time that this may take. It stays for longer than that in any case, and a text that is
+	// cut off has its prompt processed again.
+	lastTextsTime     = 2 * time.Second
+	lastTextsFraction = 0.3
 	// lastTextsInterval is how often it checks whether an item waits or all are complete.
 	lastTextsInterval = 20 * time.Millisecond
 )
 
 // finishLastTexts waits for the texts in progress, unless items of the job wait for a process that may start them.
 func (o *ownedJob) finishLastTexts() {
-	for end := time.Now().Add(lastTextsTime); time.Now().Before(end) && o.ctx.Err() == nil; {
+	o.g.mu.Lock()
+	left := time.Until(o.g.stopAt)
+	o.g.mu.Unlock()
+	limit := min(lastTextsTime, time.Duration(lastTextsFraction*float64(left)))
+	for end := time.Now().Add(limit); time.Now().Before(end) && o.ctx.Err() == nil; {
 		o.g.mu.Lock()
 		waiting, unfinished := o.job.Count(batch.Waiting), o.job.Count(batch.Running)+o.job.Count(batch.Scoring)
 		o.g.mu.Unlock()
