--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -93,9 +93,9 @@
 	return best, found, limited
 }
 
-// crowdedRatio is the multiple of an upstream's slots from which on it takes no more background requests in place of
+// maxBackgroundLoad is the multiple of an upstream's slots from which on it takes no more background requests in place of
 // limited upstreams. A few requests that wait at the upstream keep its slots in use.
-const crowdedRatio = 2
+const maxBackgroundLoad = 2
 
 // hasRoom reports whether an upstream of a service with limits may get one more request: by its limit or, if it has none,
 // by its health and load. Without this, an upstream without a limit would have to refuse the load of all limited ones. The caller
@@ -111,7 +111,7 @@
 		return true
 	}
 	peerRequests, _ := g.loadOfPeers(e.ID)
-	return g.inFlight[e.ID]+peerRequests < crowdedRatio*max(e.Slots, 1)
+	return g.inFlight[e.ID]+peerRequests < maxBackgroundLoad*max(e.Slots, 1)
 }
 
 // hasLimits reports whether an upstream of a service has a limit. The caller holds g.mu.
--- a/gateway/limit_queue.go
+++ b/gateway/limit_queue.go
@@ -1,15 +1,12 @@
 package gateway
 
 import (
-	"context"
 	"math"
 	"math/rand"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/radishshelf/radishshelf/admission"
-	"github.com/radishshelf/radishshelf/outcome"
 	"github.com/radishshelf/radishshelf/upstreams"
 )
 
@@ -22,22 +19,8 @@
 	limitQueueInterval = 100 * time.Millisecond
 	// minLimitPause keeps a queue from being served without a pause because of rounding.
 	minLimitPause = time.Millisecond
-	// maxLimitRetryAfter bounds the time after which a refused caller may come back, because limits last for seconds.
-	maxLimitRetryAfter = 2 * time.Second
 )
 
-// limitTurn describes a request that may have to wait for its share of the limits of a service's upstreams.
-type limitTurn struct {
-	request, service string
-	// background is set for a request of a job.
-	background bool
-	// item has the workspace and the rank of the request, and as its deadline the time until which it may wait.
-	item admission.Item
-	// choose picks an upstream; limited reports whether upstreams were left out because of their limits, and inTurn says
-	// that the request has waited for its turn. The caller holds g.mu.
-	choose func(inTurn bool, now time.Time) (u upstreams.Entry, found, limited bool)
-}
-
 // limitQueue holds the requests that wait until this host may send one more request to a limited upstream of a service.
 type limitQueue struct {
 	service string
@@ -59,72 +42,6 @@
 	err      error
 }
 
-// reserve chooses an upstream for a request and counts the request there. If only the limits of upstreams stand in the
-// way, the request waits for its turn, provided that mayWait is set and its turn comes within its time. Otherwise it is
-// refused at once. Every error is an *outcome.Refusal of a request that was not sent.
-func (g *Gateway) reserve(ctx context.Context, turn limitTurn, mayWait bool) (upstreams.Entry, error) {
-	u, waiter, err := g.reserveOrEnqueue(turn, mayWait)
-	if waiter == nil {
-		return u, err
-	}
-	started := time.Now()
-	defer g.metrics.limitWait.UpdateDuration(started)
-	select {
-	case r := <-waiter.result:
-		if r.err == nil {
-			g.opts.Log.Info().Str("request", turn.request).Str("upstream", r.upstream.ID).
-				Dur("waited_ms", time.Since(started)).Msg("request waited for the limit of an upstream")
-		}
-		return r.upstream, r.err
-	case <-ctx.Done():
-		g.leaveLimitQueue(waiter)
-		return upstreams.Entry{}, unavailable(outcome.KindDeadline,
-			"the request ended while it waited for the limits of upstreams", retryAfterBusy)
-	}
-}
-
-// reserveOrEnqueue returns the upstream at which the request was counted, a waiter if it has to wait, or a refusal.
-func (g *Gateway) reserveOrEnqueue(turn limitTurn, mayWait bool) (upstreams.Entry, *limitWaiter, error) {
-	now := time.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.wantAny(turn.service, turn.background, now)
-	u, found, limited := turn.choose(false, now)
-	switch {
-	case found:
-		g.acquire(u, now)
-		return u, nil, nil
-	case !limited:
-		return upstreams.Entry{}, nil, noUpstream()
-	case !mayWait:
-		return upstreams.Entry{}, nil, g.limitRefusal(retryAfterBusy)
-	}
-	q := g.limitQueueOf(turn.service)
-	next := g.updateRate(q, now)
-	g.limitWaiters++
-	turn.item.ID, turn.item.Cost = strconv.FormatInt(g.limitWaiters, 10), 1
-	decision := q.queue.Enqueue(turn.item, now)
-	if decision.Displaced != nil {
-		q.finish(decision.Displaced.ID, limitResult{err: g.limitRefusal(decision.DisplacedRetryAfter)})
-	}
-	if decision.Action == admission.Refuse {
-		return upstreams.Entry{}, nil, g.limitRefusal(decision.RetryAfter)
-	}
-	waiter := &limitWaiter{turn: turn, result: make(chan limitResult, 1)}
-	q.waiting[turn.item.ID] = waiter
-	if q.timer == nil {
-		g.scheduleLimitQueue(q, next, now)
-	}
-	return upstreams.Entry{}, waiter, nil
-}
-
-// limitRefusal returns the refusal of a request that the limits of upstreams leave no room for.
-func (g *Gateway) limitRefusal(after time.Duration) error {
-	g.metrics.limitRefusals.Inc()
-	return unavailable(outcome.KindOverloaded, "the upstreams of the service take no more requests now, by the limits that they named",
-		min(after, maxLimitRetryAfter))
-}
-
 // limitQueueOf returns the queue of a service. The caller holds g.mu.
 func (g *Gateway) limitQueueOf(service string) *limitQueue {
 	q, ok := g.limitQueues[service]
@@ -267,19 +184,3 @@
 		g.serveLimitQueue(q, time.Now())
 	})
 }
-
-// leaveLimitQueue removes a request whose wait has ended without its turn. One that was counted at an upstream meanwhile is
-// not sent; its share is lost.
-func (g *Gateway) leaveLimitQueue(w *limitWaiter) {
-	now := time.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	q := g.limitQueueOf(w.turn.service)
-	if _, queued := q.queue.Remove(w.turn.item.ID, now); queued {
-		delete(q.waiting, w.turn.item.ID)
-		return
-	}
-	if r := <-w.result; r.err == nil {
-		g.release(r.upstream.ID, now)
-	}
-}
--- a/gateway/upstream_limits.go
+++ b/gateway/upstream_limits.go
@@ -8,8 +8,7 @@
 	"github.com/radishshelf/radishshelf/upstreams"
 )
 
-// limitView shows the division of limits what this process knows of hosts and upstreams. The caller of its methods holds
-// g.mu.
+// limitView tells package upstreamlimit which hosts and upstreams this process knows. The caller of its methods holds g.mu.
 type limitView struct{ g *Gateway }
 
 // Hosts returns the other live hosts.
--- a/upstreamlimit/config.go
+++ b/upstreamlimit/config.go
@@ -9,8 +9,8 @@
 	callerHeadroom = 2
 	// idleFraction is the part of an equal share that a host keeps without demand, for its next request.
 	idleFraction = 0.05
-	// unsightedFraction is the part of a limit that a host uses from its start until it sees the heartbeats of the others.
-	unsightedFraction = 0.05
+	// startFraction is the part of a limit that a host uses from its start until it gets the heartbeats of the others.
+	startFraction = 0.05
 	// evenFraction is the part of an equal share that each host counts in addition to its demand, so that a small change
 	// of the demand of an otherwise idle fleet moves little.
 	evenFraction = 0.1
--- a/upstreamlimit/report.go
+++ b/upstreamlimit/report.go
@@ -64,7 +64,7 @@
 
 // ObserveOwn records the report in a heartbeat of this host that has come back from the store, so that the other hosts have
 // most likely got it too; nil if the heartbeat has none.
-func (t *Table) ObserveOwn(r *Report) { t.own, t.sighted = demandOf(r), true }
+func (t *Table) ObserveOwn(r *Report) { t.own, t.seesHeartbeats = demandOf(r), true }
 
 // round keeps reports short.
 func round(perSecond float64) float64 { return math.Round(perSecond*100) / 100 }
--- a/upstreamlimit/shares.go
+++ b/upstreamlimit/shares.go
@@ -28,8 +28,8 @@
 	for i, l := range t.limits {
 		switch {
 		case l.perSecond == 0:
-		case !t.sighted:
-			l.setShare(unsightedFraction*l.perSecond, now)
+		case !t.seesHeartbeats:
+			l.setShare(startFraction*l.perSecond, now)
 		default:
 			l.setShare(shareOf(t.host, l.perSecond, selectHosts(i, l.perSecond, t.demandsFor(i.ID, hosts))), now)
 		}
--- a/upstreamlimit/table.go
+++ b/upstreamlimit/table.go
@@ -24,9 +24,9 @@
 	limits map[upstreams.Incarnation]*limit
 	// own is the demand that the other hosts know of this one, and peers holds the demand of each of them.
 	own demand
-	// sighted is set once a heartbeat of this host has come back, which shows that it sees those of the others, too.
-	sighted bool
-	peers   map[string]*peerDemand
+	// seesHeartbeats is set once a heartbeat of this host has come back: it then gets those of the others, too.
+	seesHeartbeats bool
+	peers          map[string]*peerDemand
 	// dividedAt is when the shares were last computed; zero if a limit has changed since.
 	dividedAt time.Time
 }
