--- a/gateway/choose_owner.go
+++ b/gateway/choose_owner.go
@@ -30,35 +30,16 @@
 	if !g.isPeerViewCurrent(now) {
 		return self.Name, self.Incarnation
 	}
-	owner := placement.ChooseOwner(trainer, self, g.otherHosts(), items)
-	return owner.Name, owner.Incarnation
-}
-
-// chooseSuccessor returns the process that goes on with a job of this one; "" if none is known. The caller holds g.mu.
-func (g *Gateway) chooseSuccessor(trainer string, items int) (host, incarnation string) {
-	if !g.isPeerViewCurrent(time.Now()) {
-		return "", ""
-	}
-	successor, _ := placement.ChooseSuccessor(trainer, g.region(g.opts.DataCentre), g.otherHosts(), items)
-	return successor.Name, successor.Incarnation
-}
-
-// laterHeartbeats is how many heartbeats fewer than this process another one has written if it started later. Processes of
-// one start of the fleet differ by less.
-const laterHeartbeats = 4
-
-// otherHosts returns the other processes that may be given a job. The caller holds g.mu.
-func (g *Gateway) otherHosts() []placement.Host {
 	var hosts []placement.Host
 	for _, b := range g.peers.SeenWithin(maxOwnerHeartbeatAge) {
 		if b.Host != g.opts.Host && !b.Leaving {
 			hosts = append(hosts, placement.Host{
 				Name: b.Host, Incarnation: b.Incarnation, Region: b.Region, CPUShare: b.CPUShare, Items: b.Items + g.unreportedItems(b),
-				StartedLater: b.Sequence+laterHeartbeats < g.heartbeatStored,
 			})
 		}
 	}
-	return hosts
+	owner := placement.ChooseOwner(trainer, self, hosts, items)
+	return owner.Name, owner.Incarnation
 }
 
 // maxOwnerHeartbeatAge is the maximum age of the last heartbeat of a host that is given a job: two intervals, so that
--- a/gateway/leave.go
+++ b/gateway/leave.go
@@ -78,51 +78,22 @@
 	return list
 }
 
-// passOn assigns a job to a successor that this process has never run.
+// passOn gives up a job that was assigned to this process, which has never run it, so that the others take it over.
 func (g *Gateway) passOn(ctx context.Context, e *jobEntry) {
 	g.mu.Lock()
 	record, version := e.record, e.version
-	record.Owner, record.OwnerIncarnation = g.chooseSuccessor(trainerKey(&record), record.Total-record.Listed)
-	record.AcceptedBy = ""
 	g.mu.Unlock()
+	record.Owner, record.OwnerIncarnation = "", ""
 	committed, err := g.commitRecord(ctx, e, record, version)
-	g.opts.Log.Info().Str("job", e.id).Str("successor", record.Owner).Bool("committed", committed).AnErr("error", err).
+	g.opts.Log.Info().Str("job", e.id).Bool("committed", committed).AnErr("error", err).
 		Msg("job passed on: it was assigned to this process while it was leaving")
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e.adopting = false
 }
 
-const (
-	// lastTextsTime is how long a leaving process goes on with a job of which no item waits, and lastTextsFraction the
-	// largest fraction of its remaining time that this may take. It stays for longer than that in any case, and a text that is
-	// cut off has its prompt processed again.
-	lastTextsTime     = 2 * time.Second
-	lastTextsFraction = 0.3
-	// lastTextsInterval is how often it checks whether an item waits or all are complete.
-	lastTextsInterval = 20 * time.Millisecond
-)
-
-// finishLastTexts waits for the texts in progress, unless items of the job wait for a process that may start them.
-func (o *ownedJob) finishLastTexts() {
-	o.g.mu.Lock()
-	left := time.Until(o.g.stopAt)
-	o.g.mu.Unlock()
-	limit := min(lastTextsTime, time.Duration(lastTextsFraction*float64(left)))
-	for end := time.Now().Add(limit); time.Now().Before(end) && o.ctx.Err() == nil; {
-		o.g.mu.Lock()
-		waiting, unfinished := o.job.Count(batch.Waiting), o.job.Count(batch.Running)+o.job.Count(batch.Scoring)
-		o.g.mu.Unlock()
-		if waiting > 0 || unfinished == 0 {
-			return
-		}
-		sleep(o.ctx, lastTextsInterval)
-	}
-}
-
 // handOver saves the state of the job and releases its ownership.
 func (o *ownedJob) handOver() {
-	o.finishLastTexts()
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
 	defer context.AfterFunc(ctx, o.stop)() // cancels a listing to which the store does not respond
@@ -134,17 +105,15 @@
 		o.g.mu.Lock()
 		record, version := o.entry.record, o.entry.version
 		stillOwned := record.OwnedBy(o.g.opts.Host, o.g.opts.Incarnation) && record.Open()
-		successor, incarnation := o.g.chooseSuccessor(trainerKey(&record), record.Total-record.Listed)
 		o.handedOver = true
 		o.g.mu.Unlock()
 		if !stillOwned {
 			return
 		}
-		// The successor takes the job over as soon as it sees the record; without one, the others agree on who does.
-		record.Owner, record.OwnerIncarnation, record.AcceptedBy = successor, incarnation, ""
+		record.Owner, record.OwnerIncarnation = "", ""
 		committed, err := o.g.commitRecord(ctx, o.entry, record, version)
 		if committed {
-			o.g.opts.Log.Info().Str("job", o.entry.id).Str("successor", successor).Int("waiting", o.job.Count(batch.Waiting)).Msg("job handed over")
+			o.g.opts.Log.Info().Str("job", o.entry.id).Int("waiting", o.job.Count(batch.Waiting)).Msg("job handed over")
 			return
 		}
 		if err != nil {
--- a/placement/host.go
+++ b/placement/host.go
@@ -5,8 +5,6 @@
 	Name, Incarnation, Region string
 	// CPUShare is the CPU share of the process, in cores.
 	CPUShare float64
-	// StartedLater is set if the host started later than the one that chooses.
-	StartedLater bool
 	// Items is the number of unfinished items in the jobs that the host runs.
 	Items int
 }
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -24,33 +24,15 @@
 // same time choose the same owner only for the same trainer. A job leaves the region only for a host that has capacity
 // for it. hosts are the live hosts other than self.
 func ChooseOwner(trainer string, self Host, hosts []Host, items int) Host {
-	return chooseHost(trainer, self.Region, append([]Host{self}, hosts...), items)
-}
-
-// ChooseSuccessor returns the host that goes on with a job of a host in the given region that is about to stop. Hosts that
-// started later than that one go first: when hosts are restarted in turn, the others are still to be stopped. Otherwise the
-// choice is that of ChooseOwner. It returns false if there are no hosts.
-func ChooseSuccessor(trainer, region string, hosts []Host, items int) (Host, bool) {
-	if len(hosts) == 0 {
-		return Host{}, false
-	}
-	if later := slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool { return !h.StartedLater }); len(later) > 0 {
-		hosts = later
-	}
-	return chooseHost(trainer, region, hosts, items), true
-}
-
-// chooseHost returns the host for a job among hosts, of which there is at least one.
-func chooseHost(trainer, region string, hosts []Host, items int) Host {
-	var near, far []Host
+	near, far := []Host{self}, []Host(nil)
 	for _, h := range hosts {
-		if h.Region == region {
+		if h.Region == self.Region {
 			near = append(near, h)
 		} else {
 			far = append(far, h)
 		}
 	}
-	if len(near) == 0 || minLoad(near, items) > maxItemsPerCore && minLoad(far, items) <= maxItemsPerCore {
+	if minLoad(near, items) > maxItemsPerCore && minLoad(far, items) <= maxItemsPerCore {
 		near = far
 	}
 	limit := max(maxItemsPerCore, overloadFactor*minLoad(near, items))
