--- a/gateway/upstream_limit_test.go
+++ b/gateway/upstream_limit_test.go
@@ -130,10 +130,7 @@
 			return stream(r.ResumeAfter+1, r.ResumeAfter+1, r.ResumeAfter == 2), nil
 		}, run: func(w *testCluster, g *Gateway) { w.readStream(g) }},
 		{name: "item and score call", run: func(w *testCluster, g *Gateway) {
-			items := testItems(6)
-			for i := range items {
-				items[i].Score = &batch.ScoreCall{ID: fmt.Sprint("score-", i), Host: testHost, Path: "/score/1"}
-			}
+			items := scoredItems(6)
 			w.mustSubmit(g, "job", items...)
 			w.checkExactlyOnce(w.readAll(g, "job"), items)
 		}},
@@ -172,6 +169,15 @@
 	}
 }
 
+// scoredItems returns n items, each with a score call.
+func scoredItems(n int) []batch.Item {
+	items := testItems(n)
+	for i := range items {
+		items[i].Score = &batch.ScoreCall{ID: fmt.Sprint("score-", i), Host: testHost, Path: "/score/1"}
+	}
+	return items
+}
+
 // readStream reads a stream of events to its end.
 func (w *testCluster) readStream(g *Gateway) {
 	w.t.Helper()
@@ -259,10 +265,7 @@
 	w.upstreams.setLimit("p1", limit)
 	g := w.start("a")
 	announceLimit(g, "p1", limit)
-	items := testItems(24)
-	for i := range items {
-		items[i].Score = &batch.ScoreCall{ID: fmt.Sprint("score-", i), Host: testHost, Path: "/score/1"}
-	}
+	items := scoredItems(24)
 	w.mustSubmit(g, "job", items...)
 	for _, err := range w.sendQuotes(g, 3, 3*time.Second) {
 		t.Errorf("a request of a caller: %v, while score calls wait", err)
