Choose upstreams among the candidates of one scope

Cause: each path that sends read the list of ready upstreams by itself, so a constraint on where a request may go would have to be repeated on each of them.

Change: sendScope holds the constraints of a request and candidates applies them, for plain requests, streams, score calls, texts and the demand for limits. The configuration's regions, the bound of cold upstreams and the time for which an upstream stays cold are decoded; plain requests and streams already keep to their regions.

--- a/gateway/authorize.go
+++ b/gateway/authorize.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/radishshelf/radishshelf/homes"
 	"github.com/radishshelf/radishshelf/outcome"
 	"github.com/radishshelf/radishshelf/serving"
 )
@@ -23,6 +24,14 @@
 	return a.workspace.Name
 }
 
+// homes returns the regions in which the request may be served: those of its route and of its workspace bind together.
+func (a *authorization) homes() homes.Regions {
+	if a.workspace == nil {
+		return a.route.Homes
+	}
+	return a.route.Homes.And(a.workspace.Homes)
+}
+
 // priority returns the priority of the workspace if it has one, and otherwise that of the route.
 func (a *authorization) priority() int {
 	if a.workspace != nil && a.workspace.HasPriority {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -50,7 +50,7 @@
 
 // plainChoice says among which upstreams a request that needs no model may choose.
 type plainChoice struct {
-	service string
+	scope sendScope
 	// tried upstreams are ranked last, or left out unless allowTried is set.
 	tried      map[string]bool
 	allowTried bool
@@ -65,9 +65,9 @@
 // because of their limits. The caller holds g.mu.
 func (g *Gateway) choosePlain(c plainChoice, now time.Time) (best upstreams.Entry, found, limited bool) {
 	bestCost := 0.0
-	hasLimits := g.hasLimits(c.service, now)
-	keepsOrder := !c.inTurn && g.limitQueueLen(c.service) > 0
-	for _, e := range g.upstreams.Ready(c.service) {
+	hasLimits := g.hasLimits(c.scope.service, now)
+	keepsOrder := !c.inTurn && g.limitQueueLen(c.scope.service) > 0
+	for _, e := range g.candidates(c.scope) {
 		tried := c.tried[e.ID]
 		if tried && !c.allowTried {
 			continue
--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -50,7 +50,7 @@
 		if host, _ := g.chooseOwner("trainer", 100); host == "" {
 			t.Error("no owner was chosen for a new job")
 		}
-		g.newSelector(selectorKey{service: engineService, model: testModel}, now)
+		g.newSelector(selectorKey{sendScope: sendScope{service: engineService}, model: testModel}, now)
 		g.startableItems(now)
 		g.unfinishedItems()
 		g.modelDemands([]string{testModel})
--- a/gateway/isolation.go
+++ b/gateway/isolation.go
@@ -46,12 +46,12 @@
 // limitTurn describes the request to the queues for limited upstreams.
 func (f *plainRequest) limitTurn() limitTurn {
 	return limitTurn{
-		request: f.request.ID, service: f.service,
+		request: f.request.ID, scope: f.scope(),
 		item: admission.Item{Workspace: f.auth.workspaceName(), Rank: f.auth.priority(), Deadline: f.latestStart()},
 		choose: func(inTurn bool, now time.Time) (upstreams.Entry, bool, bool) {
 			exclude := maps.Clone(f.tried)
 			maps.Copy(exclude, f.refused)
-			return f.g.choosePlain(plainChoice{service: f.service, tried: exclude, inTurn: inTurn}, now)
+			return f.g.choosePlain(plainChoice{scope: f.scope(), tried: exclude, inTurn: inTurn}, now)
 		},
 	}
 }
@@ -134,7 +134,7 @@
 	if scope != anyUpstream {
 		occupied = f.excludeIsolated(exclude, scope)
 	}
-	u, ok, _ = f.g.choosePlain(plainChoice{service: f.service, tried: exclude}, now)
+	u, ok, _ = f.g.choosePlain(plainChoice{scope: f.scope(), tried: exclude}, now)
 	if ok {
 		f.g.acquire(u, now)
 		if f.action != quarantine.Run {
@@ -147,7 +147,7 @@
 // excludeIsolated excludes the upstreams that are out of scope. It reports whether there are upstreams in scope that run a
 // crash suspect. The caller holds g.mu.
 func (f *plainRequest) excludeIsolated(exclude map[string]bool, scope isolationScope) (occupied bool) {
-	for _, u := range f.g.upstreams.Ready(f.service) {
+	for _, u := range f.g.candidates(f.scope()) {
 		switch {
 		case exclude[u.ID]:
 		case scope == ownSlot && len(f.slot.Upstreams) > 0 && !slices.Contains(f.slot.Upstreams, u.ID):
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -15,7 +15,8 @@
 
 // limitTurn describes a request that may have to wait for its share of the limits of a service's upstreams.
 type limitTurn struct {
-	request, service string
+	request string
+	scope   sendScope
 	// background is set for a request of a job.
 	background bool
 	// item has the workspace and the rank of the request, and as its deadline the time until which it may wait.
@@ -54,7 +55,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.wantAny(turn.service, turn.background, now)
+	g.wantAny(turn.scope, turn.background, now)
 	u, found, limited := turn.choose(false, now)
 	switch {
 	case found:
@@ -65,7 +66,7 @@
 	case !mayWait:
 		return upstreams.Entry{}, nil, g.limitRefusal(retryAfterBusy)
 	}
-	q := g.limitQueueOf(turn.service)
+	q := g.limitQueueOf(turn.scope.service)
 	next := g.updateRate(q, now)
 	g.limitWaiters++
 	turn.item.ID, turn.item.Cost = strconv.FormatInt(g.limitWaiters, 10), 1
@@ -97,7 +98,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	q := g.limitQueueOf(w.turn.service)
+	q := g.limitQueueOf(w.turn.scope.service)
 	if _, queued := q.queue.Remove(w.turn.item.ID, now); queued {
 		delete(q.waiting, w.turn.item.ID)
 		return
--- a/gateway/schedule_pass.go
+++ b/gateway/schedule_pass.go
@@ -22,9 +22,10 @@
 	waiting map[placementKey]int
 }
 
-// selectorKey identifies the engines of a service that serve a model.
+// selectorKey identifies the engines that serve a model and to which a text may be sent.
 type selectorKey struct {
-	service, model string
+	sendScope
+	model string
 }
 
 // placementKey groups texts for which the same engines are suitable.
@@ -58,7 +59,7 @@
 		e.owned.signalLister()
 		return
 	}
-	u, ok := s.pickEngine(service, c)
+	u, ok := s.pickEngine(sendScope{service: service, homes: route.Homes}, c)
 	if !ok {
 		return
 	}
@@ -80,9 +81,9 @@
 }
 
 // pickEngine returns the engine for an item, if one has room.
-func (s *schedulePass) pickEngine(service string, c batch.Candidate) (upstreams.Entry, bool) {
+func (s *schedulePass) pickEngine(scope sendScope, c batch.Candidate) (upstreams.Entry, bool) {
 	req := s.g.requirementsOf(c.Job, c.Item)
-	key := placementKey{selectorKey: selectorKey{service: service, model: c.Job.Spec.Model}, minVersion: req.MinVersion, long: req.Long}
+	key := placementKey{selectorKey: selectorKey{sendScope: scope, model: c.Job.Spec.Model}, minVersion: req.MinVersion, long: req.Long}
 	if s.noRoom[key] {
 		s.waiting[key]++
 		return upstreams.Entry{}, false
@@ -111,7 +112,7 @@
 // suitable returns the engines that serve the model and version of a text, whether they have room or not.
 func (s *schedulePass) suitable(key placementKey) []upstreams.Entry {
 	var list []upstreams.Entry
-	for _, u := range s.g.upstreams.Ready(key.service) {
+	for _, u := range s.g.candidates(key.sendScope) {
 		if version, serves := u.Versions[key.model]; (serves || key.model == "") && version >= key.minVersion {
 			list = append(list, u)
 		}
@@ -159,7 +160,7 @@
 
 // newSelector returns a selector over the engines of a service that serve a model. The caller holds g.mu.
 func (g *Gateway) newSelector(key selectorKey, now time.Time) *placement.Selector {
-	ready := g.upstreams.Ready(key.service)
+	ready := g.candidates(key.sendScope)
 	runs := g.runsByUpstream()
 	engines := make([]placement.Engine, 0, len(ready))
 	for _, e := range ready {
--- a/gateway/scoring.go
+++ b/gateway/scoring.go
@@ -103,17 +103,17 @@
 	g, score := s.o.g, s.item.Item.Score
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	service, ok := s.findRoute()
+	scope, ok := s.findRoute()
 	return limitTurn{
-		request: score.ID, service: service, background: true,
+		request: score.ID, scope: scope, background: true,
 		item: admission.Item{Workspace: s.o.entry.record.Workspace, Rank: scoreRank + s.o.priority(s.item)},
 		choose: func(inTurn bool, now time.Time) (u upstreams.Entry, found, limited bool) {
-			service, ok := s.findRoute() // the configuration may have changed while the call waited
+			scope, ok := s.findRoute() // the configuration may have changed while the call waited
 			if !ok {
 				return upstreams.Entry{}, false, false
 			}
 			u, found, limited = g.choosePlain(
-				plainChoice{service: service, tried: s.tried, allowTried: true, background: true, inTurn: inTurn}, now)
+				plainChoice{scope: scope, tried: s.tried, allowTried: true, background: true, inTurn: inTurn}, now)
 			isPending := slices.ContainsFunc(s.pending, func(p upstreams.Entry) bool { return p.ID == u.ID })
 			return u, found && !isPending, limited
 		},
@@ -122,11 +122,11 @@
 
 // findRoute reads the limits of the score call from its route, and picks its service. It returns false if there is no
 // route. The caller holds g.mu.
-func (s *scoring) findRoute() (service string, ok bool) {
+func (s *scoring) findRoute() (scope sendScope, ok bool) {
 	score := s.item.Item.Score
 	route, ok := s.o.g.config.Route(score.Host, score.Path)
 	if !ok {
-		return "", false
+		return sendScope{}, false
 	}
 	s.limit, s.hedgeAfter, s.timeout = route.MaxAttempts, scoreHedgeDelay, scoreTimeout
 	if route.TargetLatency > 0 {
@@ -135,7 +135,8 @@
 	if route.Timeout > 0 {
 		s.timeout = route.Timeout
 	}
-	return chooseService(route)
+	service, ok := chooseService(route)
+	return sendScope{service: service, homes: route.Homes}, ok
 }
 
 func (s *scoring) call(ctx context.Context, u upstreams.Entry, timeout time.Duration) sendResult {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -125,7 +125,7 @@
 		turn.item.Deadline = time.Time{}
 	}
 	turn.choose = func(inTurn bool, now time.Time) (upstreams.Entry, bool, bool) {
-		return s.g.choosePlain(plainChoice{service: s.service, tried: s.tried, allowTried: true, inTurn: inTurn}, now)
+		return s.g.choosePlain(plainChoice{scope: s.scope(), tried: s.tried, allowTried: true, inTurn: inTurn}, now)
 	}
 	return turn
 }
@@ -134,7 +134,7 @@
 // request may wait; one whose caller has received events waits for as long as its sends last.
 func (s *streamRequest) waitForRoom(ctx context.Context) bool {
 	s.g.mu.Lock()
-	ready := s.g.upstreams.Ready(s.service)
+	ready := s.g.candidates(s.scope())
 	s.g.mu.Unlock()
 	for _, u := range ready {
 		if !s.refused[u.ID] {
--- a/gateway/upstream_limits.go
+++ b/gateway/upstream_limits.go
@@ -75,12 +75,12 @@
 	return waiting
 }
 
-// wantAny counts a request as demand for the upstreams of a service, any of which could serve it. The caller holds g.mu.
-func (g *Gateway) wantAny(service string, background bool, now time.Time) {
+// wantAny counts a request as demand for the upstreams that could serve it. The caller holds g.mu.
+func (g *Gateway) wantAny(scope sendScope, background bool, now time.Time) {
 	if g.limits.Len() == 0 {
 		return
 	}
-	ready := g.upstreams.Ready(service)
+	ready := g.candidates(scope)
 	for _, u := range ready {
 		g.limits.Want(u, 1/float64(len(ready)), background, now)
 	}
--- a/serving/route.go
+++ b/serving/route.go
@@ -1,6 +1,10 @@
 package serving
 
-import "time"
+import (
+	"time"
+
+	"github.com/radishshelf/radishshelf/homes"
+)
 
 // Kind says which requests of a route may be repeated.
 type Kind string
@@ -38,6 +42,8 @@
 	Priority int
 	// Due is the time after the submission of a batch job by which its results are due.
 	Due time.Duration
+	// Homes restricts the regions in which requests of the route are served and kept.
+	Homes homes.Regions
 	// ItemLifetime is the time after the submission of a batch job during which its items must be attempted.
 	ItemLifetime time.Duration
 }
--- a/serving/service.go
+++ b/serving/service.go
@@ -8,6 +8,9 @@
 	MaxConnections int
 	// Models lists the models that the upstreams of the service run. It is empty for a plain service.
 	Models []string
+	// ColdRequests is how many requests a second one upstream takes from all hosts together while it is cold; 0 means that
+	// cold upstreams take as many as others.
+	ColdRequests float64
 	// Scaling limits how many upstreams may be ordered. It is nil if the platform does not scale the service.
 	Scaling *Scaling
 }
--- a/upstreams/entry.go
+++ b/upstreams/entry.go
@@ -1,5 +1,7 @@
 package upstreams
 
+import "time"
+
 // State is the state that an upstream reports in its entry.
 type State string
 
@@ -23,6 +25,8 @@
 	// Slots is how many requests the upstream processes at the same time.
 	Slots int
 	State State
+	// ColdFor is how long the upstream stays cold, from the time at which it wrote the entry.
+	ColdFor time.Duration
 	// Versions holds the weight version of each model that the upstream serves; empty for a plain service.
 	Versions map[string]int64
 }
