Count panics while a response is written

Cause: net/http recovers a panic of a handler and closes the connection, but no metric or line of ours shows it.

--- a/gateway/recover_panic.go
+++ b/gateway/recover_panic.go
@@ -19,15 +19,21 @@
 	defer func() {
 		if cause := recover(); cause != nil {
 			panicked = true
-			g.metrics.panics(operation).Inc()
-			g.opts.Log.Error().Str("in", operation).Str("cause", fmt.Sprint(cause)).Bytes("stack", debug.Stack()).
-				Msg("recovered from a panic; the operation was aborted")
+			g.RecordPanic(operation, cause)
 		}
 	}()
 	f()
 	return false
 }
 
+// RecordPanic counts and logs a panic whose operation was aborted. It is called while the panic is recovered, for its
+// stack.
+func (g *Gateway) RecordPanic(operation string, cause any) {
+	g.metrics.panics(operation).Inc()
+	g.opts.Log.Error().Str("in", operation).Str("cause", fmt.Sprint(cause)).Bytes("stack", debug.Stack()).
+		Msg("recovered from a panic; the operation was aborted")
+}
+
 // runLoop runs a loop until ctx ends, and restarts it after a panic.
 func (g *Gateway) runLoop(ctx context.Context, name string, loop func(context.Context)) {
 	for ctx.Err() == nil {
