Check statuses between entries, agents and upstreams too

The entry passed an agent's response of any status on, or believed its refusal; the agent panicked on a status below 100 of its upstream, passed others on, and took a health check below 300 for a sign of health, also 000; radishshelfctl took it for success.

Change: httpstatus at each of these places. Redirections of health checks are followed as before.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/radishshelf/radishshelf/fleetauth"
+	"github.com/radishshelf/radishshelf/httpstatus"
 	"github.com/radishshelf/radishshelf/telemetry"
 	"github.com/radishshelf/radishshelf/usage"
 )
@@ -84,7 +85,7 @@
 		o.Tracer = telemetry.NopTracer()
 	}
 	base := strings.TrimSuffix(s.UpstreamURL, "/")
-	control := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	control := &http.Client{Transport: httpstatus.NewTransport(&http.Transport{DisableKeepAlives: true})}
 	a := &Agent{
 		settings: s, incarnation: o.Incarnation, logger: o.Logger, registry: o.Registry, tracer: o.Tracer,
 		recorder: o.Recorder, flusher: o.Flusher, credential: credential(secret),
--- a/agent/health.go
+++ b/agent/health.go
@@ -13,6 +13,7 @@
 
 	"github.com/radishshelf/radishshelf/agent/engineapi"
 	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/httpstatus"
 )
 
 // Limits on the health check.
@@ -134,7 +135,7 @@
 		return status, err
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode >= http.StatusMultipleChoices {
+	if !httpstatus.IsSuccess(resp.StatusCode) {
 		return status, fmt.Errorf("health check %s: status %d", a.settings.HealthPath, resp.StatusCode)
 	}
 	var body healthBody
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/radishshelf/radishshelf/agent/engineapi"
+	"github.com/radishshelf/radishshelf/httpstatus"
 	"github.com/radishshelf/radishshelf/outcome"
 )
 
@@ -49,7 +50,8 @@
 func (u *upstream) send(ctx context.Context, c call, header http.Header, body []byte) (resp *http.Response, sent bool, err error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), c.method, u.base+c.target, nil)
+	ctx = httpstatus.WithInterimCheck(httptrace.WithClientTrace(ctx, trace))
+	req, err := http.NewRequestWithContext(ctx, c.method, u.base+c.target, nil)
 	if err != nil {
 		return nil, false, err
 	}
@@ -59,8 +61,14 @@
 		req.Body = singleUseBody{r: bytes.NewReader(body)}
 		req.ContentLength = int64(len(body))
 	}
-	resp, err = u.transport.RoundTrip(req)
-	return resp, connected.Load(), err
+	if resp, err = u.transport.RoundTrip(req); err != nil {
+		return nil, connected.Load(), err
+	}
+	if err = httpstatus.Check(resp); err != nil {
+		resp.Body.Close()
+		return nil, true, err
+	}
+	return resp, true, nil
 }
 
 // sendErrorRefusal classifies a failed send. The outcome is "not run" only if no connection was established on which a
--- a/dataplane/client.go
+++ b/dataplane/client.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/radishshelf/radishshelf/httpstatus"
 	"github.com/radishshelf/radishshelf/outcome"
 )
 
@@ -57,7 +58,7 @@
 func (c *Client) Do(ctx context.Context, call Call) (*Response, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), c.scheme, call)
+	req, err := newRequest(httpstatus.WithInterimCheck(httptrace.WithClientTrace(ctx, trace)), c.scheme, call)
 	if err != nil {
 		return nil, notSentRefusal(call, err)
 	}
@@ -76,6 +77,10 @@
 
 // checkResponse checks that resp belongs to call and returns a refusal by the agent as an error.
 func (c *Client) checkResponse(call Call, resp *http.Response) (*Response, error) {
+	if err := httpstatus.Check(resp); err != nil {
+		resp.Body.Close()
+		return nil, noResponseRefusal(call, err)
+	}
 	if got := resp.Header.Get(HeaderRequestID); got != call.RequestID {
 		// The responses on this connection are out of step; closing the body before its end closes the connection.
 		resp.Body.Close()
--- a/operatorclient/client.go
+++ b/operatorclient/client.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/httpstatus"
 )
 
 const maxResponseBytes = 64 << 20
@@ -135,7 +136,7 @@
 	if err != nil {
 		return eris.Wrap(err, "cannot read the response of the operator interface")
 	}
-	if resp.StatusCode >= http.StatusMultipleChoices {
+	if !httpstatus.IsSuccess(resp.StatusCode) {
 		return responseError(resp.Status, data)
 	}
 	if err := json.Unmarshal(data, result); err != nil {
