Print a time line of each training step from the logs

Cause: where the time of a step went had to be put together by hand from the lines of several hosts.

Change: radishshelfctl steps reads the logs of all processes and prints, for each job, who ran it and when, the time without an owner, the last text that its trainer waited for with its upstream, and how many runs ended early.

--- a/cmd/radishshelfctl/root.go
+++ b/cmd/radishshelfctl/root.go
@@ -38,6 +38,6 @@
 	}
 	root.AddCommand(newDefaultsCommand(o), newExceptionsCommand(o), newKeysCommand(o), newEntriesCommand(o),
 		newHostsCommand(o), newRolesCommand(o), newUsageWindowsCommand(o), newVersionsCommand(o), newExplainCommand(o),
-		newVersionCommand(o), newStoryCommand(), newStoreCommand(o))
+		newVersionCommand(o), newStoryCommand(), newStepsCommand(), newStoreCommand(o))
 	return root
 }
--- a/cmd/radishshelfctl/story.go
+++ b/cmd/radishshelfctl/story.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/spf13/cobra"
@@ -35,11 +36,16 @@
 	}
 }
 
-func readLog(story *logstory.Story, path string) error {
+// logReader reads the lines of a log file.
+type logReader interface {
+	Read(name string, r io.Reader) error
+}
+
+func readLog(into logReader, path string) error {
 	f, err := os.Open(path)
 	if err != nil {
 		return err
 	}
 	defer f.Close()
-	return story.Read(path, f)
+	return into.Read(path, f)
 }
--- a/logstory/story.go
+++ b/logstory/story.go
@@ -1,7 +1,6 @@
 package logstory
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"sort"
@@ -9,9 +8,6 @@
 	"time"
 )
 
-// maxLineBytes is the maximum length of a log line.
-const maxLineBytes = 1 << 20
-
 // idFields are the fields whose value is the ID of a request, job or item.
 var idFields = map[string]bool{"request": true, "job": true, "item": true}
 
@@ -31,27 +27,7 @@
 func New(id string) *Story { return &Story{id: id, upstreams: map[string]bool{}} }
 
 // Read reads the lines of one log file. It returns an error if no line of the file is an event.
-func (s *Story) Read(name string, r io.Reader) error {
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(make([]byte, 0, 4096), maxLineBytes)
-	number, parsed := 0, 0
-	for scanner.Scan() {
-		number++
-		line, ok := parse(scanner.Text(), number)
-		if !ok {
-			continue
-		}
-		parsed++
-		s.addLine(line)
-	}
-	if err := scanner.Err(); err != nil {
-		return fmt.Errorf("read log file %s after line %d: %w", name, number, err)
-	}
-	if parsed == 0 {
-		return fmt.Errorf("log file %s: none of %d lines is an event; pass files with lines of key=value pairs", name, number)
-	}
-	return nil
-}
+func (s *Story) Read(name string, r io.Reader) error { return readLines(name, r, s.addLine) }
 
 // addLine keeps a line that carries the ID of the story, or that names an upstream and carries no ID.
 func (s *Story) addLine(line Line) {
