Keep the texts of a job in the regions of its route and workspace

Cause: texts kept to the regions of their route alone, and a text that was moved to a faster engine to none; a job had no record of the regions under which it was accepted. Change: jobHomes gives the regions of a job: those of its route and workspace in the current configuration, or as they were at acceptance (written into the record) if one of them is gone or this process has not read that configuration yet. jobScope is the only source of the scope of a text: start, move, memory queries and waiting demand use it. Measured: TestTextsStayInTheHomesOfTheWorkspace, TestMoveStaysHome and TestJobHomes fail with the route's regions alone ("texts were sent outside of the workspace's regions", "home only: moved is true"); TestNewHomesBindRunningJobs fails with the record's regions alone.

--- a/batch/record.go
+++ b/batch/record.go
@@ -1,6 +1,10 @@
 package batch
 
-import "time"
+import (
+	"time"
+
+	"github.com/radishshelf/radishshelf/homes"
+)
 
 // Record is the small stored row of a job. It holds everything that other processes need to know of the job.
 type Record struct {
@@ -25,6 +29,11 @@
 	ConfigVersion int64 `json:"config_version,omitempty"`
 	MaxAttempts   int   `json:"max_attempts,omitempty"`
 	SingleVersion bool  `json:"single_version,omitempty"`
+	// RouteHomes and WorkspaceHomes are the regions of the route and of the workspace in that configuration.
+	RouteHomes     homes.Regions `json:"route_homes,omitzero"`
+	WorkspaceHomes homes.Regions `json:"workspace_homes,omitzero"`
+	// AcceptedIn is the region of the host that accepted the job from its caller. Records of earlier releases have none.
+	AcceptedIn string `json:"accepted_in,omitempty"`
 	// Total is the number of items, and Listed the number of those with a listed result.
 	Total  int `json:"total"`
 	Listed int `json:"listed"`
--- a/gateway/cluster_test.go
+++ b/gateway/cluster_test.go
@@ -60,8 +60,14 @@
 }
 
 func (w *testCluster) addUpstream(id, service string, slots int, versions map[string]int64) {
+	w.addUpstreamIn("north-1", id, service, slots, versions)
+}
+
+// addUpstreamIn adds an upstream in a data centre of testRegions.
+func (w *testCluster) addUpstreamIn(dataCentre, id, service string, slots int, versions map[string]int64) {
+	w.t.Helper()
 	value, err := json.Marshal(upstreams.Entry{
-		ID: id, Service: service, Address: id, DataCentre: "north-1", Slots: slots, State: upstreams.Ready, Versions: versions,
+		ID: id, Service: service, Address: id, DataCentre: dataCentre, Slots: slots, State: upstreams.Ready, Versions: versions,
 	})
 	if err != nil {
 		w.t.Fatal(err)
@@ -79,13 +85,21 @@
 
 // startWithRows starts a gateway with its own access to the store.
 func (w *testCluster) startWithRows(host string, cpuShare float64, rows hosting.Rows) *Gateway {
+	return w.startIn("north-1", host, cpuShare, rows)
+}
+
+// testRegions maps the data centres of the test cluster to their regions.
+var testRegions = map[string]string{"north-1": "north", "north-2": "north", "south-1": "south", "west-1": "west"}
+
+// startIn starts a gateway in a data centre of testRegions with its own access to the store.
+func (w *testCluster) startIn(dataCentre, host string, cpuShare float64, rows hosting.Rows) *Gateway {
 	var g *Gateway
 	caller := &announcingUpstreams{fakeUpstreams: w.upstreams, host: host, announce: func(u upstreams.Entry, a upstreamcall.Announcement) {
 		g.UpstreamAnnounced(u, a)
 	}}
 	g = New(Options{
-		Host: host, Incarnation: fmt.Sprint(time.Now().UnixNano()), DataCentre: "north-1",
-		RegionOf: map[string]string{"north-1": "north"}, PeerAddress: host, MaxRowBytes: 64 << 10, UsageDuty: true, CPUShare: cpuShare,
+		Host: host, Incarnation: fmt.Sprint(time.Now().UnixNano()), DataCentre: dataCentre,
+		RegionOf: testRegions, PeerAddress: host, MaxRowBytes: 64 << 10, UsageDuty: true, CPUShare: cpuShare,
 		Timing: Timing{
 			Lease: 3 * time.Second, Grace: 8 * time.Second, UsageWindow: 5 * time.Second, UsageLate: 10 * time.Second,
 			BatchLifetime: 2 * time.Minute, Settle: time.Second, CancelApply: 3 * time.Second,
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -7,11 +7,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/radishshelf/radishshelf/batch"
+	"github.com/radishshelf/radishshelf/homes"
 	"github.com/radishshelf/radishshelf/outcome"
 	"github.com/radishshelf/radishshelf/serving"
 	"github.com/radishshelf/radishshelf/upstreamcall"
@@ -30,43 +32,72 @@
 	return s, json.Unmarshal(body, &s)
 }
 
+// testSettings is the content of a configuration row: a version alone, or with the regions of routes and of the workspace.
+type testSettings struct {
+	Version       int64
+	RouteHomes    map[string][]string
+	WorkspaceHome []string
+	// Gone routes are left out.
+	Gone []string
+}
+
+func (s testSettings) row() []byte {
+	value, err := json.Marshal(s)
+	if err != nil {
+		panic(err)
+	}
+	return value
+}
+
 func (testCodec) DecodeConfig(value []byte) (*serving.Config, error) {
-	var version int64
-	if err := json.Unmarshal(value, &version); err != nil {
-		return nil, err
+	var s testSettings
+	if json.Unmarshal(value, &s.Version) != nil {
+		if err := json.Unmarshal(value, &s); err != nil {
+			return nil, err
+		}
+	}
+	routes := append(lateRoutes(s.Version), testRoutes()...)
+	for _, r := range routes {
+		r.Homes = homes.Only(s.RouteHomes[r.Name]...)
 	}
 	return serving.Builder{
-		Version: version,
-		Routes: append(lateRoutes(version), []*serving.Route{
-			{
-				Name: "rollout", Host: testHost, PathPrefix: "/rollout/", Kind: serving.Rollout, MaxAttempts: 3,
-				Targets: []serving.Target{{Service: engineService, Weight: 1}}, Due: 5 * time.Second, ItemLifetime: 20 * time.Second,
-			},
-			{
-				Name: "quote", Host: testHost, PathPrefix: "/quote/", Kind: serving.Idempotent, MaxAttempts: 3,
-				Targets: []serving.Target{{Service: plainService, Weight: 1}}, TargetLatency: 200 * time.Millisecond,
-				Timeout: 3 * time.Second,
-			},
-			{
-				Name: "bill", Host: testHost, PathPrefix: "/bill/", Kind: serving.NonIdempotent, MaxAttempts: 3,
-				Targets: []serving.Target{{Service: plainService, Weight: 1}}, TargetLatency: 200 * time.Millisecond,
-				Timeout: 3 * time.Second,
-			},
-			{
-				Name: "chat", Host: testHost, PathPrefix: "/chat/", Kind: serving.NonIdempotent, MaxAttempts: 5, Streaming: true,
-				Resumable: true, Targets: []serving.Target{{Service: engineService, Weight: 1}},
-				TargetLatency: time.Second, Timeout: 10 * time.Second,
-			},
-			{
-				Name: "score", Host: testHost, PathPrefix: "/score/", Kind: serving.Idempotent, MaxAttempts: 4, Public: true,
-				Targets: []serving.Target{{Service: plainService, Weight: 1}},
-			},
-		}...),
-		Services:   []*serving.Service{{Name: engineService, Models: []string{testModel}}, {Name: plainService}},
-		Workspaces: []serving.WorkspaceKeys{{Workspace: serving.Workspace{Name: "north"}, Keys: []string{testKey}}},
+		Version:  s.Version,
+		Routes:   slices.DeleteFunc(routes, func(r *serving.Route) bool { return slices.Contains(s.Gone, r.Name) }),
+		Services: []*serving.Service{{Name: engineService, Models: []string{testModel}}, {Name: plainService}},
+		Workspaces: []serving.WorkspaceKeys{{
+			Workspace: serving.Workspace{Name: "north", Homes: homes.Only(s.WorkspaceHome...)}, Keys: []string{testKey},
+		}},
 	}.Build(), nil
 }
 
+func testRoutes() []*serving.Route {
+	return []*serving.Route{
+		{
+			Name: "rollout", Host: testHost, PathPrefix: "/rollout/", Kind: serving.Rollout, MaxAttempts: 3,
+			Targets: []serving.Target{{Service: engineService, Weight: 1}}, Due: 5 * time.Second, ItemLifetime: 20 * time.Second,
+		},
+		{
+			Name: "quote", Host: testHost, PathPrefix: "/quote/", Kind: serving.Idempotent, MaxAttempts: 3,
+			Targets: []serving.Target{{Service: plainService, Weight: 1}}, TargetLatency: 200 * time.Millisecond,
+			Timeout: 3 * time.Second,
+		},
+		{
+			Name: "bill", Host: testHost, PathPrefix: "/bill/", Kind: serving.NonIdempotent, MaxAttempts: 3,
+			Targets: []serving.Target{{Service: plainService, Weight: 1}}, TargetLatency: 200 * time.Millisecond,
+			Timeout: 3 * time.Second,
+		},
+		{
+			Name: "chat", Host: testHost, PathPrefix: "/chat/", Kind: serving.NonIdempotent, MaxAttempts: 5, Streaming: true,
+			Resumable: true, Targets: []serving.Target{{Service: engineService, Weight: 1}},
+			TargetLatency: time.Second, Timeout: 10 * time.Second,
+		},
+		{
+			Name: "score", Host: testHost, PathPrefix: "/score/", Kind: serving.Idempotent, MaxAttempts: 4, Public: true,
+			Targets: []serving.Target{{Service: plainService, Weight: 1}},
+		},
+	}
+}
+
 // lateVersion is the configuration that adds a route for batch jobs with other limits than the defaults.
 const lateVersion = 100
 
--- a/gateway/job_limits.go
+++ b/gateway/job_limits.go
@@ -13,6 +13,10 @@
 // setRouteLimits records the limits of the route under which a job is accepted.
 func setRouteLimits(record *batch.Record, config *serving.Config, route *serving.Route) {
 	record.ConfigVersion, record.MaxAttempts, record.SingleVersion = config.Version, route.MaxAttempts, route.SingleVersion
+	record.RouteHomes = route.Homes
+	if w, ok := config.WorkspaceByName(record.Workspace); ok {
+		record.WorkspaceHomes = w.Homes
+	}
 }
 
 // jobLimits returns the limits of a job: those of its route, or those with which it was accepted if this process has not
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -112,7 +112,7 @@
 	}
 	req := s.g.requirementsOf(r.job, r.item)
 	req.Avoid = r.run.upstream.ID
-	key := selectorKey{sendScope: sendScope{service: r.run.upstream.Service}, model: r.job.Spec.Model}
+	key := selectorKey{sendScope: s.g.jobScope(&r.job.Record, r.run.upstream.Service), model: r.job.Spec.Model}
 	other, ok := s.selector(key).AlternativePace(req)
 	if !ok || other == 0 || float64(pace) < minMoveSpeedup*float64(other) {
 		return false
--- a/gateway/schedule_pass.go
+++ b/gateway/schedule_pass.go
@@ -59,7 +59,7 @@
 		e.owned.signalLister()
 		return
 	}
-	u, ok := s.pickEngine(sendScope{service: service, homes: route.Homes}, c)
+	u, ok := s.pickEngine(g.jobScope(&e.record, service), c)
 	if !ok {
 		return
 	}
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -44,7 +44,7 @@
 	leaving := g.leaving
 	record := batch.Record{
 		Host: r.Host, PathPrefix: auth.route.PathPrefix, Workspace: auth.workspaceName(), Model: spec.Model,
-		MinVersion: spec.MinVersion, AcceptedBy: g.opts.Incarnation, AcceptedAt: g.storeClock(),
+		MinVersion: spec.MinVersion, AcceptedBy: g.opts.Incarnation, AcceptedAt: g.storeClock(), AcceptedIn: g.ownRegion(),
 		Due: auth.route.Due, Lifetime: auth.route.ItemLifetime, Total: len(spec.Items),
 	}
 	setRouteLimits(&record, auth.config, auth.route)
--- a/homes/regions.go
+++ b/homes/regions.go
@@ -54,6 +54,14 @@
 	return newRegions(slices.DeleteFunc(r.List(), func(region string) bool { return !other.Allows(region) }))
 }
 
+// With returns the set with one more region, which must not be "" to have an effect.
+func (r Regions) With(region string) Regions {
+	if !r.restricted || region == "" {
+		return r
+	}
+	return newRegions(append(r.List(), region))
+}
+
 // List returns the regions of a restricted set in ascending order, and nil for the set of all regions.
 func (r Regions) List() []string {
 	if !r.restricted {
--- a/serving/config.go
+++ b/serving/config.go
@@ -16,6 +16,8 @@
 	// workspaces maps an API key to its workspace. hasWorkspaces is false if the configuration contains no workspaces.
 	workspaces    map[string]*Workspace
 	hasWorkspaces bool
+	// byName maps the name of each workspace to it, whether it has keys or not.
+	byName map[string]*Workspace
 }
 
 // Builder holds the parts from which Build makes a Config.
@@ -37,7 +39,7 @@
 func (b Builder) Build() *Config {
 	c := &Config{
 		Version: b.Version, Limits: b.Limits, Services: map[string]*Service{}, routes: map[string][]*Route{},
-		workspaces: map[string]*Workspace{}, hasWorkspaces: len(b.Workspaces) > 0,
+		workspaces: map[string]*Workspace{}, hasWorkspaces: len(b.Workspaces) > 0, byName: map[string]*Workspace{},
 	}
 	for _, s := range b.Services {
 		c.Services[s.Name] = s
@@ -50,6 +52,7 @@
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
 	}
 	for i := range b.Workspaces {
+		c.byName[b.Workspaces[i].Workspace.Name] = &b.Workspaces[i].Workspace
 		for _, key := range b.Workspaces[i].Keys {
 			c.workspaces[key] = &b.Workspaces[i].Workspace
 		}
@@ -76,6 +79,13 @@
 	return w, ok && key != ""
 }
 
+// WorkspaceByName returns the workspace with a name. Work that was accepted earlier still belongs to a workspace that has
+// lost its keys.
+func (c *Config) WorkspaceByName(name string) (*Workspace, bool) {
+	w, ok := c.byName[name]
+	return w, ok
+}
+
 // RequiresKey reports whether requests to the route need an API key.
 func (c *Config) RequiresKey(r *Route) bool { return c.hasWorkspaces && !r.Public }
 
