Run and keep a job only on hosts at home or in its acceptor's region

Cause: the owner of a job, its successor after a crash and the peer that relays its rows were chosen by capacity, rank and reachability alone, so that a job's content came to hosts in any region. ChooseOwner places a job at home or leaves it with its acceptor, and prefers home. Calls of the store for content, results and texts are relayed only by peers in these regions (rowrelay.WithRegions). An orphan without an allowed live host waits (gauge stranded_jobs); a running job whose homes change leaves its host once another may go on with it. The duty holder deletes content by keys computed from the record, without reading it.

--- a/cmd/radishshelf-gateway/process.go
+++ b/cmd/radishshelf-gateway/process.go
@@ -147,8 +147,8 @@
 	var g *gateway.Gateway
 	listRelays := func() []rowrelay.Relay {
 		var list []rowrelay.Relay
-		for _, address := range g.PeerAddresses() {
-			list = append(list, rowrelay.Relay{Name: address, Rows: rowrelay.NewPeer(address, peerClient)})
+		for _, peer := range g.Peers() {
+			list = append(list, rowrelay.Relay{Name: peer.Address, Region: peer.Region, Rows: rowrelay.NewPeer(peer.Address, peerClient)})
 		}
 		return list
 	}
--- a/gateway/adopt.go
+++ b/gateway/adopt.go
@@ -38,11 +38,15 @@
 		for _, e := range due {
 			e.adopting = true
 		}
-		assigned := g.jobsAssignedWhileLeaving()
+		assigned := g.jobsToPassOn()
 		for _, e := range assigned {
 			e.adopting = true
 		}
+		displaced := g.displacedJobs()
 		g.mu.Unlock()
+		for _, o := range displaced {
+			go g.recoverPanic("displace", o.displace)
+		}
 		for _, e := range assigned {
 			go g.recoverPanic("pass on", func() { g.passOn(ctx, e) })
 		}
@@ -65,11 +69,15 @@
 		return nil
 	}
 	live := g.peers.Live()
+	stranded := 0
 	for id, e := range g.jobs {
 		orphan := e.record.Open() && e.owned == nil && !e.adopting && !e.inconsistent && !g.isExpired(e) &&
 			(e.record.Owner == "" || e.record.OwnedBy(g.opts.Host, g.opts.Incarnation) ||
 				!g.peers.Alive(e.record.Owner, e.record.OwnerIncarnation))
-		if !orphan {
+		if orphan && g.isStranded(e, live) {
+			stranded++
+		}
+		if !orphan || !g.mayKeepJob(&e.record) {
 			delete(since, id)
 			continue
 		}
@@ -81,6 +89,7 @@
 			due = append(due, e)
 		}
 	}
+	g.recordStranded(stranded)
 	return due
 }
 
@@ -95,6 +104,7 @@
 		}
 		return 0
 	}
+	live = hostsIn(live, g.jobHosts(&e.record))
 	rank := adoptRank(live, e.id, g.opts.Host)
 	for _, b := range live {
 		if b.Host == owner && b.Incarnation != e.record.OwnerIncarnation && !b.Leaving {
@@ -130,6 +140,7 @@
 		e.adopting = false
 		g.mu.Unlock()
 	}()
+	ctx = g.keptIn(ctx, e)
 	stored, err := g.readStoredJob(ctx, e)
 	if err != nil {
 		g.opts.Log.Warn().Str("job", e.id).Err(err).Msg("cannot take over job; will retry")
--- a/gateway/adopt_test.go
+++ b/gateway/adopt_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/radishshelf/radishshelf/batch"
 	"github.com/radishshelf/radishshelf/call"
+	"github.com/radishshelf/radishshelf/homes"
 	"github.com/radishshelf/radishshelf/presence"
 	"github.com/radishshelf/radishshelf/standin/rows"
 	"github.com/radishshelf/radishshelf/upstreamcall"
@@ -248,7 +249,7 @@
 			t.Fatal("no job was assigned to b")
 		}
 		a.mu.Lock()
-		owner, _ := a.chooseOwner(fmt.Sprint("north ", testHost, "/rollout/ ", testModel, n), 4)
+		owner, _ := a.chooseOwner(fmt.Sprint("north ", testHost, "/rollout/ ", testModel, n), homes.Regions{}, 4)
 		a.mu.Unlock()
 		if owner != "b" {
 			continue
--- a/gateway/choose_owner.go
+++ b/gateway/choose_owner.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/radishshelf/radishshelf/batch"
+	"github.com/radishshelf/radishshelf/homes"
 	"github.com/radishshelf/radishshelf/placement"
 	"github.com/radishshelf/radishshelf/presence"
 )
@@ -19,9 +20,9 @@
 	return n
 }
 
-// chooseOwner returns the process that runs a new job of a trainer. While the heartbeats of others cannot be judged,
-// this process runs it. The caller holds g.mu.
-func (g *Gateway) chooseOwner(trainer string, items int) (host, incarnation string) {
+// chooseOwner returns the process that runs a new job of a trainer with the given homes. While the heartbeats of others
+// cannot be judged, this process runs it. The caller holds g.mu.
+func (g *Gateway) chooseOwner(trainer string, home homes.Regions, items int) (host, incarnation string) {
 	now := time.Now()
 	self := placement.Host{
 		Name: g.opts.Host, Incarnation: g.opts.Incarnation, Region: g.region(g.opts.DataCentre), CPUShare: g.opts.CPUShare,
@@ -38,7 +39,7 @@
 			})
 		}
 	}
-	owner := placement.ChooseOwner(trainer, self, hosts, items)
+	owner := placement.ChooseOwner(trainer, self, hosts, home, items)
 	return owner.Name, owner.Incarnation
 }
 
--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/radishshelf/radishshelf/homes"
 	"github.com/radishshelf/radishshelf/hosting"
 	storerows "github.com/radishshelf/radishshelf/standin/rows"
 	"github.com/radishshelf/radishshelf/telemetry"
@@ -47,7 +48,7 @@
 		if n := g.suspects.ledger.Len(); n != 0 {
 			t.Errorf("%d suspect cases never expire", n)
 		}
-		if host, _ := g.chooseOwner("trainer", 100); host == "" {
+		if host, _ := g.chooseOwner("trainer", homes.Regions{}, 100); host == "" {
 			t.Error("no owner was chosen for a new job")
 		}
 		g.newSelector(selectorKey{sendScope: sendScope{service: engineService}, model: testModel}, now)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,6 +42,8 @@
 	heartbeatRowVersion int64
 	jobs                map[string]*jobEntry
 	jobsLoaded          bool
+	// strandedJobs is the number of open jobs that no live host may run.
+	strandedJobs int
 	// lastJobWatchResponse is when the watch of the jobs last got a response. startsPaused is set while that is too
 	// long ago for items to be started.
 	lastJobWatchResponse time.Time
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -63,14 +63,20 @@
 	return now.Sub(g.heartbeatStoredAt) < 2*heartbeatInterval && g.heartbeatSeen >= g.heartbeatStored-1
 }
 
-// PeerAddresses returns the addresses of the other live processes.
-func (g *Gateway) PeerAddresses() []string {
+// Peer is another live process.
+type Peer struct {
+	// Address is the host:port at which peers reach the process, and Region is where it is.
+	Address, Region string
+}
+
+// Peers returns the other live processes.
+func (g *Gateway) Peers() []Peer {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var list []string
+	var list []Peer
 	for _, b := range g.peers.All() {
 		if b.Host != g.opts.Host && b.Address != "" {
-			list = append(list, b.Address)
+			list = append(list, Peer{Address: b.Address, Region: b.Region})
 		}
 	}
 	return list
--- a/gateway/job_gc.go
+++ b/gateway/job_gc.go
@@ -72,23 +72,48 @@
 func (c *jobGC) delete(ctx context.Context, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, gcJobTimeout)
 	defer cancel()
-	for _, table := range []string{progressTable, carryoverTable, resultTable, contentTable} {
+	for _, table := range []string{progressTable, carryoverTable, resultTable} {
 		rows, _, err := readRange(ctx, c.g.opts.Rows, jobRange(table, id), c.g.recordStoreResponse)
 		if err != nil {
 			return err
 		}
-		for len(rows) > 0 {
-			n := min(maxDeletesPerTxn, len(rows))
-			var txn hosting.RowTxn
-			for _, r := range rows[:n] {
-				txn.Deletes = append(txn.Deletes, r.RowKey)
-			}
-			if _, err := c.g.opts.Rows.Commit(ctx, txn); err != nil {
-				return err
-			}
-			rows = rows[n:]
+		var keys []hosting.RowKey
+		for _, r := range rows {
+			keys = append(keys, r.RowKey)
+		}
+		if err := c.deleteRows(ctx, keys); err != nil {
+			return err
 		}
 	}
+	if err := c.deleteRows(ctx, c.contentKeys(id)); err != nil {
+		return err
+	}
 	_, err := c.g.opts.Rows.Commit(ctx, hosting.RowTxn{Deletes: []hosting.RowKey{jobKey(jobTable, id)}})
 	return err
 }
+
+// contentKeys returns the keys of a job's content, which is not read: this host may be in a region in which the job must
+// not be kept.
+func (c *jobGC) contentKeys(id string) []hosting.RowKey {
+	c.g.mu.Lock()
+	defer c.g.mu.Unlock()
+	var keys []hosting.RowKey
+	if e, ok := c.g.jobs[id]; ok {
+		for chunk := range e.record.Chunks {
+			keys = append(keys, chunkKey(id, chunk))
+		}
+	}
+	return keys
+}
+
+// deleteRows deletes rows in transactions of at most maxDeletesPerTxn.
+func (c *jobGC) deleteRows(ctx context.Context, keys []hosting.RowKey) error {
+	for len(keys) > 0 {
+		n := min(maxDeletesPerTxn, len(keys))
+		if _, err := c.g.opts.Rows.Commit(ctx, hosting.RowTxn{Deletes: keys[:n]}); err != nil {
+			return err
+		}
+		keys = keys[n:]
+	}
+	return nil
+}
--- a/gateway/job_homes.go
+++ b/gateway/job_homes.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"context"
+
 	"github.com/radishshelf/radishshelf/batch"
 	"github.com/radishshelf/radishshelf/homes"
+	"github.com/radishshelf/radishshelf/rowrelay"
 )
 
 // jobHomes returns the regions in which the texts of a job may be made: those of its route and of its workspace bind
@@ -33,5 +36,27 @@
 // mayKeepJob reports whether this process may read and run the content of a job. The caller holds g.mu.
 func (g *Gateway) mayKeepJob(r *batch.Record) bool { return g.jobHosts(r).Allows(g.ownRegion()) }
 
+// keptIn returns a context whose store calls for a job's content, results and texts are relayed only by hosts that may
+// keep the job.
+func (g *Gateway) keptIn(ctx context.Context, e *jobEntry) context.Context {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return rowrelay.WithRegions(ctx, g.jobHosts(&e.record))
+}
+
+// acceptedIn is keptIn for a job that is not stored yet.
+func (g *Gateway) acceptedIn(ctx context.Context, r *batch.Record) context.Context {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return rowrelay.WithRegions(ctx, g.jobHosts(r))
+}
+
+// servedFrom is keptIn for what a caller asks of this host: hosts in its region may relay it, too.
+func (g *Gateway) servedFrom(ctx context.Context, e *jobEntry) context.Context {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return rowrelay.WithRegions(ctx, g.jobHosts(&e.record).With(g.ownRegion()))
+}
+
 // ownRegion returns the region of this process.
 func (g *Gateway) ownRegion() string { return g.region(g.opts.DataCentre) }
--- a/gateway/leave.go
+++ b/gateway/leave.go
@@ -63,35 +63,6 @@
 	return unavailable(outcome.KindLeaving, "this process stops before the request has certainly ended", retryAfterStart)
 }
 
-// jobsAssignedWhileLeaving returns the jobs that others assigned to this process before they knew that it is leaving. The
-// caller holds g.mu.
-func (g *Gateway) jobsAssignedWhileLeaving() []*jobEntry {
-	var list []*jobEntry
-	if !g.leaving {
-		return nil
-	}
-	for _, e := range g.jobs {
-		if e.record.Open() && e.owned == nil && !e.adopting && e.record.OwnedBy(g.opts.Host, g.opts.Incarnation) {
-			list = append(list, e)
-		}
-	}
-	return list
-}
-
-// passOn gives up a job that was assigned to this process, which has never run it, so that the others take it over.
-func (g *Gateway) passOn(ctx context.Context, e *jobEntry) {
-	g.mu.Lock()
-	record, version := e.record, e.version
-	g.mu.Unlock()
-	record.Owner, record.OwnerIncarnation = "", ""
-	committed, err := g.commitRecord(ctx, e, record, version)
-	g.opts.Log.Info().Str("job", e.id).Bool("committed", committed).AnErr("error", err).
-		Msg("job passed on: it was assigned to this process while it was leaving")
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	e.adopting = false
-}
-
 // handOver saves the state of the job and releases its ownership.
 func (o *ownedJob) handOver() {
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
--- a/gateway/list.go
+++ b/gateway/list.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"time"
 
@@ -48,6 +49,7 @@
 func (o *ownedJob) listOnce() bool {
 	o.listing.Lock()
 	defer o.listing.Unlock()
+	ctx := o.g.keptIn(o.ctx, o.entry)
 	o.g.mu.Lock()
 	results := o.job.Unlisted()
 	o.g.mu.Unlock()
@@ -61,7 +63,7 @@
 	if n == 0 {
 		return false
 	}
-	return o.commitResults(results[:n], rows, position)
+	return o.commitResults(ctx, results[:n], rows, position)
 }
 
 // resultRows encodes as many results, from a position on, as fit into one transaction.
@@ -106,7 +108,7 @@
 // transaction without a response is repeated unchanged. Only the owner lists results, so the number of listed results
 // in the record tells whether an earlier attempt took effect, even if the watch delivers the record first. It reports
 // whether the results were listed.
-func (o *ownedJob) commitResults(results []batch.Result, rows []hosting.StoredRow, position int) bool {
+func (o *ownedJob) commitResults(ctx context.Context, results []batch.Result, rows []hosting.StoredRow, position int) bool {
 	for o.ctx.Err() == nil {
 		o.g.mu.Lock()
 		record, version := o.entry.record, o.entry.version
@@ -124,7 +126,7 @@
 			return false
 		}
 		key := jobKey(jobTable, o.entry.id)
-		result, err := o.g.opts.Rows.Commit(o.ctx, hosting.RowTxn{
+		result, err := o.g.opts.Rows.Commit(ctx, hosting.RowTxn{
 			Conditions: []hosting.StoredRow{{RowKey: key, Version: version}},
 			Puts:       append([]hosting.StoredRow{{RowKey: key, Value: value}}, rows...),
 			Deletes:    obsolete,
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -82,6 +82,11 @@
 		}
 		return 0
 	})
+	r.NewGauge("radishshelf_gateway_stranded_jobs", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(g.strandedJobs)
+	})
 	r.NewGauge("radishshelf_gateway_suspects", func() float64 {
 		g.mu.Lock()
 		defer g.mu.Unlock()
--- a/gateway/own.go
+++ b/gateway/own.go
@@ -24,6 +24,8 @@
 	awaitingCarryover bool
 	// runs holds the runs in progress.
 	runs map[*batch.Progress]*itemRun
+	// displaced is set once the job has to leave this host because of its regions.
+	displaced bool
 	// handedOver is set once this process has begun to give the job to another one.
 	handedOver bool
 	// listing is held while results are written, so that no two goroutines list the same results.
--- a/gateway/results.go
+++ b/gateway/results.go
@@ -165,6 +165,7 @@
 	if len(results) == 0 {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
+		ctx = g.servedFrom(ctx, e)
 		var err error
 		if results, err = g.readResultRows(ctx, e.id, page.Next); err != nil {
 			return page, g.storeUnavailable(e.id, err)
@@ -250,7 +251,7 @@
 	g.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	spec, err := g.readSpec(ctx, e)
+	spec, err := g.readSpec(g.servedFrom(ctx, e), e)
 	if err != nil {
 		return nil, g.storeUnavailable(e.id, err)
 	}
--- a/gateway/reuse.go
+++ b/gateway/reuse.go
@@ -73,7 +73,7 @@
 	for _, other := range g.jobs {
 		r := &other.record
 		if other == e || trainerKey(r) != trainerKey(&e.record) ||
-			r.AcceptedAt > e.record.AcceptedAt || e.record.AcceptedAt-r.AcceptedAt > maxReuseAge {
+			!g.mayKeepJob(r) || r.AcceptedAt > e.record.AcceptedAt || e.record.AcceptedAt-r.AcceptedAt > maxReuseAge {
 			continue
 		}
 		lastAccepted = max(lastAccepted, r.AcceptedAt)
@@ -95,6 +95,7 @@
 	defer cancel()
 	summaries, texts := map[string]batch.TextSummary{}, map[string]batch.Text{}
 	for _, e := range earlier {
+		ctx := g.keptIn(ctx, e)
 		fits := false
 		for id, summary := range g.readCarryoverRow(ctx, e.id) {
 			if summary.Events >= summaries[id].Events {
--- a/gateway/save.go
+++ b/gateway/save.go
@@ -35,7 +35,7 @@
 	if len(rows) == 0 {
 		return
 	}
-	if _, err := o.g.opts.Rows.Commit(ctx, hosting.RowTxn{Puts: rows}); err != nil {
+	if _, err := o.g.opts.Rows.Commit(o.g.keptIn(ctx, o.entry), hosting.RowTxn{Puts: rows}); err != nil {
 		o.g.opts.Log.Warn().Str("job", o.entry.id).Int("texts", len(rows)).Err(err).Msg("cannot save texts in progress")
 		return
 	}
@@ -90,7 +90,7 @@
 		return
 	}
 	txn := hosting.RowTxn{Puts: []hosting.StoredRow{{RowKey: carryoverKey(o.entry.id), Value: value}}}
-	if _, err := o.g.opts.Rows.Commit(o.g.workCtx, txn); err != nil {
+	if _, err := o.g.opts.Rows.Commit(o.g.keptIn(o.g.workCtx, o.entry), txn); err != nil {
 		o.g.opts.Log.Warn().Str("job", o.entry.id).Int("items", len(summaries)).Err(err).Msg("cannot save the carryover of the job")
 	}
 	o.saveTexts(o.g.workCtx, 1)
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -48,7 +48,7 @@
 		Due: auth.route.Due, Lifetime: auth.route.ItemLifetime, Total: len(spec.Items),
 	}
 	setRouteLimits(&record, auth.config, auth.route)
-	record.Owner, record.OwnerIncarnation = g.chooseOwner(trainerKey(&record), len(spec.Items))
+	record.Owner, record.OwnerIncarnation = g.chooseOwner(trainerKey(&record), g.jobHomes(&record), len(spec.Items))
 	if known != nil && known.record.Workspace == record.Workspace {
 		g.mu.Unlock()
 		return acceptedResponse(), nil
@@ -95,6 +95,7 @@
 
 func (a *acceptance) run(ctx context.Context) (*call.Response, error) {
 	started := time.Now()
+	ctx = a.g.acceptedIn(ctx, &a.record)
 	value, err := json.Marshal(a.record)
 	if err != nil {
 		return nil, newRefusal(outcome.KindInvalid, http.StatusBadRequest, err.Error(), "correct the body")
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 
+	"github.com/radishshelf/radishshelf/homes"
 	"github.com/radishshelf/radishshelf/rendezvous"
 )
 
@@ -22,24 +23,46 @@
 // capacity for it, or among the least loaded ones if none has, the host with the highest rendezvous score for the
 // trainer. Successive jobs of a trainer thus reuse the connections of the earlier ones, and hosts that choose at the
 // same time choose the same owner only for the same trainer. A job leaves the region only for a host that has capacity
-// for it. hosts are the live hosts other than self.
-func ChooseOwner(trainer string, self Host, hosts []Host, items int) Host {
+// for it.
+//
+// Outside of home, only self may run the job, because its caller has handed it the job. A job that arrives there goes
+// to the hosts at home as long as they have capacity. hosts are the live hosts other than self.
+func ChooseOwner(trainer string, self Host, hosts []Host, home homes.Regions, items int) Host {
+	tiers := ownerTiers(self, hosts, home)
+	choice := tiers[0]
+	for _, tier := range tiers {
+		if minLoad(tier, items) <= maxItemsPerCore {
+			choice = tier
+			break
+		}
+	}
+	limit := max(maxItemsPerCore, overloadFactor*minLoad(choice, items))
+	fit := slices.DeleteFunc(choice, func(h Host) bool { return h.loadWith(items) > limit })
+	return slices.MaxFunc(fit, func(a, b Host) int {
+		return cmp.Or(cmp.Compare(rendezvousScore(trainer, a), rendezvousScore(trainer, b)), cmp.Compare(b.Name, a.Name))
+	})
+}
+
+// ownerTiers returns the hosts that may run a job, the preferred ones first. No tier is empty.
+func ownerTiers(self Host, hosts []Host, home homes.Regions) [][]Host {
 	near, far := []Host{self}, []Host(nil)
 	for _, h := range hosts {
-		if h.Region == self.Region {
+		switch {
+		case !home.Allows(h.Region):
+		case h.Region == self.Region:
 			near = append(near, h)
-		} else {
+		default:
 			far = append(far, h)
 		}
 	}
-	if minLoad(near, items) > maxItemsPerCore && minLoad(far, items) <= maxItemsPerCore {
-		near = far
+	switch {
+	case len(far) == 0:
+		return [][]Host{near}
+	case home.Allows(self.Region):
+		return [][]Host{near, far}
+	default:
+		return [][]Host{far, near}
 	}
-	limit := max(maxItemsPerCore, overloadFactor*minLoad(near, items))
-	fit := slices.DeleteFunc(near, func(h Host) bool { return h.loadWith(items) > limit })
-	return slices.MaxFunc(fit, func(a, b Host) int {
-		return cmp.Or(cmp.Compare(rendezvousScore(trainer, a), rendezvousScore(trainer, b)), cmp.Compare(b.Name, a.Name))
-	})
 }
 
 // minLoad returns the lowest load among hosts if they take this many more items; infinite if there are no hosts.
--- a/placement/owner_test.go
+++ b/placement/owner_test.go
@@ -4,6 +4,10 @@
 	"fmt"
 	"slices"
 	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/radishshelf/radishshelf/homes"
 )
 
 // fleet returns hosts of which every third has a large CPU share.
@@ -21,7 +25,7 @@
 // choose returns the choice of one host of a fleet.
 func choose(trainer string, hosts []Host, self, items int) Host {
 	others := slices.Clone(hosts)
-	return ChooseOwner(trainer, hosts[self], slices.Delete(others, self, self+1), items)
+	return ChooseOwner(trainer, hosts[self], slices.Delete(others, self, self+1), homes.Regions{}, items)
 }
 
 // Guards against jobs of a trainer that move between hosts, each of which opens its own connections to all engines,
@@ -77,11 +81,39 @@
 	}
 	self := Host{Name: "self", Region: "north", CPUShare: 0.1, Items: 60}
 	far := Host{Name: "far", Region: "south", CPUShare: 0.1, Items: 40}
-	if got := ChooseOwner("trainer", self, []Host{far}, 60); got.Name != "self" {
+	if got := ChooseOwner("trainer", self, []Host{far}, homes.Regions{}, 60); got.Name != "self" {
 		t.Errorf("the job leaves its region for %s, which has no capacity either", got.Name)
 	}
 	far.CPUShare = 0.8
-	if got := ChooseOwner("trainer", self, []Host{far}, 60); got.Name != "far" {
+	if got := ChooseOwner("trainer", self, []Host{far}, homes.Regions{}, 60); got.Name != "far" {
 		t.Errorf("the job stays at %s, which has no capacity for it", got.Name)
 	}
 }
+
+// Guards against a job whose owner is outside of its homes, other than the host that its caller handed it to.
+func TestOwnerIsAtHomeOrTheAcceptor(t *testing.T) {
+	regions := []string{"north", "south", "west"}
+	rapid.Check(t, func(t *rapid.T) {
+		home := homes.Only(rapid.SliceOfDistinct(rapid.SampledFrom(regions), rapid.ID[string]).Draw(t, "homes")...)
+		host := func(i int) Host {
+			return Host{
+				Name: fmt.Sprint("h", i), Region: rapid.SampledFrom(regions).Draw(t, "region"),
+				CPUShare: rapid.SampledFrom([]float64{0.05, 0.2, 0.8}).Draw(t, "share"), Items: rapid.IntRange(0, 900).Draw(t, "items"),
+			}
+		}
+		self := host(0)
+		var others []Host
+		idleHome := false
+		for i := range rapid.IntRange(0, 6).Draw(t, "others") {
+			others = append(others, host(i+1))
+			idleHome = idleHome || home.Allows(others[i].Region) && others[i].loadWith(50) <= maxItemsPerCore
+		}
+		owner := ChooseOwner("trainer", self, others, home, 50)
+		if owner.Name != self.Name && !home.Allows(owner.Region) {
+			t.Fatalf("%+v owns a job of %v", owner, home.List())
+		}
+		if idleHome && !home.Allows(owner.Region) {
+			t.Fatalf("the job stays at %+v though a host at home has capacity", owner)
+		}
+	})
+}
--- a/rowrelay/client.go
+++ b/rowrelay/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -116,7 +117,7 @@
 }
 
 func callThroughRelays[T any](ctx context.Context, c *Client, wait time.Duration, do operation[T]) (T, error) {
-	relays := c.rankedRelays()
+	relays := c.rankedRelays(ctx)
 	var result T
 	var err error = errNoRelay
 	for _, relay := range relays[:min(maxRelayTries, len(relays))] {
@@ -138,8 +139,10 @@
 	return do(ctx, relay)
 }
 
-func (c *Client) rankedRelays() []Relay {
-	relays := c.relays()
+// rankedRelays returns the peers to try, in this order, among those that may see what is called.
+func (c *Client) rankedRelays(ctx context.Context) []Relay {
+	regions := regionsOf(ctx)
+	relays := slices.DeleteFunc(c.relays(), func(r Relay) bool { return !regions.Allows(r.Region) })
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.ranking.rank(relays, time.Now())
--- a/rowrelay/relay_ranking.go
+++ b/rowrelay/relay_ranking.go
@@ -10,9 +10,9 @@
 
 // Relay is a peer through which the store may be reached.
 type Relay struct {
-	// Name identifies the peer.
-	Name string
-	Rows hosting.Rows
+	// Name identifies the peer, and Region is where it is.
+	Name, Region string
+	Rows         hosting.Rows
 }
 
 // failurePenalty is how long a peer is tried last after a call through it failed. The store often refuses several hosts
