Refuse at once what has no upstream in its regions

Cause: a request without an upstream at home got the refusal of a service that is busy, with a time to come back of 150 ms, and a batch job was accepted and waited for its lifetime. Change: refusalIn names the constraint: kind no_upstream_at_home, status 503, not run, to come back in 1 s; counted in radishshelf_gateway_scope_refusals_total. A job whose services have no upstream in its homes is refused at submission.

--- a/gateway/isolation.go
+++ b/gateway/isolation.go
@@ -40,7 +40,9 @@
 	if u, ok := f.chooseIsolated(ctx); ok {
 		return u, nil
 	}
-	return upstreams.Entry{}, noUpstream()
+	f.g.mu.Lock()
+	defer f.g.mu.Unlock()
+	return upstreams.Entry{}, f.g.refusalIn(f.scope())
 }
 
 // limitTurn describes the request to the queues for limited upstreams.
--- a/gateway/job_hosts_test.go
+++ b/gateway/job_hosts_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/radishshelf/radishshelf/batch"
+	"github.com/radishshelf/radishshelf/call"
 	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/outcome"
 	"github.com/radishshelf/radishshelf/presence"
 )
 
@@ -188,3 +191,40 @@
 		t.Errorf("%d rows of the content are left; it was read %d times", len(rows), north.reads.Load())
 	}
 }
+
+// Guards against a job that is accepted although no region of its homes has an upstream for it.
+func TestJobWithoutUpstreamsAtHomeIsRefused(t *testing.T) {
+	w := newHomesCluster(t, testSettings{Version: 2, RouteHomes: map[string][]string{"rollout": {"west"}, "quote": {"west"}, "chat": {"west"}}})
+	a := w.start("a")
+	_, err := w.submit(a, "job-1", testItems(2)...)
+	checkRefusedForHomes(t, "job", err)
+	for _, path := range []string{"/quote/1", "/chat/1"} {
+		started := time.Now()
+		_, err := w.request(a, t.Context(), path)
+		checkRefusedForHomes(t, path, err)
+		if took := time.Since(started); took > 500*time.Millisecond {
+			t.Errorf("%s was refused after %s", path, took)
+		}
+	}
+	time.Sleep(100 * time.Millisecond)
+	if n := len(w.store.Table(jobTable)) + w.sentTo("e1") + w.sentTo("e2") + w.sentTo("p1"); n > 0 {
+		t.Errorf("%d traces of refused work", n)
+	}
+	w.addUpstreamIn("west-1", "e3", engineService, 4, map[string]int64{testModel: 1})
+	w.eventually("the job is accepted", func() bool {
+		r, err := w.submit(a, "job-1", testItems(2)...)
+		return err == nil && r.Status == http.StatusAccepted
+	})
+	w.readAll(a, "job-1")
+	if _, err := a.ItemBody(t.Context(), call.BatchRequest{ID: "job-1", Host: testHost, Key: testKey, Item: "item-00"}); err != nil {
+		t.Errorf("the caller is not served outside of the homes: %v", err)
+	}
+}
+
+func checkRefusedForHomes(t *testing.T, what string, err error) {
+	t.Helper()
+	r := asRefusal(t, err)
+	if r.Kind != outcome.KindNoHome || r.Outcome != outcome.NotRun || r.Status != http.StatusServiceUnavailable || r.RetryAfter <= 0 {
+		t.Errorf("%s: %+v", what, r)
+	}
+}
--- a/gateway/limit_queue.go
+++ b/gateway/limit_queue.go
@@ -144,7 +144,8 @@
 // takeTurn chooses the upstream of a request whose turn it is. It returns false if the request has to go on waiting, because
 // it may not use the upstreams that have room. The caller holds g.mu.
 func (g *Gateway) takeTurn(q *limitQueue, item admission.Item, now time.Time) bool {
-	u, found, limited := q.waiting[item.ID].turn.choose(true, now)
+	turn := q.waiting[item.ID].turn
+	u, found, limited := turn.choose(true, now)
 	switch {
 	case found:
 		g.acquire(u, now)
@@ -152,7 +153,7 @@
 	case limited:
 		return false
 	default:
-		q.finish(item.ID, limitResult{err: noUpstream()})
+		q.finish(item.ID, limitResult{err: g.refusalIn(turn.scope)})
 	}
 	return true
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -153,6 +153,11 @@
 	return m.registry.GetOrCreateCounter(fmt.Sprintf("radishshelf_gateway_unexpected_failures_total{in=%q}", operation))
 }
 
+// scopeRefusals counts requests that were refused at once because a constraint leaves them no upstream, by constraint.
+func (m *metricSet) scopeRefusals(constraint string) *metrics.Counter {
+	return m.registry.GetOrCreateCounter(fmt.Sprintf("radishshelf_gateway_scope_refusals_total{constraint=%q}", constraint))
+}
+
 // storeCalls counts calls to the store, by call and result.
 func (m *metricSet) storeCalls(call, result string) *metrics.Counter {
 	return m.registry.GetOrCreateCounter(
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -17,6 +17,9 @@
 	// retryAfterStoreOutage applies to new jobs while the store does not respond, since outages last seconds, to crash
 	// suspects whose probe cannot be claimed, and to routes without a target service.
 	retryAfterStoreOutage = 1200 * time.Millisecond
+	// retryAfterScope applies if the regions of a request have no upstream. Upstreams take seconds to come back, and a
+	// caller that waits for its answer has a few seconds.
+	retryAfterScope = time.Second
 )
 
 // newRefusal returns a refusal of a request that was not run.
@@ -24,7 +27,8 @@
 	return &outcome.Refusal{Kind: kind, Outcome: outcome.NotRun, Status: status, Message: message, Remedy: remedy}
 }
 
-// noUpstream returns the refusal of a request for which the service has no upstream now.
+// noUpstream returns the refusal of a request for which every upstream that it may use has been left out for now. See
+// refusalIn for the case that there is none.
 func noUpstream() *outcome.Refusal {
 	return unavailable(outcome.KindNoUpstream, "no upstream of the service can take the request", retryAfterBusy)
 }
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -62,7 +62,7 @@
 		g.acquire(u, now)
 		return u, nil, nil
 	case !limited:
-		return upstreams.Entry{}, nil, noUpstream()
+		return upstreams.Entry{}, nil, g.refusalIn(turn.scope)
 	case !mayWait:
 		return upstreams.Entry{}, nil, g.limitRefusal(retryAfterBusy)
 	}
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -53,7 +53,11 @@
 		g.mu.Unlock()
 		return acceptedResponse(), nil
 	}
+	refusal := g.checkJobScope(&record, auth.route)
 	g.mu.Unlock()
+	if refusal != nil {
+		return nil, refusal
+	}
 	if leaving {
 		return nil, unavailable(outcome.KindLeaving, "this process is shutting down", retryAfterStart)
 	}
--- a/outcome/refusal.go
+++ b/outcome/refusal.go
@@ -20,6 +20,7 @@
 	KindOverloaded       Kind = "overloaded"
 	KindDeadline         Kind = "deadline"
 	KindNoUpstream       Kind = "no_upstream"
+	KindNoHome           Kind = "no_upstream_at_home"
 	KindLeaving          Kind = "leaving"
 	KindQuarantined      Kind = "quarantined"
 	KindIsolated         Kind = "isolated"
