Check a configuration before it is put in force

Cause: an operator on the users' platform writes the configuration as one row, and learns of a misspelt service, a key of two workspaces or a route that never matches from the requests that are refused. The hosts decode leniently, since they must serve what can be served.

Exit code 2 for errors, 0 whatever the warnings, 1 if the check failed.

--- a/cmd/radishshelfctl/main.go
+++ b/cmd/radishshelfctl/main.go
@@ -32,11 +32,15 @@
 	root.SetErr(stderr)
 	err := root.ExecuteContext(ctx)
 	var pending *pendingError
+	var invalid *invalidConfigError
 	switch {
 	case err == nil:
 		return command.ExitOK
 	case errors.As(err, &pending):
 		return exitPending
+	case errors.As(err, &invalid):
+		printError(root, stderr, err)
+		return command.ExitSettings
 	default:
 		printError(root, stderr, err)
 		return command.ExitFailure
--- a/cmd/radishshelfctl/options.go
+++ b/cmd/radishshelfctl/options.go
@@ -33,8 +33,8 @@
 	if o.entry == "" {
 		return nil, errors.New("no entry address; set --entry or $" + entryVariable + `, for example "127.0.0.1:7002"`)
 	}
-	if o.output != outputText && o.output != outputJSON {
-		return nil, fmt.Errorf("--output %q is unknown; write json or text", o.output)
+	if err := o.checkOutput(); err != nil {
+		return nil, err
 	}
 	opts := operatorclient.Options{Timeout: o.timeout}
 	if o.tokenFile != "" {
@@ -54,6 +54,14 @@
 	return operatorclient.New(o.entry, opts), nil
 }
 
+// checkOutput returns an error if --output is unknown.
+func (o *options) checkOutput() error {
+	if o.output != outputText && o.output != outputJSON {
+		return fmt.Errorf("--output %q is unknown; write json or text", o.output)
+	}
+	return nil
+}
+
 func loadCA(path string) (*tls.Config, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
--- a/cmd/radishshelfctl/root.go
+++ b/cmd/radishshelfctl/root.go
@@ -17,7 +17,7 @@
 	root := &cobra.Command{
 		Use: name, Short: "Configure and inspect a radishshelf fleet through one of its entries",
 		Long: "Configure and inspect a radishshelf fleet through one of its entries.\n\n" +
-			"Exit codes: 0 success, 1 failure, 3 committed but not yet in force at every entry.",
+			"Exit codes: 0 success, 1 failure, 2 a checked configuration has errors, 3 committed but not yet in force at every entry.",
 		SilenceUsage: true, SilenceErrors: true,
 	}
 	root.CompletionOptions.DisableDefaultCmd = true
@@ -38,6 +38,6 @@
 	}
 	root.AddCommand(newDefaultsCommand(o), newExceptionsCommand(o), newKeysCommand(o), newEntriesCommand(o),
 		newHostsCommand(o), newRolesCommand(o), newUsageWindowsCommand(o), newVersionsCommand(o), newExplainCommand(o),
-		newVersionCommand(o), newStoryCommand(), newStepsCommand(), newStoreCommand(o))
+		newVersionCommand(o), newStoryCommand(), newStepsCommand(), newStoreCommand(o), newCheckConfigCommand(o))
 	return root
 }
--- a/command/command.go
+++ b/command/command.go
@@ -18,7 +18,7 @@
 // Version is the version of the programs; release builds set it with the linker.
 var Version = "0.1.0-dev"
 
-// Exit codes of all programs. ExitSettings means that the settings are invalid.
+// Exit codes of all programs. ExitSettings means that the settings, or a checked configuration, are invalid.
 const (
 	ExitOK       = 0
 	ExitFailure  = 1
--- a/serving/config.go
+++ b/serving/config.go
@@ -20,7 +20,7 @@
 	byName map[string]*Workspace
 }
 
-// Builder holds the parts from which Build makes a Config.
+// Builder holds the parts from which Build makes a Config, as they are written.
 type Builder struct {
 	Version    int64
 	Limits     Limits
@@ -46,7 +46,7 @@
 	}
 	for _, r := range b.Routes {
 		host := NormalizeHost(r.Host)
-		c.routes[host] = append(c.routes[host], r)
+		c.routes[host] = append(c.routes[host], r.normalized())
 	}
 	for _, routes := range c.routes {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
--- a/serving/route.go
+++ b/serving/route.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"slices"
 	"time"
 
 	"github.com/radishshelf/radishshelf/homes"
@@ -54,6 +55,14 @@
 	Weight  float64
 }
 
+// normalized returns the route as it is served: at least one attempt, and only targets with a share.
+func (r *Route) normalized() *Route {
+	served := *r
+	served.MaxAttempts = max(r.MaxAttempts, 1)
+	served.Targets = slices.DeleteFunc(slices.Clone(r.Targets), func(t Target) bool { return t.Weight <= 0 })
+	return &served
+}
+
 // Retryable reports whether a request of the route may run more than once.
 func (r *Route) Retryable() bool {
 	if r.Streaming {
