Measure the pace of an upstream between two events of a run only

Cause: the time from the head of a response to the first event of a resumed run was taken as a measure of the pace.

Change: the first event of a run is no measure of the pace.

--- a/gateway/run_item.go
+++ b/gateway/run_item.go
@@ -80,7 +80,7 @@
 	// What was read of an event counts, too: it may have no end.
 	events := o.g.opts.Codec.Events(reservation.Reader(response.Body), response.Version)
 	text := p.Text.Size()
-	last := time.Now()
+	var last time.Time // of the run's previous event
 	for {
 		event, err := events.Next()
 		if err == io.EOF && response.Framed {
@@ -93,7 +93,11 @@
 		reservation.ShrinkTo(int64(text))
 		w.eventReceived(eventTimeout)
 		now := time.Now()
-		if failure := o.appendEvent(p, u, event, now.Sub(last)); failure != nil {
+		var pause time.Duration
+		if !last.IsZero() {
+			pause = now.Sub(last)
+		}
+		if failure := o.appendEvent(p, u, event, pause); failure != nil {
 			return failure
 		}
 		last = now
@@ -170,7 +174,8 @@
 	return nil
 }
 
-// appendEvent appends an event to the text. pause is the time since the previous event.
+// appendEvent appends an event to the text. pause is the time since the previous event of the run; 0 for its first one,
+// whose time after the head of the response says nothing about the pace of the upstream.
 func (o *ownedJob) appendEvent(
 	p *batch.Progress, u upstreams.Entry, event upstreamcall.Event, pause time.Duration,
 ) *upstreamcall.Failure {
@@ -186,7 +191,7 @@
 			Reason: upstreamcall.Endless, Outcome: outcome.Ran, Err: errors.New("text exceeds the limit of its item"),
 		}
 	}
-	if p.Text.LastEventID() > 1 && pause < maxPaceGap {
+	if pause > 0 && pause < maxPaceGap {
 		o.g.healthOf(u.ID).ObservePace(pause, time.Now())
 	}
 	return nil
