Move a text only if the rest of it saves more than the move costs

Cause: a text left its engine when the average pace there was 1.2 times that of another engine and the whole rest of the text at that pace would save 0.3 s. The pace seen was taken to last for the rest of the text, the average follows a recovery by half a second late, and neither the restart nor earlier moves of the text counted. Most of the engines left were slow for half a second.

Change: package textmove. An engine is expected to stay slow for as long as it has been slow; the time saved until then, less the event in progress and the restart time measured at the service, has to reach 0.3 s, and as much again for each earlier move of the text. The target needs a free slot, and for a job of one version a text the same version. The latest pace, the median of three events, ends a slow period at once.

--- a/batch/job.go
+++ b/batch/job.go
@@ -102,6 +102,12 @@
 	}
 }
 
+// MayContinue reports whether an engine that serves a weight version may generate the rest of an item's text.
+func (j *Job) MayContinue(p *Progress, version int64) bool {
+	text := p.Text
+	return len(text.Versions) == 0 || !j.Limits.SingleVersion || text.Versions[len(text.Versions)-1] == version
+}
+
 // RunFailed counts a failed run, and abandons the item when Limits.MaxFailures is reached.
 func (j *Job) RunFailed(p *Progress, notBefore time.Time, avoid string) {
 	p.Failures++
--- a/batch/progress.go
+++ b/batch/progress.go
@@ -9,6 +9,8 @@
 	Text  Text
 	// Failures counts failed runs, and ScoreFailures failed score calls.
 	Failures, ScoreFailures int
+	// Moves counts how often the text has moved to a faster engine.
+	Moves int
 	// NotBefore is the earliest time of the next attempt, and Avoid the ID of the upstream whose last attempt failed.
 	NotBefore time.Time
 	Avoid     string
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/radishshelf/radishshelf/presence"
 	"github.com/radishshelf/radishshelf/retry"
 	"github.com/radishshelf/radishshelf/serving"
+	"github.com/radishshelf/radishshelf/textmove"
 	"github.com/radishshelf/radishshelf/upstreamhealth"
 	"github.com/radishshelf/radishshelf/upstreamlimit"
 	"github.com/radishshelf/radishshelf/upstreams"
@@ -58,6 +59,10 @@
 	// connections estimates how many connections to each upstream are open.
 	connections map[string]connectionState
 	peerLoad    peerLoadSums
+	// slowPeriods holds since when the engines that run texts of this process have been slow, and restartTimes how long
+	// runs take to their first event, by service.
+	slowPeriods  textmove.SlowPeriods
+	restartTimes map[string]*textmove.RestartTime
 	// limits divides the limits that upstreams name between the hosts.
 	limits *upstreamlimit.Table
 	// limitQueues holds the requests that wait for a share of a limit, by service, and limitWaiters numbers them.
@@ -104,7 +109,8 @@
 		jobs: map[string]*jobEntry{}, health: map[string]*upstreamhealth.Health{}, fastestPaces: map[string]cachedPace{}, inFlight: map[string]int{},
 		connections:    map[string]connectionState{},
 		engineMemories: map[string]*placement.EngineMemory[upstreams.Incarnation]{}, tokenRates: map[string]*batch.TokenRate{},
-		peerLoad: peerLoadSums{requests: map[string]int{}, tokens: map[string]int{}}, hedges: retry.NewBudget(retry.DefaultBudgetConfig(), time.Now()),
+		restartTimes: map[string]*textmove.RestartTime{},
+		peerLoad:     peerLoadSums{requests: map[string]int{}, tokens: map[string]int{}}, hedges: retry.NewBudget(retry.DefaultBudgetConfig(), time.Now()),
 		suspects: newSuspects(opts.Suspects), usage: usageCounts{}, probes: map[string]*probe{}, limitQueues: map[string]*limitQueue{},
 		schedulerWake: make(chan struct{}, 1), jobAssigned: make(chan struct{}, 1),
 		heartbeatDue: make(chan struct{}, 1),
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -39,7 +39,7 @@
 	itemTime                         *metrics.Histogram
 	requestTime                      *metrics.Histogram
 	storeTime                        *metrics.Histogram
-	itemWait                         *metrics.Histogram
+	itemWait, runStart               *metrics.Histogram
 }
 
 func newMetricSet(r *telemetry.Registry, g *Gateway) *metricSet {
@@ -59,6 +59,11 @@
 		}
 		return float64(g.config.Version)
 	})
+	r.NewGauge("radishshelf_gateway_slow_engines", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(g.slowPeriods.Len())
+	})
 	r.NewGauge("radishshelf_gateway_upstreams", func() float64 {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -122,6 +127,7 @@
 		requestTime:      r.NewHistogram("radishshelf_gateway_request_seconds"),
 		storeTime:        r.NewHistogram("radishshelf_gateway_store_call_seconds"),
 		itemWait:         r.NewHistogram("radishshelf_gateway_item_wait_seconds"),
+		runStart:         r.NewHistogram("radishshelf_gateway_run_start_seconds"),
 	}
 }
 
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -8,18 +8,16 @@
 	"time"
 
 	"github.com/radishshelf/radishshelf/batch"
+	"github.com/radishshelf/radishshelf/placement"
+	"github.com/radishshelf/radishshelf/textmove"
 	"github.com/radishshelf/radishshelf/upstreams"
 )
 
-// Rules for moving a text to a faster upstream. The new upstream has to process the prompt again, which takes about a
-// millisecond; a move costs the round trip and the event in progress.
+// Limits of the search for texts to move; package textmove decides about each of them.
 const (
-	// moveInterval is the time between two searches for slow runs.
+	// moveInterval is the time between two searches for texts at slow engines: a few events, so that each search sees
+	// new paces.
 	moveInterval = 200 * time.Millisecond
-	// minMoveSpeedup is how many times faster the other upstream must be.
-	minMoveSpeedup = 1.2
-	// minMoveSaving is the time that a move must save: about twice what a move between regions costs.
-	minMoveSaving = 300 * time.Millisecond
 	// longTokens is the number of remaining tokens from which a text counts as long. The longest texts decide when a
 	// training step ends.
 	longTokens = 600
@@ -59,12 +57,13 @@
 	}
 }
 
-// moveSlowRuns cancels runs at upstreams that are much slower than another one with room, where the scheduler
+// moveSlowRuns cancels runs at engines that have been much slower than another one with room, where the scheduler
 // restarts them. The runs with the most remaining tokens are moved first.
 func (g *Gateway) moveSlowRuns(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	pass := newSchedulePass(g, now)
+	pass.observeSlowPeriods()
 	moved := 0
 	for _, r := range g.movableRuns(now) {
 		if moved == maxMoves {
@@ -77,11 +76,34 @@
 	}
 }
 
-// movableRun is a run that has lasted long enough to be moved.
+// observeSlowPeriods compares each engine that runs a text of this process with the engine to which a text would move.
+func (s *schedulePass) observeSlowPeriods() {
+	g := s.g
+	observed := map[string]bool{}
+	for _, e := range g.jobs {
+		if e.owned == nil {
+			continue
+		}
+		for _, run := range e.owned.runs {
+			u := run.upstream
+			if observed[u.ID] {
+				continue
+			}
+			observed[u.ID] = true
+			key := selectorKey{sendScope: sendScope{service: u.Service}, model: e.owned.job.Spec.Model}
+			other, _ := s.selector(key).Alternative(placement.Requirements{Avoid: u.ID, MinVersion: e.owned.job.Spec.MinVersion})
+			g.slowPeriods.Observe(u.ID, g.healthOf(u.ID).LatestPace(s.now), other.Pace, s.now)
+		}
+	}
+	g.slowPeriods.Retain(func(id string) bool { return observed[id] || g.healthOf(id).Pace(s.now) > 0 })
+}
+
+// movableRun is a run at a slow engine that has lasted long enough to be moved.
 type movableRun struct {
-	job  *batch.Job
-	item *batch.Progress
-	run  *itemRun
+	job     *batch.Job
+	item    *batch.Progress
+	run     *itemRun
+	slowFor time.Duration
 }
 
 // movableRuns returns the runs that may be moved, those with the most remaining tokens first. The caller holds g.mu.
@@ -92,8 +114,9 @@
 			continue
 		}
 		for p, run := range e.owned.runs {
-			if run.move != nil && now.Sub(run.started) >= minRunTime {
-				list = append(list, movableRun{job: e.owned.job, item: p, run: run})
+			slowFor, slow := g.slowPeriods.Duration(run.upstream.ID, now)
+			if slow && run.move != nil && now.Sub(run.started) >= minRunTime {
+				list = append(list, movableRun{job: e.owned.job, item: p, run: run, slowFor: slowFor})
 			}
 		}
 	}
@@ -106,21 +129,27 @@
 // reserveMove reports whether the rest of a text should be generated at another upstream, and if so counts the text
 // there. The caller holds g.mu.
 func (s *schedulePass) reserveMove(r movableRun) bool {
-	pace := s.g.healthOf(r.run.upstream.ID).Pace(s.now)
-	if pace == 0 {
-		return false
-	}
-	req := s.g.requirementsOf(r.job, r.item)
+	g := s.g
+	req := g.requirementsOf(r.job, r.item)
 	req.Avoid = r.run.upstream.ID
 	key := selectorKey{sendScope: sendScope{service: r.run.upstream.Service}, model: r.job.Spec.Model}
-	other, ok := s.selector(key).AlternativePace(req)
-	if !ok || other == 0 || float64(pace) < minMoveSpeedup*float64(other) {
+	other, ok := s.selector(key).Alternative(req)
+	if !ok || !r.job.MayContinue(r.item, other.Version) {
 		return false
 	}
-	saved := time.Duration(r.item.RemainingEvents()) * (pace - other)
-	if saved < minMoveSaving {
+	move := textmove.Candidate{
+		RemainingEvents: r.item.RemainingEvents(), Moves: r.item.Moves,
+		Pace: g.healthOf(r.run.upstream.ID).LatestPace(s.now), SlowFor: r.slowFor,
+		Target:  textmove.Engine{Pace: other.Pace, Requests: other.Requests, Slots: other.Slots},
+		Restart: g.restartTimeOf(r.run.upstream.Service).Estimate(),
+	}
+	if !move.IsWorthwhile() {
 		return false
 	}
 	s.selector(key).Pick(req)
+	g.opts.Log.Info().Str("job", r.job.Spec.ID).Str("item", r.item.Item.ID).Str("from", r.run.upstream.ID).Str("to", other.ID).
+		Int("remaining_events", move.RemainingEvents).Int("moves", move.Moves).Dur("pace_ms", move.Pace).
+		Dur("slow_for_ms", move.SlowFor).Dur("target_pace_ms", other.Pace).Int("target_requests", other.Requests).
+		Dur("restart_ms", move.Restart).Dur("saving_ms", move.Saving()).Msg("text moved")
 	return true
 }
--- a/gateway/run_item.go
+++ b/gateway/run_item.go
@@ -67,6 +67,7 @@
 ) *upstreamcall.Failure {
 	w := newWatchdog(ctx, firstEventTimeout, func() bool { return o.g.isResponsive(ctx, u) }, func() { cancel(errStalled) })
 	defer w.stop()
+	times := &eventTimes{started: time.Now()}
 	response, err := o.g.opts.Upstreams.Send(ctx, o.itemRequest(p, u))
 	if err != nil {
 		return setCancelReason(ctx, upstreamcall.AsFailure(err))
@@ -80,7 +81,6 @@
 	// What was read of an event counts, too: it may have no end.
 	events := o.g.opts.Codec.Events(reservation.Reader(response.Body), response.Version)
 	text := p.Text.Size()
-	var last time.Time // of the run's previous event
 	for {
 		event, err := events.Next()
 		if err == io.EOF && response.Framed {
@@ -92,15 +92,9 @@
 		text += len(event.Data)
 		reservation.ShrinkTo(int64(text))
 		w.eventReceived(eventTimeout)
-		now := time.Now()
-		var pause time.Duration
-		if !last.IsZero() {
-			pause = now.Sub(last)
-		}
-		if failure := o.appendEvent(p, u, event, pause); failure != nil {
+		if failure := o.appendEvent(p, u, event, times); failure != nil {
 			return failure
 		}
-		last = now
 	}
 }
 
@@ -174,10 +168,9 @@
 	return nil
 }
 
-// appendEvent appends an event to the text. pause is the time since the previous event of the run; 0 for its first one,
-// whose time after the head of the response says nothing about the pace of the upstream.
+// appendEvent appends an event to the text.
 func (o *ownedJob) appendEvent(
-	p *batch.Progress, u upstreams.Entry, event upstreamcall.Event, pause time.Duration,
+	p *batch.Progress, u upstreams.Entry, event upstreamcall.Event, times *eventTimes,
 ) *upstreamcall.Failure {
 	o.g.mu.Lock()
 	defer o.g.mu.Unlock()
@@ -191,9 +184,7 @@
 			Reason: upstreamcall.Endless, Outcome: outcome.Ran, Err: errors.New("text exceeds the limit of its item"),
 		}
 	}
-	if pause > 0 && pause < maxPaceGap {
-		o.g.healthOf(u.ID).ObservePace(pause, time.Now())
-	}
+	o.g.observeEvent(u, times, time.Now())
 	return nil
 }
 
@@ -221,7 +212,10 @@
 		o.job.Abandon(p)
 	case upstreamcall.Failed:
 		o.job.RunFailed(p, now.Add(failureRetryDelay), u.ID)
-	case upstreamcall.Busy, upstreamcall.Moved:
+	case upstreamcall.Moved:
+		p.Moves++
+		o.job.Requeue(p, now, u.ID)
+	case upstreamcall.Busy:
 		o.job.Requeue(p, now, u.ID)
 	case upstreamcall.Misdirected:
 		g.upstreams.Discard(u.ID)
--- a/placement/selector.go
+++ b/placement/selector.go
@@ -72,16 +72,6 @@
 	return !slices.ContainsFunc(s.engines, func(e Engine) bool { return s.accepts(&e, req) })
 }
 
-// AlternativePace returns the expected pace of the engine to which a text would move, 0 if no pace is known at all. ok
-// is false if there is no engine other than the one to avoid.
-func (s *Selector) AlternativePace(req Requirements) (pace time.Duration, ok bool) {
-	best := s.best(req)
-	if best == nil || best.ID == req.Avoid {
-		return 0, false
-	}
-	return s.expectedPace(best), true
-}
-
 func (s *Selector) best(req Requirements) *Engine {
 	var best *Engine
 	bestScore := 0.0
--- a/placement/selector_test.go
+++ b/placement/selector_test.go
@@ -29,9 +29,9 @@
 	list[0].Pace, list[0].OwnRequests = 3*healthyPace, 4
 	list[1].OwnRequests = 12
 	list[2].Pace, list[2].LastPace = 0, 0
-	pace, ok := NewSelector(list).AlternativePace(Requirements{Avoid: "e00", Long: true})
-	if !ok || pace != healthyPace {
-		t.Errorf("a text would move from the slow engine to a pace of %s (%v), want %s", pace, ok, healthyPace)
+	other, ok := NewSelector(list).Alternative(Requirements{Avoid: "e00", Long: true})
+	if !ok || other.ID != "e02" || other.Pace != healthyPace {
+		t.Errorf("a text would move from the slow engine to %+v (%v), want e02 and a pace of %s", other, ok, healthyPace)
 	}
 }
 
--- a/upstreamhealth/health.go
+++ b/upstreamhealth/health.go
@@ -7,6 +7,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -26,6 +27,9 @@
 	// maxPaceAge is how long a pace is valid without a new observation. A slow upstream that got no work for this long
 	// is tried again, because it may have recovered.
 	maxPaceAge = 2500 * time.Millisecond
+	// latestObservations is the number of observations of which LatestPace is the median, so that one late event does not
+	// count.
+	latestObservations = 3
 	// minObservations is the number of observations from which on a pace is reported.
 	minObservations = 3
 	// warmUpObservations is the number of observations from which on the weight of a new one depends on the elapsed
@@ -43,6 +47,8 @@
 	pace         time.Duration
 	observedAt   time.Time
 	observations int
+	// latest holds the last observations in a ring.
+	latest [latestObservations]time.Duration
 }
 
 // Allowed reports whether another request may be sent while this process has inFlight requests at the upstream.
@@ -100,9 +106,21 @@
 	}
 	h.pace += time.Duration(weight * float64(pace-h.pace))
 	h.observedAt = now
+	h.latest[h.observations%latestObservations] = pace
 	h.observations++
 }
 
+// LatestPace returns the median of the last few observations, which follows a change within a few events; 0 without
+// enough recent observations.
+func (h *Health) LatestPace(now time.Time) time.Duration {
+	if h.Pace(now) == 0 {
+		return 0
+	}
+	sorted := h.latest
+	slices.Sort(sorted[:])
+	return sorted[len(sorted)/2]
+}
+
 // Pace returns the moving average of the time for one unit of work; 0 without enough recent observations.
 func (h *Health) Pace(now time.Time) time.Duration {
 	if h.observations < minObservations || now.Sub(h.observedAt) > maxPaceAge {
--- a/upstreamhealth/health_test.go
+++ b/upstreamhealth/health_test.go
@@ -84,3 +84,29 @@
 		t.Errorf("pace %s after half a second at %s", got, 3*usual)
 	}
 }
+
+// Guards against an engine that still counts as slow long after it has recovered, because the average follows slowly, and
+// against one that counts as slow because of a single late event.
+func TestLatestPaceFollowsAFewEvents(t *testing.T) {
+	const usual = 50 * time.Millisecond
+	var h Health
+	now := time.Unix(100, 0)
+	observe := func(pace time.Duration, times int) {
+		for range times {
+			now = now.Add(pace)
+			h.ObservePace(pace, now)
+		}
+	}
+	observe(3*usual, 20)
+	observe(usual, latestObservations-1)
+	if got := h.LatestPace(now); got != usual {
+		t.Errorf("latest pace %s after %d events at %s; the average is %s", got, latestObservations-1, usual, h.Pace(now))
+	}
+	observe(3*usual, 1)
+	if got := h.LatestPace(now); got != usual {
+		t.Errorf("one late event makes the latest pace %s", got)
+	}
+	if got := h.LatestPace(now.Add(2 * maxPaceAge)); got != 0 {
+		t.Errorf("latest pace %s long after the last event, want none", got)
+	}
+}
