--- a/gateway/move.go
+++ b/gateway/move.go
@@ -90,7 +90,7 @@
 				continue
 			}
 			observed[u.ID] = true
-			key := selectorKey{sendScope: sendScope{service: u.Service}, model: e.owned.job.Spec.Model}
+			key := selectorKey{sendScope: g.jobScope(&e.record, u.Service), model: e.owned.job.Spec.Model}
 			other, _ := s.selector(key).Alternative(placement.Requirements{Avoid: u.ID, MinVersion: e.owned.job.Spec.MinVersion})
 			g.slowPeriods.Observe(u.ID, g.healthOf(u.ID).LatestPace(s.now), other.Pace, s.now)
 		}
@@ -132,7 +132,7 @@
 	g := s.g
 	req := g.requirementsOf(r.job, r.item)
 	req.Avoid = r.run.upstream.ID
-	key := selectorKey{sendScope: sendScope{service: r.run.upstream.Service}, model: r.job.Spec.Model}
+	key := selectorKey{sendScope: g.jobScope(&r.job.Record, r.run.upstream.Service), model: r.job.Spec.Model}
 	other, ok := s.selector(key).Alternative(req)
 	if !ok || !r.job.MayContinue(r.item, other.Version) {
 		return false
