Move a text that waits in the queue of an engine to a free slot elsewhere

Cause: hosts that start steps at the same moment fill the same engines, since each knows the sends of the others a second late.

Change: a text without an event is expected to wait for as long again as it has waited; it moves if that is 0.3 s more than a start takes at present, and only to a free slot. A run holds the times of its events, and the line of its end has first_event_ms.

--- a/gateway/move.go
+++ b/gateway/move.go
@@ -34,6 +34,8 @@
 type itemRun struct {
 	upstream upstreams.Entry
 	started  time.Time
+	// firstEvent and lastEvent are when the first and the last event arrived; zero before.
+	firstEvent, lastEvent time.Time
 	// move cancels the run with errMoved; nil until the run has begun.
 	move func()
 }
@@ -115,7 +117,7 @@
 		}
 		for p, run := range e.owned.runs {
 			slowFor, slow := g.slowPeriods.Duration(run.upstream.ID, now)
-			if slow && run.move != nil && now.Sub(run.started) >= minRunTime {
+			if (slow || run.firstEvent.IsZero()) && run.move != nil && now.Sub(run.started) >= minRunTime {
 				list = append(list, movableRun{job: e.owned.job, item: p, run: run, slowFor: slowFor})
 			}
 		}
@@ -143,13 +145,16 @@
 		Target:  textmove.Engine{Pace: other.Pace, Requests: other.Requests, Slots: other.Slots},
 		Restart: g.restartTimeOf(r.run.upstream.Service).Estimate(),
 	}
+	if r.run.firstEvent.IsZero() {
+		move.Queued = s.now.Sub(r.run.started)
+	}
 	if !move.IsWorthwhile() {
 		return false
 	}
 	s.selector(key).Pick(req)
 	g.opts.Log.Info().Str("job", r.job.Spec.ID).Str("item", r.item.Item.ID).Str("from", r.run.upstream.ID).Str("to", other.ID).
 		Int("remaining_events", move.RemainingEvents).Int("moves", move.Moves).Dur("pace_ms", move.Pace).
-		Dur("slow_for_ms", move.SlowFor).Dur("target_pace_ms", other.Pace).Int("target_requests", other.Requests).
+		Dur("slow_for_ms", move.SlowFor).Dur("queued_ms", move.Queued).Dur("target_pace_ms", other.Pace).Int("target_requests", other.Requests).
 		Dur("restart_ms", move.Restart).Dur("saving_ms", move.Saving()).Msg("text moved")
 	return true
 }
--- a/gateway/run_item.go
+++ b/gateway/run_item.go
@@ -40,20 +40,20 @@
 func (o *ownedJob) runItem(p *batch.Progress, u upstreams.Entry) {
 	ctx, cancel := context.WithCancelCause(o.ctx)
 	defer cancel(nil)
-	started := time.Now()
 	before := p.Text.LastEventID()
-	o.setRun(p, &itemRun{upstream: u, started: started, move: func() { cancel(errMoved) }})
+	run := &itemRun{upstream: u, started: time.Now(), move: func() { cancel(errMoved) }}
+	o.setRun(p, run)
 	failure := panicFailure()
-	o.g.recoverPanic("run", func() { failure = o.generate(ctx, cancel, p, u) })
+	o.g.recoverPanic("run", func() { failure = o.generate(ctx, cancel, p, run) })
 	o.setRun(p, nil)
 	o.g.finishSend(u, o.job.Spec.Model, failure, ctx)
 	if failure == nil {
-		o.g.metrics.itemTime.UpdateDuration(started)
+		o.g.metrics.itemTime.UpdateDuration(run.started)
 	}
 	if o.ctx.Err() != nil {
 		return
 	}
-	scoring := o.finishRun(p, u, failure, started, before)
+	scoring := o.finishRun(p, run, failure, before)
 	o.g.wakeScheduler()
 	if scoring {
 		o.recoverPanic("score", func() { o.score(p) })
@@ -63,11 +63,11 @@
 
 // generate streams the text of an item into its progress. It returns nil once the text is complete.
 func (o *ownedJob) generate(
-	ctx context.Context, cancel context.CancelCauseFunc, p *batch.Progress, u upstreams.Entry,
+	ctx context.Context, cancel context.CancelCauseFunc, p *batch.Progress, run *itemRun,
 ) *upstreamcall.Failure {
+	u := run.upstream
 	w := newWatchdog(ctx, firstEventTimeout, func() bool { return o.g.isResponsive(ctx, u) }, func() { cancel(errStalled) })
 	defer w.stop()
-	times := &eventTimes{started: time.Now()}
 	response, err := o.g.opts.Upstreams.Send(ctx, o.itemRequest(p, u))
 	if err != nil {
 		return setCancelReason(ctx, upstreamcall.AsFailure(err))
@@ -92,7 +92,7 @@
 		text += len(event.Data)
 		reservation.ShrinkTo(int64(text))
 		w.eventReceived(eventTimeout)
-		if failure := o.appendEvent(p, u, event, times); failure != nil {
+		if failure := o.appendEvent(p, run, event); failure != nil {
 			return failure
 		}
 	}
@@ -169,9 +169,7 @@
 }
 
 // appendEvent appends an event to the text.
-func (o *ownedJob) appendEvent(
-	p *batch.Progress, u upstreams.Entry, event upstreamcall.Event, times *eventTimes,
-) *upstreamcall.Failure {
+func (o *ownedJob) appendEvent(p *batch.Progress, run *itemRun, event upstreamcall.Event) *upstreamcall.Failure {
 	o.g.mu.Lock()
 	defer o.g.mu.Unlock()
 	if !p.Text.Append(event.ID, event.Data, event.Version) {
@@ -184,21 +182,24 @@
 			Reason: upstreamcall.Endless, Outcome: outcome.Ran, Err: errors.New("text exceeds the limit of its item"),
 		}
 	}
-	o.g.observeEvent(u, times, time.Now())
+	o.g.observeEvent(run, time.Now())
 	return nil
 }
 
 // finishRun moves an item to its next phase after a run and reports whether its text needs a score now.
 func (o *ownedJob) finishRun(
-	p *batch.Progress, u upstreams.Entry, failure *upstreamcall.Failure, started time.Time, before int,
+	p *batch.Progress, run *itemRun, failure *upstreamcall.Failure, before int,
 ) bool {
-	g := o.g
+	g, u := o.g, run.upstream
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	log := g.opts.Log.Info().Str("job", o.entry.id).Str("item", p.Item.ID).Str("upstream", u.ID).
 		Str("group", p.Item.Group).Bool("optional", o.job.Optional(p)).Int("estimated_tokens", p.Item.ExpectedTokens()).
-		Int("from_event", before).Int("events", p.Text.LastEventID()).Dur("took_ms", now.Sub(started))
+		Int("from_event", before).Int("events", p.Text.LastEventID()).Dur("took_ms", now.Sub(run.started))
+	if !run.firstEvent.IsZero() {
+		log = log.Dur("first_event_ms", run.firstEvent.Sub(run.started))
+	}
 	if failure == nil {
 		g.tokenRateOf(o.job.Spec.Model).Learn(p.Item.LengthHint, p.Text.LastEventID())
 		o.job.TextComplete(p, now)
--- a/textmove/decide.go
+++ b/textmove/decide.go
@@ -29,6 +29,8 @@
 type Candidate struct {
 	// RemainingEvents is how many events are still expected, and Moves how often the text has moved before.
 	RemainingEvents, Moves int
+	// Queued is how long the text has waited for its first event at the present engine; 0 once it is being generated.
+	Queued time.Duration
 	// Pace is the observed time per event at the present engine, and SlowFor how long that engine has been slow.
 	Pace, SlowFor time.Duration
 	// Target is the engine to which the text would move, and Restart the expected time from its start there to its next
@@ -38,8 +40,12 @@
 }
 
 // Saving returns by how much earlier the text is expected to be complete if it moves; negative if it is later. The
-// engine is expected to stay slow for as long as it has been, and to be as fast as the target after that.
+// engine is expected to stay slow for as long as it has been, and to be as fast as the target after that; a text that has
+// waited for its first event is expected to wait for as long again.
 func (c Candidate) Saving() time.Duration {
+	if c.Queued > 0 {
+		return c.Queued - c.Restart
+	}
 	target := c.Target.paceWithOneMore()
 	if c.Pace <= target || target == 0 {
 		return -c.Restart
