Send nothing to the upstreams of an evacuated data centre

Cause: removals in the operators' table were ignored and its evacuation rows unknown; no path looked at a data centre. Change: the watch applies orders and their removal, and a whole reading before the configuration in it; heartbeats pass orders on. candidates leaves evacuated data centres out on every path; report, order and the check of a connection are not made there; versions and numbers of upstreams are not ordered there. A text with more than 2 s to go moves away, a silent run counts as lost, a wait for a limit ends, and what has no upstream left is refused at once (kind evacuated). After the order, slots count by and by. Log lines and gauges tell which hosts lack an order.

--- a/gateway/adopt.go
+++ b/gateway/adopt.go
@@ -43,6 +43,7 @@
 			e.adopting = true
 		}
 		displaced := g.displacedJobs()
+		g.followEvacuations(now)
 		g.mu.Unlock()
 		for _, o := range displaced {
 			go g.recoverPanic("displace", o.displace)
--- a/gateway/candidates.go
+++ b/gateway/candidates.go
@@ -20,10 +20,17 @@
 // The caller holds g.mu and must not change the list.
 func (g *Gateway) candidates(s sendScope) []upstreams.Entry {
 	ready := g.upstreams.Ready(s.service)
-	if !s.homes.Restricted() {
+	if !s.homes.Restricted() && !g.evacuations.Any() {
 		return ready
 	}
-	return slices.DeleteFunc(slices.Clone(ready), func(u upstreams.Entry) bool { return !s.homes.Allows(g.region(u.DataCentre)) })
+	return slices.DeleteFunc(slices.Clone(ready), func(u upstreams.Entry) bool {
+		return !g.isAtHome(s, u) || g.evacuations.Evacuated(u.DataCentre)
+	})
+}
+
+// isAtHome reports whether an upstream is in a region in which a request may be served.
+func (g *Gateway) isAtHome(s sendScope, u upstreams.Entry) bool {
+	return s.homes.Allows(g.region(u.DataCentre))
 }
 
 // refusalIn returns the refusal of a request for which no upstream was found, with the constraint that leaves it none. The
@@ -35,23 +42,30 @@
 	return g.refuseFor(s)
 }
 
-// refuseFor returns the refusal of work that the constraints of its scope leave no upstream, and counts it.
-func (g *Gateway) refuseFor(sendScope) *outcome.Refusal {
+// refuseFor returns the refusal of work that the constraints of its scope leave no upstream, and counts it. The caller holds
+// g.mu.
+func (g *Gateway) refuseFor(s sendScope) *outcome.Refusal {
+	if slices.ContainsFunc(g.upstreams.Ready(s.service), func(u upstreams.Entry) bool { return g.isAtHome(s, u) }) {
+		g.metrics.scopeRefusals("evacuation").Inc()
+		return unavailable(outcome.KindEvacuated, "every data centre with an upstream for the request is evacuated", retryAfterScope)
+	}
 	g.metrics.scopeRefusals("homes").Inc()
 	return unavailable(outcome.KindNoHome, "the regions of the request have no upstream of the service", retryAfterScope)
 }
 
-// checkJobScope returns a refusal if no upstream may make the texts of a restricted job. The caller holds g.mu.
+// checkJobScope returns a refusal if homes or evacuations leave the texts of a job no upstream. A job that may run anywhere
+// waits for upstreams if there are none at all. The caller holds g.mu.
 func (g *Gateway) checkJobScope(r *batch.Record, route *serving.Route) error {
-	var last sendScope
+	var refused *sendScope
 	for _, target := range route.Targets {
-		last = g.jobScope(r, target.Service)
-		if !last.homes.Restricted() || len(g.candidates(last)) > 0 {
+		scope := g.jobScope(r, target.Service)
+		if len(g.candidates(scope)) > 0 || !scope.homes.Restricted() && len(g.upstreams.Ready(target.Service)) == 0 {
 			return nil
 		}
+		refused = &scope
 	}
-	if len(route.Targets) == 0 {
+	if refused == nil {
 		return nil
 	}
-	return g.refuseFor(last)
+	return g.refuseFor(*refused)
 }
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -111,7 +111,7 @@
 		return true
 	}
 	peerRequests, _ := g.loadOfPeers(e.ID)
-	return g.inFlight[e.ID]+peerRequests < maxBackgroundLoad*max(e.Slots, 1)
+	return float64(g.inFlight[e.ID]+peerRequests) < maxBackgroundLoad*g.usableSlots(e, now)
 }
 
 // hasLimits reports whether an upstream of a service has a limit. The caller holds g.mu.
@@ -125,7 +125,7 @@
 func (g *Gateway) sendCost(e upstreams.Entry, now time.Time) float64 {
 	h := g.healthOf(e.ID)
 	peerRequests, _ := g.loadOfPeers(e.ID)
-	utilization := float64(g.inFlight[e.ID]+peerRequests+1) / float64(max(e.Slots, 1))
+	utilization := float64(g.inFlight[e.ID]+peerRequests+1) / g.usableSlots(e, now)
 	cost := utilization*g.slowness(e, now) + g.distanceCost(e) + rand.Float64()*tieBreakCost
 	if !g.hasIdleConnection(e.ID, now) {
 		cost += connectionCost
--- a/gateway/control_calls.go
+++ b/gateway/control_calls.go
@@ -9,8 +9,12 @@
 )
 
 // report asks an upstream for its state. The request counts against the upstream's limit but does not wait for it: runs and
-// orders depend on the answer, and the requests sent after it make up for it.
+// orders depend on the answer, and the requests sent after it make up for it. Nothing is
+// asked in an evacuated data centre: a run that is silent there then counts as lost.
 func (g *Gateway) report(ctx context.Context, u upstreams.Entry) (upstreamcall.Report, error) {
+	if g.isEvacuated(u) {
+		return upstreamcall.Report{}, errEvacuated
+	}
 	g.countControlCall(u)
 	return g.opts.Upstreams.Report(ctx, u)
 }
@@ -19,6 +23,9 @@
 func (g *Gateway) order(
 	ctx context.Context, u upstreams.Entry, o upstreamcall.VersionOrder,
 ) (upstreamcall.OrderResult, error) {
+	if g.isEvacuated(u) {
+		return "", errEvacuated
+	}
 	g.countControlCall(u)
 	return g.opts.Upstreams.Order(ctx, u, o)
 }
--- a/gateway/duty_work.go
+++ b/gateway/duty_work.go
@@ -105,7 +105,7 @@
 func (w *dutyWork) plannerView(service string) []versionplan.Upstream {
 	now := time.Now()
 	var list []versionplan.Upstream
-	for _, e := range w.g.upstreams.Ready(service) {
+	for _, e := range w.g.candidates(sendScope{service: service}) {
 		peerRequests, _ := w.g.loadOfPeers(e.ID)
 		list = append(list, versionplan.Upstream{
 			ID: e.ID, DataCentre: e.DataCentre, Usable: !w.g.healthOf(e.ID).Suspect(), Limited: w.g.limits.Limited(e, now), Orders: w.acceptedOrders[e.Incarnation()],
--- a/gateway/end_check.go
+++ b/gateway/end_check.go
@@ -46,6 +46,9 @@
 
 // runEndCheck tries to connect to an upstream and records its end if nothing listens at its address.
 func (g *Gateway) runEndCheck(u upstreams.Entry) {
+	if g.isEvacuated(u) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(g.workCtx, endCheckTimeout)
 	defer cancel()
 	err := g.opts.Upstreams.Dial(ctx, u)
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -28,6 +28,9 @@
 func (testCodec) UpstreamTable() string          { return "upstreams" }
 func (testCodec) IsConfig(key string) bool       { return key == "config" }
 func (testCodec) IsModelVersion(key string) bool { return strings.HasPrefix(key, "version/") }
+func (testCodec) EvacuatedDataCentre(key string) (string, bool) {
+	return strings.CutPrefix(key, "evacuate/")
+}
 func (testCodec) DecodeBatch(body []byte) (s batch.Spec, err error) {
 	return s, json.Unmarshal(body, &s)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/radishshelf/radishshelf/batch"
+	"github.com/radishshelf/radishshelf/evacuation"
 	"github.com/radishshelf/radishshelf/placement"
 	"github.com/radishshelf/radishshelf/presence"
 	"github.com/radishshelf/radishshelf/retry"
@@ -60,6 +61,9 @@
 	// connections estimates how many connections to each upstream are open.
 	connections map[string]connectionState
 	peerLoad    peerLoadSums
+	// evacuations holds the operators' orders for data centres, and evacuationProgress how many hosts apply them.
+	evacuations        evacuation.Orders
+	evacuationProgress evacuation.Progress
 	// limits divides the limits that upstreams name between the hosts.
 	limits *upstreamlimit.Table
 	// limitQueues holds the requests that wait for a share of a limit, by service, and limitWaiters numbers them.
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -36,7 +36,8 @@
 	if g.config != nil {
 		heartbeat.ConfigVersion = g.config.Version
 	}
-	heartbeat.Limits = g.limitsReport(time.Now())
+	now := time.Now()
+	heartbeat.Limits, heartbeat.Evacuations = g.limitsReport(now), g.evacuations.Report(now)
 	g.mu.Unlock()
 	maps.DeleteFunc(heartbeat.Load, func(_ string, n int) bool { return n == 0 })
 	value, err := json.Marshal(heartbeat)
--- a/gateway/isolation.go
+++ b/gateway/isolation.go
@@ -117,7 +117,7 @@
 		}
 	}
 	var remaining []string
-	for _, u := range g.upstreams.Ready(ended.Service) {
+	for _, u := range g.candidates(sendScope{service: ended.Service}) {
 		if u.ID != ended.ID {
 			remaining = append(remaining, u.ID)
 		}
--- a/gateway/limit_queue.go
+++ b/gateway/limit_queue.go
@@ -94,9 +94,9 @@
 }
 
 // mayServeLimitQueue reports whether a request that waits for the limits of a service can be decided: an upstream has room,
-// or none has a limit any more. The caller holds g.mu.
+// none has a limit any more, or all of them are evacuated. The caller holds g.mu.
 func (g *Gateway) mayServeLimitQueue(service string, now time.Time) bool {
-	return !g.hasLimits(service, now) || slices.ContainsFunc(g.upstreams.Ready(service), func(u upstreams.Entry) bool {
+	return !g.hasLimits(service, now) || len(g.candidates(sendScope{service: service})) == 0 || slices.ContainsFunc(g.upstreams.Ready(service), func(u upstreams.Entry) bool {
 		return g.hasRoom(u, true, now)
 	})
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -82,6 +82,16 @@
 		}
 		return 0
 	})
+	r.NewGauge("radishshelf_gateway_evacuations", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(len(g.evacuations.Active()))
+	})
+	r.NewGauge("radishshelf_gateway_evacuation_hosts_missing", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(g.evacuationHostsMissing())
+	})
 	r.NewGauge("radishshelf_gateway_stranded_jobs", func() float64 {
 		g.mu.Lock()
 		defer g.mu.Unlock()
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -25,6 +25,9 @@
 	longTokens = 600
 	// minRunTime is how long a run has to last before it is moved; earlier, the pace of its upstream is not known.
 	minRunTime = 400 * time.Millisecond
+	// maxEvacuatedRun is the remaining time up to which a text ends where it runs although its data centre is evacuated:
+	// about what the operator's order takes to reach all hosts. A longer one costs the operator more than its move.
+	maxEvacuatedRun = 2 * time.Second
 	// maxMoves limits the runs that are moved in one round, so that they do not overload the faster upstreams.
 	maxMoves = 8
 )
@@ -110,6 +113,9 @@
 	if pace == 0 {
 		return false
 	}
+	if s.g.evacuations.Evacuated(r.run.upstream.DataCentre) {
+		return s.reserveEvacuation(r, pace)
+	}
 	req := s.g.requirementsOf(r.job, r.item)
 	req.Avoid = r.run.upstream.ID
 	key := selectorKey{sendScope: s.g.jobScope(&r.job.Record, r.run.upstream.Service), model: r.job.Spec.Model}
@@ -124,3 +130,15 @@
 	s.selector(key).Pick(req)
 	return true
 }
+
+// reserveEvacuation reports whether a text should leave its evacuated data centre, and if so counts it at another upstream.
+// The caller holds g.mu.
+func (s *schedulePass) reserveEvacuation(r movableRun, pace time.Duration) bool {
+	if time.Duration(r.item.RemainingEvents())*pace <= maxEvacuatedRun {
+		return false
+	}
+	req := s.g.requirementsOf(r.job, r.item)
+	req.Avoid = r.run.upstream.ID
+	_, ok := s.selector(selectorKey{sendScope: s.g.jobScope(&r.job.Record, r.run.upstream.Service), model: r.job.Spec.Model}).Pick(req)
+	return ok
+}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -96,6 +96,8 @@
 	// IsConfig and IsModelVersion classify the rows of the operator table by key.
 	IsConfig(key string) bool
 	IsModelVersion(key string) bool
+	// EvacuatedDataCentre returns the data centre whose evacuation a row of the operator table orders, by the row's key.
+	EvacuatedDataCentre(key string) (dataCentre string, ok bool)
 	DecodeConfig(value []byte) (*serving.Config, error)
 	DecodeModelVersion(key string, value []byte) (versionplan.ModelVersion, error)
 	DecodeUpstream(id string, value []byte) (upstreams.Entry, error)
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -17,7 +17,7 @@
 	// retryAfterStoreOutage applies to new jobs while the store does not respond, since outages last seconds, to crash
 	// suspects whose probe cannot be claimed, and to routes without a target service.
 	retryAfterStoreOutage = 1200 * time.Millisecond
-	// retryAfterScope applies if the regions of a request have no upstream. Upstreams take seconds to come back, and a
+	// retryAfterScope applies if homes or evacuations leave a request no upstream. Upstreams take seconds to come back, and a
 	// caller that waits for its answer has a few seconds.
 	retryAfterScope = time.Second
 )
--- a/gateway/schedule_pass.go
+++ b/gateway/schedule_pass.go
@@ -173,7 +173,7 @@
 		peerRequests, peerTokens := g.loadOfPeers(e.ID)
 		sendsLeft := g.limits.Allowed(e, now)
 		engines = append(engines, placement.Engine{
-			ID: e.ID, Slots: e.Slots, OwnRequests: own, OtherRequests: peerRequests, Connections: g.openConnections(e.ID, now),
+			ID: e.ID, Slots: g.usableEngineSlots(e, now), OwnRequests: own, OtherRequests: peerRequests, Connections: g.openConnections(e.ID, now),
 			Distance: g.distanceTo(e), Version: version, Pace: h.Pace(now), LastPace: h.LastPace(),
 			MemoryTokens: g.engineMemory(e, now), Runs: runs[e.ID], OtherTokens: peerTokens,
 			Limited: g.limits.Limited(e, now), SendsLeft: sendsLeft,
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -5,6 +5,7 @@
 	"maps"
 	"time"
 
+	"github.com/radishshelf/radishshelf/evacuation"
 	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/presence"
 	"github.com/radishshelf/radishshelf/upstreams"
@@ -35,11 +36,14 @@
 func (g *Gateway) operatorWatch() *tableWatch {
 	w := g.newTableWatch(g.opts.Codec.OperatorTable(), false)
 	w.apply = func(c hosting.RowChange) {
-		if !c.Deleted {
+		if dataCentre, ok := g.opts.Codec.EvacuatedDataCentre(c.Key); ok {
+			g.applyEvacuation(evacuation.Order{DataCentre: dataCentre, Version: c.Version, Active: !c.Deleted}, operatorSource)
+		} else if !c.Deleted {
 			g.applyOperatorRow(c.StoredRow)
 		}
 	}
 	w.reset = func(rows []hosting.StoredRow) {
+		g.resetEvacuations(rows, w.readVersion) // before the configuration, without which nothing is sent
 		for _, r := range rows {
 			w.recoverPanic("row of "+w.table, func() { g.applyOperatorRow(r) })
 		}
@@ -185,6 +189,7 @@
 	}
 	g.peers.Observe(b)
 	g.observeLimits(b)
+	g.observeEvacuations(b)
 	if b.Host == g.opts.Host && b.Incarnation == g.opts.Incarnation {
 		g.heartbeatSeen = max(g.heartbeatSeen, b.Sequence)
 	}
--- a/gateway/upstream_scaler.go
+++ b/gateway/upstream_scaler.go
@@ -135,7 +135,7 @@
 // loads sums up the load of a service by data centre. The caller holds g.mu.
 func (s *upstreamScaler) loads(service string) map[string]scaleLoad {
 	loads := map[string]scaleLoad{}
-	for _, e := range s.g.upstreams.Ready(service) {
+	for _, e := range s.g.candidates(sendScope{service: service}) { // no order concerns an evacuated data centre
 		l := loads[e.DataCentre]
 		l.count++
 		l.slots += e.Slots
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -28,10 +28,12 @@
 	rows        hosting.Rows
 	// reset receives the whole table, and apply one change. onResponse and onFailure are called after
 	// successful and failed store calls.
-	reset      func(rows []hosting.StoredRow)
-	apply      func(c hosting.RowChange)
-	onResponse func(clock time.Duration)
-	onFailure  func(err error)
+	reset func(rows []hosting.StoredRow)
+	// readVersion is the version as of which reset receives the table.
+	readVersion int64
+	apply       func(c hosting.RowChange)
+	onResponse  func(clock time.Duration)
+	onFailure   func(err error)
 	// recoverPanic keeps a row that makes apply panic from ending the watch.
 	recoverPanic func(operation string, f func()) bool
 }
@@ -89,6 +91,7 @@
 			version = read
 		}
 	}
+	w.readVersion = version
 	w.reset(all)
 	return version, nil
 }
--- a/outcome/refusal.go
+++ b/outcome/refusal.go
@@ -21,6 +21,7 @@
 	KindDeadline         Kind = "deadline"
 	KindNoUpstream       Kind = "no_upstream"
 	KindNoHome           Kind = "no_upstream_at_home"
+	KindEvacuated        Kind = "evacuated"
 	KindLeaving          Kind = "leaving"
 	KindQuarantined      Kind = "quarantined"
 	KindIsolated         Kind = "isolated"
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"github.com/radishshelf/radishshelf/evacuation"
 	"github.com/radishshelf/radishshelf/upstreamlimit"
 )
 
@@ -38,6 +39,8 @@
 	ConfigVersion int64 `json:"config_version"`
 	// Limits holds the limits of upstreams that the process knows, and its demand for them; nil without limits.
 	Limits *upstreamlimit.Report `json:"limits,omitempty"`
+	// Evacuations holds the evacuations of data centres that the process applies, and those lately taken back.
+	Evacuations []evacuation.Order `json:"evacuations,omitempty"`
 }
 
 // View holds the last heartbeat of each process. It is not safe for concurrent use.
