Choose among the services of a route that have an upstream at home, and let a job leave only if it can

Cause: a route with several services refused a request when chance picked the one without an upstream at home; a job whose homes changed in an outage of the store broke off its runs though nobody could take it over; a route of another kind that covers the path of a job's former route bound the job. Change: chooseService leaves out services that homes or evacuations leave no upstream, if another has one; displacedJobs waits until the heartbeats of others can be judged; jobHomes looks at routes for batch jobs only. Measured: without it TestSplitIsAmongServicesAtHome printed "services map[canary:true desk:true], want [desk]", TestJobStaysWhileItCannotBeHandedOver "the job leaves although the other host may be dead", TestJobHomes "a route of another kind covers the path: [west], want [south]".

--- a/gateway/adopt.go
+++ b/gateway/adopt.go
@@ -42,7 +42,7 @@
 		for _, e := range assigned {
 			e.adopting = true
 		}
-		displaced := g.displacedJobs()
+		displaced := g.displacedJobs(now)
 		g.followEvacuations(now)
 		g.mu.Unlock()
 		for _, o := range displaced {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/radishshelf/radishshelf/homes"
 	"github.com/radishshelf/radishshelf/placement"
 	"github.com/radishshelf/radishshelf/serving"
 	"github.com/radishshelf/radishshelf/upstreams"
@@ -30,17 +31,27 @@
 	suspectCost = 4
 )
 
-// chooseService picks a target service of a route at random by weight. It returns false if the route has none.
-func chooseService(route *serving.Route) (string, bool) {
-	if len(route.Targets) == 1 {
-		return route.Targets[0].Service, true
+// chooseService picks a target service of a route at random by weight, among those that homes and evacuations leave an
+// upstream. It returns false if the route has no target. The caller holds g.mu.
+func (g *Gateway) chooseService(route *serving.Route, home homes.Regions) (string, bool) {
+	targets := route.Targets
+	if len(targets) > 1 && (home.Restricted() || g.evacuations.Any()) {
+		usable := slices.DeleteFunc(slices.Clone(targets), func(t serving.Target) bool {
+			return len(g.upstreams.Ready(t.Service)) > 0 && len(g.candidates(sendScope{service: t.Service, homes: home})) == 0
+		})
+		if len(usable) > 0 {
+			targets = usable
+		}
+	}
+	if len(targets) == 1 {
+		return targets[0].Service, true
 	}
 	sum := 0.0
-	for _, t := range route.Targets {
+	for _, t := range targets {
 		sum += t.Weight
 	}
 	at := rand.Float64() * sum
-	for _, t := range route.Targets {
+	for _, t := range targets {
 		if at -= t.Weight; at < 0 {
 			return t.Service, true
 		}
--- a/gateway/homes_test.go
+++ b/gateway/homes_test.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"cmp"
 	"testing"
 	"time"
 
 	"github.com/radishshelf/radishshelf/batch"
+	"github.com/radishshelf/radishshelf/evacuation"
 	"github.com/radishshelf/radishshelf/homes"
+	"github.com/radishshelf/radishshelf/serving"
 	"github.com/radishshelf/radishshelf/upstreamcall"
 )
 
@@ -62,6 +65,8 @@
 			batch.Record{ConfigVersion: 2, RouteHomes: both, WorkspaceHomes: north}, north},
 		{"the route was removed", testSettings{Version: 3, Gone: []string{"rollout"}, WorkspaceHome: []string{"south"}},
 			batch.Record{ConfigVersion: 2, RouteHomes: both, Workspace: "north", WorkspaceHomes: north}, south},
+		{"a route of another kind covers the path", testSettings{Version: 3, RouteHomes: map[string][]string{"quote": {"west"}}},
+			batch.Record{ConfigVersion: 2, PathPrefix: "/quote/", RouteHomes: south}, south},
 		{"the workspace was removed", testSettings{Version: 3, RouteHomes: map[string][]string{"rollout": {"north", "south"}}},
 			batch.Record{ConfigVersion: 2, Workspace: "former", WorkspaceHomes: south}, south},
 	} {
@@ -69,7 +74,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		g.config, c.record.Host, c.record.PathPrefix = config, testHost, "/rollout/"
+		g.config, c.record.Host, c.record.PathPrefix = config, testHost, cmp.Or(c.record.PathPrefix, "/rollout/")
 		if got := g.jobHomes(&c.record); got != c.want {
 			t.Errorf("%s: %v, want %v", c.name, got.List(), c.want.List())
 		}
@@ -159,3 +164,58 @@
 		t.Errorf("%d requests were sent outside of their regions", outside)
 	}
 }
+
+// Guards against a request that is refused because chance picked the service of its route that has no upstream at home.
+func TestSplitIsAmongServicesAtHome(t *testing.T) {
+	w := newHomesCluster(t, testSettings{Version: 2})
+	w.addUpstreamIn("west-1", "w1", "canary", 4, nil)
+	g := w.start("a")
+	w.eventually("the canary is known", func() bool { g.mu.Lock(); defer g.mu.Unlock(); return g.upstreams.Len() == 5 })
+	route := &serving.Route{Targets: []serving.Target{{Service: plainService, Weight: 1}, {Service: "canary", Weight: 1}}}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, c := range []struct {
+		home  homes.Regions
+		evac  string
+		names []string
+	}{
+		{homes.Regions{}, "", []string{plainService, "canary"}},
+		{homes.Only("north"), "", []string{plainService}},
+		{homes.Only("west"), "", []string{"canary"}},
+		{homes.Regions{}, "west-1", []string{plainService}},
+		{homes.Only("west"), "west-1", []string{plainService, "canary"}}, // neither has an upstream: the request is refused
+	} {
+		if c.evac != "" {
+			g.evacuations.Observe(evacuation.Order{DataCentre: c.evac, Version: 9, Active: true}, time.Now())
+		}
+		seen := map[string]bool{}
+		for range 200 {
+			name, ok := g.chooseService(route, c.home)
+			seen[name] = ok
+		}
+		if len(seen) != len(c.names) || !seen[c.names[0]] {
+			t.Errorf("homes %v, evacuated %q: services %v, want %v", c.home.List(), c.evac, seen, c.names)
+		}
+	}
+}
+
+// Guards against a job that stops running, in an outage of the store, because it should leave its host.
+func TestJobStaysWhileItCannotBeHandedOver(t *testing.T) {
+	w := newHomesCluster(t, testSettings{Version: 2, RouteHomes: map[string][]string{"rollout": {"north"}}})
+	a, b := w.startIn("north-1", "a", 0.8, w.store), w.startIn("south-1", "b", 0.8, w.store)
+	w.waitForPeers(a, b)
+	w.upstreams.script(respondAfter(300 * time.Millisecond))
+	w.mustSubmit(a, "job-1", testItems(40)...)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	e := a.jobs["job-1"]
+	e.record.AcceptedIn, e.record.ConfigVersion, e.record.RouteHomes = "", a.config.Version+1, homes.Only("south")
+	a.heartbeatSeen = a.heartbeatStored
+	now := a.heartbeatStoredAt
+	if list := a.displacedJobs(now.Add(2 * heartbeatInterval)); len(list) > 0 {
+		t.Error("the job leaves although the other host may be dead")
+	}
+	if list := a.displacedJobs(now); len(list) != 1 {
+		t.Errorf("%d jobs leave, want 1", len(list))
+	}
+}
--- a/gateway/job_homes.go
+++ b/gateway/job_homes.go
@@ -6,6 +6,7 @@
 	"github.com/radishshelf/radishshelf/batch"
 	"github.com/radishshelf/radishshelf/homes"
 	"github.com/radishshelf/radishshelf/rowrelay"
+	"github.com/radishshelf/radishshelf/serving"
 )
 
 // jobHomes returns the regions in which the texts of a job may be made: those of its route and of its workspace bind
@@ -14,7 +15,7 @@
 func (g *Gateway) jobHomes(r *batch.Record) homes.Regions {
 	route, workspace := r.RouteHomes, r.WorkspaceHomes
 	if g.config != nil && g.config.Version >= r.ConfigVersion {
-		if found, ok := g.config.Route(r.Host, r.PathPrefix); ok {
+		if found, ok := g.config.Route(r.Host, r.PathPrefix); ok && found.Kind == serving.Rollout {
 			route = found.Homes
 		}
 		if found, ok := g.config.WorkspaceByName(r.Workspace); ok {
--- a/gateway/pass_on.go
+++ b/gateway/pass_on.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/radishshelf/radishshelf/homes"
 	"github.com/radishshelf/radishshelf/presence"
@@ -73,9 +74,9 @@
 // displacedJobs returns the running jobs that a newer configuration keeps away from this process, as soon as another host
 // may go on with them, and marks them. Without such a host they go on here, which hands their content to nobody. The caller
 // holds g.mu.
-func (g *Gateway) displacedJobs() []*ownedJob {
+func (g *Gateway) displacedJobs(now time.Time) []*ownedJob {
 	var list []*ownedJob
-	if g.leaving {
+	if g.leaving || !g.isPeerViewCurrent(now) {
 		return nil
 	}
 	live := g.peers.Live()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -104,13 +104,9 @@
 	}
 }
 
-// scope returns the constraints of the request on its upstreams.
-func (f *plainRequest) scope() sendScope { return sendScope{service: f.service, homes: f.auth.homes()} }
-
 func (f *plainRequest) run(ctx context.Context) (*call.Response, error) {
-	var ok bool
-	if f.service, ok = chooseService(f.auth.route); !ok {
-		return nil, unavailable(outcome.KindNoUpstream, "the route has no target service", retryAfterStoreOutage)
+	if err := f.setService(); err != nil {
+		return nil, err
 	}
 	var err error
 	if f.action, err = f.g.checkQuarantine(ctx, f.template); err != nil {
--- a/gateway/schedule_pass.go
+++ b/gateway/schedule_pass.go
@@ -50,7 +50,7 @@
 	if !ok || route.Kind != serving.Rollout {
 		return // the route was removed from the configuration; the items wait until it returns
 	}
-	service, ok := chooseService(route)
+	service, ok := g.chooseService(route, g.jobHomes(&e.record))
 	if !ok || len(e.owned.runs) >= s.concurrencyLimit(e.owned) {
 		return
 	}
--- a/gateway/scoring.go
+++ b/gateway/scoring.go
@@ -135,7 +135,7 @@
 	if route.Timeout > 0 {
 		s.timeout = route.Timeout
 	}
-	service, ok := chooseService(route)
+	service, ok := s.o.g.chooseService(route, route.Homes)
 	return sendScope{service: service, homes: route.Homes}, ok
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -53,9 +53,8 @@
 
 // openNext sends the request to one upstream after another until one begins to respond.
 func (s *streamRequest) openNext(ctx context.Context) (*upstreamcall.Response, error) {
-	var ok bool
-	if s.service, ok = chooseService(s.auth.route); !ok {
-		return nil, unavailable(outcome.KindNoUpstream, "the route has no target service", retryAfterStoreOutage)
+	if err := s.setService(); err != nil {
+		return nil, err
 	}
 	for range maxSends {
 		response, err := s.sendNext(ctx)
