Bind requests in progress by the newest homes

Cause: a plain request or stream kept the regions of the configuration under which it arrived, for its repeats and its resumption, seconds after a newer one was accepted. Change: requestHomes reads route and workspace in the current configuration each time an upstream is chosen. Measured: without it TestNewHomesBindRequestsInProgress printed "sent 2 times in the former region and 0 times in the new one, want once in each".

--- a/gateway/authorize.go
+++ b/gateway/authorize.go
@@ -24,12 +24,22 @@
 	return a.workspace.Name
 }
 
-// homes returns the regions in which the request may be served: those of its route and of its workspace bind together.
-func (a *authorization) homes() homes.Regions {
+// requestHomes returns the regions in which a request may be served: those of its route and of its workspace bind together,
+// as the current configuration has them. A request may wait, be repeated or resume its stream after a change. A route or
+// workspace that is gone binds as it did when the request arrived. The caller holds g.mu.
+func (g *Gateway) requestHomes(host, path string, a *authorization) homes.Regions {
+	route := a.route
+	if found, ok := g.config.Route(host, path); ok {
+		route = found
+	}
 	if a.workspace == nil {
-		return a.route.Homes
+		return route.Homes
+	}
+	workspace := a.workspace
+	if found, ok := g.config.WorkspaceByName(workspace.Name); ok {
+		workspace = found
 	}
-	return a.route.Homes.And(a.workspace.Homes)
+	return route.Homes.And(workspace.Homes)
 }
 
 // priority returns the priority of the workspace if it has one, and otherwise that of the route.
--- a/gateway/candidates.go
+++ b/gateway/candidates.go
@@ -70,15 +70,17 @@
 	return g.refuseFor(*refused)
 }
 
-// scope returns the constraints of the request on its upstreams.
-func (f *plainRequest) scope() sendScope { return sendScope{service: f.service, homes: f.auth.homes()} }
+// scope returns the constraints of the request on its upstreams. The caller holds g.mu.
+func (f *plainRequest) scope() sendScope {
+	return sendScope{service: f.service, homes: f.g.requestHomes(f.request.Host, f.request.Path, f.auth)}
+}
 
 // setService picks the service of the request.
 func (f *plainRequest) setService() error {
 	f.g.mu.Lock()
 	defer f.g.mu.Unlock()
 	var ok bool
-	if f.service, ok = f.g.chooseService(f.auth.route, f.auth.homes()); !ok {
+	if f.service, ok = f.g.chooseService(f.auth.route, f.scope().homes); !ok {
 		return unavailable(outcome.KindNoUpstream, "the route has no target service", retryAfterStoreOutage)
 	}
 	return nil
--- a/gateway/homes_test.go
+++ b/gateway/homes_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -219,3 +221,34 @@
 		t.Errorf("%d jobs leave, want 1", len(list))
 	}
 }
+
+// Guards against a stream that resumes, and a request that is repeated, in the regions of a former configuration.
+func TestNewHomesBindRequestsInProgress(t *testing.T) {
+	for path, broken := range map[string]func() (*upstreamcall.Response, error){
+		"/chat/1":  func() (*upstreamcall.Response, error) { return stream(1, 2, false), nil },
+		"/quote/1": func() (*upstreamcall.Response, error) { return nil, mayHaveRun(upstreamcall.Broken) },
+	} {
+		w := newHomesCluster(t, testSettings{Version: 2, RouteHomes: map[string][]string{"chat": {"north"}, "quote": {"north"}}})
+		g := w.start("a")
+		var runs atomic.Int64
+		w.upstreams.script(func(*upstreamcall.Request) (*upstreamcall.Response, error) {
+			if runs.Add(1) > 1 {
+				return nil, nil
+			}
+			w.putConfig(g, testSettings{Version: 3, RouteHomes: map[string][]string{"chat": {"south"}, "quote": {"south"}}})
+			return broken()
+		})
+		r, err := w.request(g, t.Context(), path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Stream != nil {
+			if err := r.Stream(io.Discard, func() {}); err != nil {
+				t.Error(err)
+			}
+		}
+		if former, now := w.sentTo("e1")+w.sentTo("p1"), w.sentTo("e2")+w.sentTo("p2"); former != 1 || now != 1 {
+			t.Errorf("%s: sent %d times in the former region and %d times in the new one, want once in each", path, former, now)
+		}
+	}
+}
--- a/gateway/isolation.go
+++ b/gateway/isolation.go
@@ -47,6 +47,8 @@
 
 // limitTurn describes the request to the queues for limited upstreams.
 func (f *plainRequest) limitTurn() limitTurn {
+	f.g.mu.Lock()
+	defer f.g.mu.Unlock()
 	return limitTurn{
 		request: f.request.ID, scope: f.scope(),
 		item: admission.Item{Workspace: f.auth.workspaceName(), Rank: f.auth.priority(), Deadline: f.latestStart()},
