--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/radishshelf/radishshelf/batch"
+	"github.com/radishshelf/radishshelf/evacuation"
 	"github.com/radishshelf/radishshelf/placement"
 	"github.com/radishshelf/radishshelf/presence"
 	"github.com/radishshelf/radishshelf/retry"
@@ -65,6 +66,9 @@
 	// runs take to their first event, by service.
 	slowPeriods  textmove.SlowPeriods
 	restartTimes map[string]*textmove.RestartTime
+	// evacuations holds the operators' orders for data centres, and evacuationProgress how many hosts apply them.
+	evacuations        evacuation.Orders
+	evacuationProgress evacuation.Progress
 	// limits divides the limits that upstreams name between the hosts.
 	limits *upstreamlimit.Table
 	// limitQueues holds the requests that wait for a share of a limit, by service, and limitWaiters numbers them.
