Let queued texts leave an evacuated data centre by the usual rule

Cause: the merge of moves and evacuations decided about a text in an evacuated data centre by its remaining time alone, which is not known before its first event.

Change: a text that may end there by its remaining time is judged as any other text.

--- a/gateway/move.go
+++ b/gateway/move.go
@@ -137,8 +137,8 @@
 // there. The caller holds g.mu.
 func (s *schedulePass) reserveMove(r movableRun) bool {
 	g := s.g
-	if g.evacuations.Evacuated(r.run.upstream.DataCentre) {
-		return s.reserveEvacuation(r)
+	if g.evacuations.Evacuated(r.run.upstream.DataCentre) && s.reserveEvacuation(r) {
+		return true
 	}
 	req := g.requirementsOf(r.job, r.item)
 	req.Avoid = r.run.upstream.ID
@@ -171,8 +171,7 @@
 // The caller holds g.mu.
 func (s *schedulePass) reserveEvacuation(r movableRun) bool {
 	pace := s.g.healthOf(r.run.upstream.ID).Pace(s.now)
-	endsSoon := pace == 0 || time.Duration(r.item.RemainingEvents())*pace <= maxEvacuatedRun
-	if endsSoon && !r.run.firstEvent.IsZero() {
+	if pace == 0 || time.Duration(r.item.RemainingEvents())*pace <= maxEvacuatedRun {
 		return false
 	}
 	req := s.g.requirementsOf(r.job, r.item)
