Let the soak evacuate data centres and change homes

Cause: the soak knew one region and no evacuation. Change: processes know three regions; two faults evacuate a data centre, or keep batch jobs and non-idempotent requests in one region, for 8 s and longer; from then on, 40 requests out of place are a violation (what excused processes may send).

--- a/standin/soak/checker.go
+++ b/standin/soak/checker.go
@@ -33,6 +33,9 @@
 	// requests that do.
 	noRunsAfter map[string]time.Time
 	lateRuns    map[string]int
+	// dataCentres holds the data centre of each upstream, and places the constraints that are in force.
+	dataCentres map[string]string
+	places      map[*placeRule]bool
 }
 
 // jobView is the state of a job as callers know it.
@@ -55,6 +58,7 @@
 		history: h, runs: map[string]int{}, refused: map[string]bool{}, atMostOnce: map[string]bool{}, sent: map[string]bool{},
 		jobs: map[string]*jobView{}, itemJob: map[string]string{}, reports: map[int64]map[string]int64{},
 		terms: map[string]termHolder{}, noRunsAfter: map[string]time.Time{}, lateRuns: map[string]int{},
+		dataCentres: map[string]string{}, places: map[*placeRule]bool{},
 	}
 }
 
@@ -91,6 +95,7 @@
 				maxRunsAfterLeave, r.Upstream)
 		}
 	}
+	c.checkPlace(r)
 	switch {
 	case r.CredentialLeaked:
 		c.history.recordViolation("upstream %s received a caller credential with request %s", r.Upstream, r.ID)
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -91,6 +91,8 @@
 	}},
 	{"upstream announces in its responses that it leaves", func(s *Soak, r *rand.Rand, d time.Duration) { s.leaveUpstream(r, d) }},
 	{"upstream names a limit in its responses", func(s *Soak, r *rand.Rand, _ time.Duration) { s.limitUpstream(r) }},
+	{"data centre evacuated", func(s *Soak, r *rand.Rand, d time.Duration) { s.evacuate(r, d) }},
+	{"homes changed", func(s *Soak, r *rand.Rand, d time.Duration) { s.restrictHomes(r, d) }},
 	{"store change history dropped", func(s *Soak, _ *rand.Rand, _ time.Duration) { s.store.Compact() }},
 	{"engine crash", func(s *Soak, r *rand.Rand, d time.Duration) {
 		u := s.upstreams.pick(r)
--- a/standin/soak/process.go
+++ b/standin/soak/process.go
@@ -66,8 +66,9 @@
 	return &process{
 		binary: opts.Binary, dir: opts.Dir, store: proxy, log: log, history: h,
 		settings: platformtest.ProcessSettings{
-			Name: name, IP: fmt.Sprintf("127.1.%d.%d", subnet, 10+number), DataCentre: fmt.Sprintf("dc-%d", number%3),
-			Store: proxy.Address(), Duties: dutyAddress, FrontPort: frontPort, ReadyPort: readyPort, FirstPort: firstPort,
+			Name: name, IP: fmt.Sprintf("127.1.%d.%d", subnet, 10+number), DataCentre: dataCentre(number),
+			OtherDataCentres: []string{dataCentre(number + 1), dataCentre(number + 2)},
+			Store:            proxy.Address(), Duties: dutyAddress, FrontPort: frontPort, ReadyPort: readyPort, FirstPort: firstPort,
 		},
 	}, nil
 }
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -28,16 +28,20 @@
 
 // Soak is the state of one run.
 type Soak struct {
-	opts       Options
-	history    *history
-	checker    *checker
-	store      *rows.Store
-	processes  []*process
-	upstreams  upstreamSet
-	version    atomic.Int64
-	served     atomic.Int64
-	background sync.WaitGroup
-	servers    []*http.Server
+	opts      Options
+	history   *history
+	checker   *checker
+	store     *rows.Store
+	processes []*process
+	upstreams upstreamSet
+	version   atomic.Int64
+	// configVersion is the version of the configuration in force. evacuating and restricting are set while a data centre is
+	// evacuated and while routes have homes.
+	configVersion           atomic.Int64
+	evacuating, restricting atomic.Bool
+	served                  atomic.Int64
+	background              sync.WaitGroup
+	servers                 []*http.Server
 	// subnetGuard keeps other runs off the addresses of the processes.
 	subnetGuard net.Listener
 }
@@ -51,6 +55,7 @@
 	h := newHistory()
 	s := &Soak{opts: opts, history: h, checker: newChecker(h), store: rows.New()}
 	s.version.Store(1)
+	s.configVersion.Store(1)
 	defer s.close()
 	if err := s.prepare(); err != nil {
 		return "", err
--- a/standin/soak/upstream.go
+++ b/standin/soak/upstream.go
@@ -111,7 +111,8 @@
 		return u, nil
 	}
 	s.upstreams.list = append(s.upstreams.list, u)
-	go s.writeHeartbeats(u, listener.Addr().String(), fmt.Sprintf("dc-%d", (number+1)%3))
+	s.checker.recordUpstream(id, dataCentre(number+1))
+	go s.writeHeartbeats(u, listener.Addr().String(), dataCentre(number+1))
 	return u, nil
 }
 
