Move a text out of an evacuated data centre only where it may go on, and watch longer in the soak

Cause: a long text of a route with one weight version was moved to an engine of another version, which dropped what it had; the soak's span of 0.5 s to 4 s was too short to see 40 requests out of place. Change: reserveEvacuation asks MayContinue and logs the move; the soak watches for 4 s more.

--- a/gateway/evacuations_test.go
+++ b/gateway/evacuations_test.go
@@ -261,9 +261,10 @@
 	g := w.start("a")
 	w.evacuate("north-1", g)
 	for _, c := range []struct {
-		tokens int
-		moves  bool
-	}{{500, false}, {1500, true}} {
+		tokens  int
+		version int64 // of a text that may have only one; e2 serves version 1
+		moves   bool
+	}{{500, 0, false}, {1500, 0, true}, {1500, 1, true}, {1500, 2, false}} {
 		now := time.Now()
 		g.mu.Lock()
 		for range 40 {
@@ -272,11 +273,14 @@
 			g.healthOf("e2").ObservePace(100*time.Millisecond, now)
 		}
 		spec := batch.Spec{ID: "job", Model: testModel, MinVersion: 1, Items: []batch.Item{{ID: "i", Tokens: 2000, LengthHint: c.tokens}}}
-		job := batch.NewJob(spec, batch.Record{Host: testHost, PathPrefix: "/rollout/", Total: 1}, batch.Limits{Rate: &batch.TokenRate{}})
+		job := batch.NewJob(spec, batch.Record{Host: testHost, PathPrefix: "/rollout/", Total: 1}, batch.Limits{Rate: &batch.TokenRate{}, SingleVersion: true})
+		if c.version > 0 {
+			job.Items()[0].Text.Append(1, "event", c.version)
+		}
 		job.Start(job.Items()[0])
 		u, _ := g.upstreams.Get("e1")
 		if moves := newSchedulePass(g, now).reserveMove(movableRun{job: job, item: job.Items()[0], run: &itemRun{upstream: u, started: now}}); moves != c.moves {
-			t.Errorf("a text of %d tokens moves: %t", c.tokens, moves)
+			t.Errorf("a text of %d tokens and version %d moves: %t", c.tokens, c.version, moves)
 		}
 		g.mu.Unlock()
 	}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -176,6 +176,13 @@
 	}
 	req := s.g.requirementsOf(r.job, r.item)
 	req.Avoid = r.run.upstream.ID
-	_, ok := s.selector(selectorKey{sendScope: s.g.jobScope(&r.job.Record, r.run.upstream.Service), model: r.job.Spec.Model}).Pick(req)
-	return ok
+	selector := s.selector(selectorKey{sendScope: s.g.jobScope(&r.job.Record, r.run.upstream.Service), model: r.job.Spec.Model})
+	other, ok := selector.Alternative(req)
+	if !ok || !r.job.MayContinue(r.item, other.Version) {
+		return false
+	}
+	selector.Pick(req)
+	s.g.opts.Log.Info().Str("job", r.job.Spec.ID).Str("item", r.item.Item.ID).Str("from", r.run.upstream.ID).Str("to", other.ID).
+		Int("remaining_events", r.item.RemainingEvents()).Msg("text leaves an evacuated data centre")
+	return true
 }
--- a/standin/soak/places.go
+++ b/standin/soak/places.go
@@ -15,6 +15,9 @@
 	// placeTimeout is the time from which an evacuation or new homes hold: the platform's 5 s, and what it grants while the
 	// store was away.
 	placeTimeout = 8 * time.Second
+	// placeSpan is how long a constraint is watched at least: several times as long as the load takes to send
+	// maxRunsOutOfPlace requests out of place.
+	placeSpan = 4 * time.Second
 	// maxRunsOutOfPlace bounds the requests that break such a constraint later. They come from processes that the platform
 	// excuses because they were paused, restarted or cut off; the upstreams cannot tell them apart.
 	maxRunsOutOfPlace = 40
@@ -74,7 +77,7 @@
 	evacuated := dataCentre(r.IntN(dataCentres))
 	s.store.Put(platformtest.OperatorTable, "evacuate/"+evacuated, []byte("{}"))
 	remove := s.checker.addPlaceRule("the evacuation of "+evacuated, func(_, dataCentre string) bool { return dataCentre != evacuated })
-	time.Sleep(placeTimeout + d)
+	time.Sleep(placeTimeout + placeSpan + d)
 	remove()
 	s.store.Delete(platformtest.OperatorTable, "evacuate/"+evacuated)
 }
@@ -91,7 +94,7 @@
 		restricted := strings.HasPrefix(path, platformtest.BillPath) || strings.HasPrefix(path, platformtest.RolloutPath)
 		return !restricted || dataCentre == home
 	})
-	time.Sleep(placeTimeout + d)
+	time.Sleep(placeTimeout + placeSpan + d)
 	remove()
 	s.store.Put(platformtest.OperatorTable, "config", platformtest.Config(s.configVersion.Add(1)))
 }
