--- a/standin/soak/endless_test.go
+++ b/standin/soak/endless_test.go
@@ -21,6 +21,12 @@
 // startGateway builds the gateway and starts it as a process beside stand-ins of the platform, with the given memory. The
 // seed selects its address.
 func startGateway(t *testing.T, seed uint64, memoryMB int) (*Soak, *process) {
+	t.Helper()
+	return startLimitedGateway(t, seed, memoryMB, 0)
+}
+
+// startLimitedGateway is like startGateway with a limit on the descriptors of the process; 0 names none.
+func startLimitedGateway(t *testing.T, seed uint64, memoryMB, maxFDs int) (*Soak, *process) {
 	t.Helper()
 	dir := t.TempDir()
 	binary := filepath.Join(dir, "gateway")
@@ -48,7 +54,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p.settings.MemoryMB = memoryMB
+	p.settings.MemoryMB, p.settings.MaxFDs = memoryMB, maxFDs
 	s.processes = append(s.processes, p)
 	if err := p.start(); err != nil {
 		t.Fatal(err)
