Bound connections and heads of a gateway by descriptors and memory

Cause: heads do not count in the memory budget, and connections have no bound: 1,000 unfinished heads of short lines took 548 MiB of a process with 64, and any crowd more sockets than its 400. Change: guards for callers and for readiness, peers and metrics, from limits.max_fds (optional) and limits.memory_mb. The configured max_header_bytes and header_timeout_ms apply. Callers that take no bytes of their answers are closed when answers need memory.

--- a/cmd/radishshelf-gateway/process.go
+++ b/cmd/radishshelf-gateway/process.go
@@ -18,6 +18,7 @@
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
+	"github.com/radishshelf/radishshelf/connguard"
 	"github.com/radishshelf/radishshelf/gateway"
 	"github.com/radishshelf/radishshelf/logging"
 	"github.com/radishshelf/radishshelf/membudget"
@@ -41,11 +42,15 @@
 	// storeDialTimeout and peerDialTimeout allow several round trips between regions.
 	storeDialTimeout = 500 * time.Millisecond
 	peerDialTimeout  = 400 * time.Millisecond
-	// defaultHeaderTimeout and defaultIdleTimeout apply until the configuration is read. They are generous, because
+	// defaultHeaderBytes, defaultHeaderTimeout and defaultIdleTimeout apply until the configuration is read. They are generous, because
 	// callers rely on the configured ones.
+	defaultHeaderBytes   = 64 << 10
 	defaultHeaderTimeout = 10 * time.Second
 	defaultIdleTimeout   = 60 * time.Second
-	maxHeaderBytes       = 64 << 10
+	// maxHeaderBytes and maxHeaderTimeout are the fixed bounds of the server, above any configured limit. The guard applies
+	// those in force.
+	maxHeaderBytes   = 1 << 20
+	maxHeaderTimeout = 60 * time.Second
 	// drainFraction is the fraction of the grace period within which requests in flight may finish, and shutdownFraction
 	// the one within which the process must have exited. The last store calls happen between the two.
 	drainFraction    = 0.85
@@ -65,6 +70,7 @@
 	stores      []*platform.Store
 	duties      *platform.DutyClient
 	memory      *membudget.Budget
+	guards      guards
 	frontServer *http.Server
 	// requestCtx is the parent of the contexts of all requests of callers; endRequests cancels it.
 	requestCtx  context.Context
@@ -92,17 +98,22 @@
 	registry := telemetry.NewRegistry()
 	registry.NewGauge("radishshelf_gateway_log_lines_dropped", func() float64 { return float64(out.Dropped()) })
 	p := &process{settingsPath: path, settings: settings, log: log}
-	p.memory = newMemoryBudget(registry, log, settings.MemoryBytes)
+	p.memory = newMemoryBudget(registry, log, settings.MemoryBytes, func() { p.guards.callers.CloseStalled() })
 	p.gateway = p.newGateway(registry)
+	if p.guards, err = newGuards(registry, log, settings.MemoryBytes, settings.MaxFDs, p.gateway.Limits); err != nil {
+		return err
+	}
 	return p.serve(registry, metricsPort)
 }
 
-// newMemoryBudget returns the limit on the total size of buffered responses and request bodies.
-func newMemoryBudget(registry *telemetry.Registry, log zerolog.Logger, bytes int64) *membudget.Budget {
+// newMemoryBudget returns the limit on the total size of buffered responses and request bodies. closeStalled ends the requests
+// of callers that do not take their responses; it is called whenever the memory does not suffice.
+func newMemoryBudget(registry *telemetry.Registry, log zerolog.Logger, bytes int64, closeStalled func()) *membudget.Budget {
 	shed := registry.NewCounter("radishshelf_gateway_memory_shed_total")
 	memory := membudget.New(int64(bufferFraction*float64(bytes)), func(bytes int64) {
 		shed.Inc()
 		log.Warn().Int64("bytes", bytes).Msg("buffer memory is full; gave up a response or body")
+		closeStalled()
 	})
 	registry.NewGauge("radishshelf_gateway_memory_held_bytes", func() float64 { return float64(memory.Used()) })
 	return memory
@@ -211,32 +222,31 @@
 // listen opens all ports of the process and serves them. Each listener failure is sent to serveErrs.
 func (p *process) listen(registry *telemetry.Registry, metricsPort string, serveErrs chan<- error) error {
 	p.requestCtx, p.endRequests = context.WithCancelCause(context.Background())
-	p.frontServer = &http.Server{
-		BaseContext: func(net.Listener) context.Context { return p.requestCtx },
-		Handler:     platform.NewIngress(p.gateway, p.memory), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
-		MaxHeaderBytes: maxHeaderBytes,
-	}
-	status := telemetry.NewStatusServer(registry, p.gateway.Ready)
-	newServer := func(h http.Handler) *http.Server {
-		return &http.Server{
-			Handler: h, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		}
+	newServer := func(g *connguard.Guard, h http.Handler) *http.Server {
+		return g.Server(&http.Server{
+			Handler: h, ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		})
 	}
+	callers, inner := p.guards.callers, p.guards.inner
+	p.frontServer = newServer(callers, platform.NewIngress(p.gateway, p.memory))
+	p.frontServer.BaseContext = func(net.Listener) context.Context { return p.requestCtx }
+	relay := rowrelay.NewHandler(p.newStore(), p.rows.Relaying)
 	for _, l := range []struct {
 		address string
+		guard   *connguard.Guard
 		server  *http.Server
 	}{
-		{p.settings.FrontAddress, p.frontServer},
-		{p.settings.ReadyAddress, newServer(platform.NewReadyHandler(p.gateway))},
-		{net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.FirstPort)), newServer(rowrelay.NewHandler(p.newStore(), p.rows.Relaying))},
-		{net.JoinHostPort(p.settings.IP, metricsPort), status},
+		{p.settings.FrontAddress, callers, p.frontServer},
+		{p.settings.ReadyAddress, inner, newServer(inner, platform.NewReadyHandler(p.gateway))},
+		{net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.FirstPort)), inner, newServer(inner, relay)},
+		{net.JoinHostPort(p.settings.IP, metricsPort), inner, inner.Server(telemetry.NewStatusServer(registry, p.gateway.Ready))},
 	} {
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
 			return err
 		}
 		go func() {
-			if err := l.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := l.server.Serve(l.guard.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
 				serveErrs <- err
 			}
 		}()
