Close waiting connections of an entry's caller port for new ones

Cause: above max_connections new connections waited in the accept queue, so as many idle callers kept all others out; heads had no common bound. Change: the caller port uses the guard of the gateway in place of a limiting listener. The setting max_connection_bytes bounds connections and heads; its default leaves each of max_connections 32 KiB. Result: TestIdleCallersMakeRoom passes. Before it printed 'Get "http://127.0.0.1:33263/book": context deadline exceeded (Client.Timeout exceeded while awaiting headers)'. Ports with TLS and those of the agent are unchanged.

--- a/cmd/radishshelf-entry/process.go
+++ b/cmd/radishshelf-entry/process.go
@@ -156,9 +156,7 @@
 	l.status = open(s.StatusAddress)
 	l.peer = open(s.PeerAddress)
 	l.operator = open(s.OperatorAddress)
-	if err == nil {
-		l.caller, err = entry.Listen(s)
-	}
+	l.caller = open(s.CallerAddress)
 	if err != nil {
 		l.close()
 	}
--- a/cmd/radishshelf-entry/serve.go
+++ b/cmd/radishshelf-entry/serve.go
@@ -9,10 +9,12 @@
 	"sync"
 	"time"
 
+	"github.com/radishshelf/radishshelf/connguard"
 	"github.com/radishshelf/radishshelf/entry"
 	"github.com/radishshelf/radishshelf/entry/peer"
 	"github.com/radishshelf/radishshelf/fleetauth"
 	"github.com/radishshelf/radishshelf/idempotency"
+	"github.com/radishshelf/radishshelf/logging"
 	"github.com/radishshelf/radishshelf/membership"
 	"github.com/radishshelf/radishshelf/telemetry"
 	"github.com/radishshelf/radishshelf/usage"
@@ -180,6 +182,8 @@
 	http     *http.Server
 	listener net.Listener
 	tls      *tls.Config
+	// guard bounds the connections; may be nil. A port with TLS has none.
+	guard *connguard.Guard
 	// drainFully makes stop wait for the last request without a time limit.
 	drainFully bool
 }
@@ -189,6 +193,9 @@
 	if s.tls != nil {
 		listener = tls.NewListener(listener, s.tls)
 	}
+	if s.guard != nil {
+		listener = s.guard.Listener(listener)
+	}
 	if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
@@ -221,10 +228,23 @@
 	if err != nil {
 		return nil, err
 	}
+	guard := p.newCallerGuard()
 	return []server{
-		{http: entry.NewCallerServer(p.entry, p.settings), listener: p.listeners.caller, drainFully: true},
+		{http: entry.NewCallerServer(p.entry, p.settings, guard), listener: p.listeners.caller, guard: guard, drainFully: true},
 		{http: operator, listener: p.listeners.operator, tls: operatorTLS},
 		{http: peer.NewHTTPServer(service, p.credential, p.tls), listener: p.listeners.peer, tls: p.tls},
 		{http: telemetry.NewStatusServer(p.registry, p.ready), listener: p.listeners.status},
 	}, nil
 }
+
+// newCallerGuard returns the guard of the caller port with its metrics.
+func (p *process) newCallerGuard() *connguard.Guard {
+	closed := p.registry.NewCounter("radishshelf_entry_connections_closed_total")
+	log := p.log.Hook(logging.NewLimiter()) // callers decide how often this happens
+	g := entry.NewCallerGuard(p.settings, func(reason connguard.Reason) {
+		closed.Inc()
+		log.Warn().Str("reason", string(reason)).Msg("connection closed")
+	})
+	p.registry.NewGauge("radishshelf_entry_connections", func() float64 { return float64(g.Count()) })
+	return g
+}
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/radishshelf/radishshelf/connguard"
 	"github.com/radishshelf/radishshelf/dataplane"
 	"github.com/radishshelf/radishshelf/fleetconfig"
 	"github.com/radishshelf/radishshelf/membership"
@@ -162,7 +163,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go e.Run(ctx)
 	server := httptest.NewUnstartedServer(nil)
-	server.Config = NewCallerServer(e, options.Settings)
+	server.Config = NewCallerServer(e, options.Settings, NewCallerGuard(options.Settings, func(connguard.Reason) {}))
 	server.Start()
 	t.Cleanup(func() {
 		server.CloseClientConnections()
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"net"
 	"net/http"
 	"sync"
 
@@ -37,50 +36,3 @@
 	defer l.mu.Unlock()
 	return l.count
 }
-
-// limitedListener limits the open connections of a listener. Further connections wait in the kernel's accept queue.
-type limitedListener struct {
-	net.Listener
-	slots chan struct{}
-	once  sync.Once
-	done  chan struct{}
-}
-
-func newLimitedListener(l net.Listener, limit int) net.Listener {
-	return &limitedListener{Listener: l, slots: make(chan struct{}, limit), done: make(chan struct{})}
-}
-
-// Accept implements net.Listener.
-func (l *limitedListener) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		<-l.slots
-		return nil, err
-	}
-	return &limitedConn{Conn: conn, release: func() { <-l.slots }}, nil
-}
-
-// Close implements net.Listener.
-func (l *limitedListener) Close() error {
-	l.once.Do(func() { close(l.done) })
-	return l.Listener.Close()
-}
-
-// limitedConn frees its slot in the listener when it is closed.
-type limitedConn struct {
-	net.Conn
-	once    sync.Once
-	release func()
-}
-
-// Close implements net.Conn.
-func (c *limitedConn) Close() error {
-	err := c.Conn.Close()
-	c.once.Do(c.release)
-	return err
-}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -41,8 +41,10 @@
 	MaxBodyBytes         int `json:"max_body_bytes,omitempty"`
 	MaxAnswerBufferBytes int `json:"max_answer_buffer_bytes,omitempty"`
 	// MaxRequests limits the requests in progress and MaxConnections the open connections of the caller port.
-	MaxRequests    int `json:"max_requests,omitempty"`
-	MaxConnections int `json:"max_connections,omitempty"`
+	// MaxConnectionBytes limits the memory of these connections and of the heads of their requests.
+	MaxRequests        int `json:"max_requests,omitempty"`
+	MaxConnections     int `json:"max_connections,omitempty"`
+	MaxConnectionBytes int `json:"max_connection_bytes,omitempty"`
 
 	// QueueTokens is the token cost that may be in flight at agents before requests are queued. QueueLength limits the
 	// number of queued requests.
@@ -88,10 +90,12 @@
 	defaultMaxAnswerBufferBytes = 1 << 20
 	defaultMaxRequests          = 4096
 	defaultMaxConnections       = 8192
-	defaultQueueTokens          = 4 << 20
-	defaultQueueLength          = 2048
-	defaultRetryShare           = 0.1
-	defaultMaxAttempts          = 3
+	// defaultMaxConnectionBytes leaves each connection as much again for its head as it takes itself.
+	defaultMaxConnectionBytes = defaultMaxConnections * 32 << 10
+	defaultQueueTokens        = 4 << 20
+	defaultQueueLength        = 2048
+	defaultRetryShare         = 0.1
+	defaultMaxAttempts        = 3
 	// defaultClaimsPerSecond keeps 50 entries under the fleet's 100 claims per second; small fleets may raise it.
 	defaultClaimsPerSecond   = 2
 	defaultMaxGroupSize      = 64
@@ -111,7 +115,7 @@
 		HeaderTimeout: settings.Duration(defaultHeaderTimeout), BodyTimeout: settings.Duration(defaultBodyTimeout),
 		StallTimeout: settings.Duration(defaultStallTimeout), MaxHeaderBytes: defaultMaxHeaderBytes,
 		MaxBodyBytes: defaultMaxBodyBytes, MaxAnswerBufferBytes: defaultMaxAnswerBufferBytes, MaxRequests: defaultMaxRequests,
-		MaxConnections: defaultMaxConnections, QueueTokens: defaultQueueTokens, QueueLength: defaultQueueLength,
+		MaxConnections: defaultMaxConnections, MaxConnectionBytes: defaultMaxConnectionBytes, QueueTokens: defaultQueueTokens, QueueLength: defaultQueueLength,
 		RetryShare: defaultRetryShare, MaxAttempts: defaultMaxAttempts, ClaimsPerSecond: defaultClaimsPerSecond,
 		MaxGroupSize: defaultMaxGroupSize, SampleBufferBytes: defaultSampleBufferBytes,
 		ReadinessDelay:   settings.Duration(defaultReadinessDelay),
@@ -183,7 +187,7 @@
 	}{
 		{"max_header_bytes", int64(s.MaxHeaderBytes)}, {"max_body_bytes", int64(s.MaxBodyBytes)},
 		{"max_answer_buffer_bytes", int64(s.MaxAnswerBufferBytes)}, {"max_requests", int64(s.MaxRequests)},
-		{"max_connections", int64(s.MaxConnections)}, {"queue_tokens", s.QueueTokens},
+		{"max_connections", int64(s.MaxConnections)}, {"max_connection_bytes", int64(s.MaxConnectionBytes)}, {"queue_tokens", s.QueueTokens},
 		{"queue_length", int64(s.QueueLength)}, {"max_attempts", int64(s.MaxAttempts)},
 		{"max_group_size", int64(s.MaxGroupSize)}, {"sample_buffer_bytes", int64(s.SampleBufferBytes)},
 	}
