Give a connection time to show its request before it is closed

Cause: with one processor connections are accepted faster than they are read, so a burst displaced ordinary ones whose requests had arrived. Change: a new connection waits until the one that is closed for it is 20 ms old. The time is short because new connections wait for it.

--- a/connguard/guard.go
+++ b/connguard/guard.go
@@ -90,12 +90,18 @@
 	g.closeAll(victims, ReasonStalled)
 }
 
-// open adds a connection after the closed ones have released enough. It returns nil for one that was refused.
+// open adds a connection once the closed ones have released enough, and the one to be closed next has had time to show a
+// request. Meanwhile new connections wait in the queue of the system. It returns nil for one that was refused.
 func (g *Guard) open(inner net.Conn) *conn {
 	g.mu.Lock()
 	for g.table.Ending() > g.maxEnding {
 		g.ended.Wait()
 	}
+	if delay := g.table.Delay(time.Now()); delay > 0 {
+		g.mu.Unlock()
+		time.Sleep(delay)
+		g.mu.Lock()
+	}
 	g.lastID++
 	c := &conn{Conn: inner, guard: g, id: g.lastID}
 	g.conns[c.id] = c
--- a/connguard/guard_test.go
+++ b/connguard/guard_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -30,8 +31,7 @@
 	reasons []Reason
 }
 
-func startServer(t *testing.T, limits connlimit.Limits, heads Heads) *server {
-	t.Helper()
+func prepareServer(limits connlimit.Limits, heads Heads) *server {
 	s := &server{release: make(chan struct{}), held: make(chan struct{}, 100)}
 	s.guard = New(Options{Limits: limits, Heads: func() Heads { return heads }, OnClose: func(reason Reason) {
 		s.mu.Lock()
@@ -50,6 +50,12 @@
 			}
 			fmt.Fprintf(w, "%s %s", r.URL.Path, body)
 		})})
+	return s
+}
+
+func startServer(t *testing.T, limits connlimit.Limits, heads Heads) *server {
+	t.Helper()
+	s := prepareServer(limits, heads)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -234,3 +240,32 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a burst of connections that displaces an ordinary one whose request has arrived, but was not read yet. The
+// process has one processor, as a small host has, so that connections are accepted faster than they are read.
+func TestBurstLeavesTimeToReadRequests(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	s := prepareServer(connlimit.Limits{Connections: 4, Bytes: 1 << 20}, Heads{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.address = listener.Addr().String()
+	var ordinary []*client
+	for range 5 {
+		for range 10 {
+			s.dial(t)
+		}
+		c := s.dial(t)
+		c.send(t, get("/ordinary"))
+		ordinary = append(ordinary, c)
+	}
+	for range 10 {
+		s.dial(t)
+	}
+	go func() { _ = s.Serve(s.guard.Listener(listener)) }() // returns when the server is closed
+	t.Cleanup(func() { s.Close() })
+	for _, c := range ordinary {
+		c.wantAnswer(t, http.StatusOK, "/ordinary ")
+	}
+}
--- a/connlimit/session_test.go
+++ b/connlimit/session_test.go
@@ -52,6 +52,8 @@
 		s.table.Done(s.id(args), s.now)
 	case "close":
 		s.table.Close(s.id(args))
+	case "delay":
+		return []string{s.table.Delay(s.now).String()}
 	case "stalled":
 		return s.closed(s.table.Stalled(s.now))
 	default:
--- a/connlimit/table.go
+++ b/connlimit/table.go
@@ -16,6 +16,10 @@
 	// stallTime is how long a caller may take no bytes of its answer before its connection may be closed for another one. It
 	// exceeds the usual pauses of a link, such as the repetition of lost packets.
 	stallTime = 5 * time.Second
+	// readTime is the time that a connection has to show its request before it is closed for a new one. The first bytes follow
+	// the opening of a connection at once; a busy process with one processor needs some milliseconds to read them. It is
+	// short, because new connections wait for it.
+	readTime = 20 * time.Millisecond
 )
 
 // Limits are the bounds on all connections of a table together.
