Let the server read from a connection before it is closed for a new one

Cause: with a busy processor a connection could be 20 ms old and not have been read at all, so its request went unseen. Change: a new connection waits until the server has begun to read from the one that is closed for it; the 20 ms count from then.

--- a/connguard/conn.go
+++ b/connguard/conn.go
@@ -35,6 +35,8 @@
 	guard *Guard
 	id    connlimit.ID
 	close sync.Once
+	// read is set by the first Read, which the server's other reads follow.
+	read bool
 
 	mu sync.Mutex
 	// busy is set from the end of a head until its request is answered. headBytes counts the bytes of the head, and limits are
@@ -49,6 +51,10 @@
 // Read implements net.Conn. Bytes of a head are counted before the server gets them. io.EOF makes the server close the
 // connection without an answer of its own.
 func (c *conn) Read(p []byte) (int, error) {
+	if !c.read {
+		c.read = true
+		c.guard.update(func(t *connlimit.Table) { t.Read(c.id, time.Now()) })
+	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		counted, tooLarge := c.count(n)
--- a/connguard/guard.go
+++ b/connguard/guard.go
@@ -97,7 +97,7 @@
 	for g.table.Ending() > g.maxEnding {
 		g.ended.Wait()
 	}
-	if delay := g.table.Delay(time.Now()); delay > 0 {
+	for delay := g.table.Delay(time.Now()); delay > 0; delay = g.table.Delay(time.Now()) {
 		g.mu.Unlock()
 		time.Sleep(delay)
 		g.mu.Lock()
--- a/connlimit/session_test.go
+++ b/connlimit/session_test.go
@@ -40,6 +40,8 @@
 		return s.closed(s.table.Open(s.id(args), s.now))
 	case "head":
 		return s.closed(s.table.Head(s.id(args), s.number(args[1]), s.number(args[2]), s.now))
+	case "read":
+		s.table.Read(s.id(args), s.now)
 	case "serve":
 		s.table.Serve(s.id(args))
 	case "receive":
--- a/connlimit/table.go
+++ b/connlimit/table.go
@@ -16,10 +16,13 @@
 	// stallTime is how long a caller may take no bytes of its answer before its connection may be closed for another one. It
 	// exceeds the usual pauses of a link, such as the repetition of lost packets.
 	stallTime = 5 * time.Second
-	// readTime is the time that a connection has to show its request before it is closed for a new one. The first bytes follow
-	// the opening of a connection at once; a busy process with one processor needs some milliseconds to read them. It is
-	// short, because new connections wait for it.
+	// readTime is the time from the first attempt to read in which a connection has to show its request before it is closed for
+	// a new one. The first bytes of a caller follow the opening of its connection at once; a busy caller or a forwarder
+	// needs some milliseconds more. It is short, because new connections wait for it.
 	readTime = 20 * time.Millisecond
+	// unreadDelay is how long a new connection waits before it looks again whether the server has begun to read the one
+	// to be closed, which takes as long as the processor is busy.
+	unreadDelay = time.Millisecond
 )
 
 // Limits are the bounds on all connections of a table together.
@@ -51,9 +54,11 @@
 	bytes  int64
 	proven bool
 	ending bool
-	since  time.Time
-	in     *list.List
-	at     *list.Element
+	// read is set once the server has begun to read from the connection.
+	read  bool
+	since time.Time
+	in    *list.List
+	at    *list.Element
 }
 
 // New returns an empty table.
@@ -71,6 +76,13 @@
 	return t.close(now)
 }
 
+// Read records that the server has begun to read from the connection.
+func (t *Table) Read(id ID, now time.Time) {
+	if c := t.conns[id]; c != nil && !c.read {
+		c.read, c.since = true, now
+	}
+}
+
 // Head adds bytes and lines of a request head before it is parsed. It returns the connections to be closed, which may
 // include this one.
 func (t *Table) Head(id ID, bytes, lines int, now time.Time) []ID {
--- a/connlimit/victim.go
+++ b/connlimit/victim.go
@@ -45,16 +45,21 @@
 	return first(&t.fresh)
 }
 
-// Delay returns how long the next connection has to wait before Open: until the connection that is closed for it has had
-// readTime. It is 0 if there is room, or if no connection may be closed.
+// Delay returns how long the next connection has to wait before it asks again: until the connection that is closed for it has
+// had readTime. It is 0 if there is room, or if no connection may be closed.
 func (t *Table) Delay(now time.Time) time.Duration {
 	if t.open < t.limits.Connections {
 		return 0
 	}
-	if c := t.leastUseful(now); c != nil {
+	c := t.leastUseful(now)
+	switch {
+	case c == nil:
+		return 0
+	case !c.read:
+		return unreadDelay
+	default:
 		return max(0, readTime-now.Sub(c.since))
 	}
-	return 0
 }
 
 // largest returns the connection that holds the most memory among those that may be closed, the longest waiting one of
