Test a crowd at the ports of readiness, peers and metrics

Cause: the same clients can reach these ports, and no test has a crowd there. Change: the crowd of unfinished heads, spread over the three ports; crowd and bounds are those of the other tests.

--- a/standin/soak/crowd_test.go
+++ b/standin/soak/crowd_test.go
@@ -155,14 +155,14 @@
 	conns []net.Conn
 }
 
-// startCrowd connects crowdSize clients and returns when each has sent all that it sends or was disconnected.
-func startCrowd(t *testing.T, address string, send misbehaviour) *crowd {
+// startCrowd connects crowdSize clients to addresses in turn and returns when each has sent all that it sends or was disconnected.
+func startCrowd(t *testing.T, addresses []string, send misbehaviour) *crowd {
 	t.Helper()
 	c := &crowd{}
 	var clients sync.WaitGroup
 	for n := range crowdSize {
 		clients.Go(func() {
-			conn, err := net.DialTimeout("tcp", address, writeTimeout)
+			conn, err := net.DialTimeout("tcp", addresses[n%len(addresses)], writeTimeout)
 			if err != nil {
 				return // refused, as the tests allow
 			}
--- a/standin/soak/hostile_test.go
+++ b/standin/soak/hostile_test.go
@@ -21,6 +21,7 @@
 	crowdMemoryMB = 64
 	crowdMaxFDs   = 600
 	fileFDs       = 200
+	metricsPort   = "9464"
 	// ordinaryTimeout bounds the ordinary request after a crowd; it only ends a test whose process hangs.
 	ordinaryTimeout = 20 * time.Second
 	// ordinaryRetry is the time after which the ordinary client repeats a refused request.
@@ -107,7 +108,17 @@
 	testCrowd(t, 9819, sendLongChunkExtensions)
 }
 
+// The ports of readiness, peers and metrics are reachable by the same clients.
+func TestHostileClientsAtTheInnerPorts(t *testing.T) {
+	testCrowdAt(t, 9820, []string{fmt.Sprint(readyPort), fmt.Sprint(firstPort), metricsPort}, sendUnfinishedShortLines)
+}
+
 func testCrowd(t *testing.T, seed uint64, send misbehaviour) {
+	testCrowdAt(t, seed, []string{fmt.Sprint(frontPort)}, send)
+}
+
+// testCrowdAt tests a process beside a crowd whose clients are spread over ports.
+func testCrowdAt(t *testing.T, seed uint64, ports []string, send misbehaviour) {
 	s, p := startLimitedGateway(t, seed, crowdMemoryMB, crowdMaxFDs)
 	s.store.Put(platformtest.OperatorTable, "config", crowdConfig())
 	for _, id := range []string{"desk-0", "desk-1"} {
@@ -124,7 +135,11 @@
 		}
 	}
 	stopWatch := p.watchSockets()
-	c := startCrowd(t, p.address(), send)
+	var addresses []string
+	for _, port := range ports {
+		addresses = append(addresses, net.JoinHostPort(p.settings.IP, port))
+	}
+	c := startCrowd(t, addresses, send)
 	defer c.close()
 	checkOrdinary(t, s, p)
 	most := stopWatch()
@@ -156,7 +171,7 @@
 	if reply.Status != http.StatusOK || string(reply.Body) != platformtest.PlainBody("ordinary", "x") {
 		t.Errorf("an ordinary request got status %d, body %q", reply.Status, reply.Body)
 	}
-	for port, path := range map[string]string{fmt.Sprint(readyPort): "/-/readyz", "9464": "/metrics"} {
+	for port, path := range map[string]string{fmt.Sprint(readyPort): "/-/readyz", metricsPort: "/metrics"} {
 		if reply := caller.Do(http.MethodGet, net.JoinHostPort(p.settings.IP, port), path, "", nil); reply.Status != http.StatusOK {
 			t.Errorf("%s got status %d", path, reply.Status)
 		}
