Keep estimates of text lengths below the limits of their items

Such estimates lowered the number of texts of the step that run at once, reserved memory of engines that no text can use, and distorted the learned tokens per event, as the text ended at its limit.

Change: what is expected of an item, or still remains, is at most its limit.

The tests printed before: 9000 tokens expected of an item that may generate 2000; 74 items run at once, 45 with estimates above the limit of the items.

--- /dev/null
+++ b/batch/estimate_test.go
@@ -0,0 +1,50 @@
+package batch
+
+import "testing"
+
+// Guards against estimates above what an item may generate: they hold back the other items of the step, and reserve
+// memory of engines that the text can never use.
+func TestEstimateStaysBelowLimitOfItem(t *testing.T) {
+	item := Item{ID: "a", Tokens: 2200, PromptTokens: 200, LengthHint: 9000}
+	if got := item.ExpectedTokens(); got != 2000 {
+		t.Errorf("%d tokens expected of an item that may generate 2000", got)
+	}
+	item.LengthHint = 1500
+	if got := item.ExpectedTokens(); got != 1500 {
+		t.Errorf("%d tokens expected, the trainer says 1500", got)
+	}
+	if got := (&Item{LengthHint: 1500}).ExpectedTokens(); got != 1500 {
+		t.Errorf("%d tokens expected without a limit, the trainer says 1500", got)
+	}
+	j := NewJob(Spec{Items: []Item{{ID: "a", Tokens: 2200, PromptTokens: 200, LengthHint: 500}}}, Record{}, Limits{Rate: &TokenRate{}})
+	p := j.Items()[0]
+	j.Start(p)
+	for event := 1; event <= 36; event++ {
+		p.Text.Append(event, "x", 1)
+		if done, left := p.rate.Tokens(event), p.RemainingTokens(); done+left > 2000 {
+			t.Fatalf("after %d tokens, %d more are expected of an item that may generate 2000", done, left)
+		}
+	}
+	j.ApplyCarryover(map[string]TextSummary{"a": {Events: 39}})
+	if got := p.expectedTokens(); got != 2000 {
+		t.Errorf("%d tokens expected of a text that was cut after 39 events, the item allows 2000", got)
+	}
+}
+
+// Guards against a step that starts its texts one after the other because the estimates of a few are beyond all limits.
+func TestEstimatesBeyondTheLimitHoldNothingBack(t *testing.T) {
+	concurrency := func(longest int) int {
+		var spec Spec
+		for i := range 160 {
+			hint := 600
+			if i%8 == 0 {
+				hint = longest
+			}
+			spec.Items = append(spec.Items, Item{ID: string(rune('a' + i)), Tokens: 5200, PromptTokens: 200, LengthHint: hint})
+		}
+		return NewJob(spec, Record{}, Limits{Rate: &TokenRate{}}).Concurrency()
+	}
+	if right, wrong := concurrency(5000), concurrency(40_000); wrong != right {
+		t.Errorf("%d items run at once, %d with estimates above the limit of the items", right, wrong)
+	}
+}
--- a/batch/progress.go
+++ b/batch/progress.go
@@ -26,10 +26,14 @@
 }
 
 // RemainingTokens estimates the output tokens that are still to be generated. A text that has exceeded its estimate is
-// probably one of the few long ones, so the estimate then grows with its length.
+// probably one of the few long ones, so the estimate then grows with its length, up to the limit of the item.
 func (p *Progress) RemainingTokens() int {
 	done := p.rate.Tokens(p.Text.LastEventID())
-	return max(p.expectedTokens()-done, done/2, 1)
+	remaining := max(p.expectedTokens()-done, done/2)
+	if limit := p.Item.outputLimit(); limit > 0 {
+		remaining = min(remaining, limit-done)
+	}
+	return max(remaining, 1)
 }
 
 // RemainingEvents estimates the events that are still to be generated.
@@ -42,7 +46,7 @@
 // OverLimit reports whether the text is longer than its item allows, given that an event holds at least one token. Such
 // a text would never end.
 func (p *Progress) OverLimit() bool {
-	limit := p.Item.Tokens - p.Item.PromptTokens
+	limit := p.Item.outputLimit()
 	return limit > 0 && (p.Text.LastEventID() > limit || p.Text.bytes > limit*maxTokenBytes)
 }
 
@@ -55,5 +59,9 @@
 	if p.priorText.Complete {
 		return priorTokens
 	}
-	return max(p.Item.ExpectedTokens(), priorTokens+priorTokens/2)
+	expected := max(p.Item.ExpectedTokens(), priorTokens+priorTokens/2)
+	if limit := p.Item.outputLimit(); limit > 0 {
+		expected = min(expected, limit)
+	}
+	return expected
 }
--- a/batch/spec.go
+++ b/batch/spec.go
@@ -30,14 +30,19 @@
 	Score *ScoreCall `json:"score,omitempty"`
 }
 
-// ExpectedTokens is the best estimate of the output length. It is used for ordering only.
+// ExpectedTokens is the best estimate of the output length: the trainer's, unless it is above the limit of the item.
 func (i *Item) ExpectedTokens() int {
-	if i.LengthHint > 0 {
+	limit := i.outputLimit()
+	if i.LengthHint > 0 && (limit == 0 || i.LengthHint < limit) {
 		return i.LengthHint
 	}
-	return i.Tokens
+	return limit
 }
 
+// outputLimit returns the maximum number of output tokens, with the prompt included if its length is unknown; 0 if the
+// item names no limit.
+func (i *Item) outputLimit() int { return max(i.Tokens-i.PromptTokens, 0) }
+
 // ScoreCall is the request that scores the text of an item. It must be safe to repeat.
 type ScoreCall struct {
 	ID   string `json:"id"`
--- a/gateway/run_item.go
+++ b/gateway/run_item.go
@@ -201,7 +201,9 @@
 		log = log.Dur("first_event_ms", run.firstEvent.Sub(run.started))
 	}
 	if failure == nil {
-		g.tokenRateOf(o.job.Spec.Model).Learn(p.Item.LengthHint, p.Text.LastEventID())
+		if p.Item.LengthHint > 0 {
+			g.tokenRateOf(o.job.Spec.Model).Learn(p.Item.ExpectedTokens(), p.Text.LastEventID())
+		}
 		o.job.TextComplete(p, now)
 		log.Ints64("versions", p.Text.Versions).Bool("fits", p.Phase == batch.Scoring || p.Phase == batch.Finished).
 			Msg("text complete")
