--- a/serving/service.go
+++ b/serving/service.go
@@ -1,5 +1,7 @@
 package serving
 
+import "time"
+
 // Service is a group of interchangeable upstreams.
 type Service struct {
 	Name       string
@@ -11,6 +13,8 @@
 	// ColdRequests is how many requests a second one upstream takes from all hosts together while it is cold; 0 means that
 	// cold upstreams take as many as others.
 	ColdRequests float64
+	// ColdTime is how long an upstream is cold after its start.
+	ColdTime time.Duration
 	// Scaling limits how many upstreams may be ordered. It is nil if the platform does not scale the service.
 	Scaling *Scaling
 }
