Share the bound of a cold upstream between the hosts

Change: upstreamlimit shares the bound of a cold upstream beside the limits that upstreams name, the lower one in force. The hosts divide it by their demand for the service, which heartbeats carry before anything is cold; few hosts have places at each upstream, by a weighted draw. A host that has just started, or whose heartbeats have not come back for 2 s, has no share or a place apart. An upstream that could not be reached counts as cold until it responds; hosts tell each other of that. After the cold time the bound rises for a second. Without the bound, TestSumOverHostsStaysWithinTheBoundOfAColdUpstream prints "18 requests in the second before 7.35s, want at most 17.9"; without the presumption "9 requests in the second before 6.8s, want at most 8.6". Without the announcement, TestNoPathSendsBeyondTheBoundOfAColdUpstream prints "4 requests to p1, which may get none".

--- a/cmd/radishshelf-gateway/process.go
+++ b/cmd/radishshelf-gateway/process.go
@@ -156,7 +156,7 @@
 	g = gateway.New(gateway.Options{
 		Host: s.Name, Incarnation: uuid.NewString(), DataCentre: s.DataCentre, RegionOf: s.RegionOf,
 		PeerAddress: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), MaxRowBytes: s.StoreRowBytes,
-		CPUShare:  s.CPUShare,
+		CPUShare: s.CPUShare, ColdOverrun: s.Bounds.ColdOverrun, ColdSlack: s.Bounds.ColdSlack,
 		UsageDuty: s.HasUsageDuty(), ScaleDuty: s.HasScaleDuty(),
 		Timing: newTiming(s.Bounds), Rows: p.rows, Codec: platform.Codec{}, Memory: p.memory, Log: p.log,
 		Suspects: ledgerConfig(s.HeartbeatInterval),
--- a/gateway/announcement.go
+++ b/gateway/announcement.go
@@ -16,6 +16,8 @@
 		g.markLeaving(u)
 	}
 	g.hearLimit(u, a)
+	g.limits.ObserveResponse(u, time.Now())
+	g.observeCold(u, a.ColdFor)
 }
 
 // markLeaving marks an upstream as leaving because it announced this in a response, which may come before its registry
--- a/gateway/broken_run.go
+++ b/gateway/broken_run.go
@@ -89,7 +89,10 @@
 func (g *Gateway) detectUpstreamEnd(u upstreams.Entry, failure *upstreamcall.Failure) {
 	switch {
 	case failure == nil:
+	case failure.Reason == upstreamcall.Unreachable:
+		g.observeUnreachable(u)
 	case failure.Reason == upstreamcall.NoListener:
+		g.observeUnreachable(u)
 		g.recordUpstreamEnd(u, "no listener")
 	case failure.Reason == upstreamcall.Misdirected:
 		g.recordUpstreamEnd(u, "address in use by another")
--- a/gateway/duty_work.go
+++ b/gateway/duty_work.go
@@ -103,12 +103,11 @@
 
 // plannerView returns the upstreams of a service as input for the planner. The caller holds g.mu and w.mu.
 func (w *dutyWork) plannerView(service string) []versionplan.Upstream {
-	now := time.Now()
 	var list []versionplan.Upstream
 	for _, e := range w.g.upstreams.Ready(service) {
 		peerRequests, _ := w.g.loadOfPeers(e.ID)
 		list = append(list, versionplan.Upstream{
-			ID: e.ID, DataCentre: e.DataCentre, Usable: !w.g.healthOf(e.ID).Suspect(), Limited: w.g.limits.Limited(e, now), Orders: w.acceptedOrders[e.Incarnation()],
+			ID: e.ID, DataCentre: e.DataCentre, Usable: !w.g.healthOf(e.ID).Suspect(), Limited: w.g.limits.NamesLimit(e), Orders: w.acceptedOrders[e.Incarnation()],
 			Versions: e.Versions, Running: w.g.inFlight[e.ID] + peerRequests,
 		})
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,8 +40,10 @@
 	heartbeatStoredAt              time.Time
 	// heartbeatRowVersion is the row version of the last stored heartbeat.
 	heartbeatRowVersion int64
-	jobs                map[string]*jobEntry
-	jobsLoaded          bool
+	// heartbeatTimes holds when each heartbeat was written that the watch has not returned yet, by sequence number.
+	heartbeatTimes map[int64]time.Time
+	jobs           map[string]*jobEntry
+	jobsLoaded     bool
 	// lastJobWatchResponse is when the watch of the jobs last got a response. startsPaused is set while that is too
 	// long ago for items to be started.
 	lastJobWatchResponse time.Time
@@ -102,7 +104,7 @@
 	g := &Gateway{
 		opts: opts, latestVersions: map[string]int64{}, upstreams: upstreams.NewView(), peers: presence.NewView(peerTimeout),
 		jobs: map[string]*jobEntry{}, health: map[string]*upstreamhealth.Health{}, fastestPaces: map[string]cachedPace{}, inFlight: map[string]int{},
-		connections:    map[string]connectionState{},
+		connections: map[string]connectionState{}, heartbeatTimes: map[int64]time.Time{},
 		engineMemories: map[string]*placement.EngineMemory[upstreams.Incarnation]{}, tokenRates: map[string]*batch.TokenRate{},
 		peerLoad: peerLoadSums{requests: map[string]int{}, tokens: map[string]int{}}, hedges: retry.NewBudget(retry.DefaultBudgetConfig(), time.Now()),
 		suspects: newSuspects(opts.Suspects), usage: usageCounts{}, probes: map[string]*probe{}, limitQueues: map[string]*limitQueue{},
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -36,7 +36,9 @@
 	if g.config != nil {
 		heartbeat.ConfigVersion = g.config.Version
 	}
-	heartbeat.Limits = g.limitsReport(time.Now())
+	now := time.Now()
+	heartbeat.Limits = g.limitsReport(now)
+	g.recordHeartbeatTime(sequence, now)
 	g.mu.Unlock()
 	maps.DeleteFunc(heartbeat.Load, func(_ string, n int) bool { return n == 0 })
 	value, err := json.Marshal(heartbeat)
@@ -57,6 +59,23 @@
 	g.mu.Unlock()
 }
 
+// maxHeartbeatTimes bounds how many heartbeats are awaited from the watch; more are lost in an outage of the store.
+const maxHeartbeatTimes = 64
+
+// recordHeartbeatTime notes when a heartbeat was written. The caller holds g.mu.
+func (g *Gateway) recordHeartbeatTime(sequence int64, now time.Time) {
+	g.heartbeatTimes[sequence] = now
+	delete(g.heartbeatTimes, sequence-maxHeartbeatTimes)
+}
+
+// takeHeartbeatTime returns when a heartbeat was written that the watch has returned; zero if that is not known. The caller
+// holds g.mu.
+func (g *Gateway) takeHeartbeatTime(sequence int64) time.Time {
+	at := g.heartbeatTimes[sequence]
+	maps.DeleteFunc(g.heartbeatTimes, func(s int64, _ time.Time) bool { return s <= sequence })
+	return at
+}
+
 // isPeerViewCurrent reports whether the silence of other processes can be judged: only while this process's own
 // heartbeats make the round trip through the store and the watch. The caller holds g.mu.
 func (g *Gateway) isPeerViewCurrent(now time.Time) bool {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -26,6 +26,8 @@
 	// limitChanges counts limits of upstreams that were named, changed or lifted, and invalidLimits those that are no
 	// positive number.
 	limitChanges, invalidLimits *metrics.Counter
+	// upstreamsCold counts upstreams that became cold.
+	upstreamsCold *metrics.Counter
 	// limitRefusals counts requests and calls that found no room within the limits of upstreams, and limitWait measures
 	// how long the others waited for it.
 	limitRefusals *metrics.Counter
@@ -92,6 +94,11 @@
 		defer g.mu.Unlock()
 		return float64(g.limits.Len())
 	})
+	r.NewGauge("radishshelf_gateway_cold_upstreams", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(g.limits.Cold(time.Now()))
+	})
 	for phase, name := range map[batch.Phase]string{
 		batch.Waiting: "waiting", batch.Running: "running", batch.Scoring: "scoring", batch.Finished: "finished",
 	} {
@@ -109,6 +116,7 @@
 		endChecks:        r.NewCounter("radishshelf_gateway_end_checks_total"),
 		suspectEnds:      r.NewCounter("radishshelf_gateway_suspect_ends_total"),
 		upstreamsLeaving: r.NewCounter("radishshelf_gateway_upstreams_leaving_total"),
+		upstreamsCold:    r.NewCounter("radishshelf_gateway_upstreams_cold_total"),
 		limitChanges:     r.NewCounter("radishshelf_gateway_limit_changes_total"),
 		invalidLimits:    r.NewCounter("radishshelf_gateway_invalid_limits_total"),
 		limitRefusals:    r.NewCounter("radishshelf_gateway_limit_refusals_total"),
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -29,6 +29,9 @@
 	// PeerAddress is the host:port at which peers reach this process.
 	PeerAddress string
 	Timing      Timing
+	// ColdOverrun and ColdSlack say how far the requests to a cold upstream may exceed what it takes, within a second: they
+	// may be ColdOverrun times as many and ColdSlack more. An overrun below 1 counts as 1.
+	ColdOverrun, ColdSlack float64
 	// CPUShare is the share of the CPU that the process gets, in cores.
 	CPUShare float64
 	// MaxRowBytes limits the size of the value of one row.
--- a/gateway/schedule_pass.go
+++ b/gateway/schedule_pass.go
@@ -100,6 +100,7 @@
 
 // wantEngines counts a text that starts as demand for the engines that could make it.
 func (s *schedulePass) wantEngines(key placementKey) {
+	s.g.limits.WantService(key.service, true, s.now)
 	if s.g.limits.Len() == 0 {
 		return
 	}
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -115,6 +115,9 @@
 			})
 		}
 		g.upstreams.Replace(list, time.Now())
+		for _, e := range list {
+			g.observeCold(e, e.ColdFor)
+		}
 		g.upstreamsLoaded = true
 	}
 	return w
@@ -141,6 +144,7 @@
 	}
 	old, known := g.upstreams.Get(e.ID)
 	g.upstreams.Put(e)
+	g.observeCold(e, e.ColdFor)
 	e, _ = g.upstreams.Get(e.ID) // an upstream that announced that it leaves does so whatever its entry states
 	if known && old.Born != e.Born {
 		delete(g.health, e.ID) // a new incarnation starts without a health history
--- a/gateway/upstream_limit_test.go
+++ b/gateway/upstream_limit_test.go
@@ -88,6 +88,27 @@
 // Guards against a path to the upstreams that ignores limits. Each path has one upstream that may get nothing, beside one
 // that makes the path send again.
 func TestNoPathSendsBeyondALimit(t *testing.T) {
+	checkEveryPath(t, func(w *testCluster, g *Gateway, id, _ string) {
+		w.upstreams.setLimit(id, closedLimit)
+		announceLimit(g, id, closedLimit)
+	})
+}
+
+// Guards against a path to the upstreams that ignores that an upstream is cold.
+func TestNoPathSendsBeyondTheBoundOfAColdUpstream(t *testing.T) {
+	checkEveryPath(t, func(_ *testCluster, g *Gateway, id, service string) { announceCold(g, id, service, closedLimit) })
+}
+
+// announceCold tells a gateway that an upstream is cold, and sets what the cold upstreams of its service take.
+func announceCold(g *Gateway, id, service string, perSecond float64) {
+	g.mu.Lock()
+	g.config.Services[service].ColdRequests = perSecond
+	g.mu.Unlock()
+	g.UpstreamAnnounced(upstreams.Entry{ID: id, Service: service}, upstreamcall.Announcement{ColdFor: time.Minute})
+}
+
+// checkEveryPath fails the test if a path sends to an upstream that may get nothing because of what closeUpstream does.
+func checkEveryPath(t *testing.T, closeUpstream func(w *testCluster, g *Gateway, id, service string)) {
 	broken := func(*upstreamcall.Request) (*upstreamcall.Response, error) {
 		return nil, mayHaveRun(upstreamcall.Broken)
 	}
@@ -139,18 +160,14 @@
 			w := newTestCluster(t)
 			w.addUpstream("p2", plainService, 8, nil)
 			w.addUpstream("e2", engineService, 8, map[string]int64{testModel: 1})
-			for _, id := range []string{"p1", "e1"} {
-				w.upstreams.setLimit(id, closedLimit)
-			}
 			g := w.start("a")
 			w.eventually("the host knows all upstreams", func() bool {
 				g.mu.Lock()
 				defer g.mu.Unlock()
 				return len(g.upstreams.Ready(plainService)) == 2 && len(g.upstreams.Ready(engineService)) == 2
 			})
-			for _, id := range []string{"p1", "e1"} {
-				announceLimit(g, id, closedLimit)
-			}
+			closeUpstream(w, g, "p1", plainService)
+			closeUpstream(w, g, "e1", engineService)
 			w.upstreams.script(c.respond)
 			if c.hangs {
 				w.upstreams.hangs = func(*upstreamcall.Request) bool { return true }
--- a/upstreamlimit/demand.go
+++ b/upstreamlimit/demand.go
@@ -1,6 +1,7 @@
 package upstreamlimit
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -10,8 +11,13 @@
 	// weight is the weighted number of requests as of updated.
 	weight  float64
 	updated time.Time
+	// span is the time constant; 0 means demandTime.
+	span time.Duration
 }
 
+// seconds returns the time constant in seconds.
+func (m *meter) seconds() float64 { return cmp.Or(m.span, demandTime).Seconds() }
+
 func (m *meter) add(n float64, now time.Time) {
 	m.decay(now)
 	m.weight += n
@@ -19,14 +25,14 @@
 
 func (m *meter) decay(now time.Time) {
 	if elapsed := now.Sub(m.updated); elapsed > 0 {
-		m.weight *= math.Exp(-elapsed.Seconds() / demandTime.Seconds())
+		m.weight *= math.Exp(-elapsed.Seconds() / m.seconds())
 		m.updated = now
 	}
 }
 
 func (m *meter) perSecond(now time.Time) float64 {
 	m.decay(now)
-	return m.weight / demandTime.Seconds()
+	return m.weight / m.seconds()
 }
 
 // Demand is how many requests a second a host wants to send to an upstream.
@@ -43,7 +49,7 @@
 	return d.Callers >= 0 && d.Background >= 0 && !math.IsInf(d.total(), 0)
 }
 
-// demand holds the demand of a host by upstream.
+// demand holds the demand of a host by upstream, or by service.
 type demand map[string]Demand
 
 // peerDemand is the demand that another host reported in the latest heartbeat of one start.
@@ -51,4 +57,5 @@
 	incarnation string
 	sequence    int64
 	demand      demand
+	services    demand
 }
--- a/upstreamlimit/report.go
+++ b/upstreamlimit/report.go
@@ -15,6 +15,8 @@
 	Limits []Claim `json:"limits,omitempty"`
 	// Demand is the demand of the host, by upstream with a limit.
 	Demand map[string]Demand `json:"demand,omitempty"`
+	// Services is the demand of the host for each service whose cold upstreams have a bound.
+	Services map[string]Demand `json:"services,omitempty"`
 }
 
 // Claim is a limit that a host has heard or has been told.
@@ -25,7 +27,12 @@
 	// Limit is in requests a second; 0 after the upstream has ceased to name one.
 	Limit float64 `json:"limit"`
 	// HeardAt is the time of the statement by the store's clock, in milliseconds.
-	HeardAt int64 `json:"heard_at_ms"`
+	HeardAt int64 `json:"heard_at_ms,omitempty"`
+	// ColdUntil is until when the upstream is cold by the store's clock, in milliseconds; 0 if that is not known.
+	ColdUntil int64 `json:"cold_until_ms,omitempty"`
+	// FailedAt is when the host could last not reach the upstream, lately, and BackAt when it responded after that.
+	FailedAt int64 `json:"failed_at_ms,omitempty"`
+	BackAt   int64 `json:"back_at_ms,omitempty"`
 }
 
 // Heartbeat identifies the heartbeat that brought a report.
@@ -34,21 +41,35 @@
 	Sequence          int64
 }
 
-// Report returns what this host tells the others. waiting returns how many requests of jobs wait for an upstream, where one
-// that may go to one of n upstreams counts 1/n; storeClock is the reading of the store's clock at now.
+// Waiting returns how many requests of jobs wait for an upstream, where one that may go to one of n upstreams counts 1/n.
+// For the empty Incarnation it returns how many wait for the service.
+type Waiting func(i upstreams.Incarnation, service string) float64
+
+// Report returns what this host tells the others. storeClock is the reading of the store's clock at now.
 func (t *Table) Report(
-	waiting func(i upstreams.Incarnation, service string) float64, storeClock time.Duration, now time.Time,
+	waiting Waiting, storeClock time.Duration, now time.Time,
 ) *Report {
 	t.prune(now)
-	if len(t.limits) == 0 {
+	services := t.serviceDemands(waiting, now)
+	if len(t.limits) == 0 && len(services) == 0 {
 		return nil
 	}
-	r := &Report{Demand: demand{}}
+	r := &Report{Demand: demand{}, Services: services}
 	for i, l := range t.limits {
-		r.Limits = append(r.Limits, Claim{
-			Upstream: i.ID, Born: i.Born, Service: l.service, Limit: l.perSecond,
-			HeardAt: (storeClock - now.Sub(l.heardAt)).Milliseconds(),
-		})
+		c := Claim{Upstream: i.ID, Born: i.Born, Service: l.service, Limit: l.perSecond}
+		if !l.heardAt.IsZero() {
+			c.HeardAt = (storeClock - now.Sub(l.heardAt)).Milliseconds()
+		}
+		if l.toldUntil.After(now) {
+			c.ColdUntil = (storeClock + l.toldUntil.Sub(now)).Milliseconds()
+		}
+		if contact, ok := t.contacts[i]; ok && now.Sub(contact.failedAt) < presumedCold {
+			c.FailedAt = max((storeClock - now.Sub(contact.failedAt)).Milliseconds(), 1)
+			if !contact.backAt.IsZero() {
+				c.BackAt = max((storeClock - now.Sub(contact.backAt)).Milliseconds(), 1)
+			}
+		}
+		r.Limits = append(r.Limits, c)
 		if l.perSecond > 0 {
 			r.Demand[i.ID] = Demand{
 				Callers:    round(l.callers.perSecond(now)),
@@ -63,8 +84,16 @@
 }
 
 // ObserveOwn records the report in a heartbeat of this host that has come back from the store, so that the other hosts have
-// most likely got it too; nil if the heartbeat has none.
-func (t *Table) ObserveOwn(r *Report) { t.own, t.seesHeartbeats = demandOf(r), true }
+// most likely got it too; nil if the heartbeat has none. The heartbeat was written at writtenAt.
+func (t *Table) ObserveOwn(r *Report, writtenAt, now time.Time) {
+	if !t.seesHeartbeats {
+		t.seesHeartbeats, t.firstSeenAt = true, now
+	}
+	t.own, t.ownServices = demandOf(r), servicesOf(r)
+	if writtenAt.After(t.seenAt) {
+		t.seenAt = writtenAt
+	}
+}
 
 // round keeps reports short.
 func round(perSecond float64) float64 { return math.Round(perSecond*100) / 100 }
@@ -73,8 +102,19 @@
 	if r == nil {
 		return nil
 	}
-	maps.DeleteFunc(r.Demand, func(_ string, d Demand) bool { return !d.isValid() })
-	return r.Demand
+	return valid(r.Demand)
+}
+
+func servicesOf(r *Report) demand {
+	if r == nil {
+		return nil
+	}
+	return valid(r.Services)
+}
+
+func valid(d demand) demand {
+	maps.DeleteFunc(d, func(_ string, d Demand) bool { return !d.isValid() })
+	return d
 }
 
 // ObservePeer records the report of another host, nil if its heartbeat has none. It returns the limits that changed.
@@ -84,6 +124,15 @@
 	}
 	var changes []Change
 	for _, c := range r.Limits {
+		if change, changed := t.hearColdFromPeer(h, c, storeClock, now); changed {
+			changes = append(changes, change)
+		}
+		if change, changed := t.hearContactFromPeer(h, c, storeClock, now); changed {
+			changes = append(changes, change)
+		}
+		if c.HeardAt == 0 && c.Limit == 0 {
+			continue // the host knows only that the upstream is cold
+		}
 		heardAt := now.Add(time.Duration(c.HeardAt)*time.Millisecond - storeClock)
 		if heardAt.After(now) {
 			heardAt = now
@@ -110,7 +159,7 @@
 		return false
 	}
 	p.sequence = h.Sequence
-	p.demand = demandOf(r)
+	p.demand, p.services = demandOf(r), servicesOf(r)
 	return true
 }
 
--- a/upstreamlimit/session_test.go
+++ b/upstreamlimit/session_test.go
@@ -16,7 +16,10 @@
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // fakeView is what a host knows of others.
-type fakeView struct{ hosts, registered []string }
+type fakeView struct {
+	hosts, registered []string
+	cold              ColdBound
+}
 
 func (v *fakeView) Hosts() []string { return v.hosts }
 
@@ -24,13 +27,17 @@
 	return slices.Contains(v.registered, i.ID)
 }
 
+func (v *fakeView) ColdBound(string) ColdBound { return v.cold }
+
+func (v *fakeView) ReadyCount(string) int { return len(v.registered) }
+
 // Guards against limits that are ignored, kept after they were lifted, taken from late responses or from another
 // incarnation, and against shares that do not follow what the hosts report.
 func TestSessions(t *testing.T) {
 	goldentest.Run(t, "testdata/*.golden", func(t *testing.T, _, script string) string {
 		view := &fakeView{registered: []string{"u", "v"}}
 		s := &session{t: t, view: view, table: NewTable("a", view), now: start, born: 1}
-		s.table.ObserveOwn(nil)
+		s.table.ObserveOwn(nil, start, start)
 		return goldentest.ReplayEvents(script, s.respond)
 	})
 }
@@ -66,9 +73,19 @@
 		}
 	case "want":
 		s.table.Want(s.upstream(f[1]), s.number(f[2]), f[3] == "background", s.now)
+	case "cold-bound": // cold-bound REQUESTS A SECOND OVERRUN SLACK
+		s.view.cold = ColdBound{PerSecond: s.number(f[1]), Lasts: 3 * time.Second, Overrun: s.number(f[2]), Slack: s.number(f[3])}
+	case "starts":
+		s.table = NewTable("a", s.view)
+	case "cold": // cold UPSTREAM TIME LEFT
+		return describe(s.table.ObserveCold(s.upstream(f[1]), s.duration(f[2]), s.now))
+	case "unreachable":
+		return describe(s.table.ObserveUnreachable(s.upstream(f[1]), s.now))
+	case "responds":
+		s.table.ObserveResponse(s.upstream(f[1]), s.now)
 	case "own":
-		s.table.ObserveOwn(s.parseReport(f[1:]))
-	case "peer": // peer HOST SEQUENCE [UPSTREAM=CALLERS+BACKGROUND] [UPSTREAM:LIMIT@TIME]
+		s.table.ObserveOwn(s.parseReport(f[1:]), s.now, s.now)
+	case "peer": // peer HOST SEQUENCE [UPSTREAM OR SERVICE=CALLERS+BACKGROUND] [UPSTREAM:LIMIT@TIME] [UPSTREAM!FAILED@BACK]
 		h := Heartbeat{Host: f[1], Incarnation: "1", Sequence: int64(s.number(f[2]))}
 		var lines []string
 		for _, c := range s.table.ObservePeer(h, s.parseReport(f[3:]), s.now.Sub(start), s.now) {
@@ -101,7 +118,20 @@
 	for _, field := range fields {
 		if id, text, ok := strings.Cut(field, "="); ok {
 			callers, background, _ := strings.Cut(text, "+")
-			r.Demand[id] = Demand{Callers: s.number(callers), Background: s.number(background)}
+			d := Demand{Callers: s.number(callers), Background: s.number(background)}
+			if id == "desk" {
+				r.Services = demand{id: d}
+			} else {
+				r.Demand[id] = d
+			}
+			continue
+		}
+		if id, times, ok := strings.Cut(field, "!"); ok {
+			failed, back, _ := strings.Cut(times, "@")
+			r.Limits = append(r.Limits, Claim{
+				Upstream: id, Born: s.born, Service: "desk",
+				FailedAt: s.duration(failed).Milliseconds(), BackAt: s.duration(back).Milliseconds(),
+			})
 			continue
 		}
 		id, rest, _ := strings.Cut(field, ":")
@@ -133,5 +163,8 @@
 	if !changed {
 		return nil
 	}
+	if c.Cold > 0 {
+		return []string{fmt.Sprintf("%s is cold for %s, takes %v, told by %q", c.Upstream.ID, c.Cold, c.To, c.Peer)}
+	}
 	return []string{fmt.Sprintf("%s from %v to %v told by %q", c.Upstream.ID, c.From, c.To, c.Peer)}
 }
--- a/upstreamlimit/shares.go
+++ b/upstreamlimit/shares.go
@@ -26,8 +26,11 @@
 	t.dividedAt = now
 	hosts := t.view.Hosts()
 	for i, l := range t.limits {
+		t.updateBound(l, now)
 		switch {
-		case l.perSecond == 0:
+		case !l.bound.inForce:
+		case l.bound.cold:
+			l.setShare(t.coldShare(i, l, hosts, now), now)
 		case !t.seesHeartbeats:
 			l.setShare(startFraction*l.perSecond, now)
 		default:
@@ -44,7 +47,7 @@
 	}
 	l.share = perSecond
 	l.bucket.SetLimitAt(now, max(rate.Limit(perSecond), minRate))
-	l.bucket.SetBurstAt(now, int(min(max(math.Round(perSecond*burst.Seconds()), 1), maxBurst)))
+	l.bucket.SetBurstAt(now, int(min(max(math.Round(perSecond*l.bound.burst.Seconds()), 1), maxBurst)))
 }
 
 // demandsFor returns the demand of this host and the given other ones for an upstream.
--- a/upstreamlimit/statement.go
+++ b/upstreamlimit/statement.go
@@ -16,6 +16,8 @@
 	From, To float64
 	// Peer is the host that passed the limit on; "" if this host heard it itself.
 	Peer string
+	// Cold is how long the upstream stays cold, if that is the reason of the change; otherwise 0.
+	Cold time.Duration
 }
 
 // statement is what an upstream said of its limit at a time.
@@ -72,7 +74,7 @@
 		if len(t.limits) >= maxLimits {
 			return Change{}, false
 		}
-		l = &limit{}
+		l = newLimit(s.service, s.heardAt)
 		t.limits[i] = l
 	}
 	change := Change{Upstream: i, Service: s.service, From: l.perSecond, To: s.perSecond, Peer: s.peer}
@@ -80,21 +82,37 @@
 	if change.From == change.To {
 		return change, false
 	}
-	if change.From == 0 {
-		l.bucket = rate.NewLimiter(minRate, 1)
-		l.bucket.ReserveN(s.heardAt, 1) // the requests just sent count
+	if change.From == 0 && !l.bound.cold {
+		l.empty(s.heardAt)
 	}
 	t.dividedAt = time.Time{}
 	return change, true
 }
 
+func newLimit(service string, now time.Time) *limit {
+	l := &limit{service: service}
+	l.empty(now)
+	return l
+}
+
+// empty takes away what a host could have kept: the requests just sent count.
+func (l *limit) empty(now time.Time) {
+	l.bucket = rate.NewLimiter(minRate, 1)
+	l.bucket.ReserveN(now, 1)
+	l.share = 0
+}
+
 // minRate replaces a rate of 0, with which a bucket would never earn back what was sent beyond it.
 const minRate rate.Limit = 1e-6
 
 // prune forgets limits that no longer matter.
 func (t *Table) prune(now time.Time) {
+	t.pruneContacts(now)
 	for i, l := range t.limits {
-		if now.Sub(l.heardAt) > retention && (l.perSecond == 0 || !t.view.IsRegistered(i)) {
+		if now.Sub(l.coldUntil) > warmTime {
+			l.coldUntil = time.Time{}
+		}
+		if now.Sub(l.heardAt) > retention && now.Sub(l.coldUntil) > retention && (l.perSecond == 0 || !t.view.IsRegistered(i)) {
 			delete(t.limits, i)
 		}
 	}
--- a/upstreamlimit/sum_test.go
+++ b/upstreamlimit/sum_test.go
@@ -31,6 +31,7 @@
 	now      time.Time
 	upstream upstreams.Entry
 	limit    float64
+	cold     ColdBound
 	hosts    []*simHost
 	rows     []simRow
 	// sends holds the time and the host of each request that reached the upstream.
@@ -39,6 +40,7 @@
 
 type simRow struct {
 	at        time.Time
+	writtenAt time.Time
 	heartbeat Heartbeat
 	report    *Report
 }
@@ -84,6 +86,10 @@
 
 func (h *simHost) IsRegistered(upstreams.Incarnation) bool { return true }
 
+func (h *simHost) ColdBound(string) ColdBound { return h.fleet.cold }
+
+func (h *simHost) ReadyCount(string) int { return 1 }
+
 func (h *simHost) start(now time.Time) {
 	h.table, h.seen, h.rowsSeen = NewTable(h.name, h), map[string]time.Time{}, 0
 	h.incarnation++
@@ -135,6 +141,7 @@
 		waiting := func(upstreams.Incarnation, string) float64 { return h.backlog * float64((h.index+1)%2) }
 		f.rows = append(f.rows, simRow{
 			at:        f.now.Add(f.upTo(simMaxRowDelay)),
+			writtenAt: f.now,
 			heartbeat: Heartbeat{Host: h.name, Incarnation: fmt.Sprint(h.incarnation), Sequence: h.sequence},
 			report:    h.table.Report(waiting, clock, f.now),
 		})
@@ -143,7 +150,7 @@
 		row := f.rows[h.rowsSeen]
 		if row.heartbeat.Host == h.name {
 			if row.heartbeat.Incarnation == fmt.Sprint(h.incarnation) {
-				h.table.ObserveOwn(row.report)
+				h.table.ObserveOwn(row.report, row.writtenAt, f.now)
 			}
 			continue
 		}
--- a/upstreamlimit/table.go
+++ b/upstreamlimit/table.go
@@ -15,6 +15,10 @@
 	Hosts() []string
 	// IsRegistered reports whether an incarnation of an upstream has an entry.
 	IsRegistered(i upstreams.Incarnation) bool
+	// ColdBound returns what the cold upstreams of a service take.
+	ColdBound(service string) ColdBound
+	// ReadyCount returns how many upstreams of a service accept work.
+	ReadyCount(service string) int
 }
 
 // Table holds the limits that are in force and the share of one host in each.
@@ -22,11 +26,17 @@
 	host   string
 	view   View
 	limits map[upstreams.Incarnation]*limit
-	// own is the demand that the other hosts know of this one, and peers holds the demand of each of them.
-	own demand
-	// seesHeartbeats is set once a heartbeat of this host has come back: it then gets those of the others, too.
-	seesHeartbeats bool
-	peers          map[string]*peerDemand
+	// services measures the demand of this host for the services whose cold upstreams have a bound.
+	services map[string]*serviceDemand
+	// contacts holds the upstreams of these services that this host has sent to.
+	contacts map[upstreams.Incarnation]*contact
+	// own and ownServices are the demand that the other hosts know of this one, and peers holds that of each of them.
+	own, ownServices demand
+	// seesHeartbeats is set once a heartbeat of this host has come back, at firstSeenAt: it then gets those of the others,
+	// too. The latest one that has come back was written at seenAt.
+	seesHeartbeats      bool
+	firstSeenAt, seenAt time.Time
+	peers               map[string]*peerDemand
 	// dividedAt is when the shares were last computed; zero if a limit has changed since.
 	dividedAt time.Time
 }
@@ -39,7 +49,15 @@
 	// heardAt is when the upstream said so, and peer the host that passed it on; "" if this host heard it itself.
 	heardAt time.Time
 	peer    string
-	// share is the part of perSecond that this host may use, and bucket limits its requests to it.
+	// coldUntil is until when the upstream is cold, as far as it is known; zero if it has not been.
+	coldUntil time.Time
+	// toldUntil is the part of coldUntil that the upstream itself named, and unreachable is set while it is unknown whether it
+	// is up.
+	toldUntil   time.Time
+	unreachable bool
+	// bound is what is in force: the limit that the upstream named, or its bound while it is cold if that is lower.
+	bound bound
+	// share is the part of the bound that this host may use, and bucket limits its requests to it.
 	share  float64
 	bucket *rate.Limiter
 	// callers and background measure the requests that this host sent or would have sent, and sent counts those that it sent
@@ -52,6 +70,7 @@
 func NewTable(host string, view View) *Table {
 	return &Table{
 		host: host, view: view, limits: map[upstreams.Incarnation]*limit{}, peers: map[string]*peerDemand{},
+		services: map[string]*serviceDemand{}, contacts: map[upstreams.Incarnation]*contact{},
 	}
 }
 
@@ -61,10 +80,13 @@
 		return nil
 	}
 	l, ok := t.limits[u.Incarnation()]
-	if !ok || l.perSecond == 0 {
+	if !ok || !l.mayApply() {
 		return nil
 	}
 	t.divide(now)
+	if !l.bound.inForce {
+		return nil
+	}
 	return l
 }
 
@@ -80,9 +102,15 @@
 	return max(int(l.bucket.TokensAt(now)+tokenRounding), 0)
 }
 
-// Limited reports whether an upstream has a limit.
+// Limited reports whether an upstream has a limit, because it named one or because it is cold.
 func (t *Table) Limited(u upstreams.Entry, now time.Time) bool { return t.inForce(u, now) != nil }
 
+// NamesLimit reports whether an upstream has named a limit that is in force.
+func (t *Table) NamesLimit(u upstreams.Entry) bool {
+	l, ok := t.limits[u.Incarnation()]
+	return ok && l.perSecond > 0
+}
+
 // Share returns how many requests a second this host may send to an upstream, and when it may send the next one. limited
 // is false if the upstream has no limit.
 func (t *Table) Share(u upstreams.Entry, now time.Time) (perSecond float64, next time.Time, limited bool) {
@@ -119,11 +147,11 @@
 	}
 }
 
-// Len returns the number of limits in force.
+// Len returns the number of upstreams that may have a limit.
 func (t *Table) Len() int {
 	n := 0
 	for _, l := range t.limits {
-		if l.perSecond > 0 {
+		if l.mayApply() {
 			n++
 		}
 	}
--- a/upstreamlimit/usage.go
+++ b/upstreamlimit/usage.go
@@ -14,7 +14,9 @@
 	Service  string
 	// Limit and Share are requests a second of all hosts and of this host.
 	Limit, Share float64
-	Sent         int
+	// Cold is set if the limit is the bound of a cold upstream.
+	Cold bool
+	Sent int
 }
 
 // Usage returns the use of each limit in force, ordered by upstream, and starts to count anew.
@@ -22,8 +24,8 @@
 	var list []Usage
 	t.divide(now)
 	for i, l := range t.limits {
-		if l.perSecond > 0 {
-			list = append(list, Usage{Upstream: i, Service: l.service, Limit: l.perSecond, Share: l.share, Sent: l.sent})
+		if l.bound.inForce {
+			list = append(list, Usage{Upstream: i, Service: l.service, Limit: l.bound.perSecond, Cold: l.bound.cold, Share: l.share, Sent: l.sent})
 		}
 		l.sent = 0
 	}
