--- a/gateway/isolation.go
+++ b/gateway/isolation.go
@@ -40,11 +40,15 @@
 	if u, ok := f.chooseIsolated(ctx); ok {
 		return u, nil
 	}
-	return upstreams.Entry{}, noUpstream()
+	f.g.mu.Lock()
+	defer f.g.mu.Unlock()
+	return upstreams.Entry{}, f.g.refusalIn(f.scope())
 }
 
 // limitTurn describes the request to the queues for limited upstreams.
 func (f *plainRequest) limitTurn() limitTurn {
+	f.g.mu.Lock()
+	defer f.g.mu.Unlock()
 	return limitTurn{
 		request: f.request.ID, scope: f.scope(),
 		item: admission.Item{Workspace: f.auth.workspaceName(), Rank: f.auth.priority(), Deadline: f.latestStart()},
@@ -115,7 +119,7 @@
 		}
 	}
 	var remaining []string
-	for _, u := range g.upstreams.Ready(ended.Service) {
+	for _, u := range g.candidates(sendScope{service: ended.Service}) {
 		if u.ID != ended.ID {
 			remaining = append(remaining, u.ID)
 		}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -41,7 +41,7 @@
 	itemTime                         *metrics.Histogram
 	requestTime                      *metrics.Histogram
 	storeTime                        *metrics.Histogram
-	itemWait                         *metrics.Histogram
+	itemWait, runStart               *metrics.Histogram
 }
 
 func newMetricSet(r *telemetry.Registry, g *Gateway) *metricSet {
@@ -61,6 +61,11 @@
 		}
 		return float64(g.config.Version)
 	})
+	r.NewGauge("radishshelf_gateway_slow_engines", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(g.slowPeriods.Len())
+	})
 	r.NewGauge("radishshelf_gateway_upstreams", func() float64 {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -84,6 +89,21 @@
 		}
 		return 0
 	})
+	r.NewGauge("radishshelf_gateway_evacuations", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(len(g.evacuations.Active()))
+	})
+	r.NewGauge("radishshelf_gateway_evacuation_hosts_missing", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(g.evacuationHostsMissing())
+	})
+	r.NewGauge("radishshelf_gateway_stranded_jobs", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(g.strandedJobs)
+	})
 	r.NewGauge("radishshelf_gateway_suspects", func() float64 {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -130,6 +150,7 @@
 		requestTime:      r.NewHistogram("radishshelf_gateway_request_seconds"),
 		storeTime:        r.NewHistogram("radishshelf_gateway_store_call_seconds"),
 		itemWait:         r.NewHistogram("radishshelf_gateway_item_wait_seconds"),
+		runStart:         r.NewHistogram("radishshelf_gateway_run_start_seconds"),
 	}
 }
 
@@ -156,6 +177,11 @@
 	return m.registry.GetOrCreateCounter(fmt.Sprintf("radishshelf_gateway_unexpected_failures_total{in=%q}", operation))
 }
 
+// scopeRefusals counts requests that were refused at once because a constraint leaves them no upstream, by constraint.
+func (m *metricSet) scopeRefusals(constraint string) *metrics.Counter {
+	return m.registry.GetOrCreateCounter(fmt.Sprintf("radishshelf_gateway_scope_refusals_total{constraint=%q}", constraint))
+}
+
 // storeCalls counts calls to the store, by call and result.
 func (m *metricSet) storeCalls(call, result string) *metrics.Counter {
 	return m.registry.GetOrCreateCounter(
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -44,16 +44,20 @@
 	leaving := g.leaving
 	record := batch.Record{
 		Host: r.Host, PathPrefix: auth.route.PathPrefix, Workspace: auth.workspaceName(), Model: spec.Model,
-		MinVersion: spec.MinVersion, AcceptedBy: g.opts.Incarnation, AcceptedAt: g.storeClock(),
+		MinVersion: spec.MinVersion, AcceptedBy: g.opts.Incarnation, AcceptedAt: g.storeClock(), AcceptedIn: g.ownRegion(),
 		Due: auth.route.Due, Lifetime: auth.route.ItemLifetime, Total: len(spec.Items),
 	}
 	setRouteLimits(&record, auth.config, auth.route)
-	record.Owner, record.OwnerIncarnation = g.chooseOwner(trainerKey(&record), len(spec.Items))
+	record.Owner, record.OwnerIncarnation = g.chooseOwner(trainerKey(&record), g.jobHomes(&record), len(spec.Items))
 	if known != nil && known.record.Workspace == record.Workspace {
 		g.mu.Unlock()
 		return acceptedResponse(), nil
 	}
+	refusal := g.checkJobScope(&record, auth.route)
 	g.mu.Unlock()
+	if refusal != nil {
+		return nil, refusal
+	}
 	if leaving {
 		return nil, unavailable(outcome.KindLeaving, "this process is shutting down", retryAfterStart)
 	}
@@ -95,6 +99,7 @@
 
 func (a *acceptance) run(ctx context.Context) (*call.Response, error) {
 	started := time.Now()
+	ctx = a.g.acceptedIn(ctx, &a.record)
 	value, err := json.Marshal(a.record)
 	if err != nil {
 		return nil, newRefusal(outcome.KindInvalid, http.StatusBadRequest, err.Error(), "correct the body")
