Show what cold upstreams take and defer

Cause: an operator could not see how much of the bound of cold upstreams is in use, nor how many requests wait for it. Change: counters of requests to cold upstreams and of requests that wait for a limit, gauges of cold upstreams and of this host's share; the refusal names cold upstreams as a reason.

--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -26,8 +26,10 @@
 	// limitChanges counts limits of upstreams that were named, changed or lifted, and invalidLimits those that are no
 	// positive number.
 	limitChanges, invalidLimits *metrics.Counter
-	// upstreamsCold counts upstreams that became cold.
-	upstreamsCold *metrics.Counter
+	// upstreamsCold counts upstreams that became cold, and coldRequests the requests and control calls to cold upstreams.
+	upstreamsCold, coldRequests *metrics.Counter
+	// limitDeferrals counts requests that had to wait for their share of a limit.
+	limitDeferrals *metrics.Counter
 	// limitRefusals counts requests and calls that found no room within the limits of upstreams, and limitWait measures
 	// how long the others waited for it.
 	limitRefusals *metrics.Counter
@@ -119,6 +121,11 @@
 		defer g.mu.Unlock()
 		return float64(g.limits.Cold(time.Now()))
 	})
+	r.NewGauge("radishshelf_gateway_cold_share", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.limits.ColdShare()
+	})
 	for phase, name := range map[batch.Phase]string{
 		batch.Waiting: "waiting", batch.Running: "running", batch.Scoring: "scoring", batch.Finished: "finished",
 	} {
@@ -137,6 +144,8 @@
 		suspectEnds:      r.NewCounter("radishshelf_gateway_suspect_ends_total"),
 		upstreamsLeaving: r.NewCounter("radishshelf_gateway_upstreams_leaving_total"),
 		upstreamsCold:    r.NewCounter("radishshelf_gateway_upstreams_cold_total"),
+		coldRequests:     r.NewCounter("radishshelf_gateway_cold_requests_total"),
+		limitDeferrals:   r.NewCounter("radishshelf_gateway_limit_deferrals_total"),
 		limitChanges:     r.NewCounter("radishshelf_gateway_limit_changes_total"),
 		invalidLimits:    r.NewCounter("radishshelf_gateway_invalid_limits_total"),
 		limitRefusals:    r.NewCounter("radishshelf_gateway_limit_refusals_total"),
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -77,6 +77,7 @@
 	if decision.Action == admission.Refuse {
 		return upstreams.Entry{}, nil, g.limitRefusal(decision.RetryAfter)
 	}
+	g.metrics.limitDeferrals.Inc()
 	waiter := &limitWaiter{turn: turn, result: make(chan limitResult, 1)}
 	q.waiting[turn.item.ID] = waiter
 	if q.timer == nil {
@@ -88,7 +89,7 @@
 // limitRefusal returns the refusal of a request that the limits of upstreams leave no room for.
 func (g *Gateway) limitRefusal(after time.Duration) error {
 	g.metrics.limitRefusals.Inc()
-	return unavailable(outcome.KindOverloaded, "the upstreams of the service take no more requests now, by the limits that they named",
+	return unavailable(outcome.KindOverloaded, "the upstreams of the service take no more requests now, because they named limits or are cold",
 		min(after, maxLimitRetryAfter))
 }
 
--- a/gateway/upstream_limits.go
+++ b/gateway/upstream_limits.go
@@ -77,6 +77,9 @@
 // The caller holds g.mu.
 func (g *Gateway) limitsReport(now time.Time) *upstreamlimit.Report {
 	for _, u := range g.limits.Usage(now) {
+		if u.Cold {
+			g.metrics.coldRequests.Add(u.Sent)
+		}
 		if waiting := g.waitingForLimit(u.Upstream, u.Service); u.Sent > 0 || waiting > 0 {
 			g.opts.Log.Info().Str("upstream", u.Upstream.ID).Str("service", u.Service).Float64("limit", u.Limit).Bool("cold", u.Cold).
 				Float64("share", u.Share).Int("sent", u.Sent).Float64("waiting", waiting).Msg("limit of an upstream used")
--- a/upstreamlimit/cold.go
+++ b/upstreamlimit/cold.go
@@ -139,3 +139,14 @@
 	}
 	return n
 }
+
+// ColdShare returns how many requests a second this host may send to the cold upstreams together, as of its last division.
+func (t *Table) ColdShare() float64 {
+	sum := 0.0
+	for _, l := range t.limits {
+		if l.bound.cold && l.mayApply() {
+			sum += l.share
+		}
+	}
+	return sum
+}
