--- a/cmd/radishshelf-gateway/process.go
+++ b/cmd/radishshelf-gateway/process.go
@@ -119,7 +119,7 @@
 func newTiming(b platform.Bounds) gateway.Timing {
 	return gateway.Timing{
 		Lease: b.Lease, Grace: b.Grace, UsageWindow: b.UsageWindow, UsageLate: b.UsageLate, BatchLifetime: b.BatchLifetime,
-		Settle: b.Settle, CancelApply: b.CancelApply,
+		Settle: b.Settle, CancelApply: b.CancelApply, ColdOverrun: b.ColdOverrun, ColdSlack: b.ColdSlack,
 	}
 }
 
@@ -156,7 +156,7 @@
 	g = gateway.New(gateway.Options{
 		Host: s.Name, Incarnation: uuid.NewString(), DataCentre: s.DataCentre, RegionOf: s.RegionOf,
 		PeerAddress: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), MaxRowBytes: s.StoreRowBytes,
-		CPUShare: s.CPUShare, ColdOverrun: s.Bounds.ColdOverrun, ColdSlack: s.Bounds.ColdSlack,
+		CPUShare:  s.CPUShare,
 		UsageDuty: s.HasUsageDuty(), ScaleDuty: s.HasScaleDuty(),
 		Timing: newTiming(s.Bounds), Rows: p.rows, Codec: platform.Codec{}, Memory: p.memory, Log: p.log,
 		Suspects: ledgerConfig(s.HeartbeatInterval),
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -29,9 +29,6 @@
 	// PeerAddress is the host:port at which peers reach this process.
 	PeerAddress string
 	Timing      Timing
-	// ColdOverrun and ColdSlack say how far the requests to a cold upstream may exceed what it takes, within a second: they
-	// may be ColdOverrun times as many and ColdSlack more. An overrun below 1 counts as 1.
-	ColdOverrun, ColdSlack float64
 	// CPUShare is the share of the CPU that the process gets, in cores.
 	CPUShare float64
 	// MaxRowBytes limits the size of the value of one row.
@@ -54,7 +51,7 @@
 	Registry *telemetry.Registry
 }
 
-// Timing holds the time bounds that the platform sets.
+// Timing holds the bounds that the platform sets; nearly all are times.
 type Timing struct {
 	// Lease is the period within which the holder of a duty must not change back and forth.
 	Lease time.Duration
@@ -68,6 +65,9 @@
 	Settle time.Duration
 	// CancelApply is the time after a job was ended by its caller from which none of its items may be started.
 	CancelApply time.Duration
+	// ColdOverrun and ColdSlack say how far the requests to a cold upstream may exceed what it takes, within a second: they
+	// may be ColdOverrun times as many and ColdSlack more. An overrun below 1 counts as 1.
+	ColdOverrun, ColdSlack float64
 }
 
 // UpstreamCaller sends requests and version orders to upstreams. Errors of Send are of type *upstreamcall.Failure.
--- a/gateway/upstream_limits.go
+++ b/gateway/upstream_limits.go
@@ -38,7 +38,8 @@
 		return upstreamlimit.ColdBound{}
 	}
 	return upstreamlimit.ColdBound{
-		PerSecond: s.ColdRequests, Lasts: s.ColdTime, Overrun: v.g.opts.ColdOverrun, Slack: v.g.opts.ColdSlack,
+		PerSecond: s.ColdRequests, Lasts: s.ColdTime,
+		Overrun: v.g.opts.Timing.ColdOverrun, Slack: v.g.opts.Timing.ColdSlack,
 	}
 }
 
