--- a/gateway/homes_test.go
+++ b/gateway/homes_test.go
@@ -1,11 +1,16 @@
 package gateway
 
 import (
+	"cmp"
+	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/radishshelf/radishshelf/batch"
+	"github.com/radishshelf/radishshelf/evacuation"
 	"github.com/radishshelf/radishshelf/homes"
+	"github.com/radishshelf/radishshelf/serving"
 	"github.com/radishshelf/radishshelf/upstreamcall"
 )
 
@@ -62,6 +67,8 @@
 			batch.Record{ConfigVersion: 2, RouteHomes: both, WorkspaceHomes: north}, north},
 		{"the route was removed", testSettings{Version: 3, Gone: []string{"rollout"}, WorkspaceHome: []string{"south"}},
 			batch.Record{ConfigVersion: 2, RouteHomes: both, Workspace: "north", WorkspaceHomes: north}, south},
+		{"a route of another kind covers the path", testSettings{Version: 3, RouteHomes: map[string][]string{"quote": {"west"}}},
+			batch.Record{ConfigVersion: 2, PathPrefix: "/quote/", RouteHomes: south}, south},
 		{"the workspace was removed", testSettings{Version: 3, RouteHomes: map[string][]string{"rollout": {"north", "south"}}},
 			batch.Record{ConfigVersion: 2, Workspace: "former", WorkspaceHomes: south}, south},
 	} {
@@ -69,7 +76,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		g.config, c.record.Host, c.record.PathPrefix = config, testHost, "/rollout/"
+		g.config, c.record.Host, c.record.PathPrefix = config, testHost, cmp.Or(c.record.PathPrefix, "/rollout/")
 		if got := g.jobHomes(&c.record); got != c.want {
 			t.Errorf("%s: %v, want %v", c.name, got.List(), c.want.List())
 		}
@@ -125,7 +132,7 @@
 			batch.Record{Host: testHost, PathPrefix: "/rollout/", Workspace: "north", Total: 1}, batch.Limits{Rate: &batch.TokenRate{}})
 		job.Start(job.Items()[0])
 		u, _ := g.upstreams.Get("e1")
-		run := movableRun{job: job, item: job.Items()[0], run: &itemRun{upstream: u, started: now}}
+		run := movableRun{job: job, item: job.Items()[0], run: &itemRun{upstream: u, started: now}, slowFor: 2 * time.Second}
 		if moves := newSchedulePass(g, now).reserveMove(run); moves != c.moves {
 			t.Errorf("%s: moved is %t", c.name, moves)
 		}
@@ -159,3 +166,89 @@
 		t.Errorf("%d requests were sent outside of their regions", outside)
 	}
 }
+
+// Guards against a request that is refused because chance picked the service of its route that has no upstream at home.
+func TestSplitIsAmongServicesAtHome(t *testing.T) {
+	w := newHomesCluster(t, testSettings{Version: 2})
+	w.addUpstreamIn("west-1", "w1", "canary", 4, nil)
+	g := w.start("a")
+	w.eventually("the canary is known", func() bool { g.mu.Lock(); defer g.mu.Unlock(); return g.upstreams.Len() == 5 })
+	route := &serving.Route{Targets: []serving.Target{{Service: plainService, Weight: 1}, {Service: "canary", Weight: 1}}}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, c := range []struct {
+		home  homes.Regions
+		evac  string
+		names []string
+	}{
+		{homes.Regions{}, "", []string{plainService, "canary"}},
+		{homes.Only("north"), "", []string{plainService}},
+		{homes.Only("west"), "", []string{"canary"}},
+		{homes.Regions{}, "west-1", []string{plainService}},
+		{homes.Only("west"), "west-1", []string{plainService, "canary"}}, // neither has an upstream: the request is refused
+	} {
+		if c.evac != "" {
+			g.evacuations.Observe(evacuation.Order{DataCentre: c.evac, Version: 9, Active: true}, time.Now())
+		}
+		seen := map[string]bool{}
+		for range 200 {
+			name, ok := g.chooseService(route, c.home)
+			seen[name] = ok
+		}
+		if len(seen) != len(c.names) || !seen[c.names[0]] {
+			t.Errorf("homes %v, evacuated %q: services %v, want %v", c.home.List(), c.evac, seen, c.names)
+		}
+	}
+}
+
+// Guards against a job that stops running, in an outage of the store, because it should leave its host.
+func TestJobStaysWhileItCannotBeHandedOver(t *testing.T) {
+	w := newHomesCluster(t, testSettings{Version: 2, RouteHomes: map[string][]string{"rollout": {"north"}}})
+	a, b := w.startIn("north-1", "a", 0.8, w.store), w.startIn("south-1", "b", 0.8, w.store)
+	w.waitForPeers(a, b)
+	w.upstreams.script(respondAfter(300 * time.Millisecond))
+	w.mustSubmit(a, "job-1", testItems(40)...)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	e := a.jobs["job-1"]
+	e.record.AcceptedIn, e.record.ConfigVersion, e.record.RouteHomes = "", a.config.Version+1, homes.Only("south")
+	a.heartbeatSeen = a.heartbeatStored
+	now := a.heartbeatStoredAt
+	if list := a.displacedJobs(now.Add(2 * heartbeatInterval)); len(list) > 0 {
+		t.Error("the job leaves although the other host may be dead")
+	}
+	if list := a.displacedJobs(now); len(list) != 1 {
+		t.Errorf("%d jobs leave, want 1", len(list))
+	}
+}
+
+// Guards against a stream that resumes, and a request that is repeated, in the regions of a former configuration.
+func TestNewHomesBindRequestsInProgress(t *testing.T) {
+	for path, broken := range map[string]func() (*upstreamcall.Response, error){
+		"/chat/1":  func() (*upstreamcall.Response, error) { return stream(1, 2, false), nil },
+		"/quote/1": func() (*upstreamcall.Response, error) { return nil, mayHaveRun(upstreamcall.Broken) },
+	} {
+		w := newHomesCluster(t, testSettings{Version: 2, RouteHomes: map[string][]string{"chat": {"north"}, "quote": {"north"}}})
+		g := w.start("a")
+		var runs atomic.Int64
+		w.upstreams.script(func(*upstreamcall.Request) (*upstreamcall.Response, error) {
+			if runs.Add(1) > 1 {
+				return nil, nil
+			}
+			w.putConfig(g, testSettings{Version: 3, RouteHomes: map[string][]string{"chat": {"south"}, "quote": {"south"}}})
+			return broken()
+		})
+		r, err := w.request(g, t.Context(), path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Stream != nil {
+			if err := r.Stream(io.Discard, func() {}); err != nil {
+				t.Error(err)
+			}
+		}
+		if former, now := w.sentTo("e1")+w.sentTo("p1"), w.sentTo("e2")+w.sentTo("p2"); former != 1 || now != 1 {
+			t.Errorf("%s: sent %d times in the former region and %d times in the new one, want once in each", path, former, now)
+		}
+	}
+}
--- a/gateway/run_item.go
+++ b/gateway/run_item.go
@@ -40,20 +40,20 @@
 func (o *ownedJob) runItem(p *batch.Progress, u upstreams.Entry) {
 	ctx, cancel := context.WithCancelCause(o.ctx)
 	defer cancel(nil)
-	started := time.Now()
 	before := p.Text.LastEventID()
-	o.setRun(p, &itemRun{upstream: u, started: started, move: func() { cancel(errMoved) }})
+	run := &itemRun{upstream: u, started: time.Now(), move: func() { cancel(errMoved) }}
+	o.setRun(p, run)
 	failure := panicFailure()
-	o.g.recoverPanic("run", func() { failure = o.generate(ctx, cancel, p, u) })
+	o.g.recoverPanic("run", func() { failure = o.generate(ctx, cancel, p, run) })
 	o.setRun(p, nil)
 	o.g.finishSend(u, o.job.Spec.Model, failure, ctx)
 	if failure == nil {
-		o.g.metrics.itemTime.UpdateDuration(started)
+		o.g.metrics.itemTime.UpdateDuration(run.started)
 	}
 	if o.ctx.Err() != nil {
 		return
 	}
-	scoring := o.finishRun(p, u, failure, started, before)
+	scoring := o.finishRun(p, run, failure, before)
 	o.g.wakeScheduler()
 	if scoring {
 		o.recoverPanic("score", func() { o.score(p) })
@@ -63,8 +63,9 @@
 
 // generate streams the text of an item into its progress. It returns nil once the text is complete.
 func (o *ownedJob) generate(
-	ctx context.Context, cancel context.CancelCauseFunc, p *batch.Progress, u upstreams.Entry,
+	ctx context.Context, cancel context.CancelCauseFunc, p *batch.Progress, run *itemRun,
 ) *upstreamcall.Failure {
+	u := run.upstream
 	w := newWatchdog(ctx, firstEventTimeout, func() bool { return o.g.isResponsive(ctx, u) }, func() { cancel(errStalled) })
 	defer w.stop()
 	response, err := o.g.opts.Upstreams.Send(ctx, o.itemRequest(p, u))
@@ -80,7 +81,6 @@
 	// What was read of an event counts, too: it may have no end.
 	events := o.g.opts.Codec.Events(reservation.Reader(response.Body), response.Version)
 	text := p.Text.Size()
-	last := time.Now()
 	for {
 		event, err := events.Next()
 		if err == io.EOF && response.Framed {
@@ -92,11 +92,9 @@
 		text += len(event.Data)
 		reservation.ShrinkTo(int64(text))
 		w.eventReceived(eventTimeout)
-		now := time.Now()
-		if failure := o.appendEvent(p, u, event, now.Sub(last)); failure != nil {
+		if failure := o.appendEvent(p, run, event); failure != nil {
 			return failure
 		}
-		last = now
 	}
 }
 
@@ -170,10 +168,8 @@
 	return nil
 }
 
-// appendEvent appends an event to the text. pause is the time since the previous event.
-func (o *ownedJob) appendEvent(
-	p *batch.Progress, u upstreams.Entry, event upstreamcall.Event, pause time.Duration,
-) *upstreamcall.Failure {
+// appendEvent appends an event to the text.
+func (o *ownedJob) appendEvent(p *batch.Progress, run *itemRun, event upstreamcall.Event) *upstreamcall.Failure {
 	o.g.mu.Lock()
 	defer o.g.mu.Unlock()
 	if !p.Text.Append(event.ID, event.Data, event.Version) {
@@ -186,23 +182,24 @@
 			Reason: upstreamcall.Endless, Outcome: outcome.Ran, Err: errors.New("text exceeds the limit of its item"),
 		}
 	}
-	if p.Text.LastEventID() > 1 && pause < maxPaceGap {
-		o.g.healthOf(u.ID).ObservePace(pause, time.Now())
-	}
+	o.g.observeEvent(run, time.Now())
 	return nil
 }
 
 // finishRun moves an item to its next phase after a run and reports whether its text needs a score now.
 func (o *ownedJob) finishRun(
-	p *batch.Progress, u upstreams.Entry, failure *upstreamcall.Failure, started time.Time, before int,
+	p *batch.Progress, run *itemRun, failure *upstreamcall.Failure, before int,
 ) bool {
-	g := o.g
+	g, u := o.g, run.upstream
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	log := g.opts.Log.Info().Str("job", o.entry.id).Str("item", p.Item.ID).Str("upstream", u.ID).
 		Str("group", p.Item.Group).Bool("optional", o.job.Optional(p)).Int("estimated_tokens", p.Item.ExpectedTokens()).
-		Int("from_event", before).Int("events", p.Text.LastEventID()).Dur("took_ms", now.Sub(started))
+		Int("from_event", before).Int("events", p.Text.LastEventID()).Dur("took_ms", now.Sub(run.started))
+	if !run.firstEvent.IsZero() {
+		log = log.Dur("first_event_ms", run.firstEvent.Sub(run.started))
+	}
 	if failure == nil {
 		g.tokenRateOf(o.job.Spec.Model).Learn(p.Item.LengthHint, p.Text.LastEventID())
 		o.job.TextComplete(p, now)
@@ -216,7 +213,10 @@
 		o.job.Abandon(p)
 	case upstreamcall.Failed:
 		o.job.RunFailed(p, now.Add(failureRetryDelay), u.ID)
-	case upstreamcall.Busy, upstreamcall.Moved:
+	case upstreamcall.Moved:
+		p.Moves++
+		o.job.Requeue(p, now, u.ID)
+	case upstreamcall.Busy:
 		o.job.Requeue(p, now, u.ID)
 	case upstreamcall.Misdirected:
 		g.upstreams.Discard(u.ID)
--- a/gateway/schedule_pass.go
+++ b/gateway/schedule_pass.go
@@ -50,7 +50,7 @@
 	if !ok || route.Kind != serving.Rollout {
 		return // the route was removed from the configuration; the items wait until it returns
 	}
-	service, ok := chooseService(route)
+	service, ok := g.chooseService(route, g.jobHomes(&e.record))
 	if !ok || len(e.owned.runs) >= s.concurrencyLimit(e.owned) {
 		return
 	}
@@ -173,7 +173,7 @@
 		peerRequests, peerTokens := g.loadOfPeers(e.ID)
 		sendsLeft := g.limits.Allowed(e, now)
 		engines = append(engines, placement.Engine{
-			ID: e.ID, Slots: e.Slots, OwnRequests: own, OtherRequests: peerRequests, Connections: g.openConnections(e.ID, now),
+			ID: e.ID, Slots: g.usableEngineSlots(e, now), OwnRequests: own, OtherRequests: peerRequests, Connections: g.openConnections(e.ID, now),
 			Distance: g.distanceTo(e), Version: version, Pace: h.Pace(now), LastPace: h.LastPace(),
 			MemoryTokens: g.engineMemory(e, now), Runs: runs[e.ID], OtherTokens: peerTokens,
 			Limited: g.limits.Limited(e, now), SendsLeft: sendsLeft,
