--- a/gateway/move.go
+++ b/gateway/move.go
@@ -23,6 +23,9 @@
 	longTokens = 600
 	// minRunTime is how long a run has to last before it is moved; earlier, the pace of its upstream is not known.
 	minRunTime = 400 * time.Millisecond
+	// maxEvacuatedRun is the remaining time up to which a text ends where it runs although its data centre is evacuated:
+	// about what the operator's order takes to reach all hosts. A longer one costs the operator more than its move.
+	maxEvacuatedRun = 2 * time.Second
 	// maxMoves limits the runs that are moved in one round, so that they do not overload the faster upstreams.
 	maxMoves = 8
 )
@@ -100,7 +103,8 @@
 	g.slowPeriods.Retain(func(id string) bool { return observed[id] || g.healthOf(id).Pace(s.now) > 0 })
 }
 
-// movableRun is a run at a slow engine that has lasted long enough to be moved.
+// movableRun is a run that has lasted long enough to be moved: at a slow engine, in the queue of one, or in an evacuated data
+// centre.
 type movableRun struct {
 	job     *batch.Job
 	item    *batch.Progress
@@ -117,7 +121,8 @@
 		}
 		for p, run := range e.owned.runs {
 			slowFor, slow := g.slowPeriods.Duration(run.upstream.ID, now)
-			if (slow || run.firstEvent.IsZero()) && run.move != nil && now.Sub(run.started) >= minRunTime {
+			mayLeave := slow || run.firstEvent.IsZero() || g.evacuations.Evacuated(run.upstream.DataCentre)
+			if mayLeave && run.move != nil && now.Sub(run.started) >= minRunTime {
 				list = append(list, movableRun{job: e.owned.job, item: p, run: run, slowFor: slowFor})
 			}
 		}
@@ -132,6 +137,9 @@
 // there. The caller holds g.mu.
 func (s *schedulePass) reserveMove(r movableRun) bool {
 	g := s.g
+	if g.evacuations.Evacuated(r.run.upstream.DataCentre) && s.reserveEvacuation(r) {
+		return true
+	}
 	req := g.requirementsOf(r.job, r.item)
 	req.Avoid = r.run.upstream.ID
 	key := selectorKey{sendScope: g.jobScope(&r.job.Record, r.run.upstream.Service), model: r.job.Spec.Model}
@@ -158,3 +166,23 @@
 		Dur("restart_ms", move.Restart).Dur("saving_ms", move.Saving()).Msg("text moved")
 	return true
 }
+
+// reserveEvacuation reports whether a text should leave its evacuated data centre, and if so counts it at another upstream.
+// The caller holds g.mu.
+func (s *schedulePass) reserveEvacuation(r movableRun) bool {
+	pace := s.g.healthOf(r.run.upstream.ID).Pace(s.now)
+	if pace == 0 || time.Duration(r.item.RemainingEvents())*pace <= maxEvacuatedRun {
+		return false
+	}
+	req := s.g.requirementsOf(r.job, r.item)
+	req.Avoid = r.run.upstream.ID
+	selector := s.selector(selectorKey{sendScope: s.g.jobScope(&r.job.Record, r.run.upstream.Service), model: r.job.Spec.Model})
+	other, ok := selector.Alternative(req)
+	if !ok || !r.job.MayContinue(r.item, other.Version) {
+		return false
+	}
+	selector.Pick(req)
+	s.g.opts.Log.Info().Str("job", r.job.Spec.ID).Str("item", r.item.Item.ID).Str("from", r.run.upstream.ID).Str("to", other.ID).
+		Int("remaining_events", r.item.RemainingEvents()).Msg("text leaves an evacuated data centre")
+	return true
+}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -29,6 +29,9 @@
 	// PeerAddress is the host:port at which peers reach this process.
 	PeerAddress string
 	Timing      Timing
+	// ColdOverrun and ColdSlack say how far the requests to a cold upstream may exceed what it takes, within a second: they
+	// may be ColdOverrun times as many and ColdSlack more. An overrun below 1 counts as 1.
+	ColdOverrun, ColdSlack float64
 	// CPUShare is the share of the CPU that the process gets, in cores.
 	CPUShare float64
 	// MaxRowBytes limits the size of the value of one row.
@@ -96,6 +99,8 @@
 	// IsConfig and IsModelVersion classify the rows of the operator table by key.
 	IsConfig(key string) bool
 	IsModelVersion(key string) bool
+	// EvacuatedDataCentre returns the data centre whose evacuation a row of the operator table orders, by the row's key.
+	EvacuatedDataCentre(key string) (dataCentre string, ok bool)
 	DecodeConfig(value []byte) (*serving.Config, error)
 	DecodeModelVersion(key string, value []byte) (versionplan.ModelVersion, error)
 	DecodeUpstream(id string, value []byte) (upstreams.Entry, error)
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -5,6 +5,7 @@
 	"maps"
 	"time"
 
+	"github.com/radishshelf/radishshelf/evacuation"
 	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/presence"
 	"github.com/radishshelf/radishshelf/upstreams"
@@ -35,11 +36,14 @@
 func (g *Gateway) operatorWatch() *tableWatch {
 	w := g.newTableWatch(g.opts.Codec.OperatorTable(), false)
 	w.apply = func(c hosting.RowChange) {
-		if !c.Deleted {
+		if dataCentre, ok := g.opts.Codec.EvacuatedDataCentre(c.Key); ok {
+			g.applyEvacuation(evacuation.Order{DataCentre: dataCentre, Version: c.Version, Active: !c.Deleted}, operatorSource)
+		} else if !c.Deleted {
 			g.applyOperatorRow(c.StoredRow)
 		}
 	}
 	w.reset = func(rows []hosting.StoredRow) {
+		g.resetEvacuations(rows, w.readVersion) // before the configuration, without which nothing is sent
 		for _, r := range rows {
 			w.recoverPanic("row of "+w.table, func() { g.applyOperatorRow(r) })
 		}
@@ -115,6 +119,9 @@
 			})
 		}
 		g.upstreams.Replace(list, time.Now())
+		for _, e := range list {
+			g.observeCold(e, e.ColdFor)
+		}
 		g.upstreamsLoaded = true
 	}
 	return w
@@ -141,6 +148,7 @@
 	}
 	old, known := g.upstreams.Get(e.ID)
 	g.upstreams.Put(e)
+	g.observeCold(e, e.ColdFor)
 	e, _ = g.upstreams.Get(e.ID) // an upstream that announced that it leaves does so whatever its entry states
 	if known && old.Born != e.Born {
 		delete(g.health, e.ID) // a new incarnation starts without a health history
@@ -185,6 +193,7 @@
 	}
 	g.peers.Observe(b)
 	g.observeLimits(b)
+	g.observeEvacuations(b)
 	if b.Host == g.opts.Host && b.Incarnation == g.opts.Incarnation {
 		g.heartbeatSeen = max(g.heartbeatSeen, b.Sequence)
 	}
