Tell nothing of limits of an upstream that is only cold

Cause: a response without a limit made a record that exists because the upstream is cold look like a limit that was lifted just now, which the host told all others and kept for 30 s. Change: such a record counts as none until the upstream names a limit. Result: in testdata/cold.golden the report had HeardAt:60000 for an upstream that never named a limit, now HeardAt:0.

--- a/upstreamlimit/statement.go
+++ b/upstreamlimit/statement.go
@@ -34,7 +34,7 @@
 func (t *Table) Hear(u upstreams.Entry, perSecond float64, requestedAt, now time.Time) (Change, bool) {
 	i := u.Incarnation()
 	known, ok := t.limits[i]
-	if !ok {
+	if !ok || known.heardAt.IsZero() { // without a record, or known only because the upstream is cold
 		if perSecond == 0 {
 			return Change{}, false
 		}
