Log no slow period of an engine that is not slow

Cause: a queued text moves from engines that are not slow, too, and its line then had slow_for_ms=, as the time since a zero time was taken.

The test printed before: e1 is still slow (false), for 2562047h47m16.854775807s. The decision did not use the value.

--- a/textmove/decide_test.go
+++ b/textmove/decide_test.go
@@ -93,8 +93,8 @@
 	s.Observe("e1", 2, 1, now)
 	s.Observe("e2", 2, 1, now)
 	s.Retain(func(engine string) bool { return engine == "e2" })
-	if _, slow := s.Duration("e1", now.Add(1)); slow {
-		t.Error("e1 is still slow")
+	if d, slow := s.Duration("e1", now.Add(1)); slow || d != 0 {
+		t.Errorf("e1 is still slow (%v), for %s", slow, d)
 	}
 	if d, slow := s.Duration("e2", now.Add(1)); !slow || d != 1 {
 		t.Errorf("e2 slow for %s (%v), want 1ns", d, slow)
--- a/textmove/slow_periods.go
+++ b/textmove/slow_periods.go
@@ -27,10 +27,13 @@
 	}
 }
 
-// Duration returns how long an engine has been slow, and false if it is not.
+// Duration returns how long an engine has been slow; 0 and false if it is not.
 func (s *SlowPeriods) Duration(engine string, now time.Time) (time.Duration, bool) {
 	since, slow := s.since[engine]
-	return now.Sub(since), slow
+	if !slow {
+		return 0, false
+	}
+	return now.Sub(since), true
 }
 
 // Len returns the number of engines that are slow.
