Make the filters and scorers of package routing a generic pipeline

Cause: two forms of the same choice: package routing has named filters, scorers and a picker for the entry, the gateway had one function with all costs inline.

Change: Pipeline[R, C] holds the filters and scorers for any type of request and candidate; the Router uses it for its own.

--- a/routing/decision.go
+++ b/routing/decision.go
@@ -5,24 +5,8 @@
 	"strings"
 )
 
-// CostPart is the cost in seconds from one scorer.
-type CostPart struct {
-	Scorer string
-	Cost   float64
-}
-
-// ScoredCandidate is a sampled candidate with its cost.
-type ScoredCandidate struct {
-	Candidate Candidate
-	Parts     []CostPart
-	Total     float64
-}
-
-// RemovedCount is the number of candidates removed by one filter.
-type RemovedCount struct {
-	Filter string
-	Count  int
-}
+// ScoredCandidate is a sampled candidate with its cost in seconds.
+type ScoredCandidate = Scored[Candidate]
 
 // Decision is the choice of an upstream with the data that explains it.
 type Decision struct {
--- a/routing/router.go
+++ b/routing/router.go
@@ -21,7 +21,7 @@
 // Router chooses upstreams for one entry.
 type Router struct {
 	cfg      Config
-	filters  []Filter
+	filters  []Filter[Request, Candidate]
 	prefixes PrefixMatcher
 	inflight *InFlight
 	picker   Picker
@@ -47,7 +47,8 @@
 // *outcome.Refusal of kind no_upstream.
 func (r *Router) Route(req Request, candidates []Candidate, now time.Time) (Decision, error) {
 	d := Decision{RequestID: req.ID, Candidates: len(candidates)}
-	kept, removed := r.filter(&req, candidates)
+	pipeline := Pipeline[Request, Candidate]{Filters: r.filters}
+	kept, removed := pipeline.Keep(&req, candidates)
 	d.Removed = removed
 	if len(kept) == 0 {
 		return d, r.refusal(&req, d)
@@ -65,9 +66,9 @@
 	if len(bestPrefix) > 0 && prefix.Matched[bestPrefix[0].Name] == 0 {
 		bestPrefix = nil
 	}
-	scorers := []Scorer{prefix, r.waitScorer(), place}
+	pipeline.Scorers = []Scorer[Request, Candidate]{prefix, r.waitScorer(), place}
 	for _, c := range r.picker.Sample(kept, nearest, bestPrefix) {
-		d.Sampled = append(d.Sampled, score(scorers, &req, c, now))
+		d.Sampled = append(d.Sampled, pipeline.Score(&req, c, now))
 	}
 	slices.SortStableFunc(d.Sampled, func(a, b ScoredCandidate) int { return cmp.Compare(a.Total, b.Total) })
 	d.Chosen = d.Sampled[0].Candidate
@@ -92,26 +93,6 @@
 	}
 }
 
-func (r *Router) filter(req *Request, candidates []Candidate) (kept []*Candidate, removed []RemovedCount) {
-	counts := make([]int, len(r.filters))
-	kept = make([]*Candidate, 0, len(candidates))
-	for n := range candidates {
-		c := &candidates[n]
-		i := slices.IndexFunc(r.filters, func(f Filter) bool { return !f.Keep(req, c) })
-		if i < 0 {
-			kept = append(kept, c)
-			continue
-		}
-		counts[i]++
-	}
-	for i, n := range counts {
-		if n > 0 {
-			removed = append(removed, RemovedCount{Filter: r.filters[i].Name(), Count: n})
-		}
-	}
-	return kept, removed
-}
-
 func (r *Router) refusal(req *Request, d Decision) error {
 	var causes []string
 	for _, m := range d.Removed {
@@ -127,16 +108,6 @@
 	}
 }
 
-func score(scorers []Scorer, req *Request, c *Candidate, now time.Time) ScoredCandidate {
-	s := ScoredCandidate{Candidate: *c}
-	for _, scorer := range scorers {
-		cost := scorer.Cost(req, c, now)
-		s.Parts = append(s.Parts, CostPart{Scorer: scorer.Name(), Cost: cost})
-		s.Total += cost
-	}
-	return s
-}
-
 // withLowestCost returns the candidates with the lowest cost.
 func withLowestCost(candidates []*Candidate, cost func(*Candidate) float64) []*Candidate {
 	var best []*Candidate
