Choose plain upstreams by own load, aged reports and measured waits

Cause: all hosts chose the upstream with the fewest requests in flight, by reports that are 0 to 0.75 s old. Requests to plain services last 25 to 200 ms, so the report says nothing about now, and all hosts choose the same upstream at once; the number of requests does not show that an upstream is slow.

Change: package evenload, a pipeline of package routing. A report counts in full only as long as the requests in it last (exp(-age/lifetime)); the rest becomes the mean of the service. The own load is weighted with response times that this host measured, by kind of request and without the round trip; sends that were given up late count. While upstreams have room a host takes turns: callers' requests among near upstreams, score calls among all. Heartbeats are unchanged: no byte, order, probe or store call more. An operator sees busiest_over_mean, busy_upstreams_total and "uneven spread of requests over upstreams".

Engines are not part of this change.

Tests: TestOldReportDoesNotOutweighOwnLoad, written for the code before, printed "chose p1 by a report of 700ms ago, about requests of 20 ms". TestOldReportsCauseNoHerd runs the former choice too and wants over 0.5 rejections a request of it. The other tests need the new types.

--- a/gateway/adopt.go
+++ b/gateway/adopt.go
@@ -30,6 +30,7 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		g.mu.Lock()
+		g.reportSpread(now)
 		g.peers.Tick(now, g.isPeerViewCurrent(now))
 		for _, id := range g.upstreams.Expire(now) {
 			g.opts.Log.Info().Str("upstream", id).Msg("upstream removed: its registry entry expired")
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -1,35 +1,16 @@
 package gateway
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/radishshelf/radishshelf/evenload"
 	"github.com/radishshelf/radishshelf/placement"
 	"github.com/radishshelf/radishshelf/serving"
 	"github.com/radishshelf/radishshelf/upstreams"
 )
 
-// Cost terms for the choice of an upstream, in units of utilization: a cost of 0.3 makes a remote upstream the better
-// choice once a local one is 0.3 fuller.
-const (
-	// sameRegionCost applies to an upstream in another data centre of the same region.
-	sameRegionCost = 0.15
-	// otherRegionCost applies to an upstream in another region: traffic between regions is billed, and a round trip takes
-	// 40 ms.
-	otherRegionCost = 0.3
-	// connectionCost applies if the send needs a new connection; connections are billed.
-	connectionCost = 0.2
-	// tieBreakCost limits the random term that spreads requests over equal upstreams.
-	tieBreakCost = 0.01
-	// isolationCost keeps other requests away from an upstream that runs a crash suspect, as long as there is an
-	// alternative.
-	isolationCost = 1
-	// suspectCost ranks an upstream whose last request failed behind all healthy ones.
-	suspectCost = 4
-)
-
 // chooseService picks a target service of a route at random by weight. It returns false if the route has none.
 func chooseService(route *serving.Route) (string, bool) {
 	if len(route.Targets) == 1 {
@@ -64,33 +45,32 @@
 // choosePlain picks the upstream with the lowest cost for a request. limited reports whether upstreams were left out
 // because of their limits. The caller holds g.mu.
 func (g *Gateway) choosePlain(c plainChoice, now time.Time) (best upstreams.Entry, found, limited bool) {
-	bestCost := 0.0
+	candidates := g.candidates(c.scope)
+	request := evenload.Request{AllowTried: c.allowTried, Yields: !c.inTurn && g.limitQueueLen(c.scope.service) > 0, Background: c.background}
+	option, limited := g.chooser.Choose(request, g.optionsFor(c, candidates, now), now)
+	if option == nil {
+		return upstreams.Entry{}, false, limited
+	}
+	i := slices.IndexFunc(candidates, func(e upstreams.Entry) bool { return e.ID == option.ID })
+	return candidates[i], true, limited
+}
+
+// optionsFor describes the candidates of a request. The caller holds g.mu.
+func (g *Gateway) optionsFor(c plainChoice, candidates []upstreams.Entry, now time.Time) []evenload.Option {
 	hasLimits := g.hasLimits(c.scope.service, now)
-	keepsOrder := !c.inTurn && g.limitQueueLen(c.scope.service) > 0
-	for _, e := range g.candidates(c.scope) {
-		tried := c.tried[e.ID]
-		if tried && !c.allowTried {
-			continue
-		}
-		if hasLimits && (!g.hasRoom(e, c.background, now) || keepsOrder && g.limits.Limited(e, now)) {
-			limited = true
-			continue
-		}
-		cost := g.sendCost(e, now)
-		if tried {
-			cost += 2 * suspectCost
-		}
-		if g.healthOf(e.ID).IsBusy("", now) {
-			cost += suspectCost
-		}
-		if g.suspects.isolated[e.ID] > 0 {
-			cost += isolationCost
-		}
-		if !found || cost < bestCost {
-			best, bestCost, found = e, cost, true
-		}
+	peers, times := g.expectedPeerLoad(c.scope.service, now), g.responseTimesOf(c.scope.service)
+	options := make([]evenload.Option, 0, len(candidates))
+	for _, e := range candidates {
+		h := g.healthOf(e.ID)
+		options = append(options, evenload.Option{
+			ID: e.ID, Slots: max(e.Slots, 1), Own: g.inFlight[e.ID], Peers: peers.Expected(e.ID, now),
+			Share: times.Recent(e.ID, now), Slowness: times.Slowness(e.ID, now), Distance: g.distanceTo(e), Connected: g.hasIdleConnection(e.ID, now),
+			Suspect: !h.Allowed(now, g.inFlight[e.ID]), Busy: h.IsBusy("", now), Isolated: g.suspects.isolated[e.ID] > 0,
+			Tried: c.tried[e.ID], Limited: hasLimits && g.limits.Limited(e, now),
+			Full: hasLimits && !g.hasRoom(e, c.background, now),
+		})
 	}
-	return best, found, limited
+	return options
 }
 
 // maxBackgroundLoad is the multiple of an upstream's slots from which on it takes no more background requests in place of
@@ -121,33 +101,6 @@
 	})
 }
 
-// sendCost returns the cost of one more request at an upstream. The caller holds g.mu.
-func (g *Gateway) sendCost(e upstreams.Entry, now time.Time) float64 {
-	h := g.healthOf(e.ID)
-	peerRequests, _ := g.loadOfPeers(e.ID)
-	utilization := float64(g.inFlight[e.ID]+peerRequests+1) / float64(max(e.Slots, 1))
-	cost := utilization*g.slowness(e, now) + g.distanceCost(e) + rand.Float64()*tieBreakCost
-	if !g.hasIdleConnection(e.ID, now) {
-		cost += connectionCost
-	}
-	if !h.Allowed(now, g.inFlight[e.ID]) {
-		cost += suspectCost
-	}
-	return cost
-}
-
-// distanceCost returns the cost of the distance to an upstream.
-func (g *Gateway) distanceCost(e upstreams.Entry) float64 {
-	switch g.distanceTo(e) {
-	case placement.SameDataCentre:
-		return 0
-	case placement.SameRegion:
-		return sameRegionCost
-	default:
-		return otherRegionCost
-	}
-}
-
 // distanceTo returns the distance between this process and an upstream.
 func (g *Gateway) distanceTo(e upstreams.Entry) placement.Distance {
 	switch {
@@ -159,40 +112,3 @@
 		return placement.OtherRegion
 	}
 }
-
-// slowness returns the pace of an upstream relative to the fastest of its service; 1 is the fastest or unknown. The
-// caller holds g.mu.
-func (g *Gateway) slowness(e upstreams.Entry, now time.Time) float64 {
-	pace := g.healthOf(e.ID).Pace(now)
-	if pace == 0 {
-		return 1
-	}
-	return float64(pace) / float64(min(pace, g.fastestPace(e.Service, now)))
-}
-
-// fastestPaceTTL is how long the fastest pace of a service is cached. Paces are averages over several observations, so
-// they change slowly.
-const fastestPaceTTL = 50 * time.Millisecond
-
-// cachedPace is the lowest pace among the upstreams of a service, and when it was computed.
-type cachedPace struct {
-	pace time.Duration
-	at   time.Time
-}
-
-// fastestPace returns the lowest pace among the upstreams of a service; a pace is the mean time for one unit of work.
-// The caller holds g.mu.
-func (g *Gateway) fastestPace(service string, now time.Time) time.Duration {
-	f := g.fastestPaces[service]
-	if f.pace > 0 && now.Sub(f.at) < fastestPaceTTL {
-		return f.pace
-	}
-	f = cachedPace{pace: math.MaxInt64, at: now}
-	for _, e := range g.upstreams.Ready(service) {
-		if p := g.healthOf(e.ID).Pace(now); p > 0 {
-			f.pace = min(f.pace, p)
-		}
-	}
-	g.fastestPaces[service] = f
-	return f.pace
-}
--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -22,6 +22,9 @@
 func (g *Gateway) acquire(u upstreams.Entry, now time.Time) {
 	id := u.ID
 	g.limits.Sent(u, now)
+	load := g.loadOf(u.Service)
+	load.times.Sent(id, now)
+	load.spread.Add(id)
 	g.inFlight[id]++
 	c := g.connections[id]
 	if now.Sub(c.usedAt) > idleConnectionTTL {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/radishshelf/radishshelf/batch"
+	"github.com/radishshelf/radishshelf/evenload"
 	"github.com/radishshelf/radishshelf/placement"
 	"github.com/radishshelf/radishshelf/presence"
 	"github.com/radishshelf/radishshelf/retry"
@@ -49,8 +51,12 @@
 	lastJobWatchResponse time.Time
 	startsPaused         bool
 	health               map[string]*upstreamhealth.Health
-	// fastestPaces caches the lowest pace among the upstreams of each service.
-	fastestPaces map[string]cachedPace
+	// serviceLoads holds what is known of the load of each service, for the choice among its upstreams.
+	serviceLoads map[string]*serviceLoad
+	chooser      *evenload.Chooser
+	// spreadReportedAt is when the spread of requests was judged last, and busiestOverMean what it showed.
+	spreadReportedAt time.Time
+	busiestOverMean  float64
 	// inFlight counts the requests that this process has in flight at each upstream.
 	inFlight map[string]int
 	// engineMemories holds the memory that engines reported, by service, and tokenRates the ratio of tokens to events, by
@@ -103,7 +109,7 @@
 func New(opts Options) *Gateway {
 	g := &Gateway{
 		opts: opts, latestVersions: map[string]int64{}, upstreams: upstreams.NewView(), peers: presence.NewView(peerTimeout),
-		jobs: map[string]*jobEntry{}, health: map[string]*upstreamhealth.Health{}, fastestPaces: map[string]cachedPace{}, inFlight: map[string]int{},
+		jobs: map[string]*jobEntry{}, health: map[string]*upstreamhealth.Health{}, serviceLoads: map[string]*serviceLoad{}, chooser: evenload.NewChooser(rand.Float64), inFlight: map[string]int{},
 		connections:    map[string]connectionState{},
 		engineMemories: map[string]*placement.EngineMemory[upstreams.Incarnation]{}, tokenRates: map[string]*batch.TokenRate{},
 		peerLoad: peerLoadSums{requests: map[string]int{}, tokens: map[string]int{}}, hedges: retry.NewBudget(retry.DefaultBudgetConfig(), time.Now()),
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -35,11 +35,13 @@
 	// suspectsRefused counts refused requests, and suspectsCleared cases that were closed by a complete response.
 	suspectsRefused, suspectsCleared *metrics.Counter
 	dutiesTaken                      *metrics.Counter
-	upstreamTime                     *metrics.Histogram
-	itemTime                         *metrics.Histogram
-	requestTime                      *metrics.Histogram
-	storeTime                        *metrics.Histogram
-	itemWait                         *metrics.Histogram
+	// busyUpstreams counts sends that an upstream refused for lack of room.
+	busyUpstreams *metrics.Counter
+	upstreamTime  *metrics.Histogram
+	itemTime      *metrics.Histogram
+	requestTime   *metrics.Histogram
+	storeTime     *metrics.Histogram
+	itemWait      *metrics.Histogram
 }
 
 func newMetricSet(r *telemetry.Registry, g *Gateway) *metricSet {
@@ -92,6 +94,11 @@
 		defer g.mu.Unlock()
 		return float64(g.suspects.ledger.Len())
 	})
+	r.NewGauge("radishshelf_gateway_busiest_over_mean", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.busiestOverMean
+	})
 	r.NewGauge("radishshelf_gateway_limited_upstreams", func() float64 {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -105,6 +112,7 @@
 	return &metricSet{
 		registry:         r,
 		hedges:           r.NewCounter("radishshelf_gateway_hedges_total"),
+		busyUpstreams:    r.NewCounter("radishshelf_gateway_busy_upstreams_total"),
 		probes:           r.NewCounter("radishshelf_gateway_probes_total"),
 		watchFailures:    r.NewCounter("radishshelf_gateway_watch_failures_total"),
 		jobsAccepted:     r.NewCounter("radishshelf_gateway_jobs_accepted_total"),
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -186,7 +186,7 @@
 	req.TimeLeft, req.Upstream = time.Until(f.deadline), u
 	isolated := f.action != quarantine.Run
 	go func() {
-		result := f.g.sendBuffered(ctx, f.inUse, &req)
+		result := f.g.sendBuffered(ctx, f.inUse, &req, f.auth.route.Name)
 		if isolated {
 			f.g.releaseIsolated(u.ID)
 		}
--- a/gateway/scoring.go
+++ b/gateway/scoring.go
@@ -139,12 +139,15 @@
 	return sendScope{service: service, homes: route.Homes}, ok
 }
 
+// scoreKind is the kind of score calls among the requests to a service.
+const scoreKind = "score"
+
 func (s *scoring) call(ctx context.Context, u upstreams.Entry, timeout time.Duration) sendResult {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req := s.request()
 	req.TimeLeft, req.Upstream = timeout, u
-	return s.o.g.sendBuffered(ctx, ctx, req)
+	return s.o.g.sendBuffered(ctx, ctx, req, scoreKind)
 }
 
 // request builds the score call, which is the same for every upstream.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -24,13 +24,15 @@
 var errResponseTooLarge = errors.New("the response exceeds 32 MiB or the available memory")
 
 // sendBuffered sends a request, reads the complete response and updates the health of the upstream from the result. The
-// body of the response is in use until inUse ends.
-func (g *Gateway) sendBuffered(ctx, inUse context.Context, req *upstreamcall.Request) sendResult {
+// body of the response is in use until inUse ends. Requests of one kind, such as those of a route, are expected to take
+// equally long.
+func (g *Gateway) sendBuffered(ctx, inUse context.Context, req *upstreamcall.Request, kind string) sendResult {
 	started := time.Now()
 	result := sendResult{upstream: req.Upstream}
 	result.response, result.signature, result.failure = g.readBuffered(ctx, inUse, req)
 	result.took = time.Since(started)
 	g.finishSend(req.Upstream, "", result.failure, ctx)
+	g.recordResponseTime(kind, result)
 	result.broken = g.recordRun(ctx, req, result.failure, 0)
 	if result.failure == nil {
 		g.metrics.upstreamTime.UpdateDuration(started)
@@ -38,6 +40,21 @@
 	return result
 }
 
+// recordResponseTime records the time of a send that was answered, or that this process gave up.
+func (g *Gateway) recordResponseTime(kind string, r sendResult) {
+	if r.failure != nil && r.failure.Reason != upstreamcall.Cancelled {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	times, distance, now := g.loadOf(r.upstream.Service).times, g.distanceTo(r.upstream), time.Now()
+	if r.failure == nil {
+		times.Observe(kind, r.upstream.ID, distance, r.took, now)
+		return
+	}
+	times.ObserveUnfinished(kind, r.upstream.ID, distance, r.took, now)
+}
+
 // readBuffered sends a request and reads the complete response, and returns it with its signature.
 func (g *Gateway) readBuffered(
 	ctx, inUse context.Context, req *upstreamcall.Request,
@@ -99,6 +116,7 @@
 	case failure.Reason == upstreamcall.Cancelled, failure.Reason == upstreamcall.Moved,
 		failure.Reason == upstreamcall.Stale:
 	case failure.Reason == upstreamcall.Busy:
+		g.metrics.busyUpstreams.Inc()
 		h.MarkBusy(model, now.Add(busyTTL))
 		h.RecordSuccess()
 	case failure.Reason == upstreamcall.Failed, failure.Reason == upstreamcall.Impossible,
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -183,7 +183,7 @@
 		g.skipRow(r.RowKey, err)
 		return
 	}
-	g.peers.Observe(b)
+	g.peers.ObserveAt(b, time.Now())
 	g.observeLimits(b)
 	if b.Host == g.opts.Host && b.Incarnation == g.opts.Incarnation {
 		g.heartbeatSeen = max(g.heartbeatSeen, b.Sequence)
--- a/measure/scenario.go
+++ b/measure/scenario.go
@@ -37,7 +37,7 @@
 
 // Scenarios returns all scenarios in the order of the table.
 func Scenarios() []Scenario {
-	return []Scenario{
+	list := []Scenario{
 		RoutingScenario(),
 		FairnessScenario(),
 		DeadlineScenario(1.5),
@@ -56,4 +56,8 @@
 		RecoveryScenario(false),
 		RecoveryScenario(true),
 	}
+	for _, p := range LoadPatterns() {
+		list = append(list, EvenLoadScenario(p))
+	}
+	return list
 }
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -53,6 +53,8 @@
 	heartbeat Heartbeat
 	// changedAt is the value of watchedTime when the heartbeat last changed.
 	changedAt time.Duration
+	// heardAt is when the heartbeat last changed.
+	heardAt time.Time
 }
 
 // NewView returns an empty view in which a process is dead after peerTimeout of watched time without a new heartbeat.
@@ -70,7 +72,10 @@
 }
 
 // Observe records a heartbeat. A heartbeat that did not change has no effect.
-func (v *View) Observe(hb Heartbeat) {
+func (v *View) Observe(hb Heartbeat) { v.ObserveAt(hb, v.lastTick) }
+
+// ObserveAt is Observe for a heartbeat that arrived at a given time.
+func (v *View) ObserveAt(hb Heartbeat, now time.Time) {
 	p, ok := v.peers[hb.Host]
 	if !ok {
 		p = &peer{}
@@ -79,7 +84,15 @@
 	if ok && p.heartbeat.Incarnation == hb.Incarnation && p.heartbeat.Sequence == hb.Sequence {
 		return
 	}
-	p.heartbeat, p.changedAt = hb, v.watchedTime
+	p.heartbeat, p.changedAt, p.heardAt = hb, v.watchedTime, now
+}
+
+// HeardAt returns when the heartbeat of a process last changed, by this process's clock; zero if there is none.
+func (v *View) HeardAt(host string) time.Time {
+	if p, ok := v.peers[host]; ok {
+		return p.heardAt
+	}
+	return time.Time{}
 }
 
 // Forget drops a process that removed its heartbeat.
