Ask an engine that loads weights less often, until its version changes

Change: refusals in a row pause 200, 400 and 800 ms; refusals of texts that were sent together count once. The pause ends when the registry shows other versions, or a text was made.

TestRefusalsInARowPauseLonger needs the new method; with the fixed pause of 200 ms the loop in it refuses five times.

--- a/gateway/send.go
+++ b/gateway/send.go
@@ -110,6 +110,7 @@
 	h := g.healthOf(u.ID)
 	switch {
 	case failure == nil:
+		h.ClearBusy(model)
 		if h.RecordSuccess() {
 			g.opts.Log.Info().Str("upstream", u.ID).Msg("upstream recovered")
 		}
@@ -117,7 +118,7 @@
 		failure.Reason == upstreamcall.Stale:
 	case failure.Reason == upstreamcall.Busy:
 		g.metrics.busyUpstreams.Inc()
-		h.MarkBusy(model, now.Add(busyTTL))
+		g.recordBusy(u, model, now)
 		h.RecordSuccess()
 	case failure.Reason == upstreamcall.Failed, failure.Reason == upstreamcall.Impossible,
 		failure.Reason == upstreamcall.OldVersion:
@@ -133,6 +134,24 @@
 	}
 }
 
-// busyTTL is how long an upstream counts as busy after it refused a request for lack of room. An upstream that loads
-// weights refuses for about a second.
+// busyTTL is how long an upstream counts as busy after it refused a request for lack of room.
 const busyTTL = 200 * time.Millisecond
+
+// recordBusy records that an upstream refused a request. A plain upstream frees a slot within milliseconds; an engine that
+// loads weights refuses for about a second, so it is asked less often until it serves another version. The caller holds g.mu.
+func (g *Gateway) recordBusy(u upstreams.Entry, model string, now time.Time) {
+	h := g.healthOf(u.ID)
+	if model == "" {
+		h.MarkBusy(model, now.Add(busyTTL))
+		return
+	}
+	h.RecordBusy(model, busyTTL, now)
+}
+
+// clearBusy records that an upstream serves other versions than before, so what it refused while it loaded them says nothing
+// any more. The caller holds g.mu.
+func (g *Gateway) clearBusy(u upstreams.Entry) {
+	for model := range u.Versions {
+		g.healthOf(u.ID).ClearBusy(model)
+	}
+}
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -146,6 +146,9 @@
 		delete(g.health, e.ID) // a new incarnation starts without a health history
 		g.recordUpstreamEnd(old, "entry of another incarnation")
 	}
+	if known && !maps.Equal(old.Versions, e.Versions) {
+		g.clearBusy(e)
+	}
 	if !known || old.State != e.State || old.Born != e.Born || !maps.Equal(old.Versions, e.Versions) {
 		g.opts.Log.Info().Str("upstream", e.ID).Str("service", e.Service).Str("state", string(e.State)).
 			Interface("versions", e.Versions).Msg("upstream changed")
--- a/upstreamhealth/health.go
+++ b/upstreamhealth/health.go
@@ -26,6 +26,9 @@
 	// maxPaceAge is how long a pace is valid without a new observation. A slow upstream that got no work for this long
 	// is tried again, because it may have recovered.
 	maxPaceAge = 2500 * time.Millisecond
+	// maxBusyPause limits the pause after refusals in a row. A load of weights lasts one or two seconds, and its end is seen
+	// in the registry as well.
+	maxBusyPause = 800 * time.Millisecond
 	// minObservations is the number of observations from which on a pace is reported.
 	minObservations = 3
 	// warmUpObservations is the number of observations from which on the weight of a new one depends on the elapsed
@@ -38,7 +41,7 @@
 	failures     int
 	failedAt     time.Time
 	backoffUntil time.Time
-	busyUntil    map[string]time.Time
+	busy         map[string]busyMark
 	// pace is the moving average of the time for one unit of work; 0 before the first observation.
 	pace         time.Duration
 	observedAt   time.Time
@@ -75,17 +78,42 @@
 	return recovered
 }
 
+// busyMark says until when the upstream counts as busy, and for how long after its last refusal.
+type busyMark struct {
+	until time.Time
+	pause time.Duration
+}
+
 // MarkBusy records that the upstream refuses requests for a model until the given time, for lack of capacity or because
 // it loads weights.
-func (h *Health) MarkBusy(model string, until time.Time) {
-	if h.busyUntil == nil {
-		h.busyUntil = map[string]time.Time{}
+func (h *Health) MarkBusy(model string, until time.Time) { h.setBusy(model, busyMark{until: until}) }
+
+// RecordBusy records that the upstream refused a request for a model at now. It counts as busy for a pause, which doubles
+// with each refusal that follows such a pause, up to maxBusyPause. Refusals of requests that were sent before the first one
+// arrived change nothing.
+func (h *Health) RecordBusy(model string, pause time.Duration, now time.Time) {
+	b := h.busy[model]
+	switch {
+	case now.Before(b.until):
+		return
+	case b.pause > 0 && now.Sub(b.until) < maxBusyPause:
+		pause = max(pause, min(2*b.pause, maxBusyPause))
+	}
+	h.setBusy(model, busyMark{until: now.Add(pause), pause: pause})
+}
+
+// ClearBusy records that the upstream may accept requests for a model again.
+func (h *Health) ClearBusy(model string) { delete(h.busy, model) }
+
+func (h *Health) setBusy(model string, b busyMark) {
+	if h.busy == nil {
+		h.busy = map[string]busyMark{}
 	}
-	h.busyUntil[model] = until
+	h.busy[model] = b
 }
 
 // IsBusy reports whether the upstream is marked busy for a model at now.
-func (h *Health) IsBusy(model string, now time.Time) bool { return now.Before(h.busyUntil[model]) }
+func (h *Health) IsBusy(model string, now time.Time) bool { return now.Before(h.busy[model].until) }
 
 // ObservePace records the time taken by one unit of work.
 func (h *Health) ObservePace(pace time.Duration, now time.Time) {
--- a/upstreamhealth/health_test.go
+++ b/upstreamhealth/health_test.go
@@ -84,3 +84,32 @@
 		t.Errorf("pace %s after half a second at %s", got, 3*usual)
 	}
 }
+
+// Guards against a text every 200 ms that an engine refuses while it loads weights, and against a pause that refusals of
+// texts sent together make longer.
+func TestRefusalsInARowPauseLonger(t *testing.T) {
+	const pause = 200 * time.Millisecond
+	var h Health
+	now := time.Unix(100, 0)
+	refusals := 0
+	for end := now.Add(time.Second); now.Before(end); now = now.Add(10 * time.Millisecond) {
+		if h.IsBusy("m", now) {
+			continue
+		}
+		refusals++
+		for range 5 {
+			h.RecordBusy("m", pause, now)
+		}
+	}
+	if refusals != 3 {
+		t.Errorf("refused %d times in a load of a second, want 3: at once, after 200 and after 600 ms", refusals)
+	}
+	h.ClearBusy("m")
+	if h.IsBusy("m", now) {
+		t.Error("busy after the end of the load was seen")
+	}
+	h.RecordBusy("m", pause, now)
+	if !h.IsBusy("m", now.Add(pause/2)) || h.IsBusy("m", now.Add(pause)) {
+		t.Error("the first refusal after a load does not pause for the usual time")
+	}
+}
