--- a/evenload/chooser.go
+++ b/evenload/chooser.go
@@ -17,22 +17,27 @@
 	return &Chooser{pipeline: routing.Pipeline[Request, Option]{Filters: filters(), Scorers: scorers(draw)}}
 }
 
+// minSlots is the least that an upstream counts as. It ranks one whose share of slots has not come back yet behind all
+// others.
+const minSlots = 0.01
+
 // compare returns the request with the mean utilization of the options, and turns the numbers of recent requests in their
 // shares into multiples of the mean.
 func compare(req Request, options []Option) Request {
-	recent, load, slots := 0.0, 0.0, 0
+	recent, load, slots := 0.0, 0.0, 0.0
 	for i := range options {
 		o := &options[i]
+		o.Slots = max(o.Slots, minSlots)
 		recent += o.Share
 		load += float64(o.Own) + o.Peers
 		slots += o.Slots
 	}
 	if slots > 0 {
-		req.Utilization = load / float64(slots)
+		req.Utilization = load / slots
 	}
 	for i := range options {
 		if recent > 0 {
-			options[i].Share *= float64(len(options)) / recent
+			options[i].Share *= slots / options[i].Slots / recent
 		}
 	}
 	return req
--- a/evenload/option.go
+++ b/evenload/option.go
@@ -17,13 +17,14 @@
 // Option is an upstream to which the request may be sent.
 type Option struct {
 	ID string
-	// Slots is how many requests the upstream runs at the same time, at least 1.
-	Slots int
+	// Slots is how many requests the upstream may run at the same time. One that comes back after an evacuation may have a
+	// part of a slot.
+	Slots float64
 	// Own is the number of this host's requests in flight there, and Peers the expected number of those of other hosts.
 	Own   int
 	Peers float64
-	// Share is the number of requests that this host sent there recently. Choose turns it into a multiple of the mean over
-	// all options.
+	// Share is the number of requests that this host sent there recently. Choose turns it into the number for each slot,
+	// as a multiple of the mean over all options.
 	Share float64
 	// Slowness is the response time relative to the other upstreams of the service.
 	Slowness float64
--- a/evenload/scorers.go
+++ b/evenload/scorers.go
@@ -76,7 +76,7 @@
 
 // waitCost is the expected utilization with the request, by upstreams that are equally fast.
 func waitCost(o *Option) float64 {
-	return (float64(o.Own) + o.Peers + 1) / float64(o.Slots) * o.Slowness
+	return (float64(o.Own) + o.Peers + 1) / o.Slots * o.Slowness
 }
 
 // shareScorer makes requests take turns among upstreams while these have room.
--- a/evenload/session_test.go
+++ b/evenload/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"testing"
@@ -55,7 +56,7 @@
 			s.order = append(s.order, words[1])
 		}
 		s.options[words[1]] = &Option{
-			ID: words[1], Slots: max(number("slots"), 1), Own: number("own"), Distance: placement.Distance(number("distance")),
+			ID: words[1], Slots: float64(max(number("slots"), 1)), Own: number("own"), Distance: placement.Distance(number("distance")),
 			Connected: values["connected"] != "no", Suspect: values["suspect"] != "", Busy: values["busy"] != "",
 			Tried: values["tried"] != "", Full: values["full"] != "", Limited: values["limited"] != "",
 		}
@@ -118,7 +119,7 @@
 		permitted := map[string]bool{}
 		for i := range rapid.IntRange(0, 8).Draw(t, "options") {
 			o := Option{
-				ID: fmt.Sprint("u", i), Slots: rapid.IntRange(1, 8).Draw(t, "slots"), Own: rapid.IntRange(0, 9).Draw(t, "own"),
+				ID: fmt.Sprint("u", i), Slots: rapid.Float64Range(0, 8).Draw(t, "slots"), Own: rapid.IntRange(0, 9).Draw(t, "own"),
 				Peers: rapid.Float64Range(0, 20).Draw(t, "peers"), Share: rapid.Float64Range(0, 20).Draw(t, "share"),
 				Slowness: rapid.Float64Range(0.1, 10).Draw(t, "slowness"), Tried: flag.Draw(t, "tried"),
 				Limited: flag.Draw(t, "limited"), Full: flag.Draw(t, "full"), Suspect: flag.Draw(t, "suspect"),
@@ -130,7 +131,13 @@
 		for _, ok := range permitted {
 			anyLeft = anyLeft || ok
 		}
-		best, _ := NewChooser(func() float64 { return 0.5 }).Choose(req, options, start)
+		chooser := NewChooser(func() float64 { return 0.5 })
+		best, _ := chooser.Choose(req, options, start)
+		for _, o := range options {
+			if total := chooser.Explain(req, o, start).Total; math.IsNaN(total) || math.IsInf(total, 0) {
+				t.Fatalf("cost %g of %+v", total, o)
+			}
+		}
 		if anyLeft != (best != nil) || best != nil && !permitted[best.ID] {
 			t.Fatalf("chose %+v; permitted %v", best, permitted)
 		}
@@ -141,7 +148,7 @@
 func TestMoreLoadNeverCostsLess(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		o := Option{
-			Slots: rapid.IntRange(1, 8).Draw(t, "slots"), Own: rapid.IntRange(0, 9).Draw(t, "own"),
+			Slots: rapid.Float64Range(0.1, 8).Draw(t, "slots"), Own: rapid.IntRange(0, 9).Draw(t, "own"),
 			Peers: rapid.Float64Range(0, 20).Draw(t, "peers"), Slowness: rapid.Float64Range(0.1, 10).Draw(t, "slowness"),
 		}
 		fuller := o
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -6,22 +6,33 @@
 	"time"
 
 	"github.com/radishshelf/radishshelf/evenload"
+	"github.com/radishshelf/radishshelf/homes"
 	"github.com/radishshelf/radishshelf/placement"
 	"github.com/radishshelf/radishshelf/serving"
 	"github.com/radishshelf/radishshelf/upstreams"
 )
 
-// chooseService picks a target service of a route at random by weight. It returns false if the route has none.
-func chooseService(route *serving.Route) (string, bool) {
-	if len(route.Targets) == 1 {
-		return route.Targets[0].Service, true
+// chooseService picks a target service of a route at random by weight, among those that homes and evacuations leave an
+// upstream. It returns false if the route has no target. The caller holds g.mu.
+func (g *Gateway) chooseService(route *serving.Route, home homes.Regions) (string, bool) {
+	targets := route.Targets
+	if len(targets) > 1 && (home.Restricted() || g.evacuations.Any()) {
+		usable := slices.DeleteFunc(slices.Clone(targets), func(t serving.Target) bool {
+			return len(g.upstreams.Ready(t.Service)) > 0 && len(g.candidates(sendScope{service: t.Service, homes: home})) == 0
+		})
+		if len(usable) > 0 {
+			targets = usable
+		}
+	}
+	if len(targets) == 1 {
+		return targets[0].Service, true
 	}
 	sum := 0.0
-	for _, t := range route.Targets {
+	for _, t := range targets {
 		sum += t.Weight
 	}
 	at := rand.Float64() * sum
-	for _, t := range route.Targets {
+	for _, t := range targets {
 		if at -= t.Weight; at < 0 {
 			return t.Service, true
 		}
@@ -63,7 +74,7 @@
 	for _, e := range candidates {
 		h := g.healthOf(e.ID)
 		options = append(options, evenload.Option{
-			ID: e.ID, Slots: max(e.Slots, 1), Own: g.inFlight[e.ID], Peers: peers.Expected(e.ID, now),
+			ID: e.ID, Slots: g.usableSlots(e, now), Own: g.inFlight[e.ID], Peers: peers.Expected(e.ID, now),
 			Share: times.Recent(e.ID, now), Slowness: times.Slowness(e.ID, now), Distance: g.distanceTo(e), Connected: g.hasIdleConnection(e.ID, now),
 			Suspect: !h.Allowed(now, g.inFlight[e.ID]), Busy: h.IsBusy("", now), Isolated: g.suspects.isolated[e.ID] > 0,
 			Tried: c.tried[e.ID], Limited: hasLimits && g.limits.Limited(e, now),
@@ -91,7 +102,7 @@
 		return true
 	}
 	peerRequests, _ := g.loadOfPeers(e.ID)
-	return g.inFlight[e.ID]+peerRequests < maxBackgroundLoad*max(e.Slots, 1)
+	return float64(g.inFlight[e.ID]+peerRequests) < maxBackgroundLoad*g.usableSlots(e, now)
 }
 
 // hasLimits reports whether an upstream of a service has a limit. The caller holds g.mu.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -26,6 +26,10 @@
 	// limitChanges counts limits of upstreams that were named, changed or lifted, and invalidLimits those that are no
 	// positive number.
 	limitChanges, invalidLimits *metrics.Counter
+	// upstreamsCold counts upstreams that became cold, and coldRequests the requests and control calls to cold upstreams.
+	upstreamsCold, coldRequests *metrics.Counter
+	// limitDeferrals counts requests that had to wait for their share of a limit.
+	limitDeferrals *metrics.Counter
 	// limitRefusals counts requests and calls that found no room within the limits of upstreams, and limitWait measures
 	// how long the others waited for it.
 	limitRefusals *metrics.Counter
@@ -36,12 +40,12 @@
 	suspectsRefused, suspectsCleared *metrics.Counter
 	dutiesTaken                      *metrics.Counter
 	// busyUpstreams counts sends that an upstream refused for lack of room.
-	busyUpstreams *metrics.Counter
-	upstreamTime  *metrics.Histogram
-	itemTime      *metrics.Histogram
-	requestTime   *metrics.Histogram
-	storeTime     *metrics.Histogram
-	itemWait      *metrics.Histogram
+	busyUpstreams      *metrics.Counter
+	upstreamTime       *metrics.Histogram
+	itemTime           *metrics.Histogram
+	requestTime        *metrics.Histogram
+	storeTime          *metrics.Histogram
+	itemWait, runStart *metrics.Histogram
 }
 
 func newMetricSet(r *telemetry.Registry, g *Gateway) *metricSet {
@@ -61,6 +65,11 @@
 		}
 		return float64(g.config.Version)
 	})
+	r.NewGauge("radishshelf_gateway_slow_engines", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(g.slowPeriods.Len())
+	})
 	r.NewGauge("radishshelf_gateway_upstreams", func() float64 {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -84,6 +93,16 @@
 		}
 		return 0
 	})
+	r.NewGauge("radishshelf_gateway_evacuations", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(len(g.evacuations.Active()))
+	})
+	r.NewGauge("radishshelf_gateway_evacuation_hosts_missing", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(g.evacuationHostsMissing())
+	})
 	r.NewGauge("radishshelf_gateway_stranded_jobs", func() float64 {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -104,6 +123,16 @@
 		defer g.mu.Unlock()
 		return float64(g.limits.Len())
 	})
+	r.NewGauge("radishshelf_gateway_cold_upstreams", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(g.limits.Cold(time.Now()))
+	})
+	r.NewGauge("radishshelf_gateway_cold_share", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.limits.ColdShare()
+	})
 	for phase, name := range map[batch.Phase]string{
 		batch.Waiting: "waiting", batch.Running: "running", batch.Scoring: "scoring", batch.Finished: "finished",
 	} {
@@ -122,6 +151,9 @@
 		endChecks:        r.NewCounter("radishshelf_gateway_end_checks_total"),
 		suspectEnds:      r.NewCounter("radishshelf_gateway_suspect_ends_total"),
 		upstreamsLeaving: r.NewCounter("radishshelf_gateway_upstreams_leaving_total"),
+		upstreamsCold:    r.NewCounter("radishshelf_gateway_upstreams_cold_total"),
+		coldRequests:     r.NewCounter("radishshelf_gateway_cold_requests_total"),
+		limitDeferrals:   r.NewCounter("radishshelf_gateway_limit_deferrals_total"),
 		limitChanges:     r.NewCounter("radishshelf_gateway_limit_changes_total"),
 		invalidLimits:    r.NewCounter("radishshelf_gateway_invalid_limits_total"),
 		limitRefusals:    r.NewCounter("radishshelf_gateway_limit_refusals_total"),
@@ -135,6 +167,7 @@
 		requestTime:      r.NewHistogram("radishshelf_gateway_request_seconds"),
 		storeTime:        r.NewHistogram("radishshelf_gateway_store_call_seconds"),
 		itemWait:         r.NewHistogram("radishshelf_gateway_item_wait_seconds"),
+		runStart:         r.NewHistogram("radishshelf_gateway_run_start_seconds"),
 	}
 }
 
--- a/measure/even_load_host.go
+++ b/measure/even_load_host.go
@@ -103,7 +103,7 @@
 	options := make([]evenload.Option, 0, len(r.servers))
 	for _, s := range r.servers {
 		options = append(options, evenload.Option{
-			ID: s.id, Slots: r.p.Slots, Own: h.own[s.id], Peers: h.peers.Expected(s.id, now),
+			ID: s.id, Slots: float64(r.p.Slots), Own: h.own[s.id], Peers: h.peers.Expected(s.id, now),
 			Share: h.times.Recent(s.id, now), Slowness: h.times.Slowness(s.id, now), Connected: h.connected(s.id, now),
 			Busy: now.Sub(h.rejectedAt[s.id]) < busyMark, Tried: rejectedBy[s.id],
 		})
--- a/upstreamhealth/health.go
+++ b/upstreamhealth/health.go
@@ -7,6 +7,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -29,6 +30,9 @@
 	// maxBusyPause limits the pause after refusals in a row. A load of weights lasts one or two seconds, and its end is seen
 	// in the registry as well.
 	maxBusyPause = 800 * time.Millisecond
+	// latestObservations is the number of observations of which LatestPace is the median, so that one late event does not
+	// count.
+	latestObservations = 3
 	// minObservations is the number of observations from which on a pace is reported.
 	minObservations = 3
 	// warmUpObservations is the number of observations from which on the weight of a new one depends on the elapsed
@@ -46,6 +50,8 @@
 	pace         time.Duration
 	observedAt   time.Time
 	observations int
+	// latest holds the last observations in a ring.
+	latest [latestObservations]time.Duration
 }
 
 // Allowed reports whether another request may be sent while this process has inFlight requests at the upstream.
@@ -128,9 +134,21 @@
 	}
 	h.pace += time.Duration(weight * float64(pace-h.pace))
 	h.observedAt = now
+	h.latest[h.observations%latestObservations] = pace
 	h.observations++
 }
 
+// LatestPace returns the median of the last few observations, which follows a change within a few events; 0 without
+// enough recent observations.
+func (h *Health) LatestPace(now time.Time) time.Duration {
+	if h.Pace(now) == 0 {
+		return 0
+	}
+	sorted := h.latest
+	slices.Sort(sorted[:])
+	return sorted[len(sorted)/2]
+}
+
 // Pace returns the moving average of the time for one unit of work; 0 without enough recent observations.
 func (h *Health) Pace(now time.Time) time.Duration {
 	if h.observations < minObservations || now.Sub(h.observedAt) > maxPaceAge {
