Do not take errors as a measure of how fast an upstream is

Cause: the response times of even load counted each whole response, so an upstream that answers every request with an error at once looked fast and got more of them.

Change: only successes count.

--- a/gateway/even_load_test.go
+++ b/gateway/even_load_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/radishshelf/radishshelf/call"
 	"github.com/radishshelf/radishshelf/presence"
 	"github.com/radishshelf/radishshelf/upstreamcall"
+	"github.com/radishshelf/radishshelf/upstreams"
 )
 
 // Guards against a host that gives a slow plain upstream as many requests as the others, because it looks at their number
@@ -21,7 +24,7 @@
 		u, _ := g.upstreams.Get(id)
 		g.mu.Unlock()
 		for range 8 {
-			g.recordResponseTime("quote", sendResult{upstream: u, took: took})
+			g.recordResponseTime("quote", answered(u, http.StatusOK, took))
 		}
 	}
 	g.mu.Lock()
@@ -53,6 +56,32 @@
 	}
 }
 
+// answered is the result of a send with a response.
+func answered(u upstreams.Entry, status int, took time.Duration) sendResult {
+	return sendResult{upstream: u, response: &call.Response{Status: status}, took: took}
+}
+
+// Guards against an upstream that answers each request with an error at once and attracts more of them, because it
+// looks fast.
+func TestFastErrorsDoNotAttract(t *testing.T) {
+	w := newTestCluster(t)
+	w.addUpstream("p2", plainService, 4, nil)
+	g := w.start("a")
+	g.mu.Lock()
+	p1, _ := g.upstreams.Get("p1")
+	p2, _ := g.upstreams.Get("p2")
+	g.mu.Unlock()
+	for range 8 {
+		g.recordResponseTime("quote", answered(p1, http.StatusInternalServerError, time.Millisecond))
+		g.recordResponseTime("quote", answered(p2, http.StatusOK, 20*time.Millisecond))
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s := g.responseTimesOf(plainService).Slowness("p1", time.Now()); s < 1 {
+		t.Errorf("slowness %.2f of an upstream that only fails", s)
+	}
+}
+
 // acquireIdle makes connections to upstreams look open, so that these do not decide. The caller holds g.mu.
 func (g *Gateway) acquireIdle(ids ...string) {
 	for _, id := range ids {
@@ -70,7 +99,7 @@
 	p2, _ := g.upstreams.Get("p2")
 	g.mu.Unlock()
 	for range 6 {
-		g.recordResponseTime("quote", sendResult{upstream: p2, took: 20 * time.Millisecond})
+		g.recordResponseTime("quote", answered(p2, http.StatusOK, 20*time.Millisecond))
 	}
 	cancelled := &upstreamcall.Failure{Reason: upstreamcall.Cancelled}
 	g.recordResponseTime("quote", sendResult{upstream: p1, took: 200 * time.Millisecond, failure: cancelled})
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/radishshelf/radishshelf/call"
@@ -40,9 +41,11 @@
 	return result
 }
 
-// recordResponseTime records the time of a send that was answered, or that this process gave up.
+// recordResponseTime records the time of a send that was answered, or that this process gave up. An error is no measure: an
+// upstream that fails at once would look fast and get more requests.
 func (g *Gateway) recordResponseTime(kind string, r sendResult) {
-	if r.failure != nil && r.failure.Reason != upstreamcall.Cancelled {
+	if r.failure != nil && r.failure.Reason != upstreamcall.Cancelled ||
+		r.failure == nil && r.response.Status >= http.StatusBadRequest {
 		return
 	}
 	g.mu.Lock()
