--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/radishshelf/radishshelf/batch"
 	"github.com/radishshelf/radishshelf/evacuation"
+	"github.com/radishshelf/radishshelf/evenload"
 	"github.com/radishshelf/radishshelf/placement"
 	"github.com/radishshelf/radishshelf/presence"
 	"github.com/radishshelf/radishshelf/retry"
@@ -53,8 +55,12 @@
 	lastJobWatchResponse time.Time
 	startsPaused         bool
 	health               map[string]*upstreamhealth.Health
-	// fastestPaces caches the lowest pace among the upstreams of each service.
-	fastestPaces map[string]cachedPace
+	// serviceLoads holds what is known of the load of each service, for the choice among its upstreams.
+	serviceLoads map[string]*serviceLoad
+	chooser      *evenload.Chooser
+	// spreadReportedAt is when the spread of requests was judged last, and busiestOverMean what it showed.
+	spreadReportedAt time.Time
+	busiestOverMean  float64
 	// inFlight counts the requests that this process has in flight at each upstream.
 	inFlight map[string]int
 	// engineMemories holds the memory that engines reported, by service, and tokenRates the ratio of tokens to events, by
@@ -114,7 +120,8 @@
 func New(opts Options) *Gateway {
 	g := &Gateway{
 		opts: opts, latestVersions: map[string]int64{}, upstreams: upstreams.NewView(), peers: presence.NewView(peerTimeout),
-		jobs: map[string]*jobEntry{}, health: map[string]*upstreamhealth.Health{}, fastestPaces: map[string]cachedPace{}, inFlight: map[string]int{},
+		jobs: map[string]*jobEntry{}, health: map[string]*upstreamhealth.Health{}, inFlight: map[string]int{},
+		serviceLoads: map[string]*serviceLoad{}, chooser: evenload.NewChooser(rand.Float64),
 		connections: map[string]connectionState{}, heartbeatTimes: map[int64]time.Time{},
 		engineMemories: map[string]*placement.EngineMemory[upstreams.Incarnation]{}, tokenRates: map[string]*batch.TokenRate{},
 		restartTimes: map[string]*textmove.RestartTime{},
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/radishshelf/radishshelf/call"
@@ -24,13 +25,15 @@
 var errResponseTooLarge = errors.New("the response exceeds 32 MiB or the available memory")
 
 // sendBuffered sends a request, reads the complete response and updates the health of the upstream from the result. The
-// body of the response is in use until inUse ends.
-func (g *Gateway) sendBuffered(ctx, inUse context.Context, req *upstreamcall.Request) sendResult {
+// body of the response is in use until inUse ends. Requests of one kind, such as those of a route, are expected to take
+// equally long.
+func (g *Gateway) sendBuffered(ctx, inUse context.Context, req *upstreamcall.Request, kind string) sendResult {
 	started := time.Now()
 	result := sendResult{upstream: req.Upstream}
 	result.response, result.signature, result.failure = g.readBuffered(ctx, inUse, req)
 	result.took = time.Since(started)
 	g.finishSend(req.Upstream, "", result.failure, ctx)
+	g.recordResponseTime(kind, result)
 	result.broken = g.recordRun(ctx, req, result.failure, 0)
 	if result.failure == nil {
 		g.metrics.upstreamTime.UpdateDuration(started)
@@ -38,6 +41,23 @@
 	return result
 }
 
+// recordResponseTime records the time of a send that was answered, or that this process gave up. An error is no measure: an
+// upstream that fails at once would look fast and get more requests.
+func (g *Gateway) recordResponseTime(kind string, r sendResult) {
+	if r.failure != nil && r.failure.Reason != upstreamcall.Cancelled ||
+		r.failure == nil && r.response.Status >= http.StatusBadRequest {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	times, distance, now := g.loadOf(r.upstream.Service).times, g.distanceTo(r.upstream), time.Now()
+	if r.failure == nil {
+		times.Observe(kind, r.upstream.ID, distance, r.took, now)
+		return
+	}
+	times.ObserveUnfinished(kind, r.upstream.ID, distance, r.took, now)
+}
+
 // readBuffered sends a request and reads the complete response, and returns it with its signature if it is a success.
 func (g *Gateway) readBuffered(
 	ctx, inUse context.Context, req *upstreamcall.Request,
@@ -97,13 +117,15 @@
 	h := g.healthOf(u.ID)
 	switch {
 	case failure == nil:
+		h.ClearBusy(model)
 		if h.RecordSuccess() {
 			g.opts.Log.Info().Str("upstream", u.ID).Msg("upstream recovered")
 		}
 	case failure.Reason == upstreamcall.Cancelled, failure.Reason == upstreamcall.Moved,
 		failure.Reason == upstreamcall.Stale:
 	case failure.Reason == upstreamcall.Busy:
-		h.MarkBusy(model, now.Add(busyTTL))
+		g.metrics.busyUpstreams.Inc()
+		g.recordBusy(u, model, now)
 		h.RecordSuccess()
 	case failure.Reason == upstreamcall.Failed, failure.Reason == upstreamcall.Impossible,
 		failure.Reason == upstreamcall.OldVersion:
@@ -119,6 +141,24 @@
 	}
 }
 
-// busyTTL is how long an upstream counts as busy after it refused a request for lack of room. An upstream that loads
-// weights refuses for about a second.
+// busyTTL is how long an upstream counts as busy after it refused a request for lack of room.
 const busyTTL = 200 * time.Millisecond
+
+// recordBusy records that an upstream refused a request. A plain upstream frees a slot within milliseconds; an engine that
+// loads weights refuses for about a second, so it is asked less often until it serves another version. The caller holds g.mu.
+func (g *Gateway) recordBusy(u upstreams.Entry, model string, now time.Time) {
+	h := g.healthOf(u.ID)
+	if model == "" {
+		h.MarkBusy(model, now.Add(busyTTL))
+		return
+	}
+	h.RecordBusy(model, busyTTL, now)
+}
+
+// clearBusy records that an upstream serves other versions than before, so what it refused while it loaded them says nothing
+// any more. The caller holds g.mu.
+func (g *Gateway) clearBusy(u upstreams.Entry) {
+	for model := range u.Versions {
+		g.healthOf(u.ID).ClearBusy(model)
+	}
+}
