--- a/evenload/spread.go
+++ b/evenload/spread.go
@@ -11,8 +11,8 @@
 	s.sends[upstream]++
 }
 
-// Busiest returns the upstream with the most requests, the first of equal ones by name, and the ratio of this number to the mean over
-// the given upstreams. ratio is 0 if an upstream got fewer than minMean requests on average.
+// Busiest returns the upstream with the most requests, the first of equal ones by name, and the ratio of this number to
+// the mean over the given upstreams. ratio is 0 if they got fewer than minMean requests on average.
 func (s *Spread) Busiest(upstreams []string, minMean float64) (busiest string, ratio float64) {
 	sum := 0
 	for _, id := range upstreams {
--- a/gateway/even_load.go
+++ b/gateway/even_load.go
@@ -6,8 +6,8 @@
 	"github.com/radishshelf/radishshelf/evenload"
 )
 
-// peerLoadTTL is how long the expected load of the other hosts is kept before their newest heartbeats are added up again. It is
-// a fraction of the time between two heartbeats and spares a sum for each request.
+// peerLoadTTL is how long the expected load of the other hosts is kept before their newest heartbeats are added up again.
+// It is a fraction of the time between two heartbeats and spares a sum for each request.
 const peerLoadTTL = 50 * time.Millisecond
 
 // serviceLoad is what this process knows of the load of a service.
--- a/gateway/load_report.go
+++ b/gateway/load_report.go
@@ -5,8 +5,8 @@
 )
 
 const (
-	// loadReportInterval is the time over which the spread of requests over upstreams is judged: short enough to show a burst,
-	// and a few steps of a trainer long.
+	// loadReportInterval is the time over which the spread of requests over upstreams is judged: short enough to show a
+	// burst, and a few steps of a trainer long.
 	loadReportInterval = 10 * time.Second
 	// minMeanSends is how many requests an upstream must have got on average. With fewer, chance makes one the busiest.
 	minMeanSends = 5
