Count a restart of its owner as the end of a job's ownership

Change: only the takeover of a job that was assigned at acceptance moves the start of an ownership.

Result: TestOwnerThatRestarts printed before: 'without owner 4s, owners [...]' and passes now.

--- a/logstory/step.go
+++ b/logstory/step.go
@@ -25,6 +25,8 @@
 type Ownership struct {
 	Host        string
 	From, Until time.Time
+	// assigned is set for the owner that the job was accepted for, until that process says that it runs the job.
+	assigned bool
 }
 
 // Text is a complete text. FirstEvent is the number of events that an earlier run had made.
--- a/logstory/steps.go
+++ b/logstory/steps.go
@@ -44,7 +44,7 @@
 	switch l.Event {
 	case "job accepted":
 		s.Model, s.Number, s.Accepted = l.field("model"), l.field("step"), l.Time
-		s.Ownerships = append(s.Ownerships, Ownership{Host: l.field("owner"), From: l.Time})
+		s.Ownerships = append(s.Ownerships, Ownership{Host: l.field("owner"), From: l.Time, assigned: true})
 	case "job taken over":
 		s.takenOver(l)
 	case "job handed over":
@@ -68,10 +68,11 @@
 	}
 }
 
-// takenOver begins a new ownership. A host that takes over a job that was accepted for it only begins to run it.
+// takenOver begins a new ownership. A host that takes over a job that was accepted for it only begins to run it; one that
+// takes its own job over later has been restarted.
 func (s *Step) takenOver(l Line) {
-	if n := len(s.Ownerships); n > 0 && s.Ownerships[n-1].Host == l.Host && s.Ownerships[n-1].Until.IsZero() {
-		s.Ownerships[n-1].From = l.Time
+	if n := len(s.Ownerships); n > 0 && s.Ownerships[n-1].assigned && s.Ownerships[n-1].Host == l.Host {
+		s.Ownerships[n-1].From, s.Ownerships[n-1].assigned = l.Time, false
 		return
 	}
 	s.Ownerships = append(s.Ownerships, Ownership{Host: l.Host, From: l.Time})
--- a/logstory/steps_test.go
+++ b/logstory/steps_test.go
@@ -17,6 +17,21 @@
 time=2026-01-01T00:00:04.5Z event="job handed over" host=edge-2 job=j1
 time=2026-01-01T00:00:08Z event="text complete" host=edge-2 job=j1 item=i4 events=9 from_event=0 optional=false`
 
+// Guards against a restart of the owner that hides the time for which the job had an owner before.
+func TestOwnerThatRestarts(t *testing.T) {
+	const log = `time=2026-01-01T00:00:01Z event="job accepted" host=edge-1 job=j1 model=m step=4 owner=edge-1
+time=2026-01-01T00:00:02Z event="job handed over" host=edge-1 job=j1
+time=2026-01-01T00:00:02.5Z event="job taken over" host=edge-2 job=j1 from=""
+time=2026-01-01T00:00:06Z event="job taken over" host=edge-2 job=j1 from=edge-2`
+	var s Steps
+	if err := s.Read("log", strings.NewReader(log)); err != nil {
+		t.Fatal(err)
+	}
+	if step := s.List()[0]; step.WithoutOwner() != 500*time.Millisecond || len(step.Ownerships) != 3 {
+		t.Errorf("without owner %s, owners %v", step.WithoutOwner(), step.Ownerships)
+	}
+}
+
 // Guards against a time line that leaves out a change of owner, or takes a text that nobody waited for as the last one.
 func TestStepAcrossFiles(t *testing.T) {
 	var s Steps
