Recover panics of plain sends

Cause: the goroutine of plainRequest.startSend had no recover, unlike the runs of jobs and the loops. A panic while a response was read ended the process with all requests in it.

Change: sendBuffered reads the response under recoverPanic and counts the send as one that may have run, so that its slot at the upstream is given back and the upstream's health learns of it; readBuffered releases its memory on every way out; the goroutine itself recovers the rest and always delivers a result.

Result: TestPanicInPlainSendFailsOnlyItsRequest ended the test binary before ("panic: poison", in panickingBody.Read) and passes now.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -182,7 +182,8 @@
 	req.TimeLeft, req.Upstream = time.Until(f.deadline), u
 	isolated := f.action != quarantine.Run
 	go func() {
-		result := f.g.sendBuffered(ctx, f.inUse, &req)
+		result := sendResult{upstream: u, failure: panicFailure()}
+		f.g.recoverPanic("send", func() { result = f.g.sendBuffered(ctx, f.inUse, &req) })
 		if isolated {
 			f.g.releaseIsolated(u.ID)
 		}
--- a/gateway/recover_panic_test.go
+++ b/gateway/recover_panic_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/radishshelf/radishshelf/outcome"
 	"github.com/radishshelf/radishshelf/upstreamcall"
 )
 
@@ -80,3 +82,30 @@
 		return g.metrics.panics("test").Get() == 2
 	})
 }
+
+// panickingBody is the body of a response whose reading panics.
+type panickingBody struct{ io.Reader }
+
+func (panickingBody) Read([]byte) (int, error) { panic(panicInput) }
+
+// Guards against a plain request whose response makes the reader panic: it must neither end the process nor leave its
+// caller waiting, its slot taken or its memory reserved. It may have run, so it is not sent again.
+func TestPanicInPlainSendFailsOnlyItsRequest(t *testing.T) {
+	w := newTestCluster(t)
+	g := w.start("a")
+	w.upstreams.script(func(*upstreamcall.Request) (*upstreamcall.Response, error) {
+		a := signed(200, "")
+		a.Length, a.Body = 100_000, io.NopCloser(panickingBody{})
+		return a, nil
+	})
+	_, err := w.request(g, t.Context(), "/bill/1")
+	if r := asRefusal(t, err); r.Status != http.StatusBadGateway || r.Outcome != outcome.MayHaveRun {
+		t.Errorf("answered %d %s", r.Status, r.Outcome)
+	}
+	g.mu.Lock()
+	inFlight := g.inFlight["p1"]
+	g.mu.Unlock()
+	if n := g.metrics.panics("send").Get(); n != 1 || inFlight != 0 || w.sentTo("p1") != 1 {
+		t.Errorf("%d panics recorded, %d requests in flight, %d sent", n, inFlight, w.sentTo("p1"))
+	}
+}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -28,7 +28,11 @@
 func (g *Gateway) sendBuffered(ctx, inUse context.Context, req *upstreamcall.Request) sendResult {
 	started := time.Now()
 	result := sendResult{upstream: req.Upstream}
-	result.response, result.signature, result.failure = g.readBuffered(ctx, inUse, req)
+	if g.recoverPanic("send", func() {
+		result.response, result.signature, result.failure = g.readBuffered(ctx, inUse, req)
+	}) {
+		result.failure = panicFailure()
+	}
 	result.took = time.Since(started)
 	g.finishSend(req.Upstream, "", result.failure, ctx)
 	result.broken = g.recordRun(ctx, req, result.failure, 0)
@@ -50,14 +54,19 @@
 	}
 	defer response.Body.Close()
 	reservation := g.opts.Memory.NewReservation(func() { cancel(errResponseTooLarge) })
+	kept := false
+	defer func() {
+		if !kept {
+			reservation.Release()
+		}
+	}()
 	body, failure := readBody(ctx, response, reservation)
 	if failure == nil {
 		failure = checkSigned(response)
 	}
 	if failure == nil && len(body) > smallResponse && reservation.Keep() {
+		kept = true
 		context.AfterFunc(inUse, reservation.Release)
-	} else {
-		reservation.Release()
 	}
 	if failure != nil {
 		return nil, "", failure
