Give released jobs to hosts that were restarted already

Cause: the order in which hosts take over a released job was a rendezvous hash alone. In a rolling restart the first host of it was often the one to be stopped next, one that could not act yet after its own restart, or the host that had just released the job, whose heartbeat did not say so yet; then the others waited 0.6 s for nothing. The order also ignored the region of the job and the hosts' load, unlike the choice for new jobs.

Change: placement.Succession orders the live hosts, from heartbeats alone: those that can act first, then those with capacity, then those that were restarted as planned in the later half of the last owner's life, then those in the region in which the job was accepted, then by rendezvous score. A host that lately crashed goes after the others. It stays an order with a delay per rank: nobody is named, and the store's condition decides. Heartbeats carry the start of the process by the store's clock and whether the process before it crashed (its heartbeat was left behind without "leaving"); a released record says by whom and when. "job taken over" says from whom and why: assignment, release or loss. Two histograms: time without an owner, texts resumed.

--- a/batch/record.go
+++ b/batch/record.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/radishshelf/radishshelf/homes"
+	"github.com/radishshelf/radishshelf/placement"
 )
 
 // Record is the small stored row of a job. It holds everything that other processes need to know of the job.
@@ -17,6 +18,8 @@
 	// Owner and OwnerIncarnation name the process that runs the items; empty after the owner released the job.
 	Owner            string `json:"owner,omitempty"`
 	OwnerIncarnation string `json:"owner_incarnation,omitempty"`
+	// Release is set while the job has no owner because the last one released it. Earlier releases of radishshelf set none.
+	Release placement.Release `json:"release,omitzero"`
 	// AcceptedBy is the incarnation that stored the job.
 	AcceptedBy string `json:"accepted_by,omitempty"`
 	// AcceptedAt is the time of acceptance on the store's clock.
--- a/gateway/adopt.go
+++ b/gateway/adopt.go
@@ -1,19 +1,17 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
-	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/radishshelf/radishshelf/batch"
 	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/placement"
 	"github.com/radishshelf/radishshelf/presence"
-	"github.com/radishshelf/radishshelf/rendezvous"
 )
 
 const (
@@ -106,7 +104,7 @@
 		return 0
 	}
 	live = hostsIn(live, g.jobHosts(&e.record))
-	rank := adoptRank(live, e.id, g.opts.Host)
+	rank := adoptRank(live, e.id, g.opts.Host, &e.record)
 	for _, b := range live {
 		if b.Host == owner && b.Incarnation != e.record.OwnerIncarnation && !b.Leaving {
 			rank++
@@ -121,19 +119,6 @@
 	return e.record.Lifetime > 0 && g.storeClock() > e.record.AcceptedAt+2*e.record.Lifetime
 }
 
-// adoptRank returns the position of a host in the order in which live processes take over a job, 0 for a host that is
-// not among them. Every process computes the same order (rendezvous hashing).
-func adoptRank(live []presence.Heartbeat, job, host string) int {
-	var hosts []string
-	for _, b := range live {
-		if !b.Leaving {
-			hosts = append(hosts, b.Host)
-		}
-	}
-	slices.SortFunc(hosts, func(a, b string) int { return cmp.Compare(rendezvous.Weight(job, b), rendezvous.Weight(job, a)) })
-	return max(slices.Index(hosts, host), 0)
-}
-
 // adopt takes over a job: it makes this process the owner in the store and resumes from the stored results and texts.
 func (g *Gateway) adopt(ctx context.Context, e *jobEntry) {
 	defer func() {
@@ -155,9 +140,9 @@
 	if inconsistent {
 		return
 	}
-	from := record.Owner
+	before := record
 	if !record.OwnedBy(g.opts.Host, g.opts.Incarnation) {
-		record.Owner, record.OwnerIncarnation = g.opts.Host, g.opts.Incarnation
+		record.Owner, record.OwnerIncarnation, record.Release = g.opts.Host, g.opts.Incarnation, placement.Release{}
 		if committed, err := g.commitRecord(ctx, e, record, version); err != nil || !committed {
 			if err != nil {
 				g.opts.Log.Warn().Str("job", e.id).Err(err).Msg("cannot take over job; will retry")
@@ -165,7 +150,7 @@
 			return
 		}
 	}
-	g.startAdopted(e, stored, from)
+	g.startAdopted(e, stored, &before)
 }
 
 // storedJob is the stored data of a job besides its record and results.
@@ -229,16 +214,18 @@
 	return false, nil
 }
 
-// startAdopted starts to run an adopted job that this process owns.
-func (g *Gateway) startAdopted(e *jobEntry, stored storedJob, from string) {
+// startAdopted starts to run an adopted job that this process owns. before is its record before the adoption.
+func (g *Gateway) startAdopted(e *jobEntry, stored storedJob, before *batch.Record) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if e.owned != nil || !e.record.Open() || !e.record.OwnedBy(g.opts.Host, g.opts.Incarnation) {
 		return
 	}
 	g.metrics.jobsAdopted.Inc()
-	g.opts.Log.Info().Str("job", e.id).Str("from", from).Int("listed", e.record.Listed).Int("total", e.record.Total).
-		Int("texts", len(stored.texts)).Msg("job taken over")
+	g.recordTakeover(before.Release, len(stored.texts))
+	reason, from := g.takeoverReason(before)
+	g.opts.Log.Info().Str("job", e.id).Str("from", from).Str("after", reason).Int("listed", e.record.Listed).
+		Int("total", e.record.Total).Int("texts", len(stored.texts)).Msg("job taken over")
 	g.startOwned(e, stored.spec, stored.texts)
 	g.reuseTexts(e)
 }
--- a/gateway/adopt_test.go
+++ b/gateway/adopt_test.go
@@ -169,7 +169,8 @@
 	w := newTestCluster(t)
 	w.upstreams.script(respondAfter(time.Second))
 	id := "job-"
-	for i := 0; adoptRank([]presence.Heartbeat{{Host: "a"}, {Host: "b"}}, id, "a") == 0; i++ {
+	live := []presence.Heartbeat{{Host: "a", Region: "north"}, {Host: "b", Region: "north"}}
+	for i := 0; adoptRank(live, id, "a", &batch.Record{AcceptedIn: "north"}) == 0; i++ {
 		id = fmt.Sprint("job-", i) // b has the first rank
 	}
 	w.mustSubmit(w.start("a"), id, testItems(8)...)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,8 +42,14 @@
 	heartbeatStoredAt              time.Time
 	// heartbeatRowVersion is the row version of the last stored heartbeat.
 	heartbeatRowVersion int64
-	jobs                map[string]*jobEntry
-	jobsLoaded          bool
+	// startedAt is when this process started, by its own clock, and startedAtStore the same by the store's clock.
+	startedAt      time.Time
+	startedAtStore time.Duration
+	// afterCrash is set if the process before this one ended without a planned stop, and previousJudged once that was
+	// found out from the heartbeat that it left.
+	afterCrash, previousJudged bool
+	jobs                       map[string]*jobEntry
+	jobsLoaded                 bool
 	// strandedJobs is the number of open jobs that no live host may run.
 	strandedJobs int
 	// lastJobWatchResponse is when the watch of the jobs last got a response. startsPaused is set while that is too
@@ -111,7 +117,8 @@
 // New returns a gateway that has not read any table yet.
 func New(opts Options) *Gateway {
 	g := &Gateway{
-		opts: opts, latestVersions: map[string]int64{}, upstreams: upstreams.NewView(), peers: presence.NewView(peerTimeout),
+		startedAt: time.Now(),
+		opts:      opts, latestVersions: map[string]int64{}, upstreams: upstreams.NewView(), peers: presence.NewView(peerTimeout),
 		jobs: map[string]*jobEntry{}, health: map[string]*upstreamhealth.Health{}, fastestPaces: map[string]cachedPace{}, inFlight: map[string]int{},
 		connections:    map[string]connectionState{},
 		engineMemories: map[string]*placement.EngineMemory[upstreams.Incarnation]{}, tokenRates: map[string]*batch.TokenRate{},
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -28,9 +28,11 @@
 
 func (g *Gateway) writeHeartbeat(ctx context.Context, sequence int64) {
 	g.mu.Lock()
+	isFirst := g.heartbeatRowVersion == 0 && !g.previousJudged
 	heartbeat := presence.Heartbeat{
 		Host: g.opts.Host, Incarnation: g.opts.Incarnation, Address: g.opts.PeerAddress,
 		DataCentre: g.opts.DataCentre, Region: g.region(g.opts.DataCentre), Sequence: sequence, Leaving: g.leaving,
+		StartedAt: g.processStart(), AfterCrash: g.afterCrash,
 		Load: maps.Clone(g.inFlight), Tokens: g.heldTokens(), CPUShare: g.opts.CPUShare, Items: g.unfinishedItems(),
 	}
 	if g.config != nil {
@@ -46,7 +48,16 @@
 		return
 	}
 	key := hosting.RowKey{Table: heartbeatTable, Key: g.opts.Host}
-	result, err := g.opts.Rows.Commit(ctx, hosting.RowTxn{Puts: []hosting.StoredRow{{RowKey: key, Value: value}}})
+	txn := hosting.RowTxn{Puts: []hosting.StoredRow{{RowKey: key, Value: value}}}
+	if isFirst {
+		txn.Conditions = []hosting.StoredRow{{RowKey: key}} // a planned stop removes the heartbeat
+	}
+	result, err := g.opts.Rows.Commit(ctx, txn)
+	if err == nil && !result.Committed {
+		g.judgePreviousProcess(result.Current)
+		g.writeHeartbeat(ctx, sequence)
+		return
+	}
 	if err != nil {
 		if ctx.Err() == nil {
 			g.opts.Log.Info().Err(err).Msg("cannot write heartbeat")
--- a/gateway/leave.go
+++ b/gateway/leave.go
@@ -81,7 +81,7 @@
 		if !stillOwned {
 			return
 		}
-		record.Owner, record.OwnerIncarnation = "", ""
+		o.g.markReleased(&record)
 		committed, err := o.g.commitRecord(ctx, o.entry, record, version)
 		if committed {
 			o.g.opts.Log.Info().Str("job", o.entry.id).Int("waiting", o.job.Count(batch.Waiting)).Msg("job handed over")
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -40,6 +40,7 @@
 	requestTime                      *metrics.Histogram
 	storeTime                        *metrics.Histogram
 	itemWait, runStart               *metrics.Histogram
+	withoutOwner, resumedTexts       *metrics.Histogram
 }
 
 func newMetricSet(r *telemetry.Registry, g *Gateway) *metricSet {
@@ -142,6 +143,8 @@
 		requestTime:      r.NewHistogram("radishshelf_gateway_request_seconds"),
 		storeTime:        r.NewHistogram("radishshelf_gateway_store_call_seconds"),
 		itemWait:         r.NewHistogram("radishshelf_gateway_item_wait_seconds"),
+		withoutOwner:     r.NewHistogram("radishshelf_gateway_without_owner_seconds"),
+		resumedTexts:     r.NewHistogram("radishshelf_gateway_resumed_texts"),
 		runStart:         r.NewHistogram("radishshelf_gateway_run_start_seconds"),
 	}
 }
--- a/gateway/pass_on.go
+++ b/gateway/pass_on.go
@@ -62,7 +62,7 @@
 	record, version := e.record, e.version
 	leaving := g.leaving
 	g.mu.Unlock()
-	record.Owner, record.OwnerIncarnation = "", ""
+	g.markReleased(&record)
 	committed, err := g.commitRecord(ctx, e, record, version)
 	g.opts.Log.Info().Str("job", e.id).Bool("committed", committed).Bool("leaving", leaving).AnErr("error", err).
 		Msg("job passed on: it was assigned to this process, which must not run it")
--- /dev/null
+++ b/gateway/succession_test.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/radishshelf/radishshelf/presence"
+	"github.com/radishshelf/radishshelf/rendezvous"
+)
+
+// stop stops a gateway as planned.
+func (w *testCluster) stop(g *Gateway) {
+	w.t.Helper()
+	g.Leave(time.Now().Add(time.Second))
+	ctx, cancel := context.WithTimeout(w.t.Context(), time.Second)
+	defer cancel()
+	g.Stop(ctx)
+	w.kill(g.opts.Host)
+}
+
+// heartbeatOf returns the last heartbeat of a host that a gateway knows.
+func heartbeatOf(g *Gateway, host string) presence.Heartbeat {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, b := range g.peers.All() {
+		if b.Host == host {
+			return b
+		}
+	}
+	return presence.Heartbeat{}
+}
+
+// age makes gateways appear to have run for an hour longer.
+func (w *testCluster) age(gateways ...*Gateway) {
+	w.t.Helper()
+	for _, g := range gateways {
+		w.eventually("the start is known", func() bool { g.mu.Lock(); defer g.mu.Unlock(); return g.processStart() != 0 })
+		g.mu.Lock()
+		g.startedAtStore -= time.Hour
+		start := g.startedAtStore
+		g.mu.Unlock()
+		w.eventually("the others know the age", func() bool { return heartbeatOf(gateways[0], g.opts.Host).StartedAt == start })
+	}
+}
+
+// Guards against a job that a stopping host hands to one that a rolling restart stops next, although a host that was
+// restarted already can go on with it.
+func TestReleasedJobGoesToARestartedHost(t *testing.T) {
+	w := newTestCluster(t)
+	a, b, c := w.startWithCPUShare("a", 50), w.start("b"), w.start("c") // jobs go to a
+	w.stop(b)
+	w.age(a, c)
+	b = w.start("b")
+	for _, g := range []*Gateway{a, c} {
+		w.eventually("b can take over jobs", func() bool {
+			hb := heartbeatOf(g, "b")
+			return hb.Incarnation == b.opts.Incarnation && hb.Sequence >= settledHeartbeats
+		})
+	}
+	if heartbeatOf(a, "b").AfterCrash {
+		t.Error("a planned stop counts as a crash")
+	}
+	w.upstreams.script(respondAfter(300 * time.Millisecond))
+	items := testItems(20)
+	var jobs []string
+	for i := 0; len(jobs) < 3; i++ {
+		if id := fmt.Sprint("job-", i); rendezvous.Weight(id, "c") > rendezvous.Weight(id, "b") {
+			w.mustSubmit(a, id, items...)
+			jobs = append(jobs, id)
+		}
+	}
+	for _, id := range jobs {
+		w.eventually("a runs the job", func() bool { return owner(a, id) == "a" })
+	}
+	a.Leave(time.Now().Add(10 * time.Second))
+	for _, id := range jobs {
+		w.checkExactlyOnce(w.readAll(c, id), items)
+		if got := owner(c, id); got != "b" {
+			t.Errorf("%s goes on at %s, want b", id, got)
+		}
+	}
+}
+
+// Guards against a host that crashes again and again and gets jobs each time because it was started lately.
+func TestHostAfterACrashSaysSo(t *testing.T) {
+	w := newTestCluster(t)
+	a := w.start("a")
+	w.start("b")
+	w.eventually("b is known", func() bool { return heartbeatOf(a, "b").Sequence > 0 })
+	w.kill("b")
+	b := w.start("b")
+	w.eventually("b is known again", func() bool { return heartbeatOf(a, "b").Incarnation == b.opts.Incarnation })
+	if !heartbeatOf(a, "b").AfterCrash {
+		t.Error("a crash counts as a planned stop")
+	}
+}
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -26,6 +26,10 @@
 	Region     string `json:"region"`
 	// Sequence increases with each heartbeat.
 	Sequence int64 `json:"sequence"`
+	// StartedAt is when the process started, on the store's clock; 0 if it has not read that clock yet. AfterCrash is set
+	// if the process before it on the host ended without a planned stop.
+	StartedAt  time.Duration `json:"started_at,omitempty"`
+	AfterCrash bool          `json:"after_crash,omitempty"`
 	// Leaving processes accept no more work.
 	Leaving bool `json:"leaving,omitempty"`
 	// Load holds the number of requests that the process has in flight at each upstream.
