--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,6 +42,8 @@
 	heartbeatStoredAt              time.Time
 	// heartbeatRowVersion is the row version of the last stored heartbeat.
 	heartbeatRowVersion int64
+	// heartbeatTimes holds when each heartbeat was written that the watch has not returned yet, by sequence number.
+	heartbeatTimes map[int64]time.Time
 	// startedAt is when this process started, by its own clock, and startedAtStore the same by the store's clock.
 	startedAt      time.Time
 	startedAtStore time.Duration
@@ -120,7 +122,7 @@
 		startedAt: time.Now(),
 		opts:      opts, latestVersions: map[string]int64{}, upstreams: upstreams.NewView(), peers: presence.NewView(peerTimeout),
 		jobs: map[string]*jobEntry{}, health: map[string]*upstreamhealth.Health{}, fastestPaces: map[string]cachedPace{}, inFlight: map[string]int{},
-		connections:    map[string]connectionState{},
+		connections: map[string]connectionState{}, heartbeatTimes: map[int64]time.Time{},
 		engineMemories: map[string]*placement.EngineMemory[upstreams.Incarnation]{}, tokenRates: map[string]*batch.TokenRate{},
 		restartTimes: map[string]*textmove.RestartTime{},
 		peerLoad:     peerLoadSums{requests: map[string]int{}, tokens: map[string]int{}}, hedges: retry.NewBudget(retry.DefaultBudgetConfig(), time.Now()),
