Let the soak restart all processes in turn

Cause: the soak stopped one process at a time, at random; jobs that pass through several planned stops in a row were not played under its checks.

Change: the fault "rolling restart".

--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -44,6 +44,15 @@
 		}
 		s.restart(p)
 	}},
+	{"rolling restart", func(s *Soak, _ *rand.Rand, d time.Duration) {
+		for _, p := range s.processes {
+			if !p.stop(syscall.SIGTERM) {
+				s.history.recordViolation("%s did not exit within its grace period", p.settings.Name)
+			}
+			s.restart(p)
+			time.Sleep(d / 4)
+		}
+	}},
 	{"pause", func(s *Soak, r *rand.Rand, d time.Duration) {
 		p := s.pickProcess(r)
 		p.signal(syscall.SIGSTOP)
