--- a/gateway/process_start.go
+++ b/gateway/process_start.go
@@ -31,7 +31,8 @@
 		}
 		if r.Version != 0 && b.Incarnation != g.opts.Incarnation && !b.Leaving {
 			g.afterCrash = true
-			g.opts.Log.Info().Str("incarnation", b.Incarnation).Msg("the process before this one ended without a planned stop")
+			g.opts.Log.Info().Str("incarnation", b.Incarnation).
+				Msg("the process before this one ended without a planned stop")
 		}
 	}
 }
--- a/gateway/succession.go
+++ b/gateway/succession.go
@@ -28,7 +28,8 @@
 		if !b.Leaving {
 			hosts = append(hosts, placement.Successor{
 				Host:      placement.Host{Name: b.Host, Region: b.Region, CPUShare: b.CPUShare, Items: b.Items},
-				StartedAt: b.StartedAt, Settled: b.Sequence >= settledHeartbeats && b.ConfigVersion > 0, AfterCrash: b.AfterCrash,
+				Settled:   b.Sequence >= settledHeartbeats && b.ConfigVersion > 0,
+				StartedAt: b.StartedAt, AfterCrash: b.AfterCrash,
 			})
 		}
 	}
--- a/gateway/succession_test.go
+++ b/gateway/succession_test.go
@@ -43,7 +43,9 @@
 		g.startedAtStore -= time.Hour
 		start := g.startedAtStore
 		g.mu.Unlock()
-		w.eventually("the others know the age", func() bool { return heartbeatOf(gateways[0], g.opts.Host).StartedAt == start })
+		w.eventually("the others know the age", func() bool {
+			return heartbeatOf(gateways[0], g.opts.Host).StartedAt == start
+		})
 	}
 }
 
--- a/placement/succession.go
+++ b/placement/succession.go
@@ -30,8 +30,9 @@
 // Succession returns the live hosts in the order in which they take over a job with this many unfinished items. All hosts
 // compute the same order from the same heartbeats. It is a preference: the store's condition on the job's record decides.
 //
-// Hosts that can act at once go first, then those with capacity for the job, among them those that are the least likely ones to be stopped next, as each
-// stop interrupts all texts of a job; then those in the given region; then those with the higher rendezvous score.
+// Hosts that can act at once go first, then those with capacity for the job, then those that are the least likely ones to
+// be stopped next, as each stop interrupts all texts of a job; then those in the given region; then those with the higher
+// rendezvous score.
 func Succession(job, region string, items int, released Release, hosts []Successor) []string {
 	hosts = slices.Clone(hosts)
 	slices.SortFunc(hosts, func(a, b Successor) int {
--- a/placement/succession_test.go
+++ b/placement/succession_test.go
@@ -88,7 +88,8 @@
 		hosts = append(hosts, Successor{
 			Host: Host{
 				Name: fmt.Sprint("h", i), Region: rapid.SampledFrom([]string{"north", "south"}).Draw(t, "region"),
-				CPUShare: rapid.SampledFrom([]float64{0.05, 0.8}).Draw(t, "share"), Items: rapid.IntRange(0, 900).Draw(t, "items"),
+				CPUShare: rapid.SampledFrom([]float64{0.05, 0.8}).Draw(t, "share"),
+				Items:    rapid.IntRange(0, 900).Draw(t, "items"),
 			},
 			StartedAt: time.Duration(rapid.IntRange(-50, 100).Draw(t, "started")) * time.Second,
 			Settled:   rapid.Bool().Draw(t, "settled"), AfterCrash: rapid.Bool().Draw(t, "crashed"),
@@ -102,9 +103,11 @@
 func TestSuccessionIsOneOrderOfAllHosts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		hosts := drawSuccessors(t)
-		released := Release{Host: "o", OwnerStartedAt: time.Second, At: time.Duration(rapid.IntRange(2, 100).Draw(t, "at")) * time.Second}
+		at := time.Duration(rapid.IntRange(2, 100).Draw(t, "at")) * time.Second
+		released := Release{Host: "o", OwnerStartedAt: time.Second, At: at}
 		order := Succession("job", "north", 50, released, hosts)
-		if other := Succession("job", "north", 50, released, rapid.Permutation(hosts).Draw(t, "order")); !slices.Equal(order, other) {
+		other := Succession("job", "north", 50, released, rapid.Permutation(hosts).Draw(t, "order"))
+		if !slices.Equal(order, other) {
 			t.Fatalf("%v and %v", order, other)
 		}
 		if len(order) != len(hosts) || len(slices.Compact(slices.Sorted(slices.Values(order)))) != len(hosts) {
@@ -131,7 +134,8 @@
 		for i := range hosts {
 			region := rapid.SampledFrom([]string{"north", "south"}).Draw(t, "region")
 			spread := time.Duration(rapid.IntRange(1, 999).Draw(t, "spread")) * time.Millisecond
-			hosts[i] = Successor{Host: Host{Name: fmt.Sprint("h", i), Region: region, CPUShare: 0.8}, StartedAt: spread, Settled: true}
+			host := Host{Name: fmt.Sprint("h", i), Region: region, CPUShare: 0.8}
+			hosts[i] = Successor{Host: host, StartedAt: spread, Settled: true}
 		}
 		stopAfter := func(i int) time.Duration { return age + time.Duration(i)*gap }
 		owner := rapid.IntRange(1, n-1).Draw(t, "owner") // when the first one stops, none was restarted
@@ -143,7 +147,8 @@
 		next := Succession("job", "north", 60, released, live)[0]
 		for i := owner + 1; i < n; i++ {
 			if hosts[i].Name == next {
-				t.Fatalf("%s is stopped at %s and hands the job to %s, which is stopped at %s", released.Host, released.At, next, stopAfter(i))
+				t.Fatalf("%s is stopped at %s and hands the job to %s, which is stopped at %s",
+					released.Host, released.At, next, stopAfter(i))
 			}
 		}
 	})
