Keep jobs at owners whose start the others have not heard of

Cause: a host judged the owner of a job dead as soon as the record named an incarnation other than that of the last heartbeat it had heard, also if the owner had started a moment ago; the time since the job's release counted for the new owner, too, so that the first in the order took the job from it at once. And a host that had not seen its own heartbeat yet took the first turn.

Change: an owner of which no heartbeat was ever heard has two heartbeat intervals for its first; the wait for a turn starts again with each owner; a host that is not among the live ones goes last.

Result: with the three taken out, TestOwnerThatHasJustStartedIsNotDisplaced printed "the job is taken before the first heartbeat of its owner may have arrived" and "a host that has not seen its own heartbeat has rank 0 of 2 others"; it passes with them.

--- a/gateway/adopt.go
+++ b/gateway/adopt.go
@@ -20,11 +20,14 @@
 	// adoptRankDelay is the delay per rank: the process with rank n waits n times as long before it takes over an
 	// orphaned job.
 	adoptRankDelay = 600 * time.Millisecond
+	// unheardOwnerDelay is how long a process waits for the first heartbeat of an owner that may have started just now: it
+	// writes one each interval, and one more covers the way through the store.
+	unheardOwnerDelay = 2 * heartbeatInterval
 )
 
 // adoptionLoop expires peers and upstreams and takes over jobs whose owner is dead or has released them.
 func (g *Gateway) adoptionLoop(ctx context.Context) {
-	orphanedSince := map[string]time.Time{}
+	orphanedSince := map[string]orphanedJob{}
 	for ctx.Err() == nil {
 		now := time.Now()
 		g.mu.Lock()
@@ -60,9 +63,15 @@
 	}
 }
 
-// dueOrphans returns the orphaned jobs that this process has to take over now. since holds when each orphan was first
-// seen. The caller holds g.mu.
-func (g *Gateway) dueOrphans(now time.Time, since map[string]time.Time) []*jobEntry {
+// orphanedJob is a job without a live owner. since is when it was first seen with this last owner.
+type orphanedJob struct {
+	owner, incarnation string
+	since              time.Time
+}
+
+// dueOrphans returns the orphaned jobs that this process has to take over now. since holds the known orphans. The caller
+// holds g.mu.
+func (g *Gateway) dueOrphans(now time.Time, since map[string]orphanedJob) []*jobEntry {
 	var due []*jobEntry
 	if g.leaving || g.config == nil || !g.isPeerViewCurrent(now) {
 		return nil
@@ -80,10 +89,10 @@
 			delete(since, id)
 			continue
 		}
-		if _, ok := since[id]; !ok {
-			since[id] = now
+		if o := since[id]; o.since.IsZero() || !e.record.OwnedBy(o.owner, o.incarnation) {
+			since[id] = orphanedJob{owner: e.record.Owner, incarnation: e.record.OwnerIncarnation, since: now}
 		}
-		if now.Sub(since[id]) >= g.adoptDelay(e, live) {
+		if now.Sub(since[id].since) >= g.adoptDelay(e, live) {
 			delete(since, id)
 			due = append(due, e)
 		}
@@ -110,7 +119,11 @@
 			rank++
 		}
 	}
-	return time.Duration(rank) * adoptRankDelay
+	delay := time.Duration(rank) * adoptRankDelay
+	if owner != "" && !g.peers.Heard(owner, e.record.OwnerIncarnation) {
+		delay += unheardOwnerDelay
+	}
+	return delay
 }
 
 // isExpired reports whether twice the lifetime of a job has passed, after which none of its items is run. The caller
--- a/gateway/succession.go
+++ b/gateway/succession.go
@@ -20,8 +20,8 @@
 	record.Release = placement.Release{Host: g.opts.Host, OwnerStartedAt: g.processStart(), At: g.storeClock()}
 }
 
-// adoptRank returns the position of a host in the order in which live processes take over a job, 0 for a host that is
-// not among them. Every process computes the same order from the same heartbeats.
+// adoptRank returns the position of a host in the order in which live processes take over a job. A host that is not among
+// them, since it has not seen its own heartbeat yet, goes last. Every process computes the same order from the same heartbeats.
 func adoptRank(live []presence.Heartbeat, job, host string, record *batch.Record) int {
 	var hosts []placement.Successor
 	for _, b := range live {
@@ -34,7 +34,10 @@
 		}
 	}
 	order := placement.Succession(job, record.AcceptedIn, record.Total-record.Listed, record.Release, hosts)
-	return max(slices.Index(order, host), 0)
+	if rank := slices.Index(order, host); rank >= 0 {
+		return rank
+	}
+	return len(order)
 }
 
 // Reasons for which a process takes over a job, as its log line names them.
--- a/gateway/succession_test.go
+++ b/gateway/succession_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/radishshelf/radishshelf/batch"
 	"github.com/radishshelf/radishshelf/presence"
 	"github.com/radishshelf/radishshelf/rendezvous"
 )
@@ -135,3 +136,31 @@
 	}
 	return strings.Join(list, "")
 }
+
+// Guards against a live owner that loses its job to a host which has not heard of its start yet, and against a host that
+// takes the first turn because it does not know its own heartbeat yet.
+func TestOwnerThatHasJustStartedIsNotDisplaced(t *testing.T) {
+	w := newTestCluster(t)
+	g := w.start("a")
+	w.waitForPeers(g)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := &jobEntry{id: "job", record: batch.Record{Host: testHost, PathPrefix: "/rollout/", Total: 3}}
+	g.jobs["job"] = e
+	defer delete(g.jobs, "job")
+	since, now := map[string]orphanedJob{}, time.Now()
+	g.heartbeatStoredAt = now.Add(time.Second)
+	since["job"] = orphanedJob{since: now.Add(-time.Second)} // released a second ago
+	e.record.Owner, e.record.OwnerIncarnation = "b", "started just now"
+	g.peers.Observe(presence.Heartbeat{Host: "b", Incarnation: "before", Sequence: 9})
+	if due := g.dueOrphans(now, since); len(due) > 0 {
+		t.Error("the job is taken from an owner that has just started")
+	}
+	if due := g.dueOrphans(now.Add(unheardOwnerDelay-time.Millisecond), since); len(due) > 0 {
+		t.Error("the job is taken before the first heartbeat of its owner may have arrived")
+	}
+	live := []presence.Heartbeat{{Host: "b"}, {Host: "c"}}
+	if rank := adoptRank(live, "job", "a", &e.record); rank != 2 {
+		t.Errorf("a host that has not seen its own heartbeat has rank %d of 2 others", rank)
+	}
+}
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -54,8 +54,13 @@
 	// watchedTime is the total time in which the watch was healthy.
 	watchedTime time.Duration
 	lastTick    time.Time
+	// heard holds the last incarnations of each process of which a heartbeat was observed, the latest one last.
+	heard map[string][]string
 }
 
+// maxHeard bounds the incarnations of a process that a view remembers. Only the one that last owned a job is asked for.
+const maxHeard = 8
+
 type peer struct {
 	heartbeat Heartbeat
 	// changedAt is the value of watchedTime when the heartbeat last changed.
@@ -64,7 +69,7 @@
 
 // NewView returns an empty view in which a process is dead after peerTimeout of watched time without a new heartbeat.
 func NewView(peerTimeout time.Duration) *View {
-	return &View{peerTimeout: peerTimeout, peers: map[string]*peer{}}
+	return &View{peerTimeout: peerTimeout, peers: map[string]*peer{}, heard: map[string][]string{}}
 }
 
 // Tick advances the view to now. healthy reports whether the watch was in contact with the store since the last tick.
@@ -87,6 +92,16 @@
 		return
 	}
 	p.heartbeat, p.changedAt = hb, v.watchedTime
+	if !v.Heard(hb.Host, hb.Incarnation) {
+		heard := append(v.heard[hb.Host], hb.Incarnation)
+		v.heard[hb.Host] = heard[max(len(heard)-maxHeard, 0):]
+	}
+}
+
+// Heard reports whether a heartbeat of an incarnation of a process was observed, lately or not. One that was not heard may
+// have started just now.
+func (v *View) Heard(host, incarnation string) bool {
+	return slices.Contains(v.heard[host], incarnation)
 }
 
 // Forget drops a process that removed its heartbeat.
