Wait only for owners that were seen to change

Change: a job is no orphan while its owner changed less than two heartbeat intervals ago, after the first reading, and was not heard of. The wait for a turn begins after that.

Result: TestAdoptionRanksHostsAtHomeOnly passes unchanged. Without the new condition, TestOwnerThatHasJustStartedIsNotDisplaced printed "the job is taken before the first heartbeat of its owner may have arrived".

--- a/gateway/adopt.go
+++ b/gateway/adopt.go
@@ -81,7 +81,7 @@
 	for id, e := range g.jobs {
 		orphan := e.record.Open() && e.owned == nil && !e.adopting && !e.inconsistent && !g.isExpired(e) &&
 			(e.record.Owner == "" || e.record.OwnedBy(g.opts.Host, g.opts.Incarnation) ||
-				!g.peers.Alive(e.record.Owner, e.record.OwnerIncarnation))
+				!g.peers.Alive(e.record.Owner, e.record.OwnerIncarnation) && !g.mayHaveStarted(e, now))
 		if orphan && g.isStranded(e, live) {
 			stranded++
 		}
@@ -119,11 +119,15 @@
 			rank++
 		}
 	}
-	delay := time.Duration(rank) * adoptRankDelay
-	if owner != "" && !g.peers.Heard(owner, e.record.OwnerIncarnation) {
-		delay += unheardOwnerDelay
-	}
-	return delay
+	return time.Duration(rank) * adoptRankDelay
+}
+
+// mayHaveStarted reports whether a process that lately became the owner of a job may have started so late that its first
+// heartbeat has not arrived. The caller holds g.mu.
+func (g *Gateway) mayHaveStarted(e *jobEntry, now time.Time) bool {
+	r := &e.record
+	return r.Owner != "" && r.Owner != g.opts.Host && now.Sub(e.ownerChangedAt) < unheardOwnerDelay &&
+		!g.peers.Heard(r.Owner, r.OwnerIncarnation)
 }
 
 // isExpired reports whether twice the lifetime of a job has passed, after which none of its items is run. The caller
--- a/gateway/job_entry.go
+++ b/gateway/job_entry.go
@@ -12,9 +12,11 @@
 
 // jobEntry is the state of a job as this process knows it.
 type jobEntry struct {
-	id      string
-	record  batch.Record
-	version int64
+	// ownerChangedAt is when the owner was last seen to change; zero for the owner that the first reading found.
+	ownerChangedAt time.Time
+	id             string
+	record         batch.Record
+	version        int64
 	// changed is closed and replaced when the record changes.
 	changed chan struct{}
 	// owned is set while this process runs the items.
@@ -124,6 +126,9 @@
 	if record.Ended && !e.record.Ended {
 		e.endedAt = g.storeClock()
 	}
+	if g.jobsLoaded && !e.record.OwnedBy(record.Owner, record.OwnerIncarnation) {
+		e.ownerChangedAt = time.Now()
+	}
 	e.record, e.version = record, version
 	close(e.changed)
 	e.changed = make(chan struct{})
--- a/gateway/succession.go
+++ b/gateway/succession.go
@@ -21,7 +21,8 @@
 }
 
 // adoptRank returns the position of a host in the order in which live processes take over a job. A host that is not among
-// them, since it has not seen its own heartbeat yet, goes last. Every process computes the same order from the same heartbeats.
+// them, since it has not seen its own heartbeat yet, goes last. Every process computes the same order from the same
+// heartbeats.
 func adoptRank(live []presence.Heartbeat, job, host string, record *batch.Record) int {
 	var hosts []placement.Successor
 	for _, b := range live {
--- a/gateway/succession_test.go
+++ b/gateway/succession_test.go
@@ -151,7 +151,7 @@
 	since, now := map[string]orphanedJob{}, time.Now()
 	g.heartbeatStoredAt = now.Add(time.Second)
 	since["job"] = orphanedJob{since: now.Add(-time.Second)} // released a second ago
-	e.record.Owner, e.record.OwnerIncarnation = "b", "started just now"
+	e.record.Owner, e.record.OwnerIncarnation, e.ownerChangedAt = "b", "started just now", now
 	g.peers.Observe(presence.Heartbeat{Host: "b", Incarnation: "before", Sequence: 9})
 	if due := g.dueOrphans(now, since); len(due) > 0 {
 		t.Error("the job is taken from an owner that has just started")
@@ -159,6 +159,9 @@
 	if due := g.dueOrphans(now.Add(unheardOwnerDelay-time.Millisecond), since); len(due) > 0 {
 		t.Error("the job is taken before the first heartbeat of its owner may have arrived")
 	}
+	if due := g.dueOrphans(now.Add(unheardOwnerDelay+adoptRankDelay), since); len(due) > 0 {
+		t.Error("the wait for a turn does not start with the loss of the owner")
+	}
 	live := []presence.Heartbeat{{Host: "b"}, {Host: "c"}}
 	if rank := adoptRank(live, "job", "a", &e.record); rank != 2 {
 		t.Errorf("a host that has not seen its own heartbeat has rank %d of 2 others", rank)
