--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -183,7 +183,7 @@
 	isolated := f.action != quarantine.Run
 	go func() {
 		result := sendResult{upstream: u, failure: panicFailure()}
-		f.g.recoverPanic("send", func() { result = f.g.sendBuffered(ctx, f.inUse, &req) })
+		f.g.recoverPanic("send", func() { result = f.g.sendBuffered(ctx, f.inUse, &req, f.auth.route.Name) })
 		if isolated {
 			f.g.releaseIsolated(u.ID)
 		}
