--- a/gateway/adopt.go
+++ b/gateway/adopt.go
@@ -1,19 +1,17 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
-	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/radishshelf/radishshelf/batch"
 	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/placement"
 	"github.com/radishshelf/radishshelf/presence"
-	"github.com/radishshelf/radishshelf/rendezvous"
 )
 
 const (
@@ -22,11 +20,14 @@
 	// adoptRankDelay is the delay per rank: the process with rank n waits n times as long before it takes over an
 	// orphaned job.
 	adoptRankDelay = 600 * time.Millisecond
+	// unheardOwnerDelay is how long a process waits for the first heartbeat of an owner that may have started just now: it
+	// writes one each interval, and one more covers the way through the store.
+	unheardOwnerDelay = 2 * heartbeatInterval
 )
 
 // adoptionLoop expires peers and upstreams and takes over jobs whose owner is dead or has released them.
 func (g *Gateway) adoptionLoop(ctx context.Context) {
-	orphanedSince := map[string]time.Time{}
+	orphanedSince := map[string]orphanedJob{}
 	for ctx.Err() == nil {
 		now := time.Now()
 		g.mu.Lock()
@@ -63,9 +64,15 @@
 	}
 }
 
-// dueOrphans returns the orphaned jobs that this process has to take over now. since holds when each orphan was first
-// seen. The caller holds g.mu.
-func (g *Gateway) dueOrphans(now time.Time, since map[string]time.Time) []*jobEntry {
+// orphanedJob is a job without a live owner. since is when it was first seen with this last owner.
+type orphanedJob struct {
+	owner, incarnation string
+	since              time.Time
+}
+
+// dueOrphans returns the orphaned jobs that this process has to take over now. since holds the known orphans. The caller
+// holds g.mu.
+func (g *Gateway) dueOrphans(now time.Time, since map[string]orphanedJob) []*jobEntry {
 	var due []*jobEntry
 	if g.leaving || g.config == nil || !g.isPeerViewCurrent(now) {
 		return nil
@@ -75,7 +82,7 @@
 	for id, e := range g.jobs {
 		orphan := e.record.Open() && e.owned == nil && !e.adopting && !e.inconsistent && !g.isExpired(e) &&
 			(e.record.Owner == "" || e.record.OwnedBy(g.opts.Host, g.opts.Incarnation) ||
-				!g.peers.Alive(e.record.Owner, e.record.OwnerIncarnation))
+				!g.peers.Alive(e.record.Owner, e.record.OwnerIncarnation) && !g.mayHaveStarted(e, now))
 		if orphan && g.isStranded(e, live) {
 			stranded++
 		}
@@ -83,10 +90,10 @@
 			delete(since, id)
 			continue
 		}
-		if _, ok := since[id]; !ok {
-			since[id] = now
+		if o := since[id]; o.since.IsZero() || !e.record.OwnedBy(o.owner, o.incarnation) {
+			since[id] = orphanedJob{owner: e.record.Owner, incarnation: e.record.OwnerIncarnation, since: now}
 		}
-		if now.Sub(since[id]) >= g.adoptDelay(e, live) {
+		if now.Sub(since[id].since) >= g.adoptDelay(e, live) {
 			delete(since, id)
 			due = append(due, e)
 		}
@@ -107,7 +114,7 @@
 		return 0
 	}
 	live = hostsIn(live, g.jobHosts(&e.record))
-	rank := adoptRank(live, e.id, g.opts.Host)
+	rank := adoptRank(live, e.id, g.opts.Host, &e.record)
 	for _, b := range live {
 		if b.Host == owner && b.Incarnation != e.record.OwnerIncarnation && !b.Leaving {
 			rank++
@@ -116,25 +123,20 @@
 	return time.Duration(rank) * adoptRankDelay
 }
 
+// mayHaveStarted reports whether a process that lately became the owner of a job may have started so late that its first
+// heartbeat has not arrived. The caller holds g.mu.
+func (g *Gateway) mayHaveStarted(e *jobEntry, now time.Time) bool {
+	r := &e.record
+	return r.Owner != "" && r.Owner != g.opts.Host && now.Sub(e.ownerChangedAt) < unheardOwnerDelay &&
+		!g.peers.Heard(r.Owner, r.OwnerIncarnation)
+}
+
 // isExpired reports whether twice the lifetime of a job has passed, after which none of its items is run. The caller
 // holds g.mu.
 func (g *Gateway) isExpired(e *jobEntry) bool {
 	return e.record.Lifetime > 0 && g.storeClock() > e.record.AcceptedAt+2*e.record.Lifetime
 }
 
-// adoptRank returns the position of a host in the order in which live processes take over a job, 0 for a host that is
-// not among them. Every process computes the same order (rendezvous hashing).
-func adoptRank(live []presence.Heartbeat, job, host string) int {
-	var hosts []string
-	for _, b := range live {
-		if !b.Leaving {
-			hosts = append(hosts, b.Host)
-		}
-	}
-	slices.SortFunc(hosts, func(a, b string) int { return cmp.Compare(rendezvous.Weight(job, b), rendezvous.Weight(job, a)) })
-	return max(slices.Index(hosts, host), 0)
-}
-
 // adopt takes over a job: it makes this process the owner in the store and resumes from the stored results and texts.
 func (g *Gateway) adopt(ctx context.Context, e *jobEntry) {
 	defer func() {
@@ -156,9 +158,9 @@
 	if inconsistent {
 		return
 	}
-	from := record.Owner
+	before := record
 	if !record.OwnedBy(g.opts.Host, g.opts.Incarnation) {
-		record.Owner, record.OwnerIncarnation = g.opts.Host, g.opts.Incarnation
+		record.Owner, record.OwnerIncarnation, record.Release = g.opts.Host, g.opts.Incarnation, placement.Release{}
 		if committed, err := g.commitRecord(ctx, e, record, version); err != nil || !committed {
 			if err != nil {
 				g.opts.Log.Warn().Str("job", e.id).Err(err).Msg("cannot take over job; will retry")
@@ -166,7 +168,7 @@
 			return
 		}
 	}
-	g.startAdopted(e, stored, from)
+	g.startAdopted(e, stored, &before)
 }
 
 // storedJob is the stored data of a job besides its record and results.
@@ -230,17 +232,19 @@
 	return false, nil
 }
 
-// startAdopted starts to run an adopted job that this process owns.
-func (g *Gateway) startAdopted(e *jobEntry, stored storedJob, from string) {
+// startAdopted starts to run an adopted job that this process owns. before is its record before the adoption.
+func (g *Gateway) startAdopted(e *jobEntry, stored storedJob, before *batch.Record) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if e.owned != nil || !e.record.Open() || !e.record.OwnedBy(g.opts.Host, g.opts.Incarnation) {
 		return
 	}
 	g.metrics.jobsAdopted.Inc()
-	g.opts.Log.Info().Str("job", e.id).Str("from", from).Int("listed", e.record.Listed).Int("total", e.record.Total).
-		Int("texts", len(stored.texts)).Msg("job taken over")
+	reason, from := g.takeoverReason(before)
+	g.opts.Log.Info().Str("job", e.id).Str("from", from).Str("after", reason).Int("listed", e.record.Listed).
+		Int("total", e.record.Total).Int("texts", len(stored.texts)).Msg("job taken over")
 	g.startOwned(e, stored.spec, stored.texts)
+	e.owned.recordTakeover(before.Release)
 	g.reuseTexts(e)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,8 +46,14 @@
 	heartbeatRowVersion int64
 	// heartbeatTimes holds when each heartbeat was written that the watch has not returned yet, by sequence number.
 	heartbeatTimes map[int64]time.Time
-	jobs           map[string]*jobEntry
-	jobsLoaded     bool
+	// startedAt is when this process started, by its own clock, and startedAtStore the same by the store's clock.
+	startedAt      time.Time
+	startedAtStore time.Duration
+	// afterCrash is set if the process before this one ended without a planned stop, and previousJudged once that was
+	// found out from the heartbeat that it left.
+	afterCrash, previousJudged bool
+	jobs                       map[string]*jobEntry
+	jobsLoaded                 bool
 	// strandedJobs is the number of open jobs that no live host may run.
 	strandedJobs int
 	// lastJobWatchResponse is when the watch of the jobs last got a response. startsPaused is set while that is too
@@ -102,7 +108,7 @@
 	wall     wallclock.Clock
 
 	schedulerWake chan struct{}
-	// jobAssigned wakes the search for jobs without an owner after a job was assigned to this process.
+	// jobAssigned wakes the search for jobs without an owner after a job was assigned to this process or released.
 	jobAssigned chan struct{}
 	// heartbeatDue triggers a heartbeat before its time.
 	heartbeatDue chan struct{}
@@ -119,7 +125,8 @@
 // New returns a gateway that has not read any table yet.
 func New(opts Options) *Gateway {
 	g := &Gateway{
-		opts: opts, latestVersions: map[string]int64{}, upstreams: upstreams.NewView(), peers: presence.NewView(peerTimeout),
+		startedAt: time.Now(),
+		opts:      opts, latestVersions: map[string]int64{}, upstreams: upstreams.NewView(), peers: presence.NewView(peerTimeout),
 		jobs: map[string]*jobEntry{}, health: map[string]*upstreamhealth.Health{}, inFlight: map[string]int{},
 		serviceLoads: map[string]*serviceLoad{}, chooser: evenload.NewChooser(rand.Float64),
 		connections: map[string]connectionState{}, heartbeatTimes: map[int64]time.Time{},
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -40,12 +40,13 @@
 	suspectsRefused, suspectsCleared *metrics.Counter
 	dutiesTaken                      *metrics.Counter
 	// busyUpstreams counts sends that an upstream refused for lack of room.
-	busyUpstreams      *metrics.Counter
-	upstreamTime       *metrics.Histogram
-	itemTime           *metrics.Histogram
-	requestTime        *metrics.Histogram
-	storeTime          *metrics.Histogram
-	itemWait, runStart *metrics.Histogram
+	busyUpstreams                           *metrics.Counter
+	upstreamTime                            *metrics.Histogram
+	itemTime                                *metrics.Histogram
+	requestTime                             *metrics.Histogram
+	storeTime                               *metrics.Histogram
+	itemWait, runStart                      *metrics.Histogram
+	withoutOwner, resumedTexts, resumeDelay *metrics.Histogram
 }
 
 func newMetricSet(r *telemetry.Registry, g *Gateway) *metricSet {
@@ -167,6 +168,9 @@
 		requestTime:      r.NewHistogram("radishshelf_gateway_request_seconds"),
 		storeTime:        r.NewHistogram("radishshelf_gateway_store_call_seconds"),
 		itemWait:         r.NewHistogram("radishshelf_gateway_item_wait_seconds"),
+		withoutOwner:     r.NewHistogram("radishshelf_gateway_without_owner_seconds"),
+		resumeDelay:      r.NewHistogram("radishshelf_gateway_resume_delay_seconds"),
+		resumedTexts:     r.NewHistogram("radishshelf_gateway_resumed_texts"),
 		runStart:         r.NewHistogram("radishshelf_gateway_run_start_seconds"),
 	}
 }
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -26,6 +26,10 @@
 	Region     string `json:"region"`
 	// Sequence increases with each heartbeat.
 	Sequence int64 `json:"sequence"`
+	// StartedAt is when the process started, on the store's clock; 0 if it has not read that clock yet. AfterCrash is set
+	// if the process before it on the host ended without a planned stop.
+	StartedAt  time.Duration `json:"started_at,omitempty"`
+	AfterCrash bool          `json:"after_crash,omitempty"`
 	// Leaving processes accept no more work.
 	Leaving bool `json:"leaving,omitempty"`
 	// Load holds the number of requests that the process has in flight at each upstream.
@@ -50,8 +54,13 @@
 	// watchedTime is the total time in which the watch was healthy.
 	watchedTime time.Duration
 	lastTick    time.Time
+	// heard holds the last incarnations of each process of which a heartbeat was observed, the latest one last.
+	heard map[string][]string
 }
 
+// maxHeard bounds the incarnations of a process that a view remembers. Only the one that last owned a job is asked for.
+const maxHeard = 8
+
 type peer struct {
 	heartbeat Heartbeat
 	// changedAt is the value of watchedTime when the heartbeat last changed.
@@ -62,7 +71,7 @@
 
 // NewView returns an empty view in which a process is dead after peerTimeout of watched time without a new heartbeat.
 func NewView(peerTimeout time.Duration) *View {
-	return &View{peerTimeout: peerTimeout, peers: map[string]*peer{}}
+	return &View{peerTimeout: peerTimeout, peers: map[string]*peer{}, heard: map[string][]string{}}
 }
 
 // Tick advances the view to now. healthy reports whether the watch was in contact with the store since the last tick.
@@ -88,6 +97,10 @@
 		return
 	}
 	p.heartbeat, p.changedAt, p.heardAt = hb, v.watchedTime, now
+	if !v.Heard(hb.Host, hb.Incarnation) {
+		heard := append(v.heard[hb.Host], hb.Incarnation)
+		v.heard[hb.Host] = heard[max(len(heard)-maxHeard, 0):]
+	}
 }
 
 // HeardAt returns when the heartbeat of a process last changed, by this process's clock; zero if there is none.
@@ -98,6 +111,12 @@
 	return time.Time{}
 }
 
+// Heard reports whether a heartbeat of an incarnation of a process was observed, lately or not. One that was not heard may
+// have started just now.
+func (v *View) Heard(host, incarnation string) bool {
+	return slices.Contains(v.heard[host], incarnation)
+}
+
 // Forget drops a process that removed its heartbeat.
 func (v *View) Forget(host string) { delete(v.peers, host) }
 
