--- a/connguard/conn.go
+++ b/connguard/conn.go
@@ -171,7 +171,9 @@
 	}
 	text := http.StatusText(status)
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout)) // fails on a closed connection, like the write
-	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\n%sContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+	const response = "HTTP/1.1 %d %s\r\n%sContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n" +
+		"Connection: close\r\n\r\n%s"
+	_, _ = fmt.Fprintf(c.Conn, response,
 		status, text, retry, len(text), text)
 }
 
--- a/evenload/response_times.go
+++ b/evenload/response_times.go
@@ -33,7 +33,10 @@
 
 // NewResponseTimes returns response times without observations.
 func NewResponseTimes() *ResponseTimes {
-	return &ResponseTimes{kinds: map[string]*average{}, trips: map[string]*roundTrips{}, work: map[string]map[string]*average{}, sends: map[string]*average{}}
+	return &ResponseTimes{
+		kinds: map[string]*average{}, trips: map[string]*roundTrips{}, work: map[string]map[string]*average{},
+		sends: map[string]*average{},
+	}
 }
 
 // Observe records a response to a request of a kind, such as its route.
--- a/gateway/plain_result.go
+++ b/gateway/plain_result.go
@@ -19,7 +19,8 @@
 	case len(f.tried) == 0:
 		return nil, unavailable(outcome.KindOverloaded, "no upstream of the service accepted the request", retryAfterBusy)
 	default:
-		return nil, outcomeUnknown(outcome.KindUpstreamFailed, http.StatusBadGateway, "the upstream did not return a complete response", f.lastFailure)
+		return nil, outcomeUnknown(outcome.KindUpstreamFailed, http.StatusBadGateway,
+			"the upstream did not return a complete response", f.lastFailure)
 	}
 }
 
--- a/measure/even_load.go
+++ b/measure/even_load.go
@@ -34,10 +34,13 @@
 		{Name: "calm", Hosts: 40, Upstreams: 38, Slots: 6, Work: 25 * time.Millisecond, Load: 0.1, ReportAge: age, Batch: 1, Background: true},
 		{Name: "busy", Hosts: 40, Upstreams: 12, Slots: 6, Work: 25 * time.Millisecond, Load: 0.7, ReportAge: age, Batch: 1},
 		{Name: "unequal", Hosts: 40, Upstreams: 12, Slots: 6, Work: 25 * time.Millisecond, Load: 0.7, ReportAge: age, Batch: 1, Unequal: true},
-		{Name: "old reports", Hosts: 40, Upstreams: 38, Slots: 6, Work: 200 * time.Millisecond, Load: 0.6, ReportAge: 2 * time.Second, Batch: 1, Unequal: true},
+		{Name: "old reports", Hosts: 40, Upstreams: 38, Slots: 6, Work: 200 * time.Millisecond, Load: 0.6, ReportAge: 2 * time.Second,
+			Batch: 1, Unequal: true},
 		{Name: "many hosts", Hosts: 300, Upstreams: 38, Slots: 6, Work: 200 * time.Millisecond, Load: 0.6, ReportAge: age, Batch: 1, Unequal: true},
-		{Name: "bursts, lost sight", Hosts: 40, Upstreams: 38, Slots: 6, Work: 200 * time.Millisecond, Load: 0.5, ReportAge: age, Batch: 8, Unequal: true, LostSight: true, Background: true},
-		{Name: "bursts, hosts join", Hosts: 40, Upstreams: 38, Slots: 6, Work: 200 * time.Millisecond, Load: 0.5, ReportAge: age, Batch: 8, Unequal: true, Joins: true, Background: true},
+		{Name: "bursts, lost sight", Hosts: 40, Upstreams: 38, Slots: 6, Work: 200 * time.Millisecond, Load: 0.5, ReportAge: age, Batch: 8,
+			Unequal: true, LostSight: true, Background: true},
+		{Name: "bursts, hosts join", Hosts: 40, Upstreams: 38, Slots: 6, Work: 200 * time.Millisecond, Load: 0.5, ReportAge: age, Batch: 8,
+			Unequal: true, Joins: true, Background: true},
 	}
 }
 
