Bound what one heartbeat tells of cold and limited upstreams

Cause: each heartbeat named every upstream that is cold or limited.

Change: a report has at most 64 claims, the next ones in each report and beginning at another claim on each host; claims that say nothing are left out.

--- a/upstreamlimit/config.go
+++ b/upstreamlimit/config.go
@@ -34,6 +34,9 @@
 	retention = 30 * time.Second
 	// maxLimits bounds the number of limits that are remembered.
 	maxLimits = 4096
+	// maxClaims bounds the claims in one report, of some 100 bytes each. Every host receives the reports of all others in
+	// each interval of heartbeats, and the store bounds the size of a row.
+	maxClaims = 64
 	// maxDelay is the time until the next request of a host that has no share.
 	maxDelay = time.Second
 	// maxColdTime bounds for how long another host may say that an upstream is cold; warming up takes seconds.
--- a/upstreamlimit/report.go
+++ b/upstreamlimit/report.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/radishshelf/radishshelf/rendezvous"
 	"github.com/radishshelf/radishshelf/upstreams"
 )
 
@@ -69,7 +70,9 @@
 				c.BackAt = max((storeClock - now.Sub(contact.backAt)).Milliseconds(), 1)
 			}
 		}
-		r.Limits = append(r.Limits, c)
+		if c.tells() {
+			r.Limits = append(r.Limits, c)
+		}
 		if l.perSecond > 0 {
 			r.Demand[i.ID] = Demand{
 				Callers:    round(l.callers.perSecond(now)),
@@ -77,12 +80,33 @@
 			}
 		}
 	}
-	slices.SortFunc(r.Limits, func(a, b Claim) int {
-		return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Born, b.Born))
-	})
+	slices.SortFunc(r.Limits, compareClaims)
+	r.Limits = t.nextClaims(r.Limits)
 	return r
 }
 
+// tells reports whether a claim says anything about its upstream.
+func (c Claim) tells() bool {
+	return c.Limit > 0 || c.HeardAt != 0 || c.ColdUntil != 0 || c.FailedAt != 0
+}
+
+// nextClaims returns at most maxClaims claims, the next ones in each report. Hosts begin at different claims, so that
+// together they tell all of them at once.
+func (t *Table) nextClaims(claims []Claim) []Claim {
+	if len(claims) <= maxClaims {
+		return claims
+	}
+	first := int((rendezvous.Weight("claims", t.host)%uint64(len(claims)) + uint64(t.claimsTold)) % uint64(len(claims)))
+	t.claimsTold += maxClaims
+	next := append(slices.Clone(claims[first:]), claims[:first]...)[:maxClaims]
+	slices.SortFunc(next, compareClaims)
+	return next
+}
+
+func compareClaims(a, b Claim) int {
+	return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Born, b.Born))
+}
+
 // ObserveOwn records the report in a heartbeat of this host that has come back from the store, so that the other hosts have
 // most likely got it too; nil if the heartbeat has none. The heartbeat was written at writtenAt.
 func (t *Table) ObserveOwn(r *Report, writtenAt, now time.Time) {
--- a/upstreamlimit/table.go
+++ b/upstreamlimit/table.go
@@ -37,6 +37,8 @@
 	seesHeartbeats      bool
 	firstSeenAt, seenAt time.Time
 	peers               map[string]*peerDemand
+	// claimsTold is how many claims this host has told while there were too many for one report.
+	claimsTold int
 	// dividedAt is when the shares were last computed; zero if a limit has changed since.
 	dividedAt time.Time
 }
