review: items of a step are held back from empty engines until the step is lost

LOST breaks: items that allow 24,000 output tokens and have no length hint are placed by that limit, so that an engine with 16 slots gets at most 3 of them. Order of events: a small step, then a step of 160 items on nine engines; at the deadline of 12 s 61 items have been at no server.

--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -33,6 +33,10 @@
 		req.Header.Set("Radishshelf-Attempt-Id", id)
 	}
 	for name, value := range header {
+		if name == "Host" {
+			req.Host = value
+			continue
+		}
 		req.Header.Set(name, value)
 	}
 	resp, err := client.Do(req)
@@ -56,6 +60,19 @@
 	ID, Group string
 	Body      []byte
 	Score     string
+	// MaxOutput is the maximum number of output tokens; 0 means 500.
+	MaxOutput int
+}
+
+// promptTokens is the size of the prompt of each item.
+const promptTokens = 40
+
+// maxOutput returns the maximum number of output tokens.
+func (i Item) maxOutput() int {
+	if i.MaxOutput > 0 {
+		return i.MaxOutput
+	}
+	return 500
 }
 
 // JobBody returns the body of a batch job.
@@ -63,9 +80,9 @@
 	var list []any
 	for _, i := range items {
 		entry := map[string]any{
-			"id": i.ID, "path": RolloutPrefix + "item/" + i.ID, "group": i.Group, "tokens": 540,
+			"id": i.ID, "path": RolloutPrefix + "item/" + i.ID, "group": i.Group, "tokens": promptTokens + i.maxOutput(),
 			"headers": map[string]string{
-				"Radishshelf-Model": Model, "Radishshelf-Token-Usage": "40,500", "Radishshelf-Prompt-Prefix": "9c2e41:30,5d07b8:10",
+				"Radishshelf-Model": Model, "Radishshelf-Token-Usage": fmt.Sprintf("%d,%d", promptTokens, i.maxOutput()), "Radishshelf-Prompt-Prefix": "9c2e41:30,5d07b8:10",
 			},
 			"body": base64.StdEncoding.EncodeToString(i.Body),
 		}
