--- a/review/standin2/gateway.go
+++ b/review/standin2/gateway.go
@@ -73,10 +73,25 @@
 	return l.Addr().String(), s, nil
 }
 
-// NewGateway prepares the gateway with a number. Its store calls arrive under its name.
-func NewGateway(number int, dir string, machine Machine, store *Store, cloud http.Handler, record *Record) (*Gateway, error) {
+// subnets is the number of loopback subnets, and so of cases that can run at the same time; guardPort is the port whose listener
+// shows that a subnet is taken. Each gateway has an address of its own, because one of its ports is fixed.
+const subnets, guardPort = 250, 21077
+
+// claimSubnet takes a loopback subnet that no other case uses, until the listener is closed.
+func claimSubnet() (subnet int, guard net.Listener, err error) {
+	for i := range subnets {
+		subnet = (os.Getpid()+i)%subnets + 1
+		if guard, err = net.Listen("tcp", fmt.Sprintf("127.77.%d.1:%d", subnet, guardPort)); err == nil {
+			return subnet, guard, nil
+		}
+	}
+	return 0, nil, fmt.Errorf("no free loopback subnet: %w", err)
+}
+
+// NewGateway prepares the gateway with a number in a subnet. Its store calls arrive under its name.
+func NewGateway(subnet, number int, dir string, machine Machine, store *Store, cloud http.Handler, record *Record) (*Gateway, error) {
 	g := &Gateway{
-		Zone: Zones[number%len(Zones)], IP: fmt.Sprintf("127.77.%d.%d", os.Getpid()%200+1, 10+number), machine: machine, dir: dir, record: record,
+		Zone: Zones[number%len(Zones)], IP: fmt.Sprintf("127.77.%d.%d", subnet, 10+number), machine: machine, dir: dir, record: record,
 	}
 	g.Name = fmt.Sprintf("edge-%s-%d", g.Zone, number/len(Zones)+1)
 	storeAddress, _, err := Listen("127.0.0.1", store.Handler(g.Name))
--- a/review/standin2/run.go
+++ b/review/standin2/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"os/signal"
 	"syscall"
@@ -23,6 +24,8 @@
 	Cloud     *Cloud
 	Upstreams []*Upstream
 	Gateways  []*Gateway
+	subnet    int
+	guard     net.Listener
 	// Trouble is false if the disruption is to be left out.
 	Trouble bool
 }
@@ -37,7 +40,11 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Lab{Dir: dir, Record: r, Store: NewStore(), Cloud: &Cloud{}, Trouble: os.Getenv("TROUBLE") != "0"}
+	subnet, guard, err := claimSubnet()
+	if err != nil {
+		return nil, err
+	}
+	l := &Lab{subnet: subnet, guard: guard, Dir: dir, Record: r, Store: NewStore(), Cloud: &Cloud{}, Trouble: os.Getenv("TROUBLE") != "0"}
 	r.Line("trouble: %v", l.Trouble)
 	return l, nil
 }
@@ -62,7 +69,7 @@
 		if set != nil {
 			set(i, &m)
 		}
-		g, err := NewGateway(i, l.Dir, m, l.Store, l.Cloud, l.Record)
+		g, err := NewGateway(l.subnet, i, l.Dir, m, l.Store, l.Cloud, l.Record)
 		if err != nil {
 			return err
 		}
@@ -87,6 +94,7 @@
 	if os.Getenv("KEEP") == "" {
 		os.RemoveAll(l.Dir)
 	}
+	l.guard.Close()
 	l.Record.Close()
 }
 
