--- a/review/standin2/cmd/unreadable/main.go
+++ b/review/standin2/cmd/unreadable/main.go
@@ -19,7 +19,9 @@
 	regionDelay = 20 * time.Millisecond
 	settle      = 10 * time.Second
 	readAgain   = 30 * time.Second
-	job         = "job-one"
+	// readElsewhere bounds the reads at each other node.
+	readElsewhere = 6 * time.Second
+	job           = "job-one"
 )
 
 func main() { s2.Main(run) }
@@ -70,6 +72,11 @@
 	time.Sleep(settle)
 	read, _ = readAll(l, home, time.Now().Add(readAgain))
 	l.Record.Line("read %d of %d results again at %s", read, items, home.Name)
+	// For the record only: what the nodes of the other regions answer, the first of them beside the store.
+	for _, g := range []*s2.Gateway{l.Gateways[0], l.Gateways[2]} {
+		n, _ := readAll(l, g, time.Now().Add(readElsewhere))
+		l.Record.Line("read %d of %d results at %s", n, items, g.Name)
+	}
 	if read == items {
 		return s2.Held, nil
 	}
