lease: do not let stopped hosts take turns at the duties

Cause: a released lease is free for every candidate at once. That is safe after the holder that released it, but the row did not say who held the lease before, and a restarted process does not know that its predecessor acted. Ruled out: two holders at a time (the terms do not overlap) and calls that are late on the network (they arrive in the order of terms).

Fix: the row lists the holders before the present one with the least time since the end of their tenure, as measured by later holders on their own clocks. A candidate that has been followed by another holder waits for the rest of ReturnWait (the lease and the timeout of a call). Other hosts and the host that released the lease still take it at once. The roles of the own fleet keep a wait of zero, because their receivers check the term.

--- a/gateway/duty.go
+++ b/gateway/duty.go
@@ -76,6 +76,8 @@
 		// calls both are the same holder.
 		IsPredecessor:   func(holder string) bool { return strings.HasPrefix(holder, g.opts.Host+"#") },
 		PredecessorWait: dutyCallTimeout,
+		// The platform may not check the term, and counts a last call at its arrival.
+		ReturnWait: bound + dutyCallTimeout,
 	})
 	if err != nil {
 		g.opts.Log.Error().Err(err).Msg("invalid lease configuration; this process performs no duties")
--- a/gateway/duty_test.go
+++ b/gateway/duty_test.go
@@ -99,3 +99,25 @@
 		t.Errorf("term %d after %d, taken after %s; want a higher one well before the lease of 3 s ends", term, before, took)
 	}
 }
+
+// Guards against two hosts that perform the duties in turn within the lease when they are stopped and started one after
+// the other.
+func TestRestartedHostDoesNotTakeDutiesBackWithinLease(t *testing.T) {
+	w := newTestCluster(t)
+	holds := func(g *Gateway) func() bool {
+		return func() bool { _, ok := g.mayAct(); return ok }
+	}
+	a := w.start("a")
+	w.eventually("a holds the duties", holds(a))
+	b := w.start("b")
+	lastActed := time.Now()
+	w.stop(a)
+	w.eventually("b holds the duties", holds(b))
+	a = w.start("a")
+	w.stop(b)
+	w.eventually("a holds the duties again", holds(a))
+	took := time.Since(lastActed)
+	if lease := a.opts.Timing.Lease; took < lease || took > 2*lease {
+		t.Errorf("a performs the duties again after %s; b performed them in between, and the lease lasts %s", took, lease)
+	}
+}
--- a/lease/candidate.go
+++ b/lease/candidate.go
@@ -82,7 +82,9 @@
 
 func (c *Candidate) tickHolder(now time.Time) []Action {
 	next := c.row.Record
+	next.Former = c.formerHolders(now)
 	if c.releasing {
+		next.Former = c.formerWith(next.Holder, now)
 		next.Holder = ""
 		return c.write(now, next)
 	}
@@ -103,18 +105,33 @@
 	if now.Sub(c.unchangedSince) < c.takeoverWait() {
 		return nil
 	}
-	return c.write(now, Record{Holder: c.cfg.Candidate, Term: c.row.Record.Term + 1})
+	return c.write(now, Record{
+		Holder: c.cfg.Candidate, Term: c.row.Record.Term + 1, Former: c.formerWith(c.row.Record.Holder, now),
+	})
 }
 
 // takeoverWait returns how long the row must stay unchanged before it may be taken over.
 func (c *Candidate) takeoverWait() time.Duration {
 	switch {
 	case c.row.Record.Holder == "":
-		return c.takeoverDelay
+		return max(c.takeoverDelay, c.waitToReturn())
 	case c.cfg.IsPredecessor != nil && c.cfg.IsPredecessor(c.row.Record.Holder):
 		return c.cfg.PredecessorWait
 	}
-	return c.cfg.Duration + c.cfg.PauseTolerance + c.takeoverDelay
+	return max(c.cfg.Duration+c.cfg.PauseTolerance+c.takeoverDelay, c.waitToReturn())
+}
+
+// waitToReturn returns how long the row must stay unchanged before this candidate may follow another holder that has
+// followed it: receivers that do not check the term must not see the two take turns.
+func (c *Candidate) waitToReturn() time.Duration {
+	row := c.row.Record
+	for i, f := range row.Former {
+		followed := i < len(row.Former)-1 || row.Holder != ""
+		if followed && c.isOwn(f.Holder) {
+			return c.cfg.ReturnWait - f.Age
+		}
+	}
+	return 0
 }
 
 // readIfDue reads the row at most once per renew interval, so that challengers do not overload a recovering table.
--- a/lease/config.go
+++ b/lease/config.go
@@ -31,6 +31,9 @@
 	// holder is a predecessor.
 	IsPredecessor   func(holder string) bool
 	PredecessorWait time.Duration
+	// ReturnWait is the least time between the tenures of one holder, predecessors included, if another holder has
+	// followed the first of them. Receivers that do not check the term need it; it is 0 if all of them do.
+	ReturnWait time.Duration
 }
 
 // DefaultConfig returns the default timing for a candidate.
@@ -54,6 +57,8 @@
 		return fmt.Errorf("lease: duration %s is not above the act window %s; raise Duration", c.Duration, c.ActWindow)
 	case c.PredecessorWait < 0:
 		return fmt.Errorf("lease: wait after a predecessor %s is negative; set PredecessorWait", c.PredecessorWait)
+	case c.ReturnWait < 0:
+		return fmt.Errorf("lease: wait before a holder returns %s is negative; set ReturnWait", c.ReturnWait)
 	case c.PauseTolerance < 0:
 		return fmt.Errorf("lease: pause tolerance %s is negative; set PauseTolerance", c.PauseTolerance)
 	}
--- a/lease/doc.go
+++ b/lease/doc.go
@@ -6,6 +6,8 @@
 //   - A holder acts only until ActWindow after it sent its last confirmed renewal, measured on its own clock.
 //   - A challenger takes over only after it saw the row unchanged for Duration plus PauseTolerance, measured on its own
 //     clock. No two clocks are compared.
+//   - A released role is free at once, except for a former holder that another one has followed: it waits until
+//     ReturnWait has passed since its own tenure.
 //   - The row changes only by a write that names the revision it replaces, so only one of two challengers succeeds.
 //
 // Therefore at least Duration - ActWindow + PauseTolerance passes between the last check by an old holder and the first
--- a/lease/result.go
+++ b/lease/result.go
@@ -59,7 +59,7 @@
 // content, because no other candidate writes this candidate's name with the same term and renewal.
 func (c *Candidate) resolveInDoubt(obs Observation, now time.Time) []Action {
 	c.inDoubt = false
-	tookEffect := c.pending != nil && obs.Record == c.pending.Record && obs.Revision > c.pending.Revision
+	tookEffect := c.pending != nil && obs.Record.sameWrite(c.pending.Record) && obs.Revision > c.pending.Revision
 	if tookEffect {
 		return c.confirm(obs.Revision, now)
 	}
