gateway: show why items wait for an engine

Items that wait because of the memory of engines, for a slot, for their job's concurrency or for a route looked the same to operators: the gauge items{phase="waiting"} counts all of them.

radishshelf_gateway_items_held_back counts the items that did not start in the last pass of the scheduler, by reason.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -90,6 +90,8 @@
 	limitWaiters int64
 	// itemsWaiting counts, by engine, the items that found no engine in the last pass of the scheduler.
 	itemsWaiting map[string]float64
+	// itemsHeldBack counts the items that did not start in the last pass of the scheduler, by the reason.
+	itemsHeldBack map[holdReason]int
 	// clock is the reading of the store's clock that was taken at clockAt.
 	clock   time.Duration
 	clockAt time.Time
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -139,6 +139,13 @@
 	} {
 		r.NewGauge(fmt.Sprintf("radishshelf_gateway_items{phase=%q}", name), func() float64 { return g.countItems(phase) })
 	}
+	for _, reason := range holdReasons {
+		r.NewGauge(fmt.Sprintf("radishshelf_gateway_items_held_back{reason=%q}", string(reason)), func() float64 {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return float64(g.itemsHeldBack[reason])
+		})
+	}
 	return &metricSet{
 		registry:         r,
 		hedges:           r.NewCounter("radishshelf_gateway_hedges_total"),
--- a/gateway/schedule.go
+++ b/gateway/schedule.go
@@ -35,7 +35,7 @@
 		return
 	}
 	candidates := g.startableItems(now)
-	g.itemsWaiting = nil
+	g.itemsWaiting, g.itemsHeldBack = nil, nil
 	if len(candidates) == 0 || !g.mayStartItems(now) {
 		return
 	}
@@ -44,7 +44,7 @@
 	for _, c := range candidates {
 		pass.start(c)
 	}
-	g.itemsWaiting = pass.waitingByEngine()
+	g.itemsWaiting, g.itemsHeldBack = pass.waitingByEngine(), pass.heldBack
 }
 
 // startableItems returns the items that may start now. The caller holds g.mu.
--- a/gateway/schedule_pass.go
+++ b/gateway/schedule_pass.go
@@ -20,8 +20,27 @@
 	noRoom map[placementKey]bool
 	// waiting counts the items that found no engine.
 	waiting map[placementKey]int
+	// heldBack counts the items that did not start, by the reason.
+	heldBack map[holdReason]int
 }
 
+// holdReason is why an item did not start in a pass.
+type holdReason string
+
+const (
+	// heldByRoute items have no route or no service any more.
+	heldByRoute holdReason = "route"
+	// heldByJob items belong to a job that has as many items running as it should.
+	heldByJob holdReason = "job_concurrency"
+	// heldBySlots items find no engine that serves them and has a free slot.
+	heldBySlots holdReason = "slots"
+	// heldByMemory items find a free slot only where the texts are expected to exceed the memory.
+	heldByMemory holdReason = "memory"
+)
+
+// holdReasons lists all reasons.
+var holdReasons = []holdReason{heldByRoute, heldByJob, heldBySlots, heldByMemory}
+
 // selectorKey identifies the engines that serve a model and to which a text may be sent.
 type selectorKey struct {
 	sendScope
@@ -38,7 +57,7 @@
 func newSchedulePass(g *Gateway, now time.Time) *schedulePass {
 	return &schedulePass{
 		g: g, now: now, selectors: map[selectorKey]*placement.Selector{}, limits: map[*ownedJob]int{},
-		noRoom: map[placementKey]bool{}, waiting: map[placementKey]int{},
+		noRoom: map[placementKey]bool{}, waiting: map[placementKey]int{}, heldBack: map[holdReason]int{},
 	}
 }
 
@@ -48,10 +67,16 @@
 	e := g.jobs[c.Job.Spec.ID]
 	route, ok := g.config.Route(e.record.Host, e.record.PathPrefix)
 	if !ok || route.Kind != serving.Rollout {
+		s.heldBack[heldByRoute]++
 		return // the route was removed from the configuration; the items wait until it returns
 	}
 	service, ok := g.chooseService(route, g.jobHomes(&e.record))
-	if !ok || len(e.owned.runs) >= s.concurrencyLimit(e.owned) {
+	if !ok {
+		s.heldBack[heldByRoute]++
+		return
+	}
+	if len(e.owned.runs) >= s.concurrencyLimit(e.owned) {
+		s.heldBack[heldByJob]++
 		return
 	}
 	if lifetime := e.record.Lifetime; lifetime > 0 && g.storeClock() > e.record.AcceptedAt+lifetime {
@@ -86,12 +111,18 @@
 	key := placementKey{selectorKey: selectorKey{sendScope: scope, model: c.Job.Spec.Model}, minVersion: req.MinVersion, long: req.Long}
 	if s.noRoom[key] {
 		s.waiting[key]++
+		s.heldBack[heldBySlots]++
 		return upstreams.Entry{}, false
 	}
 	id, ok := s.selector(key.selectorKey).Pick(req)
 	if !ok {
 		s.waiting[key]++
 		s.noRoom[key] = s.selector(key.selectorKey).Full(req)
+		if s.noRoom[key] {
+			s.heldBack[heldBySlots]++
+		} else {
+			s.heldBack[heldByMemory]++
+		}
 		return upstreams.Entry{}, false
 	}
 	s.wantEngines(key)
