batch: expect usual lengths of texts without an estimate

What callers saw: a step of 160 items that may generate 24,000 tokens each and carry no length hint ran one item at a time on each engine.

Cause: the scheduler sends an engine no text by which its memory would be exceeded, and the expected length of an item without a hint was its limit. Complete texts were learned from only where there was a hint, so nothing corrected it. Ruled out with the gauge items_held_back: the concurrency of the job and the slots; in the test all waiting items are held back by memory.

The limit only bounds the estimate. Items with a hint are treated as before.

--- a/batch/estimate_test.go
+++ b/batch/estimate_test.go
@@ -48,3 +48,33 @@
 		t.Errorf("%d items run at once, %d with estimates above the limit of the items", right, wrong)
 	}
 }
+
+// Guards against items without an estimate that are expected to become as long as they may.
+func TestLimitIsNoEstimate(t *testing.T) {
+	var length TextLength
+	spec := Spec{Items: []Item{
+		{ID: "none", Tokens: 24_300, PromptTokens: 300},
+		{ID: "hint", Tokens: 24_300, PromptTokens: 300, LengthHint: 8000},
+		{ID: "short", Tokens: 400, PromptTokens: 300},
+	}}
+	j := NewJob(spec, Record{}, Limits{Rate: &TokenRate{}, Length: &length})
+	check := func(when string, none int) {
+		t.Helper()
+		for id, want := range map[string]int{"none": none, "hint": 8000, "short": 100} {
+			if p, _ := j.Get(id); p.RemainingTokens() != want {
+				t.Errorf("%s: %d tokens expected of %s, want %d", when, p.RemainingTokens(), id, want)
+			}
+		}
+	}
+	check("before a text was observed", defaultTextTokens)
+	for range minLearnedTexts {
+		length.Learn(24)
+	}
+	check("after texts of 24 events", 24*defaultTokenRate)
+	for range 400 {
+		length.Learn(200)
+	}
+	if got := length.Tokens(nil); got < 190*defaultTokenRate || got > 200*defaultTokenRate {
+		t.Errorf("%d tokens expected after 400 texts of %d", got, 200*defaultTokenRate)
+	}
+}
--- a/batch/job.go
+++ b/batch/job.go
@@ -29,7 +29,7 @@
 	record.Done = record.Done.Below(len(spec.Items))
 	j := &Job{Spec: spec, Record: record, Limits: limits, byID: make(map[string]*Progress, len(spec.Items))}
 	for i := range spec.Items {
-		p := &Progress{Item: &spec.Items[i], index: i, rate: limits.Rate}
+		p := &Progress{Item: &spec.Items[i], index: i, rate: limits.Rate, length: limits.Length}
 		if record.Done.Has(i) {
 			p.Phase = Listed
 			j.listedCount++
--- a/batch/limits.go
+++ b/batch/limits.go
@@ -8,4 +8,6 @@
 	SingleVersion bool
 	// Rate converts between events and tokens; nil uses a default rate.
 	Rate *TokenRate
+	// Length is the expected length of texts without an estimate by the trainer; nil uses a default length.
+	Length *TextLength
 }
--- a/batch/progress.go
+++ b/batch/progress.go
@@ -21,8 +21,9 @@
 	// priorText describes the item's text in an earlier job, and finalText its text when it finished.
 	priorText, finalText TextSummary
 	result               Result
-	// rate converts events into tokens.
-	rate *TokenRate
+	// rate converts events into tokens, and length is the expected length of a text without an estimate by the trainer.
+	rate   *TokenRate
+	length *TextLength
 }
 
 // RemainingTokens estimates the output tokens that are still to be generated. A text that has exceeded its estimate is
@@ -59,9 +60,9 @@
 	if p.priorText.Complete {
 		return priorTokens
 	}
-	expected := max(p.Item.ExpectedTokens(), priorTokens+priorTokens/2)
-	if limit := p.Item.outputLimit(); limit > 0 {
-		expected = min(expected, limit)
+	expected := p.Item.ExpectedTokens()
+	if expected <= 0 {
+		expected = p.length.Tokens(p.rate)
 	}
-	return expected
+	return p.Item.withinLimit(max(expected, priorTokens+priorTokens/2))
 }
--- a/batch/spec.go
+++ b/batch/spec.go
@@ -30,13 +30,15 @@
 	Score *ScoreCall `json:"score,omitempty"`
 }
 
-// ExpectedTokens is the best estimate of the output length: the trainer's, unless it is above the limit of the item.
-func (i *Item) ExpectedTokens() int {
-	limit := i.outputLimit()
-	if i.LengthHint > 0 && (limit == 0 || i.LengthHint < limit) {
-		return i.LengthHint
+// ExpectedTokens is the trainer's estimate of the output length, at most the limit of the item; 0 if there is none.
+func (i *Item) ExpectedTokens() int { return i.withinLimit(i.LengthHint) }
+
+// withinLimit returns a number of output tokens, reduced to what the item may generate.
+func (i *Item) withinLimit(tokens int) int {
+	if limit := i.outputLimit(); limit > 0 {
+		return min(tokens, limit)
 	}
-	return limit
+	return tokens
 }
 
 // outputLimit returns the maximum number of output tokens, with the prompt included if its length is unknown; 0 if the
--- a/gateway/engine_memory.go
+++ b/gateway/engine_memory.go
@@ -62,12 +62,18 @@
 	return held
 }
 
-// tokenRateOf returns the ratio of tokens to events of a model. The caller holds g.mu.
-func (g *Gateway) tokenRateOf(model string) *batch.TokenRate {
-	r, ok := g.tokenRates[model]
+// textEstimates is what was learned from the complete texts of a model.
+type textEstimates struct {
+	rate   batch.TokenRate
+	length batch.TextLength
+}
+
+// textEstimatesOf returns the estimates for a model. The caller holds g.mu.
+func (g *Gateway) textEstimatesOf(model string) *textEstimates {
+	estimates, ok := g.textEstimates[model]
 	if !ok {
-		r = &batch.TokenRate{}
-		g.tokenRates[model] = r
+		estimates = &textEstimates{}
+		g.textEstimates[model] = estimates
 	}
-	return r
+	return estimates
 }
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -168,6 +168,8 @@
 	sends  []fakeSend
 	// ended holds the upstreams whose process has ended, so that nothing listens at their address.
 	ended map[string]bool
+	// memoryTokens is the memory that every upstream reports; 0 if none does.
+	memoryTokens int
 }
 
 func newFakeUpstreams() *fakeUpstreams {
@@ -267,7 +269,9 @@
 }
 
 func (f *fakeUpstreams) Report(context.Context, upstreams.Entry) (upstreamcall.Report, error) {
-	return upstreamcall.Report{Versions: map[string]int64{}}, nil
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return upstreamcall.Report{Versions: map[string]int64{}, MemoryTokens: f.memoryTokens}, nil
 }
 
 func signed(status int, body string) *upstreamcall.Response {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/radishshelf/radishshelf/batch"
 	"github.com/radishshelf/radishshelf/evacuation"
 	"github.com/radishshelf/radishshelf/evenload"
 	"github.com/radishshelf/radishshelf/placement"
@@ -69,10 +68,10 @@
 	busiestOverMean  float64
 	// inFlight counts the requests that this process has in flight at each upstream.
 	inFlight map[string]int
-	// engineMemories holds the memory that engines reported, by service, and tokenRates the ratio of tokens to events, by
-	// model.
+	// engineMemories holds the memory that engines reported, by service, and textEstimates what complete texts have shown,
+	// by model.
 	engineMemories map[string]*placement.EngineMemory[upstreams.Incarnation]
-	tokenRates     map[string]*batch.TokenRate
+	textEstimates  map[string]*textEstimates
 	// connections estimates how many connections to each upstream are open.
 	connections map[string]connectionState
 	peerLoad    peerLoadSums
@@ -132,7 +131,7 @@
 		jobs: map[string]*jobEntry{}, health: map[string]*upstreamhealth.Health{}, inFlight: map[string]int{},
 		serviceLoads: map[string]*serviceLoad{}, chooser: evenload.NewChooser(rand.Float64),
 		connections: map[string]connectionState{}, heartbeatTimes: map[int64]time.Time{},
-		engineMemories: map[string]*placement.EngineMemory[upstreams.Incarnation]{}, tokenRates: map[string]*batch.TokenRate{},
+		engineMemories: map[string]*placement.EngineMemory[upstreams.Incarnation]{}, textEstimates: map[string]*textEstimates{},
 		restartTimes: map[string]*textmove.RestartTime{},
 		peerLoad:     peerLoadSums{requests: map[string]int{}, tokens: map[string]int{}}, hedges: retry.NewBudget(retry.DefaultBudgetConfig(), time.Now()),
 		suspects: newSuspects(opts.Suspects), usage: usageCounts{}, probes: map[string]*probe{}, limitQueues: map[string]*limitQueue{},
--- a/gateway/own.go
+++ b/gateway/own.go
@@ -36,7 +36,8 @@
 
 // startOwned starts to run a job. texts are the saved texts of its items. The caller holds g.mu.
 func (g *Gateway) startOwned(e *jobEntry, spec batch.Spec, texts map[string]batch.Text) {
-	limits := batch.Limits{Rate: g.tokenRateOf(spec.Model)}
+	estimates := g.textEstimatesOf(spec.Model)
+	limits := batch.Limits{Rate: &estimates.rate, Length: &estimates.length}
 	limits.MaxFailures, limits.SingleVersion = g.jobLimits(&e.record)
 	o := &ownedJob{
 		g: g, entry: e, job: batch.NewJob(spec, e.record, limits), listSignal: make(chan struct{}, 1),
