gateway: answer for accepted jobs whose host has no route any more

What callers saw: after the operator had removed the last route of a host, all gateways answered 404 to calls about a batch job that was accepted under that host, and whose results had been read before (rule LOST, review/9).

Cause: calls about a job were refused if the current configuration had no route for their host, before the job was looked up. That is the check of new requests. An accepted job belongs to a workspace, and its record holds all that is needed. Ruled out: the job was deleted or not seen yet (the message is that of the route check, at all three gateways).

Fix: check the key, look the job up, compare the workspace. The host must have a route or be the one under which the job was accepted.

Evidence: before, TestJobOutlivesTheRoutesOfItsHost failed with "the owner returns 0 results of 6, not_found: no route matches this host", the same for bodies and for the end of the job, and at another host; after, it passes.

--- a/gateway/authorize.go
+++ b/gateway/authorize.go
@@ -73,25 +73,22 @@
 }
 
 // authorizeBatch looks up the workspace of a caller that asks about a batch job. The name is empty if the
-// configuration has no keys.
-func (g *Gateway) authorizeBatch(host, key string) (workspace string, err error) {
+// configuration has no keys. Whether the caller's host has a route does not matter here: a job outlives its route.
+func (g *Gateway) authorizeBatch(key string) (config *serving.Config, workspace string, err error) {
 	g.mu.Lock()
-	config := g.config
+	config = g.config
 	g.mu.Unlock()
 	if config == nil {
-		return "", unavailable(outcome.KindIsolated, "the configuration has not been read yet", retryAfterStart)
-	}
-	if !config.HasHost(host) {
-		return "", newRefusal(outcome.KindNotFound, http.StatusNotFound, "no route matches this host", "check the host")
+		return nil, "", unavailable(outcome.KindIsolated, "the configuration has not been read yet", retryAfterStart)
 	}
 	if !config.HasWorkspaces() {
-		return "", nil
+		return config, "", nil
 	}
 	w, ok := config.Workspace(key)
 	if !ok {
-		return "", unknownKey()
+		return nil, "", unknownKey()
 	}
-	return w.Name, nil
+	return config, w.Name, nil
 }
 
 func unknownKey() error {
--- a/gateway/results.go
+++ b/gateway/results.go
@@ -12,6 +12,7 @@
 	"github.com/radishshelf/radishshelf/call"
 	"github.com/radishshelf/radishshelf/hosting"
 	"github.com/radishshelf/radishshelf/outcome"
+	"github.com/radishshelf/radishshelf/serving"
 )
 
 const (
@@ -45,7 +46,7 @@
 // findJob returns a job of the caller's workspace. A job that this process does not know is looked up in the store;
 // only the store can tell that it does not exist.
 func (g *Gateway) findJob(ctx context.Context, r call.BatchRequest) (*jobEntry, error) {
-	workspace, err := g.authorizeBatch(r.Host, r.Key)
+	config, workspace, err := g.authorizeBatch(r.Key)
 	if err != nil {
 		return nil, err
 	}
@@ -62,6 +63,9 @@
 	if e.record.Workspace != "" && e.record.Workspace != workspace {
 		return nil, noSuchJob()
 	}
+	if !config.HasHost(r.Host) && serving.NormalizeHost(r.Host) != serving.NormalizeHost(e.record.Host) {
+		return nil, newRefusal(outcome.KindNotFound, http.StatusNotFound, "no route matches this host", "check the host")
+	}
 	return e, nil
 }
 
