gateway: end items with their lifetime although their route is gone

Items of a job whose route was removed were neither run nor listed as abandoned after their lifetime, so the job never completed.

Cause: the scheduler looked up the route of a job first and left the items waiting without it. The lifetime stands in the job's record.

Fix: the lifetime is checked first.

--- a/gateway/removed_route_test.go
+++ b/gateway/removed_route_test.go
@@ -3,7 +3,9 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
+	"github.com/radishshelf/radishshelf/batch"
 	"github.com/radishshelf/radishshelf/call"
 	"github.com/radishshelf/radishshelf/outcome"
 )
@@ -57,3 +59,32 @@
 		}
 	}
 }
+
+// Guards against items that are neither run nor listed after their lifetime, because their route was removed.
+func TestItemsWithoutARouteEndWithTheirLifetime(t *testing.T) {
+	w := newTestCluster(t)
+	a := w.start("a")
+	w.putConfig(a, testSettings{Version: 2, Gone: []string{"rollout"}})
+	a.mu.Lock()
+	accepted := a.storeClock()
+	a.mu.Unlock()
+	items := testItems(3)
+	w.putStoredJob("job-1", batch.Record{
+		Host: testHost, PathPrefix: "/rollout/", Workspace: "north", Model: testModel, AcceptedAt: accepted,
+		Lifetime: time.Second, Total: len(items), Chunks: 1, ConfigVersion: 1, MaxAttempts: 3,
+		Owner: "a", OwnerIncarnation: a.opts.Incarnation,
+	}, items)
+	results := w.readAll(a, "job-1")
+	w.checkExactlyOnce(results, items)
+	a.mu.Lock()
+	took := a.storeClock() - accepted
+	a.mu.Unlock()
+	if took < time.Second {
+		t.Errorf("the items ended after %s, before their lifetime of 1 s", took)
+	}
+	for _, r := range results {
+		if r.State != batch.Abandoned {
+			t.Errorf("%s has state %v", r.ID, r.State)
+		}
+	}
+}
--- a/gateway/schedule_pass.go
+++ b/gateway/schedule_pass.go
@@ -65,6 +65,11 @@
 func (s *schedulePass) start(c batch.Candidate) {
 	g := s.g
 	e := g.jobs[c.Job.Spec.ID]
+	if lifetime := e.record.Lifetime; lifetime > 0 && g.storeClock() > e.record.AcceptedAt+lifetime {
+		c.Job.Abandon(c.Item)
+		e.owned.signalLister()
+		return
+	}
 	route, ok := g.config.Route(e.record.Host, e.record.PathPrefix)
 	if !ok || route.Kind != serving.Rollout {
 		s.heldBack[heldByRoute]++
@@ -79,11 +84,6 @@
 		s.heldBack[heldByJob]++
 		return
 	}
-	if lifetime := e.record.Lifetime; lifetime > 0 && g.storeClock() > e.record.AcceptedAt+lifetime {
-		c.Job.Abandon(c.Item)
-		e.owned.signalLister()
-		return
-	}
 	u, ok := s.pickEngine(g.jobScope(&e.record, service), c)
 	if !ok {
 		return
