--- a/gateway/engine_memory.go
+++ b/gateway/engine_memory.go
@@ -68,6 +68,12 @@
 	length batch.TextLength
 }
 
+// learn updates the estimates with a complete text.
+func (e *textEstimates) learn(p *batch.Progress) {
+	e.rate.Learn(p.Item.ExpectedTokens(), p.Text.LastEventID())
+	e.length.Learn(p.Text.LastEventID())
+}
+
 // textEstimatesOf returns the estimates for a model. The caller holds g.mu.
 func (g *Gateway) textEstimatesOf(model string) *textEstimates {
 	estimates, ok := g.textEstimates[model]
--- a/gateway/run_item.go
+++ b/gateway/run_item.go
@@ -203,10 +203,7 @@
 	}
 	if failure == nil {
 		o.observeResumed(p)
-		if p.Item.LengthHint > 0 {
-			g.textEstimatesOf(o.job.Spec.Model).rate.Learn(p.Item.ExpectedTokens(), p.Text.LastEventID())
-		}
-		g.textEstimatesOf(o.job.Spec.Model).length.Learn(p.Text.LastEventID())
+		g.textEstimatesOf(o.job.Spec.Model).learn(p)
 		o.job.TextComplete(p, now)
 		log.Ints64("versions", p.Text.Versions).Bool("fits", p.Phase == batch.Scoring || p.Phase == batch.Finished).
 			Msg("text complete")
