batch: plan memory with one token an event until a rate is known

Where no trainer of a model gives length hints and events hold one token each, texts of 1,000 events run one at a time on each engine although its memory and its slots are nearly free.

Cause: the tokens in an event are learned from hints only, and 50 are assumed without any. A text of 1,000 events counted as 50,000 tokens, also beyond the limit of its item.

Fix: as long as no trainer has given an estimate, the memory of a text is planned with one token an event, and never with more than the item may generate. The order of texts, which compares them only, keeps its units. Items with a hint are planned as before.

--- a/batch/estimate_test.go
+++ b/batch/estimate_test.go
@@ -78,3 +78,31 @@
 		t.Errorf("%d tokens expected after 400 texts of %d", got, 200*defaultTokenRate)
 	}
 }
+
+// Guards against memory that is planned with many tokens for each event although no trainer has said so, and with more
+// than an item may generate.
+func TestMemoryOfTextsWithoutEstimates(t *testing.T) {
+	var rate TokenRate
+	spec := Spec{Items: []Item{{ID: "a", Tokens: 24_300, PromptTokens: 300}}}
+	j := NewJob(spec, Record{}, Limits{Rate: &rate})
+	p := j.Items()[0]
+	j.Start(p)
+	for event := 1; event <= 900; event++ {
+		p.Text.Append(event, "x", 1)
+	}
+	if held, growth := p.HeldTokens(), p.GrowthTokens(); held != 300+900 || growth > 900 {
+		t.Errorf("900 events hold %d tokens and add %d, want one token an event", held, growth)
+	}
+	for range minLearnedTexts {
+		rate.Learn(2000, 100)
+	}
+	if held := p.HeldTokens(); held < 300+17_900 || held > 300+18_000 {
+		t.Errorf("900 events of 20 tokens hold %d tokens", held)
+	}
+	for event := 901; event <= 2000; event++ {
+		p.Text.Append(event, "x", 1)
+	}
+	if held := p.HeldTokens(); held != 24_300 {
+		t.Errorf("%d tokens are held by an item of at most 24300", held)
+	}
+}
--- a/batch/progress.go
+++ b/batch/progress.go
@@ -52,7 +52,26 @@
 }
 
 // HeldTokens estimates the tokens that the text occupies in an engine's memory: its prompt and the output so far.
-func (p *Progress) HeldTokens() int { return p.Item.PromptTokens + p.rate.Tokens(p.Text.LastEventID()) }
+func (p *Progress) HeldTokens() int {
+	output := p.Text.LastEventID()
+	if p.knowsTokenRate() {
+		output = p.rate.Tokens(output)
+	}
+	return p.Item.PromptTokens + p.Item.withinLimit(output)
+}
+
+// GrowthTokens estimates the tokens that the text is still to add in an engine's memory.
+func (p *Progress) GrowthTokens() int {
+	if p.knowsTokenRate() {
+		return p.RemainingTokens()
+	}
+	return p.RemainingEvents()
+}
+
+// knowsTokenRate reports whether a trainer has estimated the tokens of this text or of others of its model. Otherwise
+// memory is planned with the least that an event can hold, one token: an engine that runs out of memory preempts a text,
+// but a slot that is kept free serves nobody.
+func (p *Progress) knowsTokenRate() bool { return p.Item.LengthHint > 0 || p.rate.IsLearned() }
 
 // expectedTokens is the best estimate of the length of the whole output.
 func (p *Progress) expectedTokens() int {
--- a/batch/token_rate.go
+++ b/batch/token_rate.go
@@ -37,8 +37,11 @@
 	return int(math.Ceil(float64(tokens) / r.tokensPerEvent()))
 }
 
+// IsLearned reports whether the rate rests on observed texts.
+func (r *TokenRate) IsLearned() bool { return r != nil && r.texts >= minLearnedTexts }
+
 func (r *TokenRate) tokensPerEvent() float64 {
-	if r == nil || r.texts < minLearnedTexts {
+	if !r.IsLearned() {
 		return defaultTokenRate
 	}
 	return math.Exp(r.logRate)
--- a/gateway/schedule_pass.go
+++ b/gateway/schedule_pass.go
@@ -215,9 +215,9 @@
 	return placement.NewSelector(engines)
 }
 
-// placementRun returns the held and remaining tokens of a text.
+// placementRun returns what a text occupies and is expected to add in the memory of its engine.
 func placementRun(p *batch.Progress) placement.Run {
-	return placement.Run{Held: p.HeldTokens(), Remaining: p.RemainingTokens()}
+	return placement.Run{Held: p.HeldTokens(), Remaining: p.GrowthTokens()}
 }
 
 // runsByUpstream returns the texts that run for this process, by upstream ID. The caller holds g.mu.
