soak: check that duty holders do not take turns

The soak checked that terms never decrease and have one holder, which holds also where two processes act as A, B, A within the lease. It now records the last call of each holder, and has a fault that stops two holders one after the other, the first just after it has reported.

The process that holds the duties is read from the decoded lease row, since the row names former holders, too.

--- a/standin/soak/checker.go
+++ b/standin/soak/checker.go
@@ -11,6 +11,12 @@
 	"github.com/radishshelf/radishshelf/platform/platformtest"
 )
 
+// Bounds in the settings of the processes: the lease of the duties and the length of a usage window.
+const (
+	dutyLease   = 3 * time.Second
+	usageWindow = 5 * time.Second
+)
+
 // checker records what callers and upstreams observe, and checks the observations against each other.
 type checker struct {
 	history *history
@@ -24,9 +30,13 @@
 	// jobs holds the state of each job as callers know it, itemJob the job of each item.
 	jobs    map[string]*jobView
 	itemJob map[string]string
-	// reports holds the reported counts of each usage window, terms the latest fencing term and holder of each receiver.
-	reports map[int64]map[string]int64
-	terms   map[string]termHolder
+	// reports holds the reported counts of each usage window, terms the latest fencing term and holder of each receiver, and
+	// lastCalls the time of the last call of each holder to each receiver.
+	reports   map[int64]map[string]int64
+	terms     map[string]termHolder
+	lastCalls map[receiverCall]time.Time
+	// lastReport is when the last usage report arrived.
+	lastReport time.Time
 	// crashRunCount counts the executions of the request that crashes its upstreams.
 	crashRunCount int
 	// noRunsAfter holds, for each leaving upstream, the time after which no request should reach it. lateRuns counts the
@@ -53,11 +63,16 @@
 	holder string
 }
 
+// receiverCall identifies the calls of one holder to one receiver.
+type receiverCall struct {
+	receiver, holder string
+}
+
 func newChecker(h *history) *checker {
 	return &checker{
 		history: h, runs: map[string]int{}, refused: map[string]bool{}, atMostOnce: map[string]bool{}, sent: map[string]bool{},
 		jobs: map[string]*jobView{}, itemJob: map[string]string{}, reports: map[int64]map[string]int64{},
-		terms: map[string]termHolder{}, noRunsAfter: map[string]time.Time{}, lateRuns: map[string]int{},
+		terms: map[string]termHolder{}, lastCalls: map[receiverCall]time.Time{}, noRunsAfter: map[string]time.Time{}, lateRuns: map[string]int{},
 		dataCentres: map[string]string{}, places: map[*placeRule]bool{},
 	}
 }
@@ -141,9 +156,24 @@
 		c.history.recordViolation("usage window %d was reported with counts %v and then with %v", r.Window, before, r.Counts)
 	}
 	c.reports[r.Window] = r.Counts
+	c.lastReport = time.Now()
 }
 
-// checkTerm checks that the fencing terms at a receiver never decrease and that each term has one holder.
+// awaitUsageReport waits until the next usage report arrives, for the length of a usage window and a little more.
+func (c *checker) awaitUsageReport() {
+	received := func() time.Time {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.lastReport
+	}
+	start := time.Now()
+	for time.Since(start) < usageWindow+time.Second && received().Before(start) {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// checkTerm checks that the fencing terms at a receiver never decrease, that each term has one holder, and that holders do
+// not take turns within the lease.
 func (c *checker) checkTerm(subject, holder string, term int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -152,6 +182,11 @@
 		c.history.recordViolation("%s: received term %d of %s after term %d of %s", subject, term, holder, last.term, last.holder)
 	}
 	c.terms[subject] = termHolder{term, holder}
+	call, now := receiverCall{subject, holder}, time.Now()
+	if before, ok := c.lastCalls[call]; ok && last.holder != holder && now.Sub(before) < dutyLease {
+		c.history.recordViolation("%s: received calls of %s, %s and %s again within %s", subject, holder, last.holder, holder, now.Sub(before))
+	}
+	c.lastCalls[call] = now
 }
 
 // checkReply checks the response to a plain request.
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -1,14 +1,16 @@
 package soak
 
 import (
-	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/lease"
 	"github.com/radishshelf/radishshelf/platform/platformtest"
 	"github.com/radishshelf/radishshelf/standin/rows"
 )
@@ -140,6 +142,19 @@
 			s.restart(p)
 		}
 	}},
+	{"stop duty holders in turn", func(s *Soak, _ *rand.Rand, _ time.Duration) {
+		s.checker.awaitUsageReport()
+		for range 2 {
+			p := s.dutyHolder()
+			if p == nil {
+				return
+			}
+			if !p.stop(syscall.SIGTERM) {
+				s.history.recordViolation("%s did not exit within its grace period", p.settings.Name)
+			}
+			s.restart(p)
+		}
+	}},
 	{"version published", func(s *Soak, _ *rand.Rand, _ time.Duration) { s.publishVersion() }},
 }
 
@@ -171,8 +186,12 @@
 // dutyHolder returns the process that holds the duties according to the lease row in the store, or nil if there is none.
 func (s *Soak) dutyHolder() *process {
 	for _, row := range s.store.Table("leases") {
+		var record lease.Record
+		if json.Unmarshal(row.Value, &record) != nil {
+			continue
+		}
 		for _, p := range s.processes {
-			if bytes.Contains(row.Value, []byte(`"`+p.settings.Name+`#`)) {
+			if strings.HasPrefix(record.Holder, p.settings.Name+"#") {
 				return p
 			}
 		}
