Name the reasons for waiting items by their cause

An item that finds no engine may also meet engines that are failing or at a limit, not only full ones.

--- a/gateway/length_hint_test.go
+++ b/gateway/length_hint_test.go
@@ -41,7 +41,7 @@
 		return g.inFlight["e1"], g.itemsHeldBack
 	}
 	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		if requests, heldBack := inUse(); requests == 4 && heldBack[heldBySlots] == 4 {
+		if requests, heldBack := inUse(); requests == 4 && heldBack[heldByEngines] == 4 {
 			return
 		}
 	}
--- a/gateway/schedule_pass.go
+++ b/gateway/schedule_pass.go
@@ -32,14 +32,14 @@
 	heldByRoute holdReason = "route"
 	// heldByJob items belong to a job that has as many items running as it should.
 	heldByJob holdReason = "job_concurrency"
-	// heldBySlots items find no engine that serves them and has a free slot.
-	heldBySlots holdReason = "slots"
-	// heldByMemory items find a free slot only where the texts are expected to exceed the memory.
+	// heldByEngines items find no engine that serves their version and takes a text now: all are busy, failing or at a limit.
+	heldByEngines holdReason = "engines"
+	// heldByMemory items find such an engine only where the texts are expected to exceed the memory.
 	heldByMemory holdReason = "memory"
 )
 
 // holdReasons lists all reasons.
-var holdReasons = []holdReason{heldByRoute, heldByJob, heldBySlots, heldByMemory}
+var holdReasons = []holdReason{heldByRoute, heldByJob, heldByEngines, heldByMemory}
 
 // selectorKey identifies the engines that serve a model and to which a text may be sent.
 type selectorKey struct {
@@ -111,7 +111,7 @@
 	key := placementKey{selectorKey: selectorKey{sendScope: scope, model: c.Job.Spec.Model}, minVersion: req.MinVersion, long: req.Long}
 	if s.noRoom[key] {
 		s.waiting[key]++
-		s.heldBack[heldBySlots]++
+		s.heldBack[heldByEngines]++
 		return upstreams.Entry{}, false
 	}
 	id, ok := s.selector(key.selectorKey).Pick(req)
@@ -119,7 +119,7 @@
 		s.waiting[key]++
 		s.noRoom[key] = s.selector(key.selectorKey).Full(req)
 		if s.noRoom[key] {
-			s.heldBack[heldBySlots]++
+			s.heldBack[heldByEngines]++
 		} else {
 			s.heldBack[heldByMemory]++
 		}
--- a/lease/candidate.go
+++ b/lease/candidate.go
@@ -82,16 +82,15 @@
 
 func (c *Candidate) tickHolder(now time.Time) []Action {
 	next := c.row.Record
-	next.Former = c.formerHolders(now)
 	if c.releasing {
-		next.Former = c.formerWith(next.Holder, now)
-		next.Holder = ""
+		next.Holder, next.Former = "", c.formerWith(next.Holder, now)
 		return c.write(now, next)
 	}
 	if now.Sub(c.lastRenewal) < c.cfg.RenewInterval {
 		return nil
 	}
 	next.Renewal++
+	next.Former = c.formerHolders(now)
 	return c.write(now, next)
 }
 
