--- a/review/standin3/engine.go
+++ b/review/standin3/engine.go
@@ -16,11 +16,10 @@
 
 // visit is the time that an item spends at an engine, from its arrival to the end of its run.
 type visit struct {
-	engine     string
-	from, to   time.Time
-	after      int
-	ended      string
-	resumeFrom int
+	engine   string
+	from, to time.Time
+	after    int
+	ended    string
 }
 
 // engine is a model server. It runs up to slots requests, refuses what is beyond, and carries out one order at a time.
@@ -177,10 +176,11 @@
 	_, _ = io.WriteString(w, "scored") // the sender may have left
 }
 
-func (s *scorer) entry(address string, sequence int64) []byte {
+// plainEntry returns the entry of a server of the service without a model.
+func plainEntry(l *lab, address string, sequence int64) []byte {
 	return encode(map[string]any{
 		"service": scoreService, "address": address, "zone": "a", "version": "1", "slots": 16, "state": "ready",
-		"cold_left_ms": 0, "sequence": sequence, "born": s.lab.started.UnixMilli(),
+		"cold_left_ms": 0, "sequence": sequence, "born": l.started.UnixMilli(),
 	})
 }
 
--- a/review/standin3/lab.go
+++ b/review/standin3/lab.go
@@ -44,6 +44,8 @@
 
 	mu     sync.Mutex
 	visits map[string][]*visit
+	// whole counts the answers that servers have ended, by request.
+	whole map[string]int
 	// holder is the holder that the last call of a duty named.
 	holder string
 }
--- a/review/standin3/suspects.go
+++ b/review/standin3/suspects.go
@@ -53,7 +53,7 @@
 	for i := range 2 {
 		s := &scorer{lab: l, id: fmt.Sprintf("desk-%d", i+1)}
 		address := l.serve(s)
-		l.register(s.id, func(sequence int64) []byte { return s.entry(address, sequence) })
+		l.register(s.id, func(sequence int64) []byte { return plainEntry(l, address, sequence) })
 	}
 	first := l.addGateway("edge-a-1", "a")
 	for deadline := time.Now().Add(15 * time.Second); l.currentHolder() != first.settings.Name; time.Sleep(100 * time.Millisecond) {
