--- a/review/standin3/engine.go
+++ b/review/standin3/engine.go
@@ -34,6 +34,8 @@
 	orders  int64
 	version int64
 	loading time.Time
+	// slower is by how much each event takes longer; 0 means not at all.
+	slower float64
 }
 
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -52,6 +54,19 @@
 	}
 }
 
+// interval returns the time of the next event.
+func (e *engine) interval() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Duration(max(e.slower, 1) * float64(e.eventInterval))
+}
+
+func (e *engine) setSlower(x float64) {
+	e.mu.Lock()
+	e.slower = x
+	e.mu.Unlock()
+}
+
 func (e *engine) models() []map[string]any {
 	return []map[string]any{{"name": model, "version": e.version, "adapters": []string{}}}
 }
@@ -129,7 +144,7 @@
 	controller := http.NewResponseController(w)
 	for event := after + 1; event <= events; event++ {
 		select {
-		case <-time.After(e.eventInterval):
+		case <-time.After(e.interval()):
 		case <-r.Context().Done():
 			return
 		}
--- a/review/standin3/link.go
+++ b/review/standin3/link.go
@@ -18,10 +18,12 @@
 	mu     sync.Mutex
 	cut    bool
 	healed chan struct{}
+	// open holds the connections that pass on bytes, with both of their ends.
+	open map[net.Conn]net.Conn
 }
 
 func newLink(target string) *link {
-	l := &link{target: target, listener: listen(), healed: make(chan struct{})}
+	l := &link{target: target, listener: listen(), healed: make(chan struct{}), open: map[net.Conn]net.Conn{}}
 	close(l.healed)
 	go l.serve()
 	return l
@@ -64,12 +66,38 @@
 		return
 	}
 	defer s.Close()
+	l.mu.Lock()
+	l.open[c] = s
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		delete(l.open, c)
+		l.mu.Unlock()
+	}()
 	done := make(chan struct{}, 2)
 	go func() { l.copy(s, fromSender, c); done <- struct{}{} }()
 	go func() { l.copy(c, bufio.NewReaderSize(s, linkBuffer), s); done <- struct{}{} }()
 	<-done
 }
 
+// resetHalf resets half of the open connections, rounded down, and returns how many these are.
+func (l *link) resetHalf() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for c, s := range l.open {
+		if n >= len(l.open)/2 {
+			break
+		}
+		n++
+		for _, end := range []net.Conn{c, s} {
+			_ = end.(*net.TCPConn).SetLinger(0) // it may have been closed
+			_ = end.Close()
+		}
+	}
+	return n
+}
+
 // wait waits until the link is whole, and reports whether it was cut.
 func (l *link) wait() bool {
 	l.mu.Lock()
--- a/review/standin3/suspects.go
+++ b/review/standin3/suspects.go
@@ -22,11 +22,18 @@
 	shortGroups, longGroups = 4, 10
 	stepDeadline            = 20 * time.Second
 	trainTime               = 500 * time.Millisecond
+	// quiet is how long no version was named before the time that counts.
+	quiet = 6 * time.Second
 )
 
-// playCuts cuts off one engine after the other for cutTime, each in the middle of a step, until the next step has begun. Then,
-// with every link whole, the trainer asks for a larger step.
-func playCuts(l *lab, trouble bool) (broken bool, err error) {
+// trainingFleet is a service of engines behind links, with the servers that score texts.
+type trainingFleet struct {
+	engines []*engine
+	links   []*link
+}
+
+// addTrainingFleet writes the configuration and starts the servers.
+func (l *lab) addTrainingFleet(slots int) *trainingFleet {
 	l.store.Put("op", "config", encode(map[string]any{
 		"version": 3,
 		"routes": []map[string]any{
@@ -42,12 +49,11 @@
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 33554432, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []map[string]any{{"name": "north", "api_keys": []string{apiKey}}},
 	}))
-	var links []*link
-	var list []*engine
+	f := &trainingFleet{}
 	for i := range engines {
-		e := &engine{lab: l, id: fmt.Sprintf("engine-%d", i+1), slots: engineSlots, eventInterval: eventInterval, version: 1}
+		e := &engine{lab: l, id: fmt.Sprintf("engine-%d", i+1), slots: slots, eventInterval: eventInterval, version: 1}
 		path := newLink(l.serve(e))
-		links, list = append(links, path), append(list, e)
+		f.links, f.engines = append(f.links, path), append(f.engines, e)
 		l.register(e.id, func(sequence int64) []byte { return e.entry(path.address(), sequence) })
 	}
 	for i := range 2 {
@@ -55,14 +61,32 @@
 		address := l.serve(s)
 		l.register(s.id, func(sequence int64) []byte { return plainEntry(l, address, sequence) })
 	}
+	return f
+}
+
+// addGateways starts n gateways. The first one, which is returned, has the duties, and the steps of its region.
+func (l *lab) addGateways(n int) (*process, error) {
 	first := l.addGateway("edge-a-1", "a")
 	for deadline := time.Now().Add(15 * time.Second); l.currentHolder() != first.settings.Name; time.Sleep(100 * time.Millisecond) {
 		if time.Now().After(deadline) {
-			return false, fmt.Errorf("%s does not take the duties", first.settings.Name)
+			return nil, fmt.Errorf("%s does not take the duties", first.settings.Name)
 		}
 	}
-	l.addGateway("edge-b-1", "b")
+	for i := range n - 1 {
+		l.addGateway(fmt.Sprintf("edge-b-%d", i+1), "b")
+	}
 	time.Sleep(contact)
+	return first, nil
+}
+
+// playCuts cuts off one engine after the other for cutTime, each in the middle of a step, until the next step has begun. Then,
+// with every link whole, the trainer asks for a larger step.
+func playCuts(l *lab, trouble bool) (broken bool, err error) {
+	f := l.addTrainingFleet(engineSlots)
+	first, err := l.addGateways(2)
+	if err != nil {
+		return false, err
+	}
 	t := &trainer{lab: l, front: first.front(), version: 1}
 	number := int64(1)
 	small := func() error {
@@ -80,12 +104,12 @@
 		t.name()
 		if trouble {
 			time.AfterFunc(cutAfter, func() {
-				links[i].setCut(true)
-				l.record("%s is cut off", list[i].id)
+				f.links[i].setCut(true)
+				l.record("%s is cut off", f.engines[i].id)
 			})
 			time.AfterFunc(cutAfter+cutTime, func() {
-				links[i].setCut(false)
-				l.record("%s is no longer cut off", list[i].id)
+				f.links[i].setCut(false)
+				l.record("%s is no longer cut off", f.engines[i].id)
 			})
 		}
 		if err := small(); err != nil {
@@ -102,7 +126,7 @@
 			return false, err
 		}
 	}
-	for _, e := range list {
+	for _, e := range f.engines {
 		e.mu.Lock()
 		l.record("%s has version %d of %d and has accepted %d orders", e.id, e.version, t.version, e.orders)
 		e.mu.Unlock()
@@ -119,7 +143,7 @@
 		l.record("step %d was complete in time: the rule holds", s.number)
 		return false
 	}
-	const span, quiet, tick = 5 * time.Second, 6 * time.Second, 100 * time.Millisecond
+	const span, tick = 5 * time.Second, 100 * time.Millisecond
 	begun := time.Time{}
 	for _, item := range s.items {
 		for _, v := range l.visitsOf(item) {
--- a/review/standin3/trainer.go
+++ b/review/standin3/trainer.go
@@ -29,6 +29,8 @@
 	// named is when the newest version was named.
 	named   time.Time
 	version int64
+	// hints is set if the trainer states the length of each text, which is right.
+	hints bool
 }
 
 func (t *trainer) call(method, path, id string, wait time.Duration, body []byte) (int, []byte) {
@@ -74,13 +76,17 @@
 	for i := range 2 * groups {
 		id := fmt.Sprintf("s%d-%02d", number, i)
 		s.items = append(s.items, id)
+		headers := map[string]string{
+			"Radishshelf-Model": model, "Radishshelf-Token-Usage": fmt.Sprintf("16,%d", 50*events),
+			"Radishshelf-Prompt-Prefix": fmt.Sprintf("%x:16", number*100+int64(i)),
+		}
+		if t.hints {
+			headers["Radishshelf-Length-Hint"] = strconv.Itoa(50 * events)
+		}
 		requests = append(requests, map[string]any{
 			"id": id, "path": rolloutPath + "run", "tokens": 16 + 50*events, "group": fmt.Sprintf("g%d-%d", number, i/2),
-			"headers": map[string]string{
-				"Radishshelf-Model": model, "Radishshelf-Token-Usage": fmt.Sprintf("16,%d", 50*events),
-				"Radishshelf-Prompt-Prefix": fmt.Sprintf("%x:16", number*100+int64(i)),
-			},
-			"body": base64.StdEncoding.EncodeToString([]byte(strconv.Itoa(events))),
+			"headers": headers,
+			"body":    base64.StdEncoding.EncodeToString([]byte(strconv.Itoa(events))),
 			"scorer_url": map[string]any{
 				"id": "score-" + id, "host": host, "path": scorePath + "s", "body": base64.StdEncoding.EncodeToString([]byte(id)),
 			},
