--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(l *lab, trouble bool) (broken bool, err error){
 	"cuts":    playCuts,
 	"resets":  playResets,
+	"slow":    playSlow,
 	"streams": playStreams,
 }
 
