--- a/review/standin3/lab.go
+++ b/review/standin3/lab.go
@@ -155,7 +155,11 @@
 type process struct {
 	lab      *lab
 	settings platformtest.ProcessSettings
-	cmd      *exec.Cmd
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// closed is set once the process must not be started again.
+	closed bool
 }
 
 // Ports of the gateways, which have an address each.
@@ -209,17 +213,26 @@
 	if err != nil {
 		panic(err)
 	}
-	p.cmd = exec.Command(p.lab.gateway, "run")
-	p.cmd.Env = append(os.Environ(), "RADISHSHELF_SETTINGS="+path)
-	p.cmd.Stdout, p.cmd.Stderr = log, log
-	if err := p.cmd.Start(); err != nil {
+	defer log.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
+	cmd := exec.Command(p.lab.gateway, "run")
+	cmd.Env = append(os.Environ(), "RADISHSHELF_SETTINGS="+path)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
 		panic(err)
 	}
+	p.cmd = cmd
 	p.lab.record("%s started", p.settings.Name)
 }
 
-// stop ends the process and waits for its end.
-func (p *process) stop() {
+// kill ends the process and waits for its end.
+func (p *process) kill() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.cmd == nil {
 		return
 	}
@@ -227,3 +240,11 @@
 	_ = p.cmd.Wait()
 	p.cmd = nil
 }
+
+// stop ends the process for good.
+func (p *process) stop() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.kill()
+}
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -23,6 +23,7 @@
 // cases maps the name of a case to what plays it.
 var cases = map[string]func(l *lab, trouble bool) (broken bool, err error){
 	"cuts":    playCuts,
+	"memory":  playMemory,
 	"resets":  playResets,
 	"slow":    playSlow,
 	"streams": playStreams,
