placement: let long texts use engines that were slow once

Cause: an engine that was slow when last observed, and not observed for 2.5 s, got a long text only if no other engine served its version, with or without free slots. Only a text brings a new observation, and a trainer may have no short ones. The slow pace had no end.

Nothing was logged or counted for it; the gauge radishshelf_gateway_suspected_slow_engines is new.

Change: a long text expects the last observed pace of such an engine, so it goes there when it is complete there earlier than elsewhere, as when all others are full. After 10 s without an observation the slow pace is not expected any more. The engine still gets one text at a time until it has been observed.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,6 +91,8 @@
 	itemsWaiting map[string]float64
 	// itemsHeldBack counts the items that did not start in the last pass of the scheduler, by the reason.
 	itemsHeldBack map[holdReason]int
+	// suspectedSlow is the number of engines that the last pass of the scheduler found slow when last observed.
+	suspectedSlow int
 	// clock is the reading of the store's clock that was taken at clockAt.
 	clock   time.Duration
 	clockAt time.Time
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -71,6 +71,11 @@
 		defer g.mu.Unlock()
 		return float64(g.slowPeriods.Len())
 	})
+	r.NewGauge("radishshelf_gateway_suspected_slow_engines", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(g.suspectedSlow)
+	})
 	r.NewGauge("radishshelf_gateway_upstreams", func() float64 {
 		g.mu.Lock()
 		defer g.mu.Unlock()
--- a/gateway/schedule.go
+++ b/gateway/schedule.go
@@ -35,7 +35,7 @@
 		return
 	}
 	candidates := g.startableItems(now)
-	g.itemsWaiting, g.itemsHeldBack = nil, nil
+	g.itemsWaiting, g.itemsHeldBack, g.suspectedSlow = nil, nil, 0
 	if len(candidates) == 0 || !g.mayStartItems(now) {
 		return
 	}
@@ -44,7 +44,7 @@
 	for _, c := range candidates {
 		pass.start(c)
 	}
-	g.itemsWaiting, g.itemsHeldBack = pass.waitingByEngine(), pass.heldBack
+	g.itemsWaiting, g.itemsHeldBack, g.suspectedSlow = pass.waitingByEngine(), pass.heldBack, pass.suspectedSlow()
 }
 
 // startableItems returns the items that may start now. The caller holds g.mu.
--- a/gateway/schedule_pass.go
+++ b/gateway/schedule_pass.go
@@ -168,6 +168,17 @@
 	return waiting
 }
 
+// suspectedSlow returns the number of engines that were slow when last observed and are tried with one text.
+func (s *schedulePass) suspectedSlow() int {
+	ids := map[string]bool{}
+	for _, selector := range s.selectors {
+		for _, id := range selector.SuspectedSlow() {
+			ids[id] = true
+		}
+	}
+	return len(ids)
+}
+
 func (s *schedulePass) selector(key selectorKey) *placement.Selector {
 	selector, ok := s.selectors[key]
 	if !ok {
@@ -206,7 +217,7 @@
 		sendsLeft := g.limits.Allowed(e, now)
 		engines = append(engines, placement.Engine{
 			ID: e.ID, Slots: g.usableEngineSlots(e, now), OwnRequests: own, OtherRequests: peerRequests, Connections: g.openConnections(e.ID, now),
-			Distance: g.distanceTo(e), Version: version, Pace: h.Pace(now), LastPace: h.LastPace(),
+			Distance: g.distanceTo(e), Version: version, Pace: h.Pace(now), LastPace: h.LastPace(), PaceAge: h.PaceAge(now),
 			MemoryTokens: g.engineMemory(e, now), Runs: runs[e.ID], OtherTokens: peerTokens,
 			Limited: g.limits.Limited(e, now), SendsLeft: sendsLeft,
 			Excluded: h.IsBusy(key.model, now) || !h.Allowed(now, own),
--- a/placement/alternative.go
+++ b/placement/alternative.go
@@ -20,7 +20,7 @@
 		return Alternative{}, false
 	}
 	return Alternative{
-		ID: best.ID, Pace: s.expectedPace(best), Requests: best.OwnRequests + best.OtherRequests, Slots: best.Slots,
+		ID: best.ID, Pace: s.expectedPace(best, req), Requests: best.OwnRequests + best.OtherRequests, Slots: best.Slots,
 		Version: best.Version,
 	}, true
 }
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -30,8 +30,8 @@
 	Version int64
 	// Pace is the recently observed time per event; 0 if nothing was observed recently.
 	Pace time.Duration
-	// LastPace is the last observed pace, regardless of its age.
-	LastPace time.Duration
+	// LastPace is the last observed pace, regardless of its age, and PaceAge the time since that observation.
+	LastPace, PaceAge time.Duration
 	// MemoryTokens is how many tokens the requests at the engine can hold together; 0 if unknown.
 	MemoryTokens int
 	// Runs holds the texts of this host at the engine, and OtherTokens is how many tokens the texts of other hosts
--- a/placement/requirements.go
+++ b/placement/requirements.go
@@ -10,7 +10,7 @@
 	Avoid string
 	// Run is the memory that the text holds when it starts and is expected to need.
 	Run Run
-	// Long texts determine the duration of a step. They go to an engine suspected to be slow only if no other engine
-	// serves them.
+	// Long texts determine the duration of a step. They go to an engine that was slow when last observed only if they are
+	// expected to be complete there earlier than elsewhere.
 	Long bool
 }
--- a/placement/selector.go
+++ b/placement/selector.go
@@ -28,9 +28,13 @@
 )
 
 // slowRatio is the multiple of the typical pace above which an engine counts as slow. An engine that was slow when last
-// observed gets only one short text at a time until a new observation, or a long text that no other engine serves.
+// observed gets only one text at a time until a new observation.
 const slowRatio = 1.5
 
+// maxSlowPaceAge is how long long texts expect the slow pace at which an engine was last observed. Without a limit, an
+// engine that has recovered would get none while the others have room.
+const maxSlowPaceAge = 10 * time.Second
+
 // Selector chooses among the engines of one service and model during one scheduler pass. Each choice is counted
 // immediately, so that the next one takes it into account.
 type Selector struct {
@@ -96,13 +100,7 @@
 	if e.Excluded || e.Limited && e.SendsLeft <= 0 || e.Version < req.MinVersion || e.OwnRequests >= e.availableSlots() {
 		return false
 	}
-	return !s.isSuspectedSlow(e) || e.OwnRequests == 0 && (!req.Long || !s.hasHealthyEngine(req))
-}
-
-// hasHealthyEngine reports whether an engine that serves the text's version, with or without free slots, is not
-// suspected to be slow.
-func (s *Selector) hasHealthyEngine(req Requirements) bool {
-	return slices.ContainsFunc(s.engines, func(e Engine) bool { return e.Version >= req.MinVersion && !s.isSuspectedSlow(&e) })
+	return !s.isSuspectedSlow(e) || e.OwnRequests == 0
 }
 
 // isSuspectedSlow reports whether an engine was slow when last observed and has not been observed recently.
@@ -110,19 +108,36 @@
 	return e.Pace == 0 && s.typicalPace > 0 && float64(e.LastPace) > slowRatio*float64(s.typicalPace)
 }
 
-// expectedPace returns the observed pace of an engine, or the typical pace if none was observed.
-func (s *Selector) expectedPace(e *Engine) time.Duration {
-	if e.Pace > 0 {
+// SuspectedSlow returns the IDs of the engines that were slow when last observed and have not been observed recently.
+func (s *Selector) SuspectedSlow() []string {
+	var ids []string
+	for i := range s.engines {
+		if s.isSuspectedSlow(&s.engines[i]) {
+			ids = append(ids, s.engines[i].ID)
+		}
+	}
+	return ids
+}
+
+// expectedPace returns the pace that a text is expected to have at an engine: the observed one, or the typical one if none
+// was observed recently. At an engine that was slow when last observed, a short text shows at little cost whether it still
+// is; a long text expects the slow pace until maxSlowPaceAge.
+func (s *Selector) expectedPace(e *Engine, req Requirements) time.Duration {
+	switch {
+	case e.Pace > 0:
 		return e.Pace
+	case req.Long && s.isSuspectedSlow(e) && e.PaceAge < maxSlowPaceAge:
+		return e.LastPace
+	default:
+		return s.typicalPace
 	}
-	return s.typicalPace
 }
 
 // score returns the expected time of a text at an engine.
 func (s *Selector) score(e *Engine, req Requirements) float64 {
 	score := 1 + rand.Float64()*tieBreakCost
 	if s.fastestPace > 0 {
-		score += float64(s.expectedPace(e))/float64(s.fastestPace) - 1
+		score += float64(s.expectedPace(e, req))/float64(s.fastestPace) - 1
 	}
 	score += occupancyCost * float64(e.OwnRequests+e.OtherRequests+1) / float64(max(e.Slots, 1))
 	if e.OwnRequests >= e.Connections {
--- a/upstreamhealth/health.go
+++ b/upstreamhealth/health.go
@@ -24,8 +24,8 @@
 	// at once is observed hundreds of times a second, so an average over a fixed number of observations would follow
 	// every short stall.
 	paceTimeConstant = 500 * time.Millisecond
-	// maxPaceAge is how long a pace is valid without a new observation. A slow upstream that got no work for this long
-	// is tried again, because it may have recovered.
+	// maxPaceAge is how long a pace is valid without a new observation. An upstream that got no work for this long may
+	// have changed.
 	maxPaceAge = 2500 * time.Millisecond
 	// maxBusyPause limits the pause after refusals in a row. A load of weights lasts one or two seconds, and its end is seen
 	// in the registry as well.
@@ -157,6 +157,9 @@
 	return h.pace
 }
 
+// PaceAge returns the time since the pace was last observed.
+func (h *Health) PaceAge(now time.Time) time.Duration { return now.Sub(h.observedAt) }
+
 // LastPace returns the moving average as of the last observation, regardless of its age; 0 without enough observations.
 func (h *Health) LastPace() time.Duration {
 	if h.observations < minObservations {
