versionplan: order loads at upstreams that have failed before

Cause: the holder of the duties took an upstream for unusable from a failed request until one ended well at the same process. An engine that misses two versions is too old for each open step, so no text could clear the mark.

Evidence: in a run of the case on engine 1 is suspect from 11.5 s and reachable from 16.0 s on; the orders of versions 3 to 12 leave it out, and from version 10 on only two engines are ordered.

Change: for orders it counts whether an upstream has answered a control call since its failure. An unaccepted trial is no concurrent load, so dead upstreams hold back none of the others. For texts the mark stays.

--- a/gateway/control_calls.go
+++ b/gateway/control_calls.go
@@ -16,7 +16,11 @@
 		return upstreamcall.Report{}, errEvacuated
 	}
 	g.countControlCall(u)
-	return g.opts.Upstreams.Report(ctx, u)
+	report, err := g.opts.Upstreams.Report(ctx, u)
+	if err == nil {
+		g.recordControlAnswer(u)
+	}
+	return report, err
 }
 
 // order sends a version order to an upstream; it counts as a report does.
@@ -27,7 +31,11 @@
 		return "", errEvacuated
 	}
 	g.countControlCall(u)
-	return g.opts.Upstreams.Order(ctx, u, o)
+	result, err := g.opts.Upstreams.Order(ctx, u, o)
+	if err == nil {
+		g.recordControlAnswer(u)
+	}
+	return result, err
 }
 
 func (g *Gateway) countControlCall(u upstreams.Entry) {
@@ -35,3 +43,12 @@
 	defer g.mu.Unlock()
 	g.limits.Sent(u, time.Now())
 }
+
+// recordControlAnswer records that an upstream answered a control call.
+func (g *Gateway) recordControlAnswer(u upstreams.Entry) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if e, ok := g.upstreams.Get(u.ID); ok && e.Incarnation() == u.Incarnation() {
+		g.healthOf(u.ID).RecordControlAnswer(time.Now())
+	}
+}
--- a/gateway/duty_work.go
+++ b/gateway/duty_work.go
@@ -107,7 +107,7 @@
 	for _, e := range w.g.candidates(sendScope{service: service}) {
 		peerRequests, _ := w.g.loadOfPeers(e.ID)
 		list = append(list, versionplan.Upstream{
-			ID: e.ID, DataCentre: e.DataCentre, Usable: !w.g.healthOf(e.ID).Suspect(), Limited: w.g.limits.NamesLimit(e), Orders: w.acceptedOrders[e.Incarnation()],
+			ID: e.ID, DataCentre: e.DataCentre, Usable: w.g.healthOf(e.ID).AnswersControlCalls(), Limited: w.g.limits.NamesLimit(e), Orders: w.acceptedOrders[e.Incarnation()],
 			Versions: e.Versions, Running: w.g.inFlight[e.ID] + peerRequests,
 		})
 	}
@@ -144,7 +144,7 @@
 	})
 	w.g.metrics.versionOrders(string(result)).Inc()
 	w.g.opts.Log.Info().Str("upstream", l.load.Upstream).Str("model", l.load.Model).Int64("version", l.load.Version).
-		Int64("term", term).Int64("expected_orders", l.load.ExpectedOrders).Str("answer", string(result)).
+		Int64("term", term).Int64("expected_orders", l.load.ExpectedOrders).Bool("trial", l.load.Trial).Str("answer", string(result)).
 		AnErr("error", err).Msg("weight version ordered")
 	switch result {
 	case upstreamcall.OrderAccepted:
--- a/gateway/fake_limits_test.go
+++ b/gateway/fake_limits_test.go
@@ -93,3 +93,10 @@
 	defer a.arrive(u)()
 	return a.fakeUpstreams.Report(ctx, u)
 }
+
+// orderCount returns the number of orders that reached an upstream.
+func (f *fakeUpstreams) orderCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.orders)
+}
--- a/upstreamhealth/health.go
+++ b/upstreamhealth/health.go
@@ -45,7 +45,9 @@
 	failures     int
 	failedAt     time.Time
 	backoffUntil time.Time
-	busy         map[string]busyMark
+	// controlAnsweredAt is when the upstream last answered a control call.
+	controlAnsweredAt time.Time
+	busy              map[string]busyMark
 	// pace is the moving average of the time for one unit of work; 0 before the first observation.
 	pace         time.Duration
 	observedAt   time.Time
@@ -65,6 +67,16 @@
 // Suspect reports whether the last request failed.
 func (h *Health) Suspect() bool { return h.failures > 0 }
 
+// AnswersControlCalls reports whether the last request did not fail, or a control call was answered after it: the upstream
+// can be reached, although it may process no requests.
+func (h *Health) AnswersControlCalls() bool {
+	return h.failures == 0 || h.controlAnsweredAt.After(h.failedAt)
+}
+
+// RecordControlAnswer records that the upstream answered a control call, such as an order or a status request. It says
+// nothing about the requests that it processes.
+func (h *Health) RecordControlAnswer(now time.Time) { h.controlAnsweredAt = now }
+
 // RecordFailure records a request that failed for a reason attributed to the upstream. It reports whether the upstream
 // was healthy before.
 func (h *Health) RecordFailure(now time.Time) bool {
--- a/upstreamhealth/health_test.go
+++ b/upstreamhealth/health_test.go
@@ -139,3 +139,22 @@
 		t.Errorf("latest pace %s long after the last event, want none", got)
 	}
 }
+
+// Guards against an upstream that gets no control call any more because its last request failed, and against one that seems
+// to answer because it did so before the failure.
+func TestControlAnswersAfterAFailure(t *testing.T) {
+	var h Health
+	now := time.Unix(100, 0)
+	h.RecordControlAnswer(now)
+	if !h.AnswersControlCalls() {
+		t.Error("an upstream without failures does not count as answering")
+	}
+	h.RecordFailure(now.Add(time.Second))
+	if h.AnswersControlCalls() {
+		t.Error("an answer from before the failure counts")
+	}
+	h.RecordControlAnswer(now.Add(2 * time.Second))
+	if !h.AnswersControlCalls() || !h.Suspect() {
+		t.Error("an answered control call must count for control calls, and not for requests")
+	}
+}
--- a/versionplan/plan.go
+++ b/versionplan/plan.go
@@ -10,6 +10,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -21,7 +22,8 @@
 type Upstream struct {
 	ID         string
 	DataCentre string
-	// Usable upstreams accept work. The others keep their entry for a while but load nothing.
+	// Usable upstreams have answered the last request or a later call. The others may have ended, and keep their entry for a
+	// while; they are ordered to load as a trial.
 	Usable bool
 	// Limited upstreams have named a limit on requests and serve less than others.
 	Limited bool
@@ -57,6 +59,8 @@
 	Version  int64
 	// ExpectedOrders is the number of orders that the upstream must have accepted before this one.
 	ExpectedOrders int64
+	// Trial is set for an upstream that is not usable.
+	Trial bool
 }
 
 // Config holds the limits and timeouts of a planner.
@@ -65,9 +69,10 @@
 	// the number of upstreams in a service per concurrent load. More concurrent loads than that overload the weight
 	// store and slow every load down.
 	MinConcurrentLoads, UpstreamsPerLoad int
-	// OrderTimeout is how long an unanswered order blocks its upstream, since it may still be executed.
+	// OrderTimeout is how long an unanswered order blocks its upstream, since it may still be executed. It is also the time
+	// between two trials of an upstream.
 	OrderTimeout time.Duration
-	// LoadTime is how long an accepted load takes. After that it no longer counts as a concurrent load.
+	// LoadTime is how long a load takes. After that it no longer counts as a concurrent load.
 	LoadTime time.Duration
 	// VisibilityTimeout is how long an accepted order blocks its upstream unless the upstream's entry shows the version
 	// earlier.
@@ -85,54 +90,79 @@
 type Planner struct {
 	cfg     Config
 	pending map[string]pendingLoad
+	// triedAt holds when upstreams that are not usable got their last trial.
+	triedAt map[string]time.Time
 }
 
 type pendingLoad struct {
 	load Load
+	// accepted is set once the upstream has accepted the order.
+	accepted bool
 	// blockedUntil is when the order no longer blocks its upstream, and loadEndsAt when its load is expected to end.
 	blockedUntil, loadEndsAt time.Time
 }
 
 // New returns a planner without orders in flight.
 func New(cfg Config) *Planner {
-	return &Planner{cfg: cfg, pending: map[string]pendingLoad{}}
+	return &Planner{cfg: cfg, pending: map[string]pendingLoad{}, triedAt: map[string]time.Time{}}
 }
 
 // Sent records that an order was sent.
 func (p *Planner) Sent(l Load, now time.Time) {
+	if l.Trial {
+		p.triedAt[l.Upstream] = now
+	}
 	p.pending[l.Upstream] = pendingLoad{load: l, blockedUntil: now.Add(p.cfg.OrderTimeout), loadEndsAt: now.Add(p.cfg.LoadTime)}
 }
 
 // Accepted records that the upstream accepted the order.
 func (p *Planner) Accepted(l Load, now time.Time) {
-	p.pending[l.Upstream] = pendingLoad{load: l, blockedUntil: now.Add(p.cfg.VisibilityTimeout), loadEndsAt: now.Add(p.cfg.LoadTime)}
+	p.pending[l.Upstream] = pendingLoad{
+		load: l, accepted: true, blockedUntil: now.Add(p.cfg.VisibilityTimeout), loadEndsAt: now.Add(p.cfg.LoadTime),
+	}
 }
 
 // Refused records that the upstream did not accept the order.
 func (p *Planner) Refused(l Load) { delete(p.pending, l.Upstream) }
 
-// Loading returns the number of upstreams that are loading at now.
+// Loading returns the number of upstreams that are loading at now. A trial counts from its acceptance, so that upstreams
+// that do not answer hold back no load of the others.
 func (p *Planner) Loading(now time.Time) int {
+	return p.countPending(now, func(l pendingLoad) bool { return !l.load.Trial || l.accepted })
+}
+
+// openTrials returns the number of trials that have not been accepted and may still be.
+func (p *Planner) openTrials(now time.Time) int {
+	return p.countPending(now, func(l pendingLoad) bool { return l.load.Trial && !l.accepted })
+}
+
+func (p *Planner) countPending(now time.Time, counts func(pendingLoad) bool) int {
 	n := 0
 	for _, pending := range p.pending {
-		if now.Before(pending.loadEndsAt) {
+		if now.Before(pending.loadEndsAt) && counts(pending) {
 			n++
 		}
 	}
 	return n
 }
 
-// NextLoads returns the orders to send at now.
+// NextLoads returns the orders to send at now. Trials come first, so that they cannot starve.
 func (p *Planner) NextLoads(list []Upstream, demands []Demand, now time.Time) []Load {
-	p.prunePending(list, now)
-	loading := p.Loading(now)
+	p.prune(list, now)
 	maxLoads := max(p.cfg.MinConcurrentLoads, len(list)/p.cfg.UpstreamsPerLoad)
-	queues := make([]*queue, 0, len(demands))
+	queues, trials := make([]*queue, 0, len(demands)), make([]*queue, 0, len(demands))
 	for _, d := range demands {
-		queues = append(queues, p.queue(list, d, len(demands)))
+		q := p.queue(list, d, len(demands))
+		queues, trials = append(queues, q), append(trials, p.trialQueue(q, list, len(demands), now))
 	}
-	var loads []Load
-	for loading+len(loads) < maxLoads {
+	free := maxLoads - p.Loading(now)
+	loads := p.take(trials, free-p.openTrials(now), nil)
+	return p.take(queues, free, loads)
+}
+
+// take appends up to n loads to the list, those of the least covered models first.
+func (p *Planner) take(queues []*queue, n int, loads []Load) []Load {
+	for n > 0 {
 		q := leastCovered(queues)
 		if q == nil {
 			break
@@ -144,8 +174,9 @@
 		}
 		q.addLoad(u)
 		loads = append(loads, Load{
-			Upstream: u.ID, Model: q.demand.Model, Version: q.demand.Newest, ExpectedOrders: u.Orders,
+			Upstream: u.ID, Model: q.demand.Model, Version: q.demand.Newest, ExpectedOrders: u.Orders, Trial: !u.Usable,
 		})
+		n--
 	}
 	return loads
 }
@@ -200,8 +231,12 @@
 	return least
 }
 
-// prunePending drops the orders whose version is served, those that timed out and those whose upstream is gone.
-func (p *Planner) prunePending(list []Upstream, now time.Time) {
+// prune drops the orders whose version is served, those that timed out and those whose upstream is gone, and the trials of
+// upstreams that are usable again or gone.
+func (p *Planner) prune(list []Upstream, now time.Time) {
+	maps.DeleteFunc(p.triedAt, func(id string, _ time.Time) bool {
+		return !slices.ContainsFunc(list, func(u Upstream) bool { return u.ID == id && !u.Usable })
+	})
 	for id, pending := range p.pending {
 		index := slices.IndexFunc(list, func(u Upstream) bool { return u.ID == id })
 		served := index >= 0 && list[index].Versions[pending.load.Model] >= pending.load.Version
@@ -220,12 +255,11 @@
 
 // queue returns the upstreams that have to load the newest version of a model, most urgent first.
 func (p *Planner) queue(list []Upstream, d Demand, models int) *queue {
-	q := &queue{demand: d}
+	q := &queue{demand: d, minVersion: max(d.Newest-1, d.MinVersion)}
 	if d.Newest <= 1 {
 		return q
 	}
 	members := Members(list, d.Model, models)
-	minVersion := max(d.Newest-1, d.MinVersion)
 	var stale, older []Upstream
 	newest := 0
 	for _, u := range members {
@@ -234,13 +268,13 @@
 		switch {
 		case version >= d.Newest || ok && pending.load.Model == d.Model && pending.load.Version >= d.Newest:
 			newest++
-		case version < minVersion:
+		case version < q.minVersion:
 			stale = append(stale, u)
 		default:
 			older = append(older, u)
 		}
 	}
-	q.memberCount, q.newestCount, q.olderCount, q.minVersion = len(members), newest, len(older), minVersion
+	q.memberCount, q.newestCount, q.olderCount = len(members), newest, len(older)
 	q.candidates = stale
 	if missing := targetLoads(list, members, d, models) - newest - len(stale); missing > 0 {
 		slices.SortStableFunc(older, func(a, b Upstream) int { return cmp.Compare(a.Running, b.Running) })
@@ -249,6 +283,24 @@
 	return q
 }
 
+// trialQueue returns the upstreams that would have to load the newest version of a model if they were usable, those that
+// were tried least recently first. One whose version serves the newest step needs no trial: a text can show that it works.
+func (p *Planner) trialQueue(q *queue, list []Upstream, models int, now time.Time) *queue {
+	trials := *q
+	trials.candidates = nil
+	if q.demand.Newest <= 1 {
+		return &trials
+	}
+	for _, u := range unusableMembers(list, q.demand.Model, models) {
+		tried, ok := p.triedAt[u.ID]
+		if u.Versions[q.demand.Model] < q.minVersion && (!ok || now.Sub(tried) >= p.cfg.OrderTimeout) {
+			trials.candidates = append(trials.candidates, u)
+		}
+	}
+	slices.SortStableFunc(trials.candidates, func(a, b Upstream) int { return p.triedAt[a.ID].Compare(p.triedAt[b.ID]) })
+	return &trials
+}
+
 // targetLoads returns how many members load each version: half of them or, where loads do not block upstreams, the even
 // share of all upstreams if that is more. That many loads per version are free of charge.
 func targetLoads(list, members []Upstream, d Demand, models int) int {
@@ -268,9 +320,19 @@
 // limited one there is another one without a limit, as far as there are any, so that not all members of a model are
 // limited. Every process computes the same members from the same list, and an added or removed upstream changes few others.
 func Members(list []Upstream, model string, models int) []Upstream {
+	return members(list, model, models, func(u Upstream) bool { return u.Usable })
+}
+
+// unusableMembers returns the upstreams that are not usable and would be members of a model if all were.
+func unusableMembers(list []Upstream, model string, models int) []Upstream {
+	return slices.DeleteFunc(members(list, model, models, func(Upstream) bool { return true }), func(u Upstream) bool { return u.Usable })
+}
+
+// members returns the members of a model among the upstreams that may be one.
+func members(list []Upstream, model string, models int, mayServe func(Upstream) bool) []Upstream {
 	var usable []Upstream
 	for _, u := range list {
-		if _, ok := u.Versions[model]; ok && u.Usable {
+		if _, ok := u.Versions[model]; ok && mayServe(u) {
 			usable = append(usable, u)
 		}
 	}
@@ -278,8 +340,8 @@
 		return cmp.Or(cmp.Compare(rendezvous.Weight(model, b.ID), rendezvous.Weight(model, a.ID)), cmp.Compare(a.ID, b.ID))
 	})
 	count := min(int(math.Ceil(memberShare*float64(len(usable))/float64(max(models, 1)))), len(usable))
-	members := spreadByDataCentre(usable, count)
-	return append(members, substitutes(usable, members)...)
+	chosen := spreadByDataCentre(usable, count)
+	return append(chosen, substitutes(usable, chosen)...)
 }
 
 // substitutes returns upstreams without a limit that are no members yet, as many as there are members with a limit.
--- a/versionplan/plan_test.go
+++ b/versionplan/plan_test.go
@@ -263,3 +263,46 @@
 		t.Errorf("after three seconds of loads %d upstreams serve the newest version of d, %d that of another model", got, most)
 	}
 }
+
+// Guards against upstreams that never get an order again although they answer, because others that seem to have failed, too,
+// and do not answer are tried instead of them.
+func TestUnusableUpstreamsThatAnswerLoadAgain(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFleet(rapid.IntRange(1, 30).Draw(rt, "upstreams"), "a", "b")
+		answers := map[string]bool{}
+		for i, u := range f.list {
+			f.list[i].Usable = rapid.Bool().Draw(rt, "usable")
+			answers[u.ID] = f.list[i].Usable || rapid.Bool().Draw(rt, "answers")
+		}
+		demands := []Demand{{Model: "a", Newest: 5, MinVersion: 4}, {Model: "b", Newest: 5, MinVersion: 4}}
+		expected := map[string]bool{}
+		for _, d := range demands {
+			for _, u := range unusableMembers(f.list, d.Model, len(demands)) {
+				if answers[u.ID] {
+					expected[u.ID] = true
+				}
+			}
+		}
+		maxLoads := max(f.planner.cfg.MinConcurrentLoads, len(f.list)/f.planner.cfg.UpstreamsPerLoad)
+		for end := f.now.Add(20 * time.Second); f.now.Before(end); f.now = f.now.Add(100 * time.Millisecond) {
+			for _, l := range f.planner.NextLoads(f.list, demands, f.now) {
+				f.planner.Sent(l, f.now)
+				if !answers[l.Upstream] {
+					continue
+				}
+				f.planner.Accepted(l, f.now)
+				f.completeLoad(l)
+				for i := range f.list {
+					f.list[i].Usable = f.list[i].Usable || f.list[i].ID == l.Upstream
+				}
+				delete(expected, l.Upstream)
+			}
+			if n := f.planner.Loading(f.now); n > 2*maxLoads {
+				rt.Fatalf("%d loads at the same time, want at most %d and as many accepted trials", n, maxLoads)
+			}
+		}
+		if len(expected) > 0 {
+			rt.Fatalf("no order in 20 s for %d upstreams that answer", len(expected))
+		}
+	})
+}
--- a/versionplan/session_test.go
+++ b/versionplan/session_test.go
@@ -54,6 +54,10 @@
 				s.list[i].Usable = false
 			}
 		}
+	case "load": // load all: the usable upstreams load what they have to
+		s.loadAll()
+	case "loading":
+		return []string{strconv.Itoa(s.planner.Loading(s.now))}
 	case "advance":
 		d, err := time.ParseDuration(words[1])
 		if err != nil {
@@ -66,17 +70,27 @@
 	return nil
 }
 
-// next sends the orders that are due.
-func (s *session) next() []string {
+func (s *session) demands() []Demand {
 	var demands []Demand
 	for _, m := range s.models {
 		newest := s.published[m] + 1
 		demands = append(demands, Demand{Model: m, Newest: newest, MinVersion: newest - 1})
 	}
+	return demands
+}
+
+func (s *session) loadAll() { s.runUntilIdle(s.t, s.demands()) }
+
+// next sends the orders that are due.
+func (s *session) next() []string {
 	var lines []string
-	for _, l := range s.planner.NextLoads(s.list, demands, s.now) {
+	for _, l := range s.planner.NextLoads(s.list, s.demands(), s.now) {
 		s.planner.Sent(l, s.now)
-		lines = append(lines, fmt.Sprintf("%s loads version %d of %s, expecting %d orders before", l.Upstream, l.Version, l.Model, l.ExpectedOrders))
+		trial := ""
+		if l.Trial {
+			trial = " as a trial"
+		}
+		lines = append(lines, fmt.Sprintf("%s loads version %d of %s%s, expecting %d orders before", l.Upstream, l.Version, l.Model, trial, l.ExpectedOrders))
 	}
 	if lines == nil {
 		return []string{"nothing"}
