upstreamhealth: probe upstreams beside requests that go on

Cause: one request at a time probes an upstream after a failure, and any request in flight counted as the probe, also those from before the failure. The probe ended with a complete response, which takes a text many seconds. Within one pass of the scheduler the limit of one did not hold at all.

Change: requests from before a failure hold nothing back. Each request since then that begins to get a response allows one more that has none, so an engine takes 1, 2, 4, 8 at the distance of a first event. A complete response ends the suspicion as before; until then a further failure starts over, with a backoff that goes on doubling. The scheduler gets the number of requests that are allowed in place of a yes or no.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -76,7 +76,7 @@
 		options = append(options, evenload.Option{
 			ID: e.ID, Slots: g.usableSlots(e, now), Own: g.inFlight[e.ID], Peers: peers.Expected(e.ID, now),
 			Share: times.Recent(e.ID, now), Slowness: times.Slowness(e.ID, now), Distance: g.distanceTo(e), Connected: g.hasIdleConnection(e.ID, now),
-			Suspect: !h.Allowed(now, g.inFlight[e.ID]), Busy: h.IsBusy("", now), Isolated: g.suspects.isolated[e.ID] > 0,
+			Suspect: !h.Allowed(now), Busy: h.IsBusy("", now), Isolated: g.suspects.isolated[e.ID] > 0,
 			Tried: c.tried[e.ID], Limited: hasLimits && g.limits.Limited(e, now),
 			Full: hasLimits && !g.hasRoom(e, c.background, now),
 		})
@@ -96,7 +96,7 @@
 	switch {
 	case g.limits.Limited(e, now):
 		return g.limits.Allowed(e, now) > 0
-	case h.IsBusy("", now), !h.Allowed(now, g.inFlight[e.ID]):
+	case h.IsBusy("", now), !h.Allowed(now):
 		return false
 	case !background:
 		return true
--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/radishshelf/radishshelf/upstreamhealth"
 	"github.com/radishshelf/radishshelf/upstreams"
 )
 
@@ -17,9 +18,15 @@
 	usedAt time.Time
 }
 
+// reservedSlot is a request that was counted at an upstream, until release.
+type reservedSlot struct {
+	upstream upstreams.Entry
+	attempt  *upstreamhealth.Attempt
+}
+
 // acquire counts a request that is about to be sent to an upstream, also against the upstream's limit. Every request of a
 // caller or a job passes through here. The caller holds g.mu.
-func (g *Gateway) acquire(u upstreams.Entry, now time.Time) {
+func (g *Gateway) acquire(u upstreams.Entry, now time.Time) reservedSlot {
 	id := u.ID
 	g.limits.Sent(u, now)
 	load := g.loadOf(u.Service)
@@ -33,10 +40,13 @@
 	c.count = max(c.count, g.inFlight[id])
 	c.usedAt = now
 	g.connections[id] = c
+	return reservedSlot{upstream: u, attempt: g.healthOf(id).Begin()}
 }
 
 // release counts the end of a request. The caller holds g.mu.
-func (g *Gateway) release(id string, now time.Time) {
+func (g *Gateway) release(s reservedSlot, now time.Time) {
+	s.attempt.End()
+	id := s.upstream.ID
 	g.inFlight[id]--
 	if g.inFlight[id] <= 0 {
 		delete(g.inFlight, id)
--- a/gateway/event_times.go
+++ b/gateway/event_times.go
@@ -13,6 +13,7 @@
 	switch {
 	case run.firstEvent.IsZero():
 		run.firstEvent = now
+		run.attempt.Responding()
 		g.restartTimeOf(u.Service).Observe(now.Sub(run.started))
 		g.metrics.runStart.Update(now.Sub(run.started).Seconds())
 	case now.Sub(run.lastEvent) < maxPaceGap:
--- a/gateway/isolation.go
+++ b/gateway/isolation.go
@@ -33,16 +33,16 @@
 
 // chooseUpstream picks the upstream of the next send. Crash suspects are isolated from each other: otherwise a request
 // that crashes its upstreams would make the requests beside it look like the cause.
-func (f *plainRequest) chooseUpstream(ctx context.Context) (upstreams.Entry, error) {
+func (f *plainRequest) chooseUpstream(ctx context.Context) (reservedSlot, error) {
 	if f.action == quarantine.Run {
 		return f.g.reserve(ctx, f.limitTurn(), f.pending == 0)
 	}
-	if u, ok := f.chooseIsolated(ctx); ok {
-		return u, nil
+	if slot, ok := f.chooseIsolated(ctx); ok {
+		return slot, nil
 	}
 	f.g.mu.Lock()
 	defer f.g.mu.Unlock()
-	return upstreams.Entry{}, f.g.refusalIn(f.scope())
+	return reservedSlot{}, f.g.refusalIn(f.scope())
 }
 
 // limitTurn describes the request to the queues for limited upstreams.
@@ -67,22 +67,22 @@
 }
 
 // chooseIsolated picks the upstream of a crash suspect.
-func (f *plainRequest) chooseIsolated(ctx context.Context) (upstreams.Entry, bool) {
+func (f *plainRequest) chooseIsolated(ctx context.Context) (reservedSlot, bool) {
 	until := f.isolationEnd()
 	if f.pending == 0 {
 		sleep(ctx, time.Until(f.slotStart))
 	}
 	for {
-		u, ok, occupied := f.reserveUpstream(ownSlot)
+		slot, ok, occupied := f.reserveUpstream(ownSlot)
 		if !ok && !occupied {
-			u, ok, occupied = f.reserveUpstream(withoutSuspects)
+			slot, ok, occupied = f.reserveUpstream(withoutSuspects)
 		}
 		if ok || !occupied {
-			return u, ok
+			return slot, ok
 		}
 		if f.pending > 0 || !time.Now().Before(until) || ctx.Err() != nil {
-			u, ok, _ = f.reserveUpstream(anyUpstream)
-			return u, ok
+			slot, ok, _ = f.reserveUpstream(anyUpstream)
+			return slot, ok
 		}
 		sleep(ctx, busyRetryDelay)
 	}
@@ -129,7 +129,7 @@
 
 // reserveUpstream picks an upstream in scope that was not tried yet and counts the request there. occupied reports
 // whether upstreams were left out because they run a crash suspect.
-func (f *plainRequest) reserveUpstream(scope isolationScope) (u upstreams.Entry, ok, occupied bool) {
+func (f *plainRequest) reserveUpstream(scope isolationScope) (slot reservedSlot, ok, occupied bool) {
 	now := time.Now()
 	f.g.mu.Lock()
 	defer f.g.mu.Unlock()
@@ -138,14 +138,14 @@
 	if scope != anyUpstream {
 		occupied = f.excludeIsolated(exclude, scope)
 	}
-	u, ok, _ = f.g.choosePlain(plainChoice{scope: f.scope(), tried: exclude}, now)
+	u, ok, _ := f.g.choosePlain(plainChoice{scope: f.scope(), tried: exclude}, now)
 	if ok {
-		f.g.acquire(u, now)
+		slot = f.g.acquire(u, now)
 		if f.action != quarantine.Run {
 			f.g.suspects.isolated[u.ID]++
 		}
 	}
-	return u, ok, occupied
+	return slot, ok, occupied
 }
 
 // excludeIsolated excludes the upstreams that are out of scope. It reports whether there are upstreams in scope that run a
--- a/gateway/limit_queue.go
+++ b/gateway/limit_queue.go
@@ -36,10 +36,10 @@
 	result chan limitResult
 }
 
-// limitResult is the upstream at which a request was counted, or a refusal.
+// limitResult is the slot of a request, or a refusal.
 type limitResult struct {
-	upstream upstreams.Entry
-	err      error
+	slot reservedSlot
+	err  error
 }
 
 // limitQueueOf returns the queue of a service. The caller holds g.mu.
@@ -148,8 +148,7 @@
 	u, found, limited := turn.choose(true, now)
 	switch {
 	case found:
-		g.acquire(u, now)
-		q.finish(item.ID, limitResult{upstream: u})
+		q.finish(item.ID, limitResult{slot: g.acquire(u, now)})
 	case limited:
 		return false
 	default:
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -71,6 +71,7 @@
 		defer g.mu.Unlock()
 		return float64(g.slowPeriods.Len())
 	})
+	r.NewGauge("radishshelf_gateway_failing_upstreams", func() float64 { return float64(g.failingUpstreams()) })
 	r.NewGauge("radishshelf_gateway_suspected_slow_engines", func() float64 {
 		g.mu.Lock()
 		defer g.mu.Unlock()
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -10,6 +10,7 @@
 	"github.com/radishshelf/radishshelf/batch"
 	"github.com/radishshelf/radishshelf/placement"
 	"github.com/radishshelf/radishshelf/textmove"
+	"github.com/radishshelf/radishshelf/upstreamhealth"
 	"github.com/radishshelf/radishshelf/upstreams"
 )
 
@@ -36,7 +37,9 @@
 // itemRun is the run of an item at an upstream.
 type itemRun struct {
 	upstream upstreams.Entry
-	started  time.Time
+	// attempt is the run as the health of the upstream counts it; nil until the run has begun.
+	attempt *upstreamhealth.Attempt
+	started time.Time
 	// firstEvent and lastEvent are when the first and the last event arrived; zero before.
 	firstEvent, lastEvent time.Time
 	// move cancels the run with errMoved; nil until the run has begun.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -165,14 +165,15 @@
 		f.g.mu.Unlock()
 	}
 	err := f.g.checkStop(f.deadline, time.Now())
-	var u upstreams.Entry
+	var slot reservedSlot
 	if err == nil {
-		u, err = f.chooseUpstream(ctx)
+		slot, err = f.chooseUpstream(ctx)
 	}
 	if err != nil {
 		f.lastRefusal = err
 		return err
 	}
+	u := slot.upstream
 	f.sends++
 	f.pending++
 	f.tried[u.ID] = true
@@ -182,7 +183,7 @@
 	isolated := f.action != quarantine.Run
 	go func() {
 		result := sendResult{upstream: u, failure: panicFailure()}
-		f.g.recoverPanic("send", func() { result = f.g.sendBuffered(ctx, f.inUse, &req, f.auth.route.Name) })
+		f.g.recoverPanic("send", func() { result = f.g.sendBuffered(ctx, f.inUse, &req, slot.attempt, f.auth.route.Name) })
 		if isolated {
 			f.g.releaseIsolated(u.ID)
 		}
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -29,29 +29,29 @@
 // reserve chooses an upstream for a request and counts the request there. If only the limits of upstreams stand in the
 // way, the request waits for its turn, provided that mayWait is set and its turn comes within its time. Otherwise it is
 // refused at once. Every error is an *outcome.Refusal of a request that was not sent.
-func (g *Gateway) reserve(ctx context.Context, turn limitTurn, mayWait bool) (upstreams.Entry, error) {
-	u, waiter, err := g.reserveOrEnqueue(turn, mayWait)
+func (g *Gateway) reserve(ctx context.Context, turn limitTurn, mayWait bool) (reservedSlot, error) {
+	slot, waiter, err := g.reserveOrEnqueue(turn, mayWait)
 	if waiter == nil {
-		return u, err
+		return slot, err
 	}
 	started := time.Now()
 	defer g.metrics.limitWait.UpdateDuration(started)
 	select {
 	case r := <-waiter.result:
 		if r.err == nil {
-			g.opts.Log.Info().Str("request", turn.request).Str("upstream", r.upstream.ID).
+			g.opts.Log.Info().Str("request", turn.request).Str("upstream", r.slot.upstream.ID).
 				Dur("waited_ms", time.Since(started)).Msg("request waited for the limit of an upstream")
 		}
-		return r.upstream, r.err
+		return r.slot, r.err
 	case <-ctx.Done():
 		g.leaveLimitQueue(waiter)
-		return upstreams.Entry{}, unavailable(outcome.KindDeadline,
+		return reservedSlot{}, unavailable(outcome.KindDeadline,
 			"the request ended while it waited for the limits of upstreams", retryAfterBusy)
 	}
 }
 
-// reserveOrEnqueue returns the upstream at which the request was counted, a waiter if it has to wait, or a refusal.
-func (g *Gateway) reserveOrEnqueue(turn limitTurn, mayWait bool) (upstreams.Entry, *limitWaiter, error) {
+// reserveOrEnqueue returns the slot of the request, a waiter if it has to wait, or a refusal.
+func (g *Gateway) reserveOrEnqueue(turn limitTurn, mayWait bool) (reservedSlot, *limitWaiter, error) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -59,12 +59,11 @@
 	u, found, limited := turn.choose(false, now)
 	switch {
 	case found:
-		g.acquire(u, now)
-		return u, nil, nil
+		return g.acquire(u, now), nil, nil
 	case !limited:
-		return upstreams.Entry{}, nil, g.refusalIn(turn.scope)
+		return reservedSlot{}, nil, g.refusalIn(turn.scope)
 	case !mayWait:
-		return upstreams.Entry{}, nil, g.limitRefusal(retryAfterBusy)
+		return reservedSlot{}, nil, g.limitRefusal(retryAfterBusy)
 	}
 	q := g.limitQueueOf(turn.scope.service)
 	next := g.updateRate(q, now)
@@ -75,7 +74,7 @@
 		q.finish(decision.Displaced.ID, limitResult{err: g.limitRefusal(decision.DisplacedRetryAfter)})
 	}
 	if decision.Action == admission.Refuse {
-		return upstreams.Entry{}, nil, g.limitRefusal(decision.RetryAfter)
+		return reservedSlot{}, nil, g.limitRefusal(decision.RetryAfter)
 	}
 	g.metrics.limitDeferrals.Inc()
 	waiter := &limitWaiter{turn: turn, result: make(chan limitResult, 1)}
@@ -83,7 +82,7 @@
 	if q.timer == nil {
 		g.scheduleLimitQueue(q, next, now)
 	}
-	return upstreams.Entry{}, waiter, nil
+	return reservedSlot{}, waiter, nil
 }
 
 // limitRefusal returns the refusal of a request that the limits of upstreams leave no room for.
@@ -105,6 +104,6 @@
 		return
 	}
 	if r := <-w.result; r.err == nil {
-		g.release(r.upstream.ID, now)
+		g.release(r.slot, now)
 	}
 }
--- a/gateway/run_item.go
+++ b/gateway/run_item.go
@@ -37,16 +37,16 @@
 var errStalled = errors.New("no event in time")
 
 // runItem runs an item at an upstream and moves it to its next phase.
-func (o *ownedJob) runItem(p *batch.Progress, u upstreams.Entry) {
+func (o *ownedJob) runItem(p *batch.Progress, slot reservedSlot) {
 	ctx, cancel := context.WithCancelCause(o.ctx)
 	defer cancel(nil)
 	before := p.Text.LastEventID()
-	run := &itemRun{upstream: u, started: time.Now(), move: func() { cancel(errMoved) }}
+	run := &itemRun{upstream: slot.upstream, attempt: slot.attempt, started: time.Now(), move: func() { cancel(errMoved) }}
 	o.setRun(p, run)
 	failure := panicFailure()
 	o.g.recoverPanic("run", func() { failure = o.generate(ctx, cancel, p, run) })
 	o.setRun(p, nil)
-	o.g.finishSend(u, o.job.Spec.Model, failure, ctx)
+	o.g.finishSend(slot, o.job.Spec.Model, failure, ctx)
 	if failure == nil {
 		o.g.metrics.itemTime.UpdateDuration(run.started)
 	}
--- a/gateway/schedule_pass.go
+++ b/gateway/schedule_pass.go
@@ -91,9 +91,8 @@
 	c.Job.Start(c.Item)
 	g.metrics.itemWait.Update(s.now.Sub(c.Item.NotBefore).Seconds())
 	e.owned.runs[c.Item] = &itemRun{upstream: u, started: s.now}
-	g.acquire(u, s.now)
-	o := e.owned
-	g.workWG.Go(func() { o.recoverPanic("item", func() { o.runItem(c.Item, u) }) })
+	slot, o := g.acquire(u, s.now), e.owned
+	g.workWG.Go(func() { o.recoverPanic("item", func() { o.runItem(c.Item, slot) }) })
 }
 
 func (s *schedulePass) concurrencyLimit(o *ownedJob) int {
@@ -214,13 +213,12 @@
 		h := g.healthOf(e.ID)
 		own := g.inFlight[e.ID]
 		peerRequests, peerTokens := g.loadOfPeers(e.ID)
-		sendsLeft := g.limits.Allowed(e, now)
 		engines = append(engines, placement.Engine{
 			ID: e.ID, Slots: g.usableEngineSlots(e, now), OwnRequests: own, OtherRequests: peerRequests, Connections: g.openConnections(e.ID, now),
 			Distance: g.distanceTo(e), Version: version, Pace: h.Pace(now), LastPace: h.LastPace(), PaceAge: h.PaceAge(now),
 			MemoryTokens: g.engineMemory(e, now), Runs: runs[e.ID], OtherTokens: peerTokens,
-			Limited: g.limits.Limited(e, now), SendsLeft: sendsLeft,
-			Excluded: h.IsBusy(key.model, now) || !h.Allowed(now, own),
+			Limited: g.limits.Limited(e, now), SendsLeft: g.limits.Allowed(e, now), ProbesLeft: h.Allowance(now),
+			Excluded: h.IsBusy(key.model, now),
 		})
 	}
 	return placement.NewSelector(engines)
--- a/gateway/scoring.go
+++ b/gateway/scoring.go
@@ -84,14 +84,14 @@
 	if !ok {
 		return // the route was removed from the configuration; the item waits until it returns
 	}
-	u, err := g.reserve(ctx, turn, len(s.pending) == 0)
+	slot, err := g.reserve(ctx, turn, len(s.pending) == 0)
 	if err != nil {
 		return // run tries again
 	}
-	s.tried[u.ID] = true
-	s.pending = append(s.pending, u)
+	s.tried[slot.upstream.ID] = true
+	s.pending = append(s.pending, slot.upstream)
 	timeout := s.timeout
-	g.workWG.Go(func() { s.results <- s.call(ctx, u, timeout) })
+	g.workWG.Go(func() { s.results <- s.call(ctx, slot, timeout) })
 }
 
 // scoreRank ranks score calls behind the requests of callers of the same workspace, whatever the priority of their routes:
@@ -142,12 +142,12 @@
 // scoreKind is the kind of score calls among the requests to a service.
 const scoreKind = "score"
 
-func (s *scoring) call(ctx context.Context, u upstreams.Entry, timeout time.Duration) sendResult {
+func (s *scoring) call(ctx context.Context, slot reservedSlot, timeout time.Duration) sendResult {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req := s.request()
-	req.TimeLeft, req.Upstream = timeout, u
-	return s.o.g.sendBuffered(ctx, ctx, req, scoreKind)
+	req.TimeLeft, req.Upstream = timeout, slot.upstream
+	return s.o.g.sendBuffered(ctx, ctx, req, slot.attempt, scoreKind)
 }
 
 // request builds the score call, which is the same for every upstream.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -10,6 +10,7 @@
 	"github.com/radishshelf/radishshelf/membudget"
 	"github.com/radishshelf/radishshelf/outcome"
 	"github.com/radishshelf/radishshelf/upstreamcall"
+	"github.com/radishshelf/radishshelf/upstreamhealth"
 	"github.com/radishshelf/radishshelf/upstreams"
 )
 
@@ -27,7 +28,7 @@
 // sendBuffered sends a request, reads the complete response and updates the health of the upstream from the result. The
 // body of the response is in use until inUse ends. Requests of one kind, such as those of a route, are expected to take
 // equally long.
-func (g *Gateway) sendBuffered(ctx, inUse context.Context, req *upstreamcall.Request, kind string) sendResult {
+func (g *Gateway) sendBuffered(ctx, inUse context.Context, req *upstreamcall.Request, attempt *upstreamhealth.Attempt, kind string) sendResult {
 	started := time.Now()
 	result := sendResult{upstream: req.Upstream}
 	if g.recoverPanic("send", func() {
@@ -36,7 +37,7 @@
 		result.failure = panicFailure()
 	}
 	result.took = time.Since(started)
-	g.finishSend(req.Upstream, "", result.failure, ctx)
+	g.finishSend(reservedSlot{upstream: req.Upstream, attempt: attempt}, "", result.failure, ctx)
 	g.recordResponseTime(kind, result)
 	result.broken = g.recordRun(ctx, req, result.failure, 0)
 	if result.failure == nil {
@@ -116,11 +117,11 @@
 
 // finishSend counts the end of a send and updates the health of its upstream from the result. A nil failure means
 // success.
-func (g *Gateway) finishSend(u upstreams.Entry, model string, failure *upstreamcall.Failure, ctx context.Context) {
-	now := time.Now()
+func (g *Gateway) finishSend(s reservedSlot, model string, failure *upstreamcall.Failure, ctx context.Context) {
+	now, u := time.Now(), s.upstream
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.release(u.ID, now)
+	g.release(s, now)
 	defer g.wakeLimitQueue(u.Service, now)
 	g.detectUpstreamEnd(u, failure)
 	h := g.healthOf(u.ID)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -10,6 +10,7 @@
 	"github.com/radishshelf/radishshelf/call"
 	"github.com/radishshelf/radishshelf/outcome"
 	"github.com/radishshelf/radishshelf/upstreamcall"
+	"github.com/radishshelf/radishshelf/upstreamhealth"
 	"github.com/radishshelf/radishshelf/upstreams"
 )
 
@@ -45,6 +46,8 @@
 	lastEventID int
 	// lastSent is the request of the latest send.
 	lastSent *upstreamcall.Request
+	// lastAttempt is the latest send as the health of its upstream counts it.
+	lastAttempt *upstreamhealth.Attempt
 	// runsWithoutEvent counts the latest runs in a row from which no event was written.
 	runsWithoutEvent int
 	// header is the header of the response that the caller gets; nil until the first upstream has responded.
@@ -89,21 +92,22 @@
 	if err := s.g.checkStop(s.deadline, time.Now()); err != nil {
 		return nil, err
 	}
-	u, err := s.g.reserve(ctx, s.streamTurn(), true)
+	slot, err := s.g.reserve(ctx, s.streamTurn(), true)
 	if err != nil {
 		return nil, err
 	}
+	u := slot.upstream
 	sent := *s.template
 	sent.TimeLeft, sent.Priority = time.Until(s.deadline), min(s.auth.priority(), 9)
 	sent.ResumeAfter, sent.Upstream = s.lastEventID, u
-	s.lastSent = &sent
+	s.lastSent, s.lastAttempt = &sent, slot.attempt
 	response, err := s.g.opts.Upstreams.Send(ctx, s.lastSent)
 	if err == nil {
 		err = s.checkResponse(response)
 	}
 	if err != nil {
 		failure := upstreamcall.AsFailure(err)
-		s.g.finishSend(u, "", failure, ctx)
+		s.g.finishSend(slot, "", failure, ctx)
 		s.recordRun(ctx, failure)
 		if failure.Outcome == outcome.NotRun {
 			s.refused[u.ID] = true
--- a/gateway/stream_copy.go
+++ b/gateway/stream_copy.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		failure = upstreamcall.AsFailure(err)
 	}
-	s.g.finishSend(s.lastSent.Upstream, "", failure, ctx)
+	s.g.finishSend(reservedSlot{upstream: s.lastSent.Upstream, attempt: s.lastAttempt}, "", failure, ctx)
 	s.recordRun(ctx, failure)
 	return failure
 }
@@ -104,7 +104,10 @@
 			return &upstreamcall.Failure{Reason: upstreamcall.Cancelled, Outcome: outcome.Ran, Err: err}
 		}
 		flush()
-		s.runsWithoutEvent = 0
+		if s.runsWithoutEvent > 0 {
+			s.runsWithoutEvent = 0
+			s.g.recordResponding(s.lastAttempt)
+		}
 		s.lastEventID = max(s.lastEventID, event.ID)
 	}
 }
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -41,7 +41,9 @@
 	// Limited engines have named a limit on requests, of which this host may send SendsLeft more now.
 	Limited   bool
 	SendsLeft int
-	// Excluded engines take no text now, because they failed or refused a request for lack of capacity.
+	// ProbesLeft is how many more texts may be sent after a failure; math.MaxInt if the engine is healthy.
+	ProbesLeft int
+	// Excluded engines take no text now, because they refused a request for lack of capacity.
 	Excluded bool
 }
 
--- a/placement/selector.go
+++ b/placement/selector.go
@@ -67,6 +67,7 @@
 	}
 	best.OwnRequests++
 	best.SendsLeft--
+	best.ProbesLeft--
 	best.Runs = append(best.Runs, req.Run)
 	return best.ID, true
 }
@@ -97,7 +98,7 @@
 
 // accepts is the filter, except for memory.
 func (s *Selector) accepts(e *Engine, req Requirements) bool {
-	if e.Excluded || e.Limited && e.SendsLeft <= 0 || e.Version < req.MinVersion || e.OwnRequests >= e.availableSlots() {
+	if e.Excluded || e.ProbesLeft <= 0 || e.Limited && e.SendsLeft <= 0 || e.Version < req.MinVersion || e.OwnRequests >= e.availableSlots() {
 		return false
 	}
 	return !s.isSuspectedSlow(e) || e.OwnRequests == 0
--- a/upstreamhealth/health.go
+++ b/upstreamhealth/health.go
@@ -1,8 +1,10 @@
 // Package upstreamhealth assesses upstreams by the outcome of real requests: which of them get no requests for a while,
 // and how slow the others are. It does no I/O and reads no clock.
 //
-// A failed upstream gets no requests for a backoff time that doubles with each consecutive failure. After that, one
-// request at a time probes it until one succeeds.
+// A failed upstream gets no requests for a backoff time that doubles with each consecutive failure. After that, one request
+// probes it. Each request that begins to get a response allows one more that has none yet, so that the upstream fills up
+// again in a few round trips, until a complete response ends the suspicion. Requests that were sent before the failure say
+// nothing about new ones and hold none back.
 package upstreamhealth
 
 import (
@@ -45,6 +47,10 @@
 	failures     int
 	failedAt     time.Time
 	backoffUntil time.Time
+	// failureCount numbers the failures that count. unanswered and responding are the attempts since the last one that have
+	// no response yet, and those that have begun to get one.
+	failureCount           int64
+	unanswered, responding int
 	// controlAnsweredAt is when the upstream last answered a control call.
 	controlAnsweredAt time.Time
 	busy              map[string]busyMark
@@ -56,12 +62,57 @@
 	latest [latestObservations]time.Duration
 }
 
-// Allowed reports whether another request may be sent while this process has inFlight requests at the upstream.
-func (h *Health) Allowed(now time.Time, inFlight int) bool {
-	if h.failures == 0 {
-		return true
+// Attempt is a request at an upstream. It is not safe for concurrent use.
+type Attempt struct {
+	health *Health
+	// failure is the number of the upstream's last failure before the attempt, which counts among those since it as long as
+	// counted is set.
+	failure int64
+	counted bool
+}
+
+// Begin records that a request is sent to the upstream.
+func (h *Health) Begin() *Attempt {
+	a := &Attempt{health: h, failure: h.failureCount, counted: h.failures > 0}
+	if a.counted {
+		h.unanswered++
+	}
+	return a
+}
+
+// Responding records that the upstream has begun to respond to the request.
+func (a *Attempt) Responding() {
+	if a.end() {
+		a.health.responding++
+	}
+}
+
+// End records that the request has ended, in whatever way.
+func (a *Attempt) End() { a.end() }
+
+// end removes the attempt from those without a response. It returns false if it is not one of them.
+func (a *Attempt) end() bool {
+	counted := a.counted && a.failure == a.health.failureCount && a.health.failures > 0
+	a.counted = false
+	if counted {
+		a.health.unanswered--
+	}
+	return counted
+}
+
+// Allowed reports whether another request may be sent.
+func (h *Health) Allowed(now time.Time) bool { return h.Allowance(now) > 0 }
+
+// Allowance returns how many more requests may be sent now; math.MaxInt if there is no limit.
+func (h *Health) Allowance(now time.Time) int {
+	switch {
+	case h.failures == 0:
+		return math.MaxInt
+	case now.Before(h.backoffUntil):
+		return 0
+	default:
+		return max(0, 1+h.responding-h.unanswered)
 	}
-	return !now.Before(h.backoffUntil) && inFlight == 0
 }
 
 // Suspect reports whether the last request failed.
@@ -84,6 +135,8 @@
 		return false
 	}
 	h.failures++
+	h.failureCount++
+	h.unanswered, h.responding = 0, 0
 	h.failedAt = now
 	h.backoffUntil = now.Add(min(initialBackoff<<min(h.failures-1, 8), maxBackoff))
 	return h.failures == 1
@@ -92,7 +145,7 @@
 // RecordSuccess records a request that was answered. It reports whether the upstream was suspect before.
 func (h *Health) RecordSuccess() bool {
 	recovered := h.failures > 0
-	h.failures = 0
+	h.failures, h.unanswered, h.responding = 0, 0, 0
 	return recovered
 }
 
