soak: check that engines are used again after faults

After the last fault, all engines but one are down, slow or cut off while a job of long texts runs there, which its trainer then ends: that is what the gateways see of these engines last. Two versions and 6 s later a job of long texts for just under half of the slots must run; half of the connections to the engines are reset meanwhile.

New faults for the time before: an engine is cut off, an engine is slow, half of the connections to the engines are reset. One of the two trainers has long texts only.

--- a/standin/soak/callers.go
+++ b/standin/soak/callers.go
@@ -15,6 +15,9 @@
 	plainCallers = 4
 	trainers     = 2
 	itemsPerJob  = 16
+	// longTextTrainer is the trainer whose items are all long, with longTextEvents events each.
+	longTextTrainer = 1
+	longTextEvents  = 60
 	// callTimeout bounds each call to a gateway.
 	callTimeout = 3 * time.Second
 	// maxSubmitAttempts is how many times a trainer submits a job before it gives up.
@@ -52,7 +55,11 @@
 		id := fmt.Sprintf("job-%d-%d", trainer, step)
 		var items []string
 		for i := range itemsPerJob {
-			items = append(items, fmt.Sprintf("item-%d-%d-%d", trainer, step, i))
+			item := fmt.Sprintf("item-%d-%d-%d", trainer, step, i)
+			if trainer == longTextTrainer {
+				item = platformtest.LongItemID(item, longTextEvents)
+			}
+			items = append(items, item)
 		}
 		minVersion := max(s.version.Load()-1, 1)
 		s.checker.recordJobSend(id, items, minVersion)
--- a/standin/soak/checker.go
+++ b/standin/soak/checker.go
@@ -27,6 +27,11 @@
 	refused map[string]bool
 	// atMostOnce holds the requests that must not run twice, sent every request and item that a caller sent.
 	atMostOnce, sent map[string]bool
+	// runsNow counts the current runs of each request, endedAt holds when its last run ended, and completed whether one was
+	// answered in full.
+	runsNow   map[string]int
+	endedAt   map[string]time.Time
+	completed map[string]bool
 	// jobs holds the state of each job as callers know it, itemJob the job of each item.
 	jobs    map[string]*jobView
 	itemJob map[string]string
@@ -70,7 +75,7 @@
 
 func newChecker(h *history) *checker {
 	return &checker{
-		history: h, runs: map[string]int{}, refused: map[string]bool{}, atMostOnce: map[string]bool{}, sent: map[string]bool{},
+		history: h, runs: map[string]int{}, runsNow: map[string]int{}, endedAt: map[string]time.Time{}, completed: map[string]bool{}, refused: map[string]bool{}, atMostOnce: map[string]bool{}, sent: map[string]bool{},
 		jobs: map[string]*jobView{}, itemJob: map[string]string{}, reports: map[int64]map[string]int64{},
 		terms: map[string]termHolder{}, lastCalls: map[receiverCall]time.Time{}, noRunsAfter: map[string]time.Time{}, lateRuns: map[string]int{},
 		dataCentres: map[string]string{}, places: map[*placeRule]bool{},
@@ -101,6 +106,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.runs[r.ID]++
+	c.runsNow[r.ID]++
 	if r.Path == crashPath {
 		c.crashRunCount++
 	}
@@ -128,6 +134,15 @@
 	}
 }
 
+// recordEnd records the end of a request that an upstream executed.
+func (c *checker) recordEnd(id string, complete bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.runsNow[id]--
+	c.endedAt[id] = time.Now()
+	c.completed[id] = c.completed[id] || complete
+}
+
 // recordLeaving records that an upstream announces that it leaves. No request should reach it after the given time.
 func (c *checker) recordLeaving(id string, from time.Time) {
 	c.mu.Lock()
@@ -295,6 +310,27 @@
 	return list
 }
 
+// awaySince returns the items of a job that are not complete and have been at no upstream for longer than d, if the job began
+// to wait at since.
+func (c *checker) awaySince(id string, since time.Time, d time.Duration) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(c.jobs[id].items), func(item string) bool {
+		last := since
+		if ended := c.endedAt[item]; ended.After(last) {
+			last = ended
+		}
+		return c.completed[item] || c.runsNow[item] > 0 || time.Since(last) <= d
+	})
+}
+
+// allComplete reports whether an upstream has answered each item of a job in full.
+func (c *checker) allComplete(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !slices.ContainsFunc(c.jobs[id].items, func(item string) bool { return !c.completed[item] })
+}
+
 // resultCount returns the number of results that were read of a job.
 func (c *checker) resultCount(id string) int {
 	c.mu.Lock()
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -111,6 +111,22 @@
 		time.Sleep(d / 2)
 		u.SetDown(false)
 	}},
+	{"engine cut off", engineFault(func(u *upstream, d time.Duration) {
+		u.link.SetFaults(LinkFaults{DropToTarget: true, DropFromTarget: true})
+		time.Sleep(d)
+		u.link.SetFaults(LinkFaults{})
+		u.link.Reset()
+	})},
+	{"slow engine", engineFault(func(u *upstream, d time.Duration) {
+		u.SetSlower(slowEngineTimes)
+		time.Sleep(d)
+		u.SetSlower(1)
+	})},
+	{"connections to engines reset", func(s *Soak, _ *rand.Rand, _ time.Duration) {
+		for _, u := range s.upstreams.engines() {
+			u.link.ResetHalf()
+		}
+	}},
 	{"upstream responses lost", upstreamFault(platformtest.DropResponse)},
 	{"endless response headers", upstreamFault(platformtest.EndlessHeader)},
 	{"endless response bodies", upstreamFault(platformtest.EndlessBody)},
@@ -158,6 +174,18 @@
 	{"version published", func(s *Soak, _ *rand.Rand, _ time.Duration) { s.publishVersion() }},
 }
 
+// slowEngineTimes is how many times longer the events of a slow engine take.
+const slowEngineTimes = 3.5
+
+// engineFault returns a fault of one engine.
+func engineFault(run func(u *upstream, d time.Duration)) func(s *Soak, r *rand.Rand, d time.Duration) {
+	return func(s *Soak, r *rand.Rand, d time.Duration) {
+		if engines := s.upstreams.engines(); len(engines) > 0 {
+			run(engines[r.IntN(len(engines))], d)
+		}
+	}
+}
+
 // upstreamFault returns a fault in which one upstream, an engine or a plain service, sends faulty responses.
 func upstreamFault(kind platformtest.Fault) func(s *Soak, r *rand.Rand, d time.Duration) {
 	return func(s *Soak, r *rand.Rand, d time.Duration) {
--- a/standin/soak/proxy.go
+++ b/standin/soak/proxy.go
@@ -23,7 +23,8 @@
 
 	mu     sync.Mutex
 	faults LinkFaults
-	conns  map[net.Conn]bool
+	// conns holds the connection to the target for each accepted one.
+	conns map[net.Conn]net.Conn
 }
 
 // newProxy starts a proxy to target on a loopback port.
@@ -32,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener, target: target, conns: map[net.Conn]bool{}}
+	p := &Proxy{listener: listener, target: target, conns: map[net.Conn]net.Conn{}}
 	go p.accept()
 	return p, nil
 }
@@ -48,14 +49,26 @@
 }
 
 // Reset resets every open connection.
-func (p *Proxy) Reset() {
+func (p *Proxy) Reset() { p.reset(func(open int) int { return open }) }
+
+// ResetHalf resets half of the open connections, rounded down.
+func (p *Proxy) ResetHalf() { p.reset(func(open int) int { return open / 2 }) }
+
+// reset resets as many of the open connections as count returns.
+func (p *Proxy) reset(count func(open int) int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for c := range p.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // makes Close send RST; fails if the connection is closed
+	left := count(len(p.conns))
+	for accepted, target := range p.conns {
+		if left--; left < 0 {
+			return
+		}
+		for _, c := range []net.Conn{accepted, target} {
+			if tcp, ok := c.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0) // makes Close send RST; fails if the connection is closed
+			}
+			c.Close()
 		}
-		c.Close()
 	}
 }
 
@@ -91,25 +104,26 @@
 		conn.Close()
 		return
 	}
-	p.track(conn, target, true)
-	defer p.track(conn, target, false)
+	p.track(conn, target)
+	defer p.forget(conn)
 	var done sync.WaitGroup
 	done.Go(func() { p.copyBytes(target, conn, func(l LinkFaults) bool { return l.DropToTarget }) })
 	done.Go(func() { p.copyBytes(conn, target, func(l LinkFaults) bool { return l.DropFromTarget }) })
 	done.Wait()
 }
 
-// track adds or removes both sides of a connection.
-func (p *Proxy) track(a, b net.Conn, open bool) {
+// track adds an open connection with the one to its target.
+func (p *Proxy) track(accepted, target net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range []net.Conn{a, b} {
-		if open {
-			p.conns[c] = true
-		} else {
-			delete(p.conns, c)
-		}
-	}
+	p.conns[accepted] = target
+}
+
+// forget removes a closed connection.
+func (p *Proxy) forget(accepted net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, accepted)
 }
 
 // copyBytes copies until either side closes, and then closes both.
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -77,6 +77,7 @@
 	stopLoad()
 	callers.Wait()
 	s.waitForJobs()
+	s.checkRecovery()
 	s.checkCrashingRequest()
 	summary := fmt.Sprintf("seed %d: %d plain responses, %d jobs, %d results, %d usage windows, %d crashes by one request",
 		opts.Seed, s.served.Load(), len(s.checker.jobs), s.resultCount(), len(s.checker.reports), s.checker.crashRuns())
--- a/standin/soak/upstream.go
+++ b/standin/soak/upstream.go
@@ -19,6 +19,8 @@
 	// heartbeatInterval is how often an upstream writes its entry. The entry is removed entryTTL after a crash.
 	heartbeatInterval = 400 * time.Millisecond
 	entryTTL          = 3 * heartbeatInterval
+	// eventInterval is the time before each event of a text at an engine that is not slow.
+	eventInterval = 20 * time.Millisecond
 	// restartDelay is the time until the replacement of a stopped upstream starts.
 	restartDelay = 800 * time.Millisecond
 )
@@ -26,7 +28,9 @@
 // upstream is a stand-in upstream with its server.
 type upstream struct {
 	*platformtest.Upstream
-	server   *http.Server
+	server *http.Server
+	// link is the path from the gateways to the upstream.
+	link     *Proxy
 	done     chan struct{}
 	stopOnce sync.Once
 	// limiting is set while the upstream names a limit.
@@ -65,6 +69,13 @@
 	return slices.DeleteFunc(slices.Clone(s.list), func(u *upstream) bool { return !u.Plain })
 }
 
+// engines returns the upstreams that are engines.
+func (s *upstreamSet) engines() []*upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(s.list), func(u *upstream) bool { return u.Plain })
+}
+
 // close stops all upstreams. Upstreams that are added later are stopped immediately.
 func (s *upstreamSet) close() {
 	s.mu.Lock()
@@ -79,6 +90,7 @@
 func (u *upstream) stop() {
 	u.stopOnce.Do(func() {
 		close(u.done)
+		u.link.Close()
 		u.server.Close()
 	})
 }
@@ -91,8 +103,8 @@
 // startUpstream starts an upstream with a reserved number.
 func (s *Soak) startUpstream(number int, id, service string) (*upstream, error) {
 	u := &upstream{done: make(chan struct{}), Upstream: &platformtest.Upstream{
-		ID: id, Service: service, Plain: service == platformtest.PlainService, Slots: 8, EventInterval: 20 * time.Millisecond,
-		ProcessingTime: 15 * time.Millisecond, OnRun: s.checker.recordRun, OnOrder: s.checker.recordOrder, CrashPath: crashPath,
+		ID: id, Service: service, Plain: service == platformtest.PlainService, Slots: 8, EventInterval: eventInterval,
+		ProcessingTime: 15 * time.Millisecond, OnRun: s.checker.recordRun, OnEnd: s.checker.recordEnd, OnOrder: s.checker.recordOrder, CrashPath: crashPath,
 	}}
 	u.OnCrash = func() { s.replace(u, entryTTL, restartDelay) }
 	if !u.Plain {
@@ -102,6 +114,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if u.link, err = newProxy(listener.Addr().String()); err != nil {
+		listener.Close()
+		return nil, err
+	}
 	u.server = &http.Server{Handler: u.Upstream}
 	go func() { _ = u.server.Serve(listener) }() // returns when the server is closed
 	s.upstreams.mu.Lock()
@@ -112,7 +128,7 @@
 	}
 	s.upstreams.list = append(s.upstreams.list, u)
 	s.checker.recordUpstream(id, dataCentre(number+1))
-	go s.writeHeartbeats(u, listener.Addr().String(), dataCentre(number+1))
+	go s.writeHeartbeats(u, u.link.Address(), dataCentre(number+1))
 	return u, nil
 }
 
