--- a/standin/soak/recovery.go
+++ b/standin/soak/recovery.go
@@ -73,7 +73,9 @@
 		fault.begin(u)
 	}
 	time.Sleep(lastFaultTime)
-	platformtest.Caller{Timeout: callTimeout}.Do(http.MethodDelete, s.pickProcess(r).address(), "/-/lots/"+id, "", nil)
+	if reply := (platformtest.Caller{Timeout: callTimeout}).EndJob(s.pickProcess(r).address(), id); reply.Status != http.StatusOK {
+		s.history.recordViolation("the end of job %s got status %d", id, reply.Status)
+	}
 	for _, u := range engines[1:] {
 		fault.end(u)
 	}
