clientconn: do not take a reset beside an upload for the end of a response

Callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the request was still being written. The caller got that part as a whole response, signed.

Cause: the kernel reports a reset once, to the read or to the write that notices it first. net/http writes the request beside the reading of the response. When the write takes ECONNRESET, the read returns 0 bytes and EOF, which ends a body without a length. net/http drops the error of the write, as the response has begun by then.

Evidence, the calls on the connection of one send with 8 MiB, by a dial function that logs them:

read 98 <nil>, write 15872 of 32768: connection reset by peer, read 0 EOF: body "part of the body", no error

Of 12 such sends that were reset, closed with the request unread, or reset after an orderly end, 11 ended so; in the other the read got the reset. After an orderly end net/http also closed the connection itself, so that an upstream that went on reading got a part of the upload.

Change: the connections of clients know whether the request was sent. The end of a connection that ends a response is passed to net/http once the request has been written, and is an error if a write failed. What bounds the wait is the write: it ends when the upstream has taken the request, the connection fails, or net/http closes it, which it does at the deadline of the request. A response with a length or chunks, and any earlier read, is not delayed. httpstatus has one transport with this and the checks that its users repeated before: requests, streams, texts of items, score calls, orders, reports, the store, the platform's API, entries to agents, agents to upstreams.

The tests failed before: platform:TestEndBesideBrokenOffUpload with up to 10 of 10 parts taken for the whole (8 MiB: closed 10 of 10 at 5 ms, reset 9 of 10), TestEndBesideBrokenOffReport (a usage report counted as done), TestEndBesideBrokenOffUploadOnPathsOfCallers (plain routes answered 200 "part of the body", 10 of 10), TestEndBesideUnreadUploadIsBounded, agent:TestResetBesideUpload (6 of 10). TestEndBesideReadUpload, responses that their upstream ended in order, held before and holds, also 4 times in a row beside 12 busy processes on 8 cores.

Not told apart: an upstream that ends its response in order and then fails while the kernel still held the rest of the request.

--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -25,17 +25,17 @@
 // upstream sends requests to the process beside the agent. No other process sends requests to it.
 type upstream struct {
 	base      string
-	transport *http.Transport
+	transport http.RoundTripper
 }
 
 // newUpstream returns an upstream that dials a new connection for every request. On a reused connection the agent could
 // not tell an idle close by the upstream from a failure after the request was sent, and would have to report both as
 // "may have run". The connections do not leave the host.
 func newUpstream(base string) *upstream {
-	return &upstream{base: base, transport: &http.Transport{
+	return &upstream{base: base, transport: httpstatus.NewTransport(&http.Transport{
 		Proxy: nil, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxUpstreamHeader,
 		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
-	}}
+	})}
 }
 
 // singleUseBody hides the type of the reader from net/http. With a bytes.Reader the request would get a GetBody
@@ -50,8 +50,7 @@
 func (u *upstream) send(ctx context.Context, c call, header http.Header, body []byte) (resp *http.Response, sent bool, err error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	ctx = httpstatus.WithInterimCheck(httptrace.WithClientTrace(ctx, trace))
-	req, err := http.NewRequestWithContext(ctx, c.method, u.base+c.target, nil)
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), c.method, u.base+c.target, nil)
 	if err != nil {
 		return nil, false, err
 	}
@@ -64,10 +63,6 @@
 	if resp, err = u.transport.RoundTrip(req); err != nil {
 		return nil, connected.Load(), err
 	}
-	if err = httpstatus.Check(resp); err != nil {
-		resp.Body.Close()
-		return nil, true, err
-	}
 	return resp, true, nil
 }
 
--- a/attemptconn/client.go
+++ b/attemptconn/client.go
@@ -6,17 +6,20 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+
+	"github.com/radishshelf/radishshelf/httpstatus"
 )
 
 // Client sends attempts over the connections of a transport.
 type Client struct {
-	transport *http.Transport
+	transport http.RoundTripper
 	seed      maphash.Seed
 }
 
 // NewClient returns a client for plain HTTP that takes over a transport whose DialContext is set. The transport must not be
-// used otherwise.
+// used otherwise. What httpstatus takes for no response is an error.
 func NewClient(transport *http.Transport) *Client {
+	checked := httpstatus.NewTransport(transport)
 	dial := transport.DialContext
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
@@ -25,7 +28,7 @@
 		}
 		return &conn{Conn: c}, nil
 	}
-	return &Client{transport: transport, seed: maphash.MakeSeed()}
+	return &Client{transport: checked, seed: maphash.MakeSeed()}
 }
 
 // Send sends an attempt once, over a connection that has not carried it before, and returns the response as
--- a/attemptconn/conn.go
+++ b/attemptconn/conn.go
@@ -17,6 +17,9 @@
 	attempts []uint64
 }
 
+// NetConn returns the connection below, as tls.Conn does.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // claim records an attempt that is about to be sent. It returns false if the connection must not carry it.
 func (c *conn) claim(attempt uint64) bool {
 	if len(c.attempts) >= maxAttemptsPerConn || slices.Contains(c.attempts, attempt) {
--- /dev/null
+++ b/clientconn/conn.go
@@ -0,0 +1,126 @@
+package clientconn
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+)
+
+// DialFunc opens a connection, like the DialContext of an http.Transport.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewDialFunc returns a dial function whose connections are of type *Conn. A nil dial means that of a zero net.Dialer.
+func NewDialFunc(dial DialFunc) DialFunc {
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &Conn{Conn: c, closed: make(chan struct{})}, nil
+	}
+}
+
+// Conn is a connection of an HTTP client. It carries one request at a time.
+type Conn struct {
+	net.Conn
+	closeOnce sync.Once
+	// closed is closed with the connection.
+	closed chan struct{}
+
+	// writing is held during each write.
+	writing sync.Mutex
+	// writeErr is why a request could not be sent; guarded by writing.
+	writeErr error
+
+	mu sync.Mutex
+	// written is closed once net/http has written the latest request or given up.
+	written chan struct{}
+	// endsBody is set if the end of the connection ends the response to that request.
+	endsBody bool
+}
+
+// beginRequest is called before a request is written.
+func (c *Conn) beginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.written, c.endsBody = make(chan struct{}), false
+}
+
+// endRequest is called once for each request, when it was written or could not be.
+func (c *Conn) endRequest(err error) {
+	c.recordWrite(err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.written)
+}
+
+// beginBody is called before the body of a response is read.
+func (c *Conn) beginBody(untilClose bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endsBody = untilClose
+}
+
+func (c *Conn) recordWrite(err error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// Read implements net.Conn. If the end of the connection ends a response, it is returned once the request has been sent;
+// if the request could not be sent, the error is an *EndError.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	c.mu.Lock()
+	written, endsBody := c.written, c.endsBody
+	c.mu.Unlock()
+	if endsBody {
+		if sendErr := c.awaitSent(written); sendErr != nil {
+			return n, &EndError{Err: sendErr}
+		}
+	}
+	return n, err
+}
+
+// awaitSent returns nil once the request has been sent, and an error if it could not be. The wait ends with the connection,
+// which net/http closes when the context of the request ends.
+func (c *Conn) awaitSent(written <-chan struct{}) error {
+	var closed error
+	select {
+	case <-written:
+	case <-c.closed:
+		closed = net.ErrClosed
+	}
+	c.writing.Lock() // net/http flushes the last bytes after it has reported the request as written
+	defer c.writing.Unlock()
+	if c.writeErr != nil {
+		return c.writeErr
+	}
+	return closed
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/clientconn/doc.go
@@ -0,0 +1,7 @@
+// Package clientconn provides connections of HTTP/1.1 clients that check what net/http does not: that the end of a
+// connection ends the response, where it has no length.
+//
+// A connection reset is reported once, to the read or to the write that notices it first. If the write of a request body
+// takes the error, the read beside it returns io.EOF, as after an orderly end. An end therefore proves a response without a
+// length complete only if the request has been sent without an error.
+package clientconn
--- /dev/null
+++ b/clientconn/tracker.go
@@ -0,0 +1,75 @@
+package clientconn
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+)
+
+// Tracker follows a request to the connection that carries it. net/http may send a request again over another connection
+// after one failed; the latest one counts.
+type Tracker struct {
+	mu   sync.Mutex
+	conn net.Conn
+}
+
+// Track returns a tracker and the context with which its request must be sent, by an http.Transport that dials with the
+// function of NewDialFunc.
+func Track(ctx context.Context) (context.Context, *Tracker) {
+	t := &Tracker{}
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			t.mu.Lock()
+			t.conn = info.Conn
+			t.mu.Unlock()
+			if c := find(info.Conn); c != nil {
+				c.beginRequest()
+			}
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if c := find(t.latest()); c != nil {
+				c.endRequest(info.Err)
+			}
+		},
+	}), t
+}
+
+func (t *Tracker) latest() net.Conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.conn
+}
+
+// Receive is called with the response to the request before its body is read.
+func (t *Tracker) Receive(resp *http.Response) {
+	if c := find(t.latest()); c != nil {
+		c.beginBody(resp.ContentLength < 0 && len(resp.TransferEncoding) == 0)
+	}
+}
+
+// CloseConn closes the connection, so that it carries no other request.
+func (t *Tracker) CloseConn() {
+	if conn := t.latest(); conn != nil {
+		_ = conn.Close() // nothing more is expected of it
+	}
+}
+
+// find returns the Conn below a connection, or nil if there is none. Below TLS none is looked for: TLS marks the end of the
+// data itself, so that a reset never looks like it.
+func find(conn net.Conn) *Conn {
+	for {
+		switch c := conn.(type) {
+		case *Conn:
+			return c
+		case *tls.Conn:
+			return nil
+		case interface{ NetConn() net.Conn }:
+			conn = c.NetConn()
+		default:
+			return nil
+		}
+	}
+}
--- a/dataplane/client.go
+++ b/dataplane/client.go
@@ -25,7 +25,7 @@
 
 // Client sends calls to agents.
 type Client struct {
-	transport  *http.Transport
+	transport  *httpstatus.Transport
 	scheme     string
 	credential string
 }
@@ -40,13 +40,13 @@
 	}
 	return &Client{
 		scheme: scheme, credential: credential,
-		transport: &http.Transport{
+		transport: httpstatus.NewTransport(&http.Transport{
 			DialContext: dialer.DialContext, TLSClientConfig: config, TLSHandshakeTimeout: dialTimeout,
 			IdleConnTimeout: idleConnTimeout, MaxIdleConnsPerHost: maxIdleConnsPerHost,
 			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 			// The response is forwarded unchanged; decompression would change its length and headers.
 			DisableCompression: true,
-		},
+		}),
 	}
 }
 
@@ -58,7 +58,7 @@
 func (c *Client) Do(ctx context.Context, call Call) (*Response, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	req, err := newRequest(httpstatus.WithInterimCheck(httptrace.WithClientTrace(ctx, trace)), c.scheme, call)
+	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), c.scheme, call)
 	if err != nil {
 		return nil, notSentRefusal(call, err)
 	}
@@ -77,10 +77,6 @@
 
 // checkResponse checks that resp belongs to call and returns a refusal by the agent as an error.
 func (c *Client) checkResponse(call Call, resp *http.Response) (*Response, error) {
-	if err := httpstatus.Check(resp); err != nil {
-		resp.Body.Close()
-		return nil, noResponseRefusal(call, err)
-	}
 	if got := resp.Header.Get(HeaderRequestID); got != call.RequestID {
 		// The responses on this connection are out of step; closing the body before its end closes the connection.
 		resp.Body.Close()
--- a/httpstatus/client.go
+++ b/httpstatus/client.go
@@ -1,31 +1,47 @@
 package httpstatus
 
-import "net/http"
+import (
+	"net/http"
 
-// NewClient returns a client for calls to one address. A response that cannot end its request is an error, as no response
-// is, and redirections are not followed: a call that is meant for one address must not take effect at another.
-func NewClient(transport http.RoundTripper) *http.Client {
+	"github.com/radishshelf/radishshelf/clientconn"
+)
+
+// NewClient returns a client for calls to one address, which takes over the transport. A response that cannot end its
+// request is an error, as no response is, and redirections are not followed: a call that is meant for one address must not
+// take effect at another.
+func NewClient(transport *http.Transport) *http.Client {
 	return &http.Client{
 		Transport:     NewTransport(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
-// NewTransport returns a transport that fails if a response cannot end its request.
-func NewTransport(base http.RoundTripper) http.RoundTripper { return checkedTransport{base} }
+// Transport fails if a response cannot end its request, and if the end of a connection does not prove a response complete.
+type Transport struct {
+	base *http.Transport
+}
 
-// checkedTransport returns an *Error instead of a response that cannot end its request.
-type checkedTransport struct{ http.RoundTripper }
+// NewTransport returns a transport that takes over base. The base must not be used otherwise.
+func NewTransport(base *http.Transport) *Transport {
+	base.DialContext = clientconn.NewDialFunc(base.DialContext)
+	return &Transport{base: base}
+}
 
-// RoundTrip implements http.RoundTripper.
-func (t checkedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.RoundTripper.RoundTrip(r.WithContext(WithInterimCheck(r.Context())))
+// RoundTrip implements http.RoundTripper. After an *Error the connection is closed.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	ctx, tracker := clientconn.Track(withInterimCheck(r.Context()))
+	resp, err := t.base.RoundTrip(r.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
 	if err := Check(resp); err != nil {
+		tracker.CloseConn()
 		resp.Body.Close()
 		return nil, err
 	}
+	tracker.Receive(resp)
 	return resp, nil
 }
+
+// CloseIdleConnections closes the connections that carry no request.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
--- a/httpstatus/interim.go
+++ b/httpstatus/interim.go
@@ -12,9 +12,9 @@
 // size of each of them, but no longer their number once they are checked.
 const maxInterim = 16
 
-// WithInterimCheck returns a context whose request, sent by net/http, fails with an *Error if its upstream sends an
+// withInterimCheck returns a context whose request, sent by net/http, fails with an *Error if its upstream sends an
 // interim response (1xx) that is none.
-func WithInterimCheck(ctx context.Context) context.Context {
+func withInterimCheck(ctx context.Context) context.Context {
 	received := 0
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		Got1xxResponse: func(status int, header textproto.MIMEHeader) error {
