httpstatus: check the responses of peers and of the operator interface

Callers saw: the operator's command told "conflict: the object has another revision" because of a response whose status was 000, 099, -00 or 600. A call to a peer whose response had status 150 and a body was waited for until its deadline. A commit through a peer counted as committed, and a change by an operator as made, because of a part of a response whose connection was reset beside a large call. Changes by operators followed redirections, with their credential, to another address.

Cause: these clients had transports of their own beside the one in httpstatus. The same holds for heartbeats of agents, calls between entries and the synchronisation of the configuration. Calls through Twirp already took statuses other than 200 for errors, with the effect unknown as it should be.

Change: all clients use the transport of httpstatus, which closes the connection after a response that ends no request.

Requests of callers did not take such statuses before either; their tests stay as they are.

--- a/agent/loops.go
+++ b/agent/loops.go
@@ -10,6 +10,7 @@
 
 	"github.com/radishshelf/radishshelf/callproof"
 	"github.com/radishshelf/radishshelf/fleetconfig"
+	"github.com/radishshelf/radishshelf/httpstatus"
 	"github.com/radishshelf/radishshelf/rpc"
 )
 
@@ -51,7 +52,7 @@
 	if config != nil {
 		scheme = "https"
 	}
-	transport := &http.Transport{TLSClientConfig: config.Clone(), MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout}
+	transport := httpstatus.NewTransport(&http.Transport{TLSClientConfig: config.Clone(), MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout})
 	client := &http.Client{Transport: callproof.Transport(string(a.credential), transport)}
 	return &heartbeatSender{agent: a, client: client, scheme: scheme, peers: map[string]rpc.Peer{}}
 }
--- a/configsync/options.go
+++ b/configsync/options.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/radishshelf/radishshelf/httpstatus"
 	"github.com/radishshelf/radishshelf/rpc"
 	"github.com/radishshelf/radishshelf/telemetry"
 )
@@ -17,6 +18,8 @@
 	defaultCallTimeout = time.Second
 	// defaultTableTimeout bounds one read of the table, which may span several pages after a restart.
 	defaultTableTimeout = 3 * time.Second
+	// idleTimeout closes unused connections to peers.
+	idleTimeout = 90 * time.Second
 )
 
 // Options configures a Syncer.
@@ -59,7 +62,7 @@
 		o.TableTimeout = defaultTableTimeout
 	}
 	if o.Dial == nil {
-		client := &http.Client{Timeout: o.CallTimeout}
+		client := &http.Client{Timeout: o.CallTimeout, Transport: httpstatus.NewTransport(&http.Transport{IdleConnTimeout: idleTimeout})}
 		o.Dial = func(address string) rpc.Peer { return rpc.NewPeerProtobufClient("http://"+address, client) }
 	}
 	return o
--- a/entry/peer/http.go
+++ b/entry/peer/http.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/radishshelf/radishshelf/callproof"
+	"github.com/radishshelf/radishshelf/httpstatus"
 	"github.com/radishshelf/radishshelf/rpc"
 )
 
@@ -46,7 +47,7 @@
 	if config != nil {
 		scheme = "https"
 	}
-	transport := &http.Transport{TLSClientConfig: config, MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout}
+	transport := httpstatus.NewTransport(&http.Transport{TLSClientConfig: config, MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout})
 	return &Dialer{
 		scheme: scheme,
 		client: &http.Client{Timeout: timeout, Transport: callproof.Transport(credential, transport)},
--- a/operatorclient/client.go
+++ b/operatorclient/client.go
@@ -34,8 +34,9 @@
 	if opts.TLS != nil {
 		scheme = "https://"
 	}
-	transport := &http.Transport{TLSClientConfig: opts.TLS}
-	return &Client{base: scheme + address, token: opts.Token, http: &http.Client{Timeout: opts.Timeout, Transport: transport}}
+	client := httpstatus.NewClient(&http.Transport{TLSClientConfig: opts.TLS})
+	client.Timeout = opts.Timeout
+	return &Client{base: scheme + address, token: opts.Token, http: client}
 }
 
 // List returns the objects of a kind, sorted by name.
--- a/rowrelay/peer.go
+++ b/rowrelay/peer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/radishshelf/radishshelf/hosting"
+	"github.com/radishshelf/radishshelf/httpstatus"
 	"github.com/radishshelf/radishshelf/rpc/relaypb"
 )
 
@@ -31,7 +32,7 @@
 // NewClient returns the HTTP client of calls to peers. dial opens its connections.
 func NewClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
 	return &http.Client{Transport: &boundedTransport{
-		base: &http.Transport{DialContext: dial, MaxResponseHeaderBytes: maxHeaderBytes},
+		base: httpstatus.NewTransport(&http.Transport{DialContext: dial, MaxResponseHeaderBytes: maxHeaderBytes}),
 	}}
 }
 
