clientconn: use no connection whose response is still being checked

Callers saw: while upstreams sent responses that end no request, requests beside them failed with reason=stale and may have run, so that one that must run once was lost.

Cause: net/http hands a connection to the next request before it returns a response without a body (no content, or a status that allows none). The check of the response then closed the connection under that request, or the request read what followed a 304 as its response.

Change: a request waits for the verdict on the response before it on its connection; when the connection was closed, it is sent over another one, with nothing written before.

--- a/attemptconn/client.go
+++ b/attemptconn/client.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 
+	"github.com/radishshelf/radishshelf/clientconn"
 	"github.com/radishshelf/radishshelf/httpstatus"
 )
 
@@ -26,7 +27,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: c}, nil
+		return &conn{Conn: c.(*clientconn.Conn)}, nil
 	}
 	return &Client{transport: checked, seed: maphash.MakeSeed()}
 }
--- a/attemptconn/conn.go
+++ b/attemptconn/conn.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"slices"
+
+	"github.com/radishshelf/radishshelf/clientconn"
 )
 
 // maxAttemptsPerConn is the number of attempts after which a connection is replaced, which bounds the memory for their
@@ -12,7 +14,7 @@
 // conn is a connection that knows which attempts it has carried. It carries one request at a time, so claim needs no
 // lock.
 type conn struct {
-	net.Conn
+	*clientconn.Conn
 	// attempts holds the hashes of the attempts that were sent over the connection.
 	attempts []uint64
 }
@@ -22,7 +24,7 @@
 
 // claim records an attempt that is about to be sent. It returns false if the connection must not carry it.
 func (c *conn) claim(attempt uint64) bool {
-	if len(c.attempts) >= maxAttemptsPerConn || slices.Contains(c.attempts, attempt) {
+	if c.IsClosed() || len(c.attempts) >= maxAttemptsPerConn || slices.Contains(c.attempts, attempt) {
 		return false
 	}
 	c.attempts = append(c.attempts, attempt)
--- a/clientconn/conn.go
+++ b/clientconn/conn.go
@@ -39,15 +39,29 @@
 	mu sync.Mutex
 	// written is closed once net/http has written the latest request or given up.
 	written chan struct{}
-	// endsBody is set if the end of the connection ends the response to that request.
+	// accepted is closed once a response to that request was accepted.
+	accepted chan struct{}
+	// endsBody is set if the end of the connection ends that response.
 	endsBody bool
 }
 
-// beginRequest is called before a request is written.
-func (c *Conn) beginRequest() {
+// beginRequest is called before a request is written. It waits until the response to the request before was accepted or
+// the connection is closed: net/http hands a connection to the next request before it returns a response without a body.
+// Closing the connection instead could lose that response.
+func (c *Conn) beginRequest(ctx context.Context) {
+	c.mu.Lock()
+	accepted := c.accepted
+	c.mu.Unlock()
+	if accepted != nil {
+		select {
+		case <-accepted:
+		case <-c.closed:
+		case <-ctx.Done():
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.written, c.endsBody = make(chan struct{}), false
+	c.written, c.accepted, c.endsBody = make(chan struct{}), make(chan struct{}), false
 }
 
 // endRequest is called once for each request, when it was written or could not be.
@@ -58,11 +72,12 @@
 	close(c.written)
 }
 
-// beginBody is called before the body of a response is read.
-func (c *Conn) beginBody(untilClose bool) {
+// acceptResponse is called before the body of a response is read.
+func (c *Conn) acceptResponse(untilClose bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.endsBody = untilClose
+	close(c.accepted)
 }
 
 func (c *Conn) recordWrite(err error) {
@@ -119,6 +134,16 @@
 	return closed
 }
 
+// IsClosed reports whether Close was called.
+func (c *Conn) IsClosed() bool {
+	select {
+	case <-c.closed:
+		return true
+	default:
+		return false
+	}
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.closeOnce.Do(func() { close(c.closed) })
--- a/clientconn/conn_test.go
+++ b/clientconn/conn_test.go
@@ -58,7 +58,7 @@
 	ctx, tracker := Track(t.Context())
 	r := &request{t: t, wire: wire, conn: conn, trace: httptrace.ContextClientTrace(ctx), end: make(chan error, 1)}
 	r.trace.GotConn(httptrace.GotConnInfo{Conn: conn})
-	tracker.Receive(resp)
+	tracker.Accept(resp)
 	return r
 }
 
@@ -225,7 +225,7 @@
 		t.Fatal(err)
 	}
 	defer resp.Body.Close()
-	tracker.Receive(resp)
+	tracker.Accept(resp)
 	if body, err := io.ReadAll(resp.Body); err == nil {
 		t.Errorf("%q passed for a whole response", body)
 	}
--- a/clientconn/tracker.go
+++ b/clientconn/tracker.go
@@ -26,7 +26,7 @@
 			t.conn = info.Conn
 			t.mu.Unlock()
 			if c := find(info.Conn); c != nil {
-				c.beginRequest()
+				c.beginRequest(ctx)
 			}
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
@@ -43,14 +43,15 @@
 	return t.conn
 }
 
-// Receive is called with the response to the request before its body is read.
-func (t *Tracker) Receive(resp *http.Response) {
+// Accept is called with the response to the request, once it was checked and before its body is read. Until then, or until
+// CloseConn, the connection carries no other request.
+func (t *Tracker) Accept(resp *http.Response) {
 	if c := find(t.latest()); c != nil {
-		c.beginBody(resp.ContentLength < 0 && len(resp.TransferEncoding) == 0)
+		c.acceptResponse(resp.ContentLength < 0 && len(resp.TransferEncoding) == 0)
 	}
 }
 
-// CloseConn closes the connection, so that it carries no other request.
+// CloseConn is called instead of Accept if there is no response.
 func (t *Tracker) CloseConn() {
 	if conn := t.latest(); conn != nil {
 		_ = conn.Close() // nothing more is expected of it
--- a/httpstatus/client.go
+++ b/httpstatus/client.go
@@ -27,11 +27,12 @@
 	return &Transport{base: base}
 }
 
-// RoundTrip implements http.RoundTripper. After an *Error the connection is closed.
+// RoundTrip implements http.RoundTripper. After an error the connection is closed.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	ctx, tracker := clientconn.Track(withInterimCheck(r.Context()))
 	resp, err := t.base.RoundTrip(r.WithContext(ctx))
 	if err != nil {
+		tracker.CloseConn()
 		return nil, err
 	}
 	if err := Check(resp); err != nil {
@@ -39,7 +40,7 @@
 		resp.Body.Close()
 		return nil, err
 	}
-	tracker.Receive(resp)
+	tracker.Accept(resp)
 	return resp, nil
 }
 
