httpstatus: reject responses whose header has a name with a space

Callers saw: a response with a line such as "Content-Length : 4", "Transfer-Encoding : chunked" or "Bad Name: x" passed for one. The line was passed on, or the body ran to the end of the connection with chunk sizes in it; with "Radishshelf-Not-Run : 1" a refusal passed for a response. With another field for "not run" in the head, or status 421, a request that must run once was sent twice.

Cause: RFC 9112, section 5.1, allows no space in or after a field name. net/http keeps such a line under its odd name, so that it frames nothing and means nothing.

Names with control bytes, tabs, other separators, bytes above 0x7f or no name at all were handled: net/http rejects them.

--- a/httpstatus/check.go
+++ b/httpstatus/check.go
@@ -12,7 +12,7 @@
 	maxFinal = 599
 )
 
-// Error is the error of a response whose status cannot end its request. The request may have run.
+// Error is the error of a response whose status or header cannot end its request. The request may have run.
 type Error struct {
 	// Status is the status as received, or what identifies the response otherwise.
 	Status string
@@ -28,11 +28,14 @@
 // Check returns nil if a response may be the final one to its request, and otherwise an *Error.
 func Check(resp *http.Response) error {
 	status, _, _ := strings.Cut(resp.Status, " ")
+	reason := checkHeader(resp.Header)
 	switch {
 	case !IsFinal(resp.StatusCode):
 		return &Error{Status: status, Reason: "is of no class of final responses"}
 	case resp.StatusCode == http.StatusNotModified && resp.Request != nil && !isConditional(resp.Request.Header):
 		return &Error{Status: status, Reason: "answers a request without a condition"}
+	case reason != "":
+		return &Error{Status: status, Reason: reason}
 	default:
 		return nil
 	}
--- a/httpstatus/interim.go
+++ b/httpstatus/interim.go
@@ -32,9 +32,11 @@
 		return &Error{Status: strconv.Itoa(status), Reason: "is one interim response too many"}
 	case header.Get("Content-Length") != "" && !isKnownInterim(status):
 		return &Error{Status: strconv.Itoa(status), Reason: "is interim although the response has a body"}
-	default:
-		return nil
 	}
+	if reason := checkHeader(header); reason != "" {
+		return &Error{Status: strconv.Itoa(status), Reason: reason}
+	}
+	return nil
 }
 
 // isKnownInterim reports whether a status is registered for interim responses, so that a needless length says nothing.
