httpstatus: reject folded header lines and chunks named in HTTP/1.0

Callers saw: with a line " Content-Length: 4" after another field the body ran to the end of the connection; a line that continued the signature made it longer; an HTTP/1.0 response that named chunks was passed on with the chunk sizes in its body.

Cause: net/http joins a line that begins with a space or tab to the value before it, and removes Transfer-Encoding from HTTP/1.0 responses without decoding the chunks. Neither can be seen in the response that it returns.

Change: connections read the heads that pass through them, in a scanner without I/O that keeps 32 bytes of a line, and tell of both. The responses are none, as with a name that has a space. RFC 9112 asks a gateway to reject folded lines or to replace the fold (5.2), and to take the framing of such HTTP/1.0 responses for faulty (6.1). Below TLS nothing is scanned: those clients talk to processes of this project only.

--- a/clientconn/conn.go
+++ b/clientconn/conn.go
@@ -43,6 +43,8 @@
 	accepted chan struct{}
 	// endsBody is set if the end of the connection ends that response.
 	endsBody bool
+	// heads reads the heads of the responses to that request.
+	heads headScanner
 }
 
 // beginRequest is called before a request is written. It waits until the response to the request before was accepted or
@@ -62,6 +64,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.written, c.accepted, c.endsBody = make(chan struct{}), make(chan struct{}), false
+	c.heads = headScanner{prefix: c.heads.prefix[:0]}
 }
 
 // endRequest is called once for each request, when it was written or could not be.
@@ -80,6 +83,12 @@
 	close(c.accepted)
 }
 
+func (c *Conn) head() Head {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.heads.Head
+}
+
 func (c *Conn) recordWrite(err error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
@@ -103,13 +112,11 @@
 // if the request could not be sent, the error is an *EndError.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if err != io.EOF {
-		return n, err
-	}
 	c.mu.Lock()
+	c.heads.scan(p[:n])
 	written, endsBody := c.written, c.endsBody
 	c.mu.Unlock()
-	if endsBody {
+	if err == io.EOF && endsBody {
 		if sendErr := c.awaitSent(written); sendErr != nil {
 			return n, &EndError{Err: sendErr}
 		}
--- a/clientconn/tracker.go
+++ b/clientconn/tracker.go
@@ -51,6 +51,14 @@
 	}
 }
 
+// Head returns what net/http does not report of the responses so far.
+func (t *Tracker) Head() Head {
+	if c := find(t.latest()); c != nil {
+		return c.head()
+	}
+	return Head{}
+}
+
 // CloseConn is called instead of Accept if there is no response.
 func (t *Tracker) CloseConn() {
 	if conn := t.latest(); conn != nil {
--- a/httpstatus/check.go
+++ b/httpstatus/check.go
@@ -27,7 +27,7 @@
 
 // Check returns nil if a response may be the final one to its request, and otherwise an *Error.
 func Check(resp *http.Response) error {
-	status, _, _ := strings.Cut(resp.Status, " ")
+	status := statusOf(resp)
 	reason := checkHeader(resp.Header)
 	switch {
 	case !IsFinal(resp.StatusCode):
@@ -41,6 +41,12 @@
 	}
 }
 
+// statusOf returns the status of a response as received.
+func statusOf(resp *http.Response) string {
+	status, _, _ := strings.Cut(resp.Status, " ")
+	return status
+}
+
 // IsFinal reports whether a final response may have a status.
 func IsFinal(status int) bool { return status >= minFinal && status <= maxFinal }
 
--- a/httpstatus/client.go
+++ b/httpstatus/client.go
@@ -35,7 +35,7 @@
 		tracker.CloseConn()
 		return nil, err
 	}
-	if err := Check(resp); err != nil {
+	if err := checkResponse(resp, tracker.Head()); err != nil {
 		tracker.CloseConn()
 		resp.Body.Close()
 		return nil, err
@@ -44,5 +44,12 @@
 	return resp, nil
 }
 
+func checkResponse(resp *http.Response, head clientconn.Head) error {
+	if err := Check(resp); err != nil {
+		return err
+	}
+	return checkHead(resp, head)
+}
+
 // CloseIdleConnections closes the connections that carry no request.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
