clientconn: keep the state of each request apart

A request whose deadline passed while it waited for the verdict on the response before it replaced the state of that response on the connection. Accepting both would have closed one channel twice, a panic. Each tracker now holds the exchange that it began.

The tests of clientconn, httpstatus and attemptconn pass 5 times with the race detector, platform:TestConnectionOfOddResponseIsNotReused 30 times.

--- a/clientconn/conn.go
+++ b/clientconn/conn.go
@@ -37,56 +37,61 @@
 	writeErr error
 
 	mu sync.Mutex
-	// written is closed once net/http has written the latest request or given up.
+	// latest is the latest request and its response, nil before the first; guarded by mu, as what it points to.
+	latest *exchange
+}
+
+// exchange is a request and its response on a connection.
+type exchange struct {
+	// written is closed once net/http has written the request or given up.
 	written chan struct{}
-	// accepted is closed once a response to that request was accepted.
+	// accepted is closed once the response was accepted.
 	accepted chan struct{}
-	// endsBody is set if the end of the connection ends that response.
+	// endsBody is set if the end of the connection ends the response.
 	endsBody bool
-	// heads reads the heads of the responses to that request.
+	// heads reads the head of the response and those of interim ones.
 	heads headScanner
 }
 
-// beginRequest is called before a request is written. It waits until the response to the request before was accepted or
-// the connection is closed: net/http hands a connection to the next request before it returns a response without a body.
+// begin is called before a request is written. It waits until the response to the request before was accepted or the
+// connection is closed: net/http hands a connection to the next request before it returns a response without a body.
 // Closing the connection instead could lose that response.
-func (c *Conn) beginRequest(ctx context.Context) {
+func (c *Conn) begin(ctx context.Context) *exchange {
 	c.mu.Lock()
-	accepted := c.accepted
+	before := c.latest
 	c.mu.Unlock()
-	if accepted != nil {
+	if before != nil {
 		select {
-		case <-accepted:
+		case <-before.accepted:
 		case <-c.closed:
 		case <-ctx.Done():
 		}
 	}
+	e := &exchange{written: make(chan struct{}), accepted: make(chan struct{})}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.written, c.accepted, c.endsBody = make(chan struct{}), make(chan struct{}), false
-	c.heads = headScanner{prefix: c.heads.prefix[:0]}
+	c.latest = e
+	return e
 }
 
-// endRequest is called once for each request, when it was written or could not be.
-func (c *Conn) endRequest(err error) {
+// finishWrite is called once for each exchange, when its request was written or could not be.
+func (c *Conn) finishWrite(e *exchange, err error) {
 	c.recordWrite(err)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	close(c.written)
+	close(e.written)
 }
 
-// acceptResponse is called before the body of a response is read.
-func (c *Conn) acceptResponse(untilClose bool) {
+// accept is called at most once for each exchange, before the body of its response is read.
+func (c *Conn) accept(e *exchange, endsBody bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.endsBody = untilClose
-	close(c.accepted)
+	e.endsBody = endsBody
+	close(e.accepted)
 }
 
-func (c *Conn) head() Head {
+func (c *Conn) head(e *exchange) Head {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.heads.Head
+	return e.heads.Head
 }
 
 func (c *Conn) recordWrite(err error) {
@@ -112,24 +117,32 @@
 // if the request could not be sent, the error is an *EndError.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.mu.Lock()
-	c.heads.scan(p[:n])
-	written, endsBody := c.written, c.endsBody
-	c.mu.Unlock()
+	e, endsBody := c.received(p[:n])
 	if err == io.EOF && endsBody {
-		if sendErr := c.awaitSent(written); sendErr != nil {
+		if sendErr := c.awaitSent(e); sendErr != nil {
 			return n, &EndError{Err: sendErr}
 		}
 	}
 	return n, err
 }
 
+// received records bytes of the latest exchange. endsBody is set if the end of the connection ends its response.
+func (c *Conn) received(p []byte) (e *exchange, endsBody bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.latest == nil {
+		return nil, false
+	}
+	c.latest.heads.scan(p)
+	return c.latest, c.latest.endsBody
+}
+
 // awaitSent returns nil once the request has been sent, and an error if it could not be. The wait ends with the connection,
 // which net/http closes when the context of the request ends.
-func (c *Conn) awaitSent(written <-chan struct{}) error {
+func (c *Conn) awaitSent(e *exchange) error {
 	var closed error
 	select {
-	case <-written:
+	case <-e.written:
 	case <-c.closed:
 		closed = net.ErrClosed
 	}
--- a/clientconn/tracker.go
+++ b/clientconn/tracker.go
@@ -14,6 +14,9 @@
 type Tracker struct {
 	mu   sync.Mutex
 	conn net.Conn
+	// checked is the Conn below conn and exchange the request on it; nil if there is none.
+	checked  *Conn
+	exchange *exchange
 }
 
 // Track returns a tracker and the context with which its request must be sent, by an http.Transport that dials with the
@@ -21,48 +24,54 @@
 func Track(ctx context.Context) (context.Context, *Tracker) {
 	t := &Tracker{}
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			t.mu.Lock()
-			t.conn = info.Conn
-			t.mu.Unlock()
-			if c := find(info.Conn); c != nil {
-				c.beginRequest(ctx)
-			}
-		},
+		GotConn: func(info httptrace.GotConnInfo) { t.begin(ctx, info.Conn) },
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
-			if c := find(t.latest()); c != nil {
-				c.endRequest(info.Err)
+			if c, e := t.latest(); c != nil {
+				c.finishWrite(e, info.Err)
 			}
 		},
 	}), t
 }
 
-func (t *Tracker) latest() net.Conn {
+func (t *Tracker) begin(ctx context.Context, conn net.Conn) {
+	var e *exchange
+	c := find(conn)
+	if c != nil {
+		e = c.begin(ctx)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.conn
+	t.conn, t.checked, t.exchange = conn, c, e
+}
+
+func (t *Tracker) latest() (*Conn, *exchange) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.checked, t.exchange
 }
 
 // Accept is called with the response to the request, once it was checked and before its body is read. Until then, or until
 // CloseConn, the connection carries no other request.
 func (t *Tracker) Accept(resp *http.Response) {
-	if c := find(t.latest()); c != nil {
-		c.acceptResponse(resp.ContentLength < 0 && len(resp.TransferEncoding) == 0)
+	if c, e := t.latest(); c != nil {
+		c.accept(e, resp.ContentLength < 0 && len(resp.TransferEncoding) == 0)
 	}
 }
 
 // Head returns what net/http does not report of the responses so far.
 func (t *Tracker) Head() Head {
-	if c := find(t.latest()); c != nil {
-		return c.head()
+	if c, e := t.latest(); c != nil {
+		return c.head(e)
 	}
 	return Head{}
 }
 
 // CloseConn is called instead of Accept if there is no response.
 func (t *Tracker) CloseConn() {
-	if conn := t.latest(); conn != nil {
-		_ = conn.Close() // nothing more is expected of it
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn != nil {
+		_ = t.conn.Close() // nothing more is expected of it
 	}
 }
 
